--- /dev/null
+++ b/apps/GatewayMain.cpp
@@ -0,0 +1,61 @@
+// fescue-gateway: the process that callers talk to; see src/Gateway.h.
+
+#include "EventLog.h"
+#include "Gateway.h"
+#include "Settings.h"
+
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(vm, "", "name of this VM in the platform's list");
+DEFINE_string(zone, "", "availability zone of this VM");
+DEFINE_string(listen, "127.0.0.1:0", "address for callers; port 0 takes a free one");
+DEFINE_string(scheduler, "", "host:port of the scheduler on this VM");
+DEFINE_int32(threads, 4, "threads that serve callers");
+DEFINE_int64(seed, 0, "seed of the random choices; 0 takes another one at each start");
+DEFINE_int64(max_body_bytes, 8388608, "largest request body");
+DEFINE_int32(home_ms, 15000, "how long a request looks for its program's home");
+DEFINE_int32(drain_ms, 30000, "how long open requests may go on after SIGTERM");
+DEFINE_string(events_file, "", "file for the event log; empty for standard error");
+
+namespace {
+
+fescue::GatewayOptions checkedOptions()
+{
+    using namespace fescue;
+    GatewayOptions options;
+    options.vm_ = { requireText("--vm", FLAGS_vm) };
+    options.zone_ = requireZone("--zone", FLAGS_zone);
+    HostPort listen = requireHostPort("--listen", FLAGS_listen);
+    options.address_ = listen.host_;
+    options.port_ = listen.port_;
+    requireHostPort("--scheduler", FLAGS_scheduler);
+    options.scheduler_ = FLAGS_scheduler;
+    options.threads_ = static_cast<std::size_t>(requireRange("--threads", FLAGS_threads, 1, 64));
+    options.seed_ = static_cast<std::uint64_t>(FLAGS_seed);
+    options.maxBody_ = { requireRange("--max_body_bytes", FLAGS_max_body_bytes, 1024, 268435456) };
+    options.homePatience_ = Milliseconds { requireRange("--home_ms", FLAGS_home_ms, 100, 600000) };
+    options.drainGrace_ = Milliseconds { requireRange("--drain_ms", FLAGS_drain_ms, 0, 3600000) };
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    fescue::readSettings(argc, argv,
+        { "fescue-gateway",
+            "fescue-gateway: serves callers over HTTP and finds the home of their programs." });
+    fescue::GatewayOptions options = checkedOptions();
+    fescue::blockStopSignals();
+    try {
+        fescue::openEventLog({ FLAGS_events_file, "gateway", options.vm_.value_, options.zone_.value_ });
+        fescue::Gateway gateway(options);
+        std::cout << "http " << gateway.port() << std::endl;
+        fescue::waitForStopSignal();
+        gateway.drain();
+    } catch (const std::exception& error) {
+        fescue::refuseSettings("--listen or --events_file", error.what());
+    }
+    return 0;
+}
--- /dev/null
+++ b/apps/SchedulerMain.cpp
@@ -0,0 +1,67 @@
+// fescue-scheduler: home of program shards; see src/Scheduler.h.
+
+#include "EventLog.h"
+#include "Scheduler.h"
+#include "Settings.h"
+
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(vm, "", "name of this VM in the platform's list");
+DEFINE_string(zone, "", "availability zone of this VM");
+DEFINE_string(listen, "127.0.0.1:0", "address for frames from gateways; port 0 takes a free one");
+DEFINE_int32(http_port, 0, "port for /healthz, /readyz, /metrics and /status; 0 takes a free one");
+DEFINE_string(log_url, "", "address of the platform's log service");
+DEFINE_string(vms_url, "", "address of the platform's list of VMs");
+DEFINE_int32(threads, 4, "threads that serve frames");
+DEFINE_int64(seed, 0, "seed of the random choices; 0 takes another one at each start");
+DEFINE_int32(flush_ms, 500, "how long records that nobody waits for are gathered before they are appended");
+DEFINE_int32(drain_ms, 30000, "how long open calls may go on after SIGTERM");
+DEFINE_int32(idle_ms, 1800000, "a program without calls for this long is ended");
+DEFINE_int64(tranche_tokens, 16384,
+    "part of a program's budget that one owner may spend before it asks the log again");
+DEFINE_string(events_file, "", "file for the event log; empty for standard error");
+
+namespace {
+
+fescue::SchedulerOptions checkedOptions()
+{
+    using namespace fescue;
+    SchedulerOptions options;
+    options.vm_ = { requireText("--vm", FLAGS_vm) };
+    options.zone_ = requireZone("--zone", FLAGS_zone);
+    HostPort listen = requireHostPort("--listen", FLAGS_listen);
+    options.address_ = listen.host_;
+    options.port_ = listen.port_;
+    options.httpPort_ = static_cast<std::uint16_t>(requireRange("--http_port", FLAGS_http_port, 0, 65535));
+    options.logUrl_ = requireUrl("--log_url", FLAGS_log_url);
+    options.vmsUrl_ = requireUrl("--vms_url", FLAGS_vms_url);
+    options.threads_ = static_cast<std::size_t>(requireRange("--threads", FLAGS_threads, 1, 64));
+    options.seed_ = static_cast<std::uint64_t>(FLAGS_seed);
+    options.flushInterval_ = Milliseconds { requireRange("--flush_ms", FLAGS_flush_ms, 0, 60000) };
+    options.drainGrace_ = Milliseconds { requireRange("--drain_ms", FLAGS_drain_ms, 0, 3600000) };
+    options.limits_.programIdle_ = Milliseconds { requireRange("--idle_ms", FLAGS_idle_ms, 100, 604800000) };
+    options.limits_.trancheSize_ = { requireRange("--tranche_tokens", FLAGS_tranche_tokens, 1, 1000000000) };
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    fescue::readSettings(argc, argv,
+        { "fescue-scheduler",
+            "fescue-scheduler: home of program shards; runs on each entry VM beside fescue-gateway." });
+    fescue::SchedulerOptions options = checkedOptions();
+    fescue::blockStopSignals();
+    try {
+        fescue::openEventLog({ FLAGS_events_file, "scheduler", options.vm_.value_, options.zone_.value_ });
+        fescue::Scheduler scheduler(options);
+        std::cout << "frames " << scheduler.port() << "\nhttp " << scheduler.httpPort() << std::endl;
+        fescue::waitForStopSignal();
+        scheduler.drain();
+    } catch (const std::exception& error) {
+        fescue::refuseSettings("--listen, --http_port or --events_file", error.what());
+    }
+    return 0;
+}
--- /dev/null
+++ b/apps/StandinServiceMain.cpp
@@ -0,0 +1,23 @@
+// standin-service: see standin/PlainService.h.
+
+#include "PlainService.h"
+#include "Settings.h"
+
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(listen, "127.0.0.1:0", "address to listen on; port 0 takes a free one");
+
+int main(int argc, char** argv)
+{
+    fescue::readSettings(argc, argv, { "standin-service", "standin-service: stand-in for a tool service." });
+    auto listen = fescue::requireHostPort("--listen", FLAGS_listen);
+    fescue::blockStopSignals();
+    fescue::HttpServerOptions options;
+    options.address_ = listen.host_;
+    options.port_ = listen.port_;
+    fescue::standin::PlainService service(options);
+    std::cout << "http " << service.port() << std::endl;
+    fescue::waitForStopSignal();
+    return 0;
+}
--- /dev/null
+++ b/apps/StandinVmsMain.cpp
@@ -0,0 +1,24 @@
+// standin-vms: see standin/VmList.h.
+
+#include "Settings.h"
+#include "VmList.h"
+
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(listen, "127.0.0.1:0", "address to listen on; port 0 takes a free one");
+
+int main(int argc, char** argv)
+{
+    fescue::readSettings(
+        argc, argv, { "standin-vms", "standin-vms: stand-in for the platform's list of VMs." });
+    auto listen = fescue::requireHostPort("--listen", FLAGS_listen);
+    fescue::blockStopSignals();
+    fescue::HttpServerOptions options;
+    options.address_ = listen.host_;
+    options.port_ = listen.port_;
+    fescue::standin::VmList service(options);
+    std::cout << "http " << service.port() << std::endl;
+    fescue::waitForStopSignal();
+    return 0;
+}
--- /dev/null
+++ b/src/AdmitCall.h
@@ -0,0 +1,25 @@
+#pragma once
+
+/** \file
+ * AdmitCall: the first decision about a call at its program's home.
+ *
+ * In order: is the program known and the caller's own, is this a repeat, is it the program's next call,
+ * does it continue the program's history, and does its worst case fit the budget. Only then may it run,
+ * and a call that may run at most once only after the log has confirmed its intent.
+ */
+
+#include "Shard.h"
+
+namespace fescue {
+
+/** Lets a call in, attaches it to the running one, answers it from what is stored, or refuses it.
+ *
+ * Precondition: `call.program_` belongs to this shard. Thread safety: none; the caller holds the lock of
+ * the shard. A refusal is a `ReplyProblem` whose run state is true for every attempt of this call. */
+Effects callArrived(Shard& shard, const Call& call, const ShardContext& context);
+
+/** Starts a waiting call whose tranche has come, or asks for the next one. Called by ShardLog. */
+Effects startWhenFunded(
+    Shard& shard, const ProgramId& program, ActiveProgram& active, const ShardContext& context);
+
+} // namespace fescue
--- /dev/null
+++ b/src/EventLog.cpp
@@ -0,0 +1,74 @@
+#include "EventLog.h"
+
+#include <atomic>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/basic_file_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace fescue {
+
+using nlohmann::json;
+
+namespace {
+
+    struct State {
+        std::shared_ptr<spdlog::logger> logger_;
+        json common_;
+        std::atomic<std::uint64_t> lastLine_ { 0 };
+    };
+
+    State& state()
+    {
+        static State instance;
+        return instance;
+    }
+
+    std::int64_t microsecondsSinceEpoch()
+    {
+        auto now = std::chrono::system_clock::now().time_since_epoch();
+        return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+    }
+
+    void writeLine(
+        spdlog::level::level_enum level, const char* event, const std::string* message, const Facts& facts)
+    {
+        if (!state().logger_)
+            return;
+        json line = state().common_;
+        line["time_us"] = microsecondsSinceEpoch();
+        line["line"] = ++state().lastLine_;
+        line["level"] = level == spdlog::level::warn ? "warning" : "info";
+        line["event"] = event;
+        if (message)
+            line["message"] = *message;
+        for (const auto& [name, value] : facts)
+            line[name] = value;
+        state().logger_->log(level, line.dump(-1, ' ', false, json::error_handler_t::replace));
+    }
+
+} // namespace
+
+void openEventLog(const EventLogOptions& options)
+{
+    auto logger = options.file_.empty() ? spdlog::stderr_logger_mt("events")
+                                        : spdlog::basic_logger_mt("events", options.file_);
+    logger->set_pattern("%v");
+    logger->flush_on(spdlog::level::warn);
+    spdlog::flush_every(std::chrono::seconds(1));
+    state().common_ = { { "process", options.process_ }, { "vm", options.vm_ }, { "zone", options.zone_ } };
+    state().logger_ = std::move(logger);
+}
+
+void logEvent(const char* event, const Facts& facts)
+{
+    writeLine(spdlog::level::info, event, nullptr, facts);
+}
+
+void logWarning(const char* event, const std::string& message, const Facts& facts)
+{
+    writeLine(spdlog::level::warn, event, &message, facts);
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/EventLog.h
@@ -0,0 +1,38 @@
+#pragma once
+
+/** \file
+ * EventLog: what a process did, as JSON lines; the time line is made of these.
+ *
+ * Each line has a time, the process, VM and zone, the event's name and the facts of the event. The names
+ * of facts are the same everywhere: `program`, `call`, `shard`, `epoch`, `offset`, `target`.
+ */
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fescue {
+
+/** Where lines go and what each of them says about its process. */
+struct EventLogOptions {
+    std::string file_; ///< Empty for standard error.
+    std::string process_;
+    std::string vm_;
+    std::string zone_;
+};
+
+/** A fact of an event: its name and value. */
+using Facts = std::vector<std::pair<const char*, std::string>>;
+
+/** Opens the log of this process. Call once, before any thread logs. Throws when the file cannot be opened.
+ */
+void openEventLog(const EventLogOptions& options);
+
+/** Writes one line. Safe from any thread; does nothing before `openEventLog`. */
+void logEvent(const char* event, const Facts& facts);
+
+/** Like `logEvent`, for what an operator has to act on; the message names the remedy. */
+void logWarning(const char* event, const std::string& message, const Facts& facts = {});
+
+} // namespace fescue
--- /dev/null
+++ b/src/FinishCall.cpp
@@ -0,0 +1,94 @@
+#include "FinishCall.h"
+
+#include "Transcript.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fescue {
+
+namespace {
+
+    // The assistant's message becomes part of the history that the next call has to begin with.
+    void extendHistory(RunningCall& running, const std::string& answerMessage)
+    {
+        auto message = nlohmann::json::parse(answerMessage, nullptr, false);
+        if (message.is_discarded())
+            return;
+        running.head_ = extendHead(running.head_, message);
+        auto added = nlohmann::json::parse(running.newMessages_);
+        added.push_back(message);
+        running.newMessages_ = added.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    }
+
+    void keepOutcome(Shard& shard, ActiveProgram& active, RunningCall& running, const ExecutionResult& result)
+    {
+        const Call& call = running.call_;
+        CallFinished finished { call.program_, call.number_, call.fingerprint_, result.outcome_, result.used_,
+            {}, {}, {} };
+        if (call.kind_ == CallKind::Model) {
+            extendHistory(running, result.answerMessage_);
+            active.head_ = running.head_;
+            active.contextTokens_ = result.contextTokens_;
+            finished.contextTokens_ = result.contextTokens_;
+            finished.head_ = running.head_;
+            finished.newMessages_ = running.newMessages_;
+        }
+        active.lastCall_ = call.number_;
+        active.recent_.push_back({ call.number_, call.fingerprint_, result.outcome_ });
+        if (active.recent_.size() > recentCallsKept)
+            active.recent_.pop_front();
+        record(shard, std::move(finished));
+    }
+
+    Effects finishOrphan(Shard& shard, ExecutionId execution, const ExecutionResult& result)
+    {
+        auto found = shard.orphans_.find(execution);
+        if (found == shard.orphans_.end())
+            return {};
+        RunningCall running = std::move(found->second);
+        shard.orphans_.erase(found);
+        switch (result.kind_) {
+        case ExecutionResult::Kind::Answered:
+            return { ReplyOutcome { running.requests_, result.outcome_, {} } };
+        case ExecutionResult::Kind::NotRun:
+        case ExecutionResult::Kind::Unknown:
+            if (running.call_.kind_ == CallKind::AtMostOnceService)
+                return { ReplyOutcome { running.requests_,
+                    unknownOutcome("the program changed its owner while the call was being sent"), {} } };
+            return { ReplyProblem { running.requests_, result.problem_ } };
+        case ExecutionResult::Kind::Failed:
+            return { ReplyProblem { running.requests_, result.problem_ } };
+        }
+        return {};
+    }
+
+} // namespace
+
+Effects callExecuted(Shard& shard, const ProgramId& program, ExecutionId execution,
+    const ExecutionResult& result, const ShardContext& context)
+{
+    auto found = shard.active_.find(program);
+    if (found == shard.active_.end() || !found->second.running_
+        || found->second.running_->execution_ != execution)
+        return finishOrphan(shard, execution, result);
+    ActiveProgram& active = found->second;
+    RunningCall running = std::move(*active.running_);
+    active.running_.reset();
+    active.lastUse_ = context.now_;
+    active.trancheLeft_ += running.reserved_ - result.used_;
+    switch (result.kind_) {
+    case ExecutionResult::Kind::Answered:
+    case ExecutionResult::Kind::Unknown:
+        keepOutcome(shard, active, running, result);
+        return { ReplyOutcome { running.requests_, result.outcome_, active.durableCall_ } };
+    case ExecutionResult::Kind::NotRun:
+        if (running.call_.kind_ == CallKind::AtMostOnceService)
+            record(shard, IntentWithdrawn { program, running.call_.number_ });
+        return { ReplyProblem { running.requests_, result.problem_ } };
+    case ExecutionResult::Kind::Failed:
+        return { ReplyProblem { running.requests_, result.problem_ } };
+    }
+    return {};
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/Frame.cpp
@@ -0,0 +1,139 @@
+#include "Frame.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fescue {
+
+using nlohmann::json;
+
+namespace {
+
+    // Bodies travel as byte strings, since they need not be UTF-8.
+    json bytesOf(const std::string& text) { return json::binary({ text.begin(), text.end() }); }
+
+    std::string bytesAt(const json& object, const char* member)
+    {
+        const auto& bytes = object.at(member).get_binary();
+        return { bytes.begin(), bytes.end() };
+    }
+
+    std::string textAt(const json& object, const char* member)
+    {
+        return object.at(member).get<std::string>();
+    }
+
+    std::uint64_t idAt(const json& object) { return object.at("id").get<std::uint64_t>(); }
+
+    json toJson(const RequestFrame& frame)
+    {
+        return { { "t", "request" }, { "id", frame.id_ }, { "op", static_cast<int>(frame.operation_) },
+            { "workspace", frame.workspace_.value_ }, { "program", frame.program_.value_ },
+            { "call", frame.call_.value_ }, { "service", frame.service_.value_ }, { "method", frame.method_ },
+            { "path", frame.path_ }, { "content_type", frame.contentType_ }, { "body", bytesOf(frame.body_) },
+            { "timeout_ms", frame.timeoutMs_ }, { "forced", frame.isForced_ } };
+    }
+
+    json toJson(const HeadFrame& frame)
+    {
+        return { { "t", "head" }, { "id", frame.id_ }, { "status", frame.status_ },
+            { "content_type", frame.contentType_ }, { "headers", frame.headers_ } };
+    }
+
+    json toJson(const ChunkFrame& frame)
+    {
+        return { { "t", "chunk" }, { "id", frame.id_ }, { "index", frame.index_ },
+            { "data", bytesOf(frame.data_) } };
+    }
+
+    json toJson(const EndFrame& frame)
+    {
+        return { { "t", "end" }, { "id", frame.id_ }, { "chunks", frame.chunks_ } };
+    }
+
+    json toJson(const MovedFrame& frame)
+    {
+        return { { "t", "moved" }, { "id", frame.id_ }, { "to", frame.to_.value_ } };
+    }
+
+    json toJson(const ViewFrame& frame)
+    {
+        json members = json::array();
+        for (const Member& member : frame.members_)
+            members.push_back({ { "vm", member.vm_.value_ }, { "zone", member.zone_.value_ },
+                { "address", member.address_ }, { "leaving", member.isLeaving_ },
+                { "reachable", member.isReachable_ } });
+        return { { "t", "view" }, { "members", std::move(members) }, { "config", frame.config_ } };
+    }
+
+    json toJson(const PeerFrame& frame)
+    {
+        return { { "t", "peer" }, { "from", frame.from_.value_ }, { "leaving", frame.isLeaving_ },
+            { "config", frame.config_ } };
+    }
+
+    RequestFrame parseRequest(const json& object)
+    {
+        auto operation = object.at("op").get<int>();
+        if (operation < 0 || operation > static_cast<int>(Operation::ServiceCall))
+            throw std::invalid_argument("unknown operation");
+        return { idAt(object), static_cast<Operation>(operation), { textAt(object, "workspace") },
+            { textAt(object, "program") }, { object.at("call").get<std::uint32_t>() },
+            { textAt(object, "service") }, textAt(object, "method"), textAt(object, "path"),
+            textAt(object, "content_type"), bytesAt(object, "body"),
+            object.at("timeout_ms").get<std::int64_t>(), object.at("forced").get<bool>() };
+    }
+
+    ViewFrame parseView(const json& object)
+    {
+        ViewFrame view;
+        for (const json& member : object.at("members"))
+            view.members_.push_back(
+                { { textAt(member, "vm") }, { textAt(member, "zone") }, textAt(member, "address"),
+                    member.at("leaving").get<bool>(), member.at("reachable").get<bool>() });
+        view.config_ = textAt(object, "config");
+        return view;
+    }
+
+    Frame parseObject(const json& object)
+    {
+        std::string type = textAt(object, "t");
+        if (type == "request")
+            return parseRequest(object);
+        if (type == "head")
+            return HeadFrame { idAt(object), object.at("status").get<int>(), textAt(object, "content_type"),
+                object.at("headers").get<std::vector<std::pair<std::string, std::string>>>() };
+        if (type == "chunk")
+            return ChunkFrame { idAt(object), object.at("index").get<std::uint64_t>(),
+                bytesAt(object, "data") };
+        if (type == "end")
+            return EndFrame { idAt(object), object.at("chunks").get<std::uint64_t>() };
+        if (type == "moved")
+            return MovedFrame { idAt(object), { textAt(object, "to") } };
+        if (type == "view")
+            return parseView(object);
+        if (type == "peer")
+            return PeerFrame { { textAt(object, "from") }, object.at("leaving").get<bool>(),
+                textAt(object, "config") };
+        throw std::invalid_argument("unknown frame type");
+    }
+
+} // namespace
+
+std::string toCbor(const Frame& frame)
+{
+    json object = std::visit([](const auto& typed) { return toJson(typed); }, frame);
+    std::string bytes;
+    json::to_cbor(object, bytes);
+    return bytes;
+}
+
+tl::expected<Frame, FrameError> parseFrame(const std::string& bytes)
+{
+    try {
+        return parseObject(json::from_cbor(bytes));
+    } catch (const std::exception& error) {
+        return tl::make_unexpected(FrameError { error.what() });
+    }
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/Frame.h
@@ -0,0 +1,102 @@
+#pragma once
+
+/** \file
+ * Frame: what gateways and schedulers say to each other, as CBOR in websocket messages.
+ *
+ * A gateway sends a `RequestFrame` and gets either a `MovedFrame` or a `HeadFrame`, then chunks numbered
+ * from 0, then an `EndFrame` that tells how many there were. So a lost, doubled or crossed frame shows.
+ * A scheduler sends a `ViewFrame` when a link opens and whenever members or configuration change.
+ */
+
+#include "Members.h"
+#include "Problem.h"
+#include "Types.h"
+
+#include <string>
+#include <tl/expected.hpp>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace fescue {
+
+/** What a request wants done. */
+enum class Operation {
+    CreateProgram,
+    EndProgram,
+    ShowProgram,
+    ListPrograms,
+    ModelCall,
+    ServiceCall,
+};
+
+/** A caller's request, authenticated and addressed. */
+struct RequestFrame {
+    std::uint64_t id_ = 0; ///< Unique within the link.
+    Operation operation_ = Operation::ModelCall;
+    WorkspaceId workspace_;
+    ProgramId program_; ///< Empty for a new program and for a call outside of any.
+    CallNumber call_;
+    ServiceId service_;
+    std::string method_;
+    std::string path_; ///< Path and query at the service.
+    std::string contentType_;
+    std::string body_;
+    std::int64_t timeoutMs_ = 0; ///< Time that the caller still waits; 0 means no limit of its own.
+    bool isForced_ = false; ///< Take the shard over although the program is expected elsewhere.
+};
+
+/** Start of an answer. */
+struct HeadFrame {
+    std::uint64_t id_ = 0;
+    int status_ = 0;
+    std::string contentType_;
+    std::vector<std::pair<std::string, std::string>> headers_;
+};
+
+/** Part of an answer. */
+struct ChunkFrame {
+    std::uint64_t id_ = 0;
+    std::uint64_t index_ = 0;
+    std::string data_;
+};
+
+/** End of an answer that had `chunks_` parts. */
+struct EndFrame {
+    std::uint64_t id_ = 0;
+    std::uint64_t chunks_ = 0;
+};
+
+/** The request was not looked at; its program is expected at another VM. */
+struct MovedFrame {
+    std::uint64_t id_ = 0;
+    VmId to_;
+};
+
+/** What a gateway needs to know: who is there, and the configuration in force. */
+struct ViewFrame {
+    Members members_;
+    std::string config_; ///< `toJson(Config)` as text; empty when unchanged since the last view.
+};
+
+/** One scheduler asks another for its configuration, or hands it over. */
+struct PeerFrame {
+    VmId from_;
+    bool isLeaving_ = false;
+    std::string config_;
+};
+
+using Frame = std::variant<RequestFrame, HeadFrame, ChunkFrame, EndFrame, MovedFrame, ViewFrame, PeerFrame>;
+
+/** Why a message could not be read as a frame; the link it came on is closed. */
+struct FrameError {
+    std::string detail_;
+};
+
+/** The frame as CBOR. Pure. */
+std::string toCbor(const Frame& frame);
+
+/** Reads a frame. Pure. Errors: `FrameError` for anything that is not exactly one well-formed frame. */
+tl::expected<Frame, FrameError> parseFrame(const std::string& bytes);
+
+} // namespace fescue
--- /dev/null
+++ b/src/FrameLink.cpp
@@ -0,0 +1,189 @@
+#include "FrameLink.h"
+
+#include <map>
+#include <mutex>
+#include <thread>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace fescue {
+
+namespace {
+
+    using Server = websocketpp::server<websocketpp::config::asio>;
+    using Client = websocketpp::client<websocketpp::config::asio_client>;
+    using Handle = websocketpp::connection_hdl;
+
+    constexpr long openTimeoutMs = 2000;
+
+    // One link over either kind of endpoint.
+    template <typename Endpoint> class Link final : public FrameLink {
+    public:
+        Link(typename Endpoint::connection_ptr connection, ByteCount maxBacklog)
+            : connection_(std::move(connection))
+            , maxBacklog_(maxBacklog)
+        {
+        }
+
+        bool send(const Frame& frame) override
+        {
+            if (connection_->get_buffered_amount() > static_cast<std::size_t>(maxBacklog_.value_)) {
+                close();
+                return false;
+            }
+            return !connection_->send(toCbor(frame), websocketpp::frame::opcode::binary);
+        }
+
+        void close() override
+        {
+            std::error_code ignored;
+            connection_->terminate(ignored);
+        }
+
+    private:
+        typename Endpoint::connection_ptr connection_;
+        ByteCount maxBacklog_;
+    };
+
+    // The links of one endpoint, by websocketpp's handle.
+    template <typename Endpoint> struct LinkTable {
+        Endpoint endpoint_;
+        FrameHandlers handlers_;
+        FrameLimits limits_;
+        std::mutex mutex_;
+        std::map<Handle, FrameLinkPtr, std::owner_less<Handle>> links_;
+        std::vector<std::thread> threads_;
+
+        FrameLinkPtr add(const Handle& handle)
+        {
+            auto connection = endpoint_.get_con_from_hdl(handle);
+            auto link = std::make_shared<Link<Endpoint>>(connection, limits_.maxBacklog_);
+            std::lock_guard<std::mutex> lock(mutex_);
+            links_[handle] = link;
+            return link;
+        }
+
+        FrameLinkPtr find(const Handle& handle)
+        {
+            std::lock_guard<std::mutex> lock(mutex_);
+            auto found = links_.find(handle);
+            return found == links_.end() ? nullptr : found->second;
+        }
+
+        void closed(const Handle& handle)
+        {
+            FrameLinkPtr link = find(handle);
+            {
+                std::lock_guard<std::mutex> lock(mutex_);
+                links_.erase(handle);
+            }
+            if (link)
+                handlers_.onClosed_(link);
+        }
+
+        void message(const Handle& handle, const std::string& bytes)
+        {
+            FrameLinkPtr link = find(handle);
+            if (!link)
+                return;
+            auto frame = parseFrame(bytes);
+            if (frame)
+                handlers_.onFrame_(link, std::move(*frame));
+            else
+                link->close();
+        }
+
+        void configure()
+        {
+            endpoint_.clear_access_channels(websocketpp::log::alevel::all);
+            endpoint_.clear_error_channels(websocketpp::log::elevel::all);
+            endpoint_.init_asio();
+            endpoint_.set_max_message_size(static_cast<std::size_t>(limits_.maxMessage_.value_));
+            endpoint_.set_open_handshake_timeout(openTimeoutMs);
+            endpoint_.set_close_handler([this](const Handle& handle) { closed(handle); });
+            endpoint_.set_fail_handler([this](const Handle& handle) { closed(handle); });
+            endpoint_.set_message_handler(
+                [this](const Handle& handle, const typename Endpoint::message_ptr& message) {
+                    this->message(handle, message->get_payload());
+                });
+            endpoint_.set_socket_init_handler([](const Handle&, auto& socket) {
+                std::error_code ignored;
+                socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+            });
+        }
+
+        void start(std::size_t threads)
+        {
+            for (std::size_t i = 0; i < threads; ++i)
+                threads_.emplace_back([this] { endpoint_.run(); });
+        }
+
+        void stop()
+        {
+            endpoint_.stop();
+            for (std::thread& thread : threads_)
+                thread.join();
+        }
+    };
+
+} // namespace
+
+struct FrameServer::Impl : LinkTable<Server> { };
+
+FrameServer::FrameServer(const std::string& address, std::uint16_t port, std::size_t threads,
+    const FrameLimits& limits, FrameHandlers handlers)
+    : impl_(std::make_unique<Impl>())
+{
+    impl_->handlers_ = std::move(handlers);
+    impl_->limits_ = limits;
+    impl_->configure();
+    impl_->endpoint_.set_reuse_addr(true);
+    impl_->endpoint_.set_open_handler([impl = impl_.get()](const Handle& handle) {
+        FrameLinkPtr link = impl->add(handle);
+        impl->handlers_.onOpen_(link);
+    });
+    impl_->endpoint_.listen(asio::ip::tcp::endpoint(asio::ip::make_address(address), port));
+    impl_->endpoint_.start_accept();
+    impl_->start(threads);
+}
+
+FrameServer::~FrameServer() { impl_->stop(); }
+
+std::uint16_t FrameServer::port() const
+{
+    std::error_code ignored;
+    return impl_->endpoint_.get_local_endpoint(ignored).port();
+}
+
+struct FrameDialer::Impl : LinkTable<Client> { };
+
+FrameDialer::FrameDialer(std::size_t threads, const FrameLimits& limits, FrameHandlers handlers)
+    : impl_(std::make_unique<Impl>())
+{
+    impl_->handlers_ = std::move(handlers);
+    impl_->limits_ = limits;
+    impl_->configure();
+    impl_->endpoint_.start_perpetual();
+    impl_->endpoint_.set_open_handler([impl = impl_.get()](const Handle& handle) {
+        if (FrameLinkPtr link = impl->find(handle))
+            impl->handlers_.onOpen_(link);
+    });
+    impl_->start(threads);
+}
+
+FrameDialer::~FrameDialer() { impl_->stop(); }
+
+FrameLinkPtr FrameDialer::dial(const std::string& address)
+{
+    std::error_code error;
+    auto connection = impl_->endpoint_.get_connection("ws://" + address + "/frames", error);
+    if (error)
+        return nullptr;
+    FrameLinkPtr link = impl_->add(connection->get_handle());
+    impl_->endpoint_.connect(connection);
+    return link;
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/Gateway.cpp
@@ -0,0 +1,387 @@
+#include "Gateway.h"
+
+#include "EventLog.h"
+#include "HttpServer.h"
+#include "Metrics.h"
+#include "ParseHttp.h"
+#include "ProgramId.h"
+#include "SchedulerLinks.h"
+#include "WorkQueue.h"
+
+#include <atomic>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace fescue {
+
+namespace {
+
+    constexpr Milliseconds tickInterval { 20 };
+    constexpr Milliseconds retryDelay { 50 };
+    constexpr Milliseconds homeRetryAfter { 1000 };
+    constexpr std::uint32_t hopsBeforeForcing = 2;
+
+    // A caller's request on its way. `mutex_` keeps the frames of its answer in order.
+    struct Pending {
+        HttpExchangePtr exchange_;
+        RequestFrame frame_;
+        MonotonicTime arrived_;
+
+        std::mutex mutex_;
+        std::string address_; ///< Where it was sent.
+        bool isRouted_ = false; ///< It is on its way to a scheduler.
+        std::uint32_t hops_ = 0;
+        VmId movedTo_;
+        MonotonicTime retryAt_;
+        HeadFrame head_;
+        bool hasBegun_ = false; ///< The caller has been sent the head of a stream.
+        bool hasHead_ = false;
+        std::string body_; ///< Of an answer that is passed on whole.
+        std::uint64_t chunks_ = 0;
+    };
+
+    using PendingPtr = std::shared_ptr<Pending>;
+
+    bool isStream(const HeadFrame& head) { return head.contentType_ == "text/event-stream"; }
+
+    Problem homeUnreachable(const Pending& pending)
+    {
+        bool isNew = pending.frame_.operation_ == Operation::CreateProgram || pending.frame_.program_.empty();
+        return { ProblemKind::HomeUnreachable, isNew ? RunState::NotRun : RunState::Unknown,
+            "no scheduler of the program's availability zone can be reached from here; send the same call "
+            "again",
+            homeRetryAfter };
+    }
+
+    Problem brokenAnswer()
+    {
+        return { ProblemKind::TargetTruncated, RunState::Unknown,
+            "the answer broke off on its way; send the same call again to get the whole of it",
+            homeRetryAfter };
+    }
+
+} // namespace
+
+struct Gateway::Impl {
+    GatewayOptions options_;
+    std::atomic<bool> isDraining_ { false };
+    std::mutex mutex_; ///< Guards the table and the generator.
+    std::map<std::uint64_t, PendingPtr> pending_;
+    std::uint64_t lastId_ = 0;
+    Random random_;
+    WorkQueue work_;
+    SchedulerLinks links_;
+    std::unique_ptr<HttpServer> http_;
+
+    explicit Impl(const GatewayOptions& options)
+        : options_(options)
+        , random_(options.seed_ ^ std::random_device()())
+        , work_(1)
+        , links_(options.scheduler_,
+              { [this](Frame frame) { frameArrived(frame); },
+                  [this](const std::string& address) { linkLost(address); } })
+    {
+        HttpServerOptions http;
+        http.address_ = options.address_;
+        http.port_ = options.port_;
+        http.threads_ = options.threads_;
+        http.maxBody_ = options.maxBody_;
+        http_ = std::make_unique<HttpServer>(
+            http, [this](const HttpRequest& request, const HttpExchangePtr& exchange) {
+                requestArrived(request, exchange);
+            });
+        links_.tick();
+        work_.every(tickInterval, [this] { tick(); });
+    }
+
+    ~Impl()
+    {
+        http_.reset();
+        work_.stop();
+    }
+
+    void requestArrived(const HttpRequest& request, const HttpExchangePtr& exchange)
+    {
+        if (answerOwn(request, exchange))
+            return;
+        Counter("gateway_requests_total").add();
+        if (isDraining_ || !links_.isReady()) {
+            Problem problem { ProblemKind::ShuttingDown, RunState::NotRun,
+                "this gateway takes no requests at the moment; send the request to another", homeRetryAfter };
+            return exchange->answer(toResponse(problem));
+        }
+        auto frame = parseHttp(request, links_.config()->manifest_);
+        if (!frame)
+            return exchange->answer(toResponse(frame.error()));
+        auto pending = std::make_shared<Pending>();
+        pending->exchange_ = exchange;
+        pending->frame_ = std::move(*frame);
+        pending->arrived_ = monotonicNow();
+        enter(pending);
+        route(pending);
+    }
+
+    bool answerOwn(const HttpRequest& request, const HttpExchangePtr& exchange)
+    {
+        bool isReady = links_.isReady() && !isDraining_;
+        if (request.path_ == "/healthz")
+            exchange->answer({ 200, "text/plain", "ok\n" });
+        else if (request.path_ == "/readyz")
+            exchange->answer({ isReady ? 200 : 503, "text/plain", isReady ? "ready\n" : "not ready\n" });
+        else if (request.path_ == "/metrics")
+            exchange->answer({ 200, "text/plain; version=0.0.4", metricsText() });
+        else
+            return false;
+        return true;
+    }
+
+    void enter(const PendingPtr& pending)
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        pending->frame_.id_ = ++lastId_;
+        if (pending->frame_.operation_ == Operation::CreateProgram)
+            nameNewProgram(pending->frame_);
+        pending_[lastId_] = pending;
+    }
+
+    // A new program goes to a shard of this zone; a child to the shard of its parent.
+    void nameNewProgram(RequestFrame& frame)
+    {
+        std::uniform_int_distribution<std::uint32_t> anyShard(0, shardsPerZone - 1);
+        ShardKey shard { options_.zone_, { anyShard(random_) } };
+        auto body = nlohmann::json::parse(frame.body_, nullptr, false);
+        if (body.is_object() && body.contains("parent") && body["parent"].is_string())
+            shard = shardOf({ body["parent"].get<std::string>() }).value_or(shard);
+        auto now = std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
+        frame.program_ = makeProgramId(shard, now, random_);
+    }
+
+    std::optional<SchedulerRoute> chooseRoute(const Pending& pending) const
+    {
+        auto shard = shardOf(pending.frame_.program_);
+        if (!shard)
+            return links_.anyRoute();
+        if (!pending.movedTo_.empty()) {
+            if (auto route = links_.routeTo(pending.movedTo_))
+                return route;
+        }
+        return links_.routeTo(*shard);
+    }
+
+    void route(const PendingPtr& pending)
+    {
+        auto route = chooseRoute(*pending);
+        RequestFrame frame;
+        {
+            std::lock_guard<std::mutex> lock(pending->mutex_);
+            if (pending->isRouted_)
+                return;
+            if (!route) {
+                pending->retryAt_ = monotonicNow() + retryDelay;
+                return;
+            }
+            pending->isRouted_ = true;
+            pending->address_ = route->address_;
+            pending->movedTo_ = {};
+            frame = pending->frame_;
+            frame.isForced_ = route->isForced_ || pending->hops_ > hopsBeforeForcing;
+        }
+        links_.send(route->address_, frame);
+    }
+
+    void routeLater(Pending& pending)
+    {
+        pending.isRouted_ = false;
+        ++pending.hops_;
+        pending.retryAt_
+            = monotonicNow() + (pending.hops_ > hopsBeforeForcing ? retryDelay : Milliseconds { 0 });
+    }
+
+    PendingPtr find(std::uint64_t id)
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        auto found = pending_.find(id);
+        return found == pending_.end() ? nullptr : found->second;
+    }
+
+    void remove(const PendingPtr& pending)
+    {
+        auto taken
+            = std::chrono::duration_cast<std::chrono::microseconds>(monotonicNow() - pending->arrived_);
+        observeLatency("gateway_request_seconds", taken);
+        std::lock_guard<std::mutex> lock(mutex_);
+        pending_.erase(pending->frame_.id_);
+    }
+
+    void frameArrived(const Frame& frame)
+    {
+        if (const auto* head = std::get_if<HeadFrame>(&frame))
+            return headArrived(*head);
+        if (const auto* chunk = std::get_if<ChunkFrame>(&frame))
+            return chunkArrived(*chunk);
+        if (const auto* end = std::get_if<EndFrame>(&frame))
+            return endArrived(*end);
+        if (const auto* moved = std::get_if<MovedFrame>(&frame))
+            movedArrived(*moved);
+    }
+
+    void headArrived(const HeadFrame& head)
+    {
+        PendingPtr pending = find(head.id_);
+        if (!pending)
+            return;
+        std::lock_guard<std::mutex> lock(pending->mutex_);
+        if (pending->hasHead_)
+            return;
+        pending->hasHead_ = true;
+        pending->head_ = head;
+        if (!isStream(head))
+            return;
+        pending->hasBegun_ = true;
+        pending->exchange_->begin({ head.status_, head.contentType_, {}, head.headers_ });
+    }
+
+    void chunkArrived(const ChunkFrame& chunk)
+    {
+        PendingPtr pending = find(chunk.id_);
+        if (!pending)
+            return;
+        std::unique_lock<std::mutex> lock(pending->mutex_);
+        if (!pending->hasHead_ || chunk.index_ != pending->chunks_) {
+            lock.unlock();
+            return fail(pending, brokenAnswer());
+        }
+        ++pending->chunks_;
+        if (!pending->hasBegun_) {
+            pending->body_ += chunk.data_;
+            return;
+        }
+        if (pending->exchange_->write(chunk.data_))
+            return;
+        lock.unlock();
+        remove(pending); // The caller is gone or too slow; the call goes on for its repeat.
+    }
+
+    void endArrived(const EndFrame& end)
+    {
+        PendingPtr pending = find(end.id_);
+        if (!pending)
+            return;
+        std::unique_lock<std::mutex> lock(pending->mutex_);
+        if (!pending->hasHead_ || end.chunks_ != pending->chunks_) {
+            lock.unlock();
+            return fail(pending, brokenAnswer());
+        }
+        const HeadFrame& head = pending->head_;
+        if (pending->hasBegun_)
+            pending->exchange_->end();
+        else
+            pending->exchange_->answer(
+                { head.status_, head.contentType_, std::move(pending->body_), head.headers_ });
+        lock.unlock();
+        remove(pending);
+    }
+
+    void movedArrived(const MovedFrame& moved)
+    {
+        PendingPtr pending = find(moved.id_);
+        if (!pending)
+            return;
+        {
+            std::lock_guard<std::mutex> lock(pending->mutex_);
+            pending->movedTo_ = moved.to_;
+            routeLater(*pending);
+            if (monotonicNow() < pending->retryAt_)
+                return;
+        }
+        route(pending);
+    }
+
+    void fail(const PendingPtr& pending, const Problem& problem)
+    {
+        {
+            std::lock_guard<std::mutex> lock(pending->mutex_);
+            if (pending->hasBegun_) {
+                pending->exchange_->write("event: error\ndata: " + toJsonText(problem) + "\n\n");
+                pending->exchange_->end();
+            } else {
+                pending->exchange_->answer(toResponse(problem));
+            }
+        }
+        remove(pending);
+    }
+
+    std::vector<PendingPtr> allPending()
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        std::vector<PendingPtr> all;
+        all.reserve(pending_.size());
+        for (const auto& [id, pending] : pending_)
+            all.push_back(pending);
+        return all;
+    }
+
+    void linkLost(const std::string& address)
+    {
+        for (const PendingPtr& pending : allPending()) {
+            std::unique_lock<std::mutex> lock(pending->mutex_);
+            if (!pending->isRouted_ || pending->address_ != address)
+                continue;
+            if (pending->hasBegun_) {
+                lock.unlock();
+                fail(pending, brokenAnswer());
+                continue;
+            }
+            pending->hasHead_ = false;
+            pending->chunks_ = 0;
+            pending->body_.clear();
+            routeLater(*pending);
+        }
+    }
+
+    void tick()
+    {
+        links_.tick();
+        auto now = monotonicNow();
+        for (const PendingPtr& pending : allPending()) {
+            std::unique_lock<std::mutex> lock(pending->mutex_);
+            if (pending->isRouted_ || now < pending->retryAt_)
+                continue;
+            bool isTooLate = now - pending->arrived_ >= options_.homePatience_;
+            lock.unlock();
+            if (isTooLate)
+                fail(pending, homeUnreachable(*pending));
+            else
+                route(pending);
+        }
+    }
+
+    std::size_t openRequests()
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        return pending_.size();
+    }
+
+    void drain()
+    {
+        isDraining_ = true;
+        logEvent("drain_started", {});
+        auto deadline = monotonicNow() + options_.drainGrace_;
+        while (monotonicNow() < deadline && openRequests() > 0)
+            std::this_thread::sleep_for(tickInterval);
+        logEvent("drain_ended", { { "open_requests", std::to_string(openRequests()) } });
+    }
+};
+
+Gateway::Gateway(const GatewayOptions& options)
+    : impl_(std::make_unique<Impl>(options))
+{
+}
+
+Gateway::~Gateway() = default;
+
+std::uint16_t Gateway::port() const { return impl_->http_->port(); }
+
+void Gateway::drain() { impl_->drain(); }
+
+} // namespace fescue
--- /dev/null
+++ b/src/HttpClient.cpp
@@ -0,0 +1,263 @@
+#include "HttpClient.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <curl/curl.h>
+#include <future>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+namespace fescue {
+
+namespace {
+
+    constexpr long idleConnectionsKept = 256;
+    constexpr int pollMilliseconds = 1000;
+
+    struct Transfer {
+        TransferId id_;
+        HttpCall call_;
+        HttpClient::OnDone onDone_;
+        HttpClient::OnData onData_;
+        HttpResult result_;
+        CURL* easy_ = nullptr;
+        curl_slist* headers_ = nullptr;
+        bool maySend_ = false; ///< The connection stood, and the request was let out.
+
+        Transfer() = default;
+        Transfer(const Transfer&) = delete;
+        Transfer& operator=(const Transfer&) = delete;
+        ~Transfer()
+        {
+            curl_slist_free_all(headers_);
+            if (easy_)
+                curl_easy_cleanup(easy_);
+        }
+    };
+
+    std::string lowerCase(std::string text)
+    {
+        for (char& c : text)
+            c = static_cast<char>(c >= 'A' && c <= 'Z' ? c - 'A' + 'a' : c);
+        return text;
+    }
+
+    std::size_t takeHeader(char* data, std::size_t size, std::size_t count, void* user)
+    {
+        auto& headers = static_cast<Transfer*>(user)->result_.headers_;
+        std::string line(data, size * count);
+        auto colon = line.find(':');
+        if (colon == std::string::npos)
+            return size * count;
+        auto begin = line.find_first_not_of(' ', colon + 1);
+        auto end = line.find_last_not_of("\r\n ");
+        bool hasValue = begin != std::string::npos && end != std::string::npos && end >= begin;
+        headers[lowerCase(line.substr(0, colon))]
+            = hasValue ? line.substr(begin, end - begin + 1) : std::string();
+        return size * count;
+    }
+
+    std::size_t takeData(char* data, std::size_t size, std::size_t count, void* user)
+    {
+        auto& transfer = *static_cast<Transfer*>(user);
+        std::string_view bytes(data, size * count);
+        if (!transfer.onData_) {
+            transfer.result_.body_.append(bytes);
+            return bytes.size();
+        }
+        long status = 0;
+        curl_easy_getinfo(transfer.easy_, CURLINFO_RESPONSE_CODE, &status);
+        transfer.onData_(static_cast<int>(status), bytes);
+        return bytes.size();
+    }
+
+    int checkSendBefore(void* user, char*, char*, int, int)
+    {
+        auto& transfer = *static_cast<Transfer*>(user);
+        if (transfer.call_.sendBefore_ && monotonicNow() >= *transfer.call_.sendBefore_)
+            return CURL_PREREQFUNC_ABORT;
+        transfer.maySend_ = true;
+        return CURL_PREREQFUNC_OK;
+    }
+
+    void setMethodAndBody(CURL* easy, const HttpCall& call)
+    {
+        if (call.method_ != "GET")
+            curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method_.c_str());
+        if (call.body_.empty() && call.method_ != "POST")
+            return;
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body_.c_str());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.body_.size()));
+    }
+
+    void prepare(Transfer& transfer)
+    {
+        CURL* easy = transfer.easy_ = curl_easy_init();
+        const HttpCall& call = transfer.call_;
+        for (const std::string& line : call.headers_)
+            transfer.headers_ = curl_slist_append(transfer.headers_, line.c_str());
+        transfer.headers_ = curl_slist_append(transfer.headers_, "Expect:");
+        curl_easy_setopt(easy, CURLOPT_URL, call.url_.c_str());
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers_);
+        curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+        curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+        curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.connectTimeout_.count()));
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout_.count()));
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.isAtMostOnce_ ? 1L : 0L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.isAtMostOnce_ ? 1L : 0L);
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, takeHeader);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, takeData);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, checkSendBefore);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+        setMethodAndBody(easy, call);
+    }
+
+    void conclude(Transfer& transfer, CURLcode code)
+    {
+        HttpResult& result = transfer.result_;
+        long status = 0;
+        curl_easy_getinfo(transfer.easy_, CURLINFO_RESPONSE_CODE, &status);
+        result.status_ = static_cast<int>(status);
+        if (code == CURLE_OK) {
+            result.fate_ = HttpResult::Fate::Answered;
+            return;
+        }
+        result.error_ = curl_easy_strerror(code);
+        result.fate_ = transfer.maySend_ ? HttpResult::Fate::Unknown : HttpResult::Fate::NotSent;
+    }
+
+} // namespace
+
+struct HttpClient::Impl {
+    CURLM* multi_ = nullptr;
+    std::mutex mutex_;
+    std::vector<std::unique_ptr<Transfer>> arriving_;
+    std::vector<TransferId> cancelled_;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> running_;
+    TransferId last_;
+    std::atomic<bool> stopping_ { false };
+    std::thread thread_;
+
+    Impl()
+    {
+        curl_global_init(CURL_GLOBAL_ALL);
+        multi_ = curl_multi_init();
+        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, idleConnectionsKept);
+        thread_ = std::thread([this] { run(); });
+    }
+
+    ~Impl()
+    {
+        stopping_ = true;
+        curl_multi_wakeup(multi_);
+        thread_.join();
+        curl_multi_cleanup(multi_);
+    }
+
+    void run()
+    {
+        while (!stopping_) {
+            takeArrivals();
+            int active = 0;
+            curl_multi_perform(multi_, &active);
+            finishDone();
+            curl_multi_poll(multi_, nullptr, 0, pollMilliseconds, nullptr);
+        }
+        takeArrivals();
+        while (!running_.empty())
+            finish(*running_.begin()->second, CURLE_ABORTED_BY_CALLBACK);
+    }
+
+    void takeArrivals()
+    {
+        std::vector<std::unique_ptr<Transfer>> arrivals;
+        std::vector<TransferId> cancelled;
+        {
+            std::lock_guard<std::mutex> lock(mutex_);
+            arrivals.swap(arriving_);
+            cancelled.swap(cancelled_);
+        }
+        for (auto& transfer : arrivals) {
+            prepare(*transfer);
+            curl_easy_setopt(transfer->easy_, CURLOPT_PRIVATE, transfer.get());
+            curl_multi_add_handle(multi_, transfer->easy_);
+            running_[transfer->id_.value_] = std::move(transfer);
+        }
+        for (TransferId id : cancelled) {
+            auto found = running_.find(id.value_);
+            if (found != running_.end())
+                finish(*found->second, CURLE_ABORTED_BY_CALLBACK);
+        }
+    }
+
+    void finishDone()
+    {
+        int left = 0;
+        while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            Transfer* transfer = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+            finish(*transfer, message->data.result);
+        }
+    }
+
+    void finish(Transfer& transfer, CURLcode code)
+    {
+        conclude(transfer, code);
+        curl_multi_remove_handle(multi_, transfer.easy_);
+        auto owned = std::move(running_[transfer.id_.value_]);
+        running_.erase(owned->id_.value_);
+        owned->onDone_(std::move(owned->result_));
+    }
+};
+
+HttpClient::HttpClient()
+    : impl_(std::make_unique<Impl>())
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+TransferId HttpClient::start(HttpCall call, OnDone onDone, OnData onData)
+{
+    auto transfer = std::make_unique<Transfer>();
+    transfer->call_ = std::move(call);
+    transfer->onDone_ = std::move(onDone);
+    transfer->onData_ = std::move(onData);
+    TransferId id;
+    {
+        std::lock_guard<std::mutex> lock(impl_->mutex_);
+        impl_->last_ += TransferId { 1 };
+        id = transfer->id_ = impl_->last_;
+        impl_->arriving_.push_back(std::move(transfer));
+    }
+    curl_multi_wakeup(impl_->multi_);
+    return id;
+}
+
+void HttpClient::cancel(TransferId id)
+{
+    {
+        std::lock_guard<std::mutex> lock(impl_->mutex_);
+        impl_->cancelled_.push_back(id);
+    }
+    curl_multi_wakeup(impl_->multi_);
+}
+
+HttpResult HttpClient::perform(HttpCall call)
+{
+    std::promise<HttpResult> promise;
+    auto future = promise.get_future();
+    start(std::move(call), [&promise](HttpResult result) { promise.set_value(std::move(result)); });
+    return future.get();
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/HttpServer.cpp
@@ -0,0 +1,212 @@
+#include "HttpServer.h"
+
+#include <atomic>
+#include <mutex>
+#include <restinio/all.hpp>
+#include <thread>
+
+namespace fescue {
+
+namespace {
+
+    using Traits = restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
+    using Server = restinio::http_server_t<Traits>;
+    using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
+
+    constexpr std::size_t longestUrl = 8 * 1024;
+    constexpr std::size_t longestHeaderName = 256;
+    constexpr std::size_t longestHeaderValue = 16 * 1024;
+    constexpr std::chrono::hours longestHandling { 2 };
+
+    template <typename Builder> void addHeaders(Builder& builder, const HttpResponse& response)
+    {
+        builder.append_header(restinio::http_field::server, "fescuewinch");
+        if (!response.contentType_.empty())
+            builder.append_header(restinio::http_field::content_type, response.contentType_);
+        for (const auto& [name, value] : response.headers_)
+            builder.append_header(name, value);
+    }
+
+    restinio::http_status_line_t statusLine(int status)
+    {
+        return { restinio::http_status_code_t { static_cast<std::uint16_t>(status) }, "" };
+    }
+
+    // Bytes handed to RESTinio and not yet written to the socket; RESTinio itself queues without bound.
+    struct Backlog {
+        std::atomic<std::int64_t> bytes_ { 0 };
+        std::atomic<bool> closed_ { false };
+    };
+
+    class Exchange final : public HttpExchange {
+    public:
+        Exchange(restinio::request_handle_t request, ByteCount maxBuffered)
+            : request_(std::move(request))
+            , maxBuffered_(maxBuffered)
+        {
+        }
+
+        void answer(HttpResponse response) override
+        {
+            std::lock_guard<std::mutex> lock(mutex_);
+            auto builder = request_->create_response(statusLine(response.status_));
+            addHeaders(builder, response);
+            builder.set_body(std::move(response.body_));
+            builder.done();
+        }
+
+        void begin(HttpResponse head) override
+        {
+            std::lock_guard<std::mutex> lock(mutex_);
+            chunked_.emplace(request_->create_response<restinio::chunked_output_t>(statusLine(head.status_)));
+            addHeaders(*chunked_, head);
+            if (!head.body_.empty())
+                chunked_->append_chunk(std::move(head.body_));
+            chunked_->flush();
+        }
+
+        bool write(std::string chunk) override
+        {
+            std::lock_guard<std::mutex> lock(mutex_);
+            auto size = static_cast<std::int64_t>(chunk.size());
+            if (!chunked_ || backlog_->closed_)
+                return false;
+            if (backlog_->bytes_ + size > maxBuffered_.value_) {
+                chunked_.reset();
+                return false;
+            }
+            if (size == 0)
+                return true;
+            backlog_->bytes_ += size;
+            chunked_->append_chunk(std::move(chunk));
+            chunked_->flush([backlog = backlog_, size](const restinio::asio_ns::error_code& error) {
+                backlog->bytes_ -= size;
+                if (error)
+                    backlog->closed_ = true;
+            });
+            return true;
+        }
+
+        void end() override
+        {
+            std::lock_guard<std::mutex> lock(mutex_);
+            if (chunked_)
+                chunked_->done();
+            chunked_.reset();
+        }
+
+    private:
+        restinio::request_handle_t request_;
+        ByteCount maxBuffered_;
+        std::mutex mutex_;
+        std::optional<ChunkedBuilder> chunked_;
+        std::shared_ptr<Backlog> backlog_ = std::make_shared<Backlog>();
+    };
+
+    std::string lowerCase(std::string text)
+    {
+        for (char& c : text)
+            c = static_cast<char>(c >= 'A' && c <= 'Z' ? c - 'A' + 'a' : c);
+        return text;
+    }
+
+    HttpRequest toRequest(const restinio::request_t& from)
+    {
+        HttpRequest request;
+        request.method_ = from.header().method().c_str();
+        request.path_ = std::string(from.header().path());
+        request.query_ = std::string(from.header().query());
+        from.header().for_each_field([&request](const auto& field) {
+            request.headers_[lowerCase(std::string(field.name()))] = std::string(field.value());
+        });
+        request.body_ = from.body();
+        return request;
+    }
+
+    restinio::incoming_http_msg_limits_t messageLimits(const HttpServerOptions& options)
+    {
+        return restinio::incoming_http_msg_limits_t {}
+            .max_url_size(longestUrl)
+            .max_field_name_size(longestHeaderName)
+            .max_field_value_size(longestHeaderValue)
+            .max_body_size(static_cast<std::uint64_t>(options.maxBody_.value_));
+    }
+
+} // namespace
+
+std::string headerOf(const HttpRequest& request, const std::string& lowerCaseName)
+{
+    auto found = request.headers_.find(lowerCaseName);
+    return found == request.headers_.end() ? std::string() : found->second;
+}
+
+std::string queryOf(const HttpRequest& request, const std::string& name)
+{
+    try {
+        auto parsed = restinio::parse_query(request.query_);
+        auto value = restinio::opt_value<std::string>(parsed, name);
+        return value ? *value : std::string();
+    } catch (const std::exception&) {
+        return {};
+    }
+}
+
+struct HttpServer::Impl {
+    restinio::asio_ns::io_context io_;
+    std::atomic<std::uint16_t> port_ { 0 };
+    std::unique_ptr<Server> server_;
+    std::vector<std::thread> threads_;
+
+    Impl(const HttpServerOptions& options, HttpHandler handler)
+    {
+        server_ = std::make_unique<Server>(restinio::external_io_context(io_), [&](auto& settings) {
+            settings.address(options.address_)
+                .port(options.port_)
+                .handle_request_timeout(longestHandling)
+                .read_next_http_message_timelimit(options.readTimeout_)
+                .write_http_response_timelimit(options.writeTimeout_)
+                .max_pipelined_requests(4)
+                .incoming_http_msg_limits(messageLimits(options))
+                .acceptor_options_setter([](auto& acceptor) {
+                    acceptor.set_option(restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
+                })
+                .socket_options_setter(
+                    [](auto& socket) { socket.set_option(restinio::asio_ns::ip::tcp::no_delay(true)); })
+                .acceptor_post_bind_hook([this](auto& acceptor) { port_ = acceptor.local_endpoint().port(); })
+                .request_handler([handler, limit = options.maxBuffered_](restinio::request_handle_t request) {
+                    auto exchange = std::make_shared<Exchange>(request, limit);
+                    handler(toRequest(*request), exchange);
+                    return restinio::request_accepted();
+                });
+        });
+        server_->open_sync();
+        for (std::size_t i = 0; i < options.threads_; ++i)
+            threads_.emplace_back([this] { io_.run(); });
+    }
+
+    void stop()
+    {
+        if (threads_.empty())
+            return;
+        restinio::asio_ns::post(io_, [this] {
+            server_->close_sync();
+            io_.stop();
+        });
+        for (std::thread& thread : threads_)
+            thread.join();
+        threads_.clear();
+    }
+};
+
+HttpServer::HttpServer(const HttpServerOptions& options, HttpHandler handler)
+    : impl_(std::make_unique<Impl>(options, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer() { impl_->stop(); }
+
+std::uint16_t HttpServer::port() const { return impl_->port_; }
+
+void HttpServer::stop() { impl_->stop(); }
+
+} // namespace fescue
--- /dev/null
+++ b/src/Ledger.cpp
@@ -0,0 +1,151 @@
+#include "Ledger.h"
+
+#include <algorithm>
+
+namespace fescue {
+
+namespace {
+
+    Program* findProgram(Ledger& ledger, const ProgramId& id)
+    {
+        auto found = ledger.programs_.find(id);
+        return found == ledger.programs_.end() ? nullptr : &found->second;
+    }
+
+    void keepFinished(Program& program, FinishedCall finished)
+    {
+        program.recent_.push_back(std::move(finished));
+        if (program.recent_.size() > recentCallsKept)
+            program.recent_.pop_front();
+    }
+
+    void forgetOldestEnded(Ledger& ledger)
+    {
+        while (ledger.ended_.size() > endedProgramsKept) {
+            ledger.programs_.erase(ledger.ended_.front());
+            ledger.ended_.pop_front();
+        }
+    }
+
+    void apply(Ledger&, const Claim&) { }
+
+    void apply(Ledger&, const ShardSnapshot&) { }
+
+    void apply(Ledger& ledger, const ProgramCreated& created)
+    {
+        Program program;
+        program.workspace_ = created.workspace_;
+        program.parent_ = created.parent_;
+        program.budget_ = created.budget_;
+        program.granted_ = created.tranche_;
+        ledger.programs_.emplace(created.program_, std::move(program));
+    }
+
+    void apply(Ledger& ledger, const TrancheGranted& grant)
+    {
+        if (Program* program = findProgram(ledger, grant.program_))
+            program->granted_ += grant.amount_;
+    }
+
+    void apply(Ledger& ledger, const TrancheReturned& back)
+    {
+        if (Program* program = findProgram(ledger, back.program_))
+            program->granted_ -= back.amount_;
+    }
+
+    void apply(Ledger& ledger, const CallIntent& intent)
+    {
+        Program* program = findProgram(ledger, intent.program_);
+        if (!program || program->ended_)
+            return;
+        program->intent_ = OpenIntent { intent.call_, intent.fingerprint_, ledger.epoch_ };
+    }
+
+    void apply(Ledger& ledger, const IntentWithdrawn& withdrawn)
+    {
+        Program* program = findProgram(ledger, withdrawn.program_);
+        if (program && program->intent_ && program->intent_->call_ == withdrawn.call_)
+            program->intent_.reset();
+    }
+
+    void apply(Ledger& ledger, const CallFinished& finished)
+    {
+        Program* program = findProgram(ledger, finished.program_);
+        if (!program || finished.call_ <= program->lastCall_)
+            return;
+        program->lastCall_ = finished.call_;
+        program->used_ += finished.used_;
+        if (!finished.newMessages_.empty()) {
+            program->head_ = finished.head_;
+            program->contextTokens_ = finished.contextTokens_;
+        }
+        program->intent_.reset();
+        keepFinished(*program, { finished.call_, finished.fingerprint_, finished.outcome_ });
+    }
+
+    void apply(Ledger& ledger, const ProgramEnded& ended)
+    {
+        Program* program = findProgram(ledger, ended.program_);
+        if (!program || program->ended_)
+            return;
+        program->ended_ = true;
+        program->endReason_ = ended.reason_;
+        if (Program* parent = findProgram(ledger, program->parent_))
+            parent->granted_ -= ended.returnedToParent_;
+        ledger.ended_.push_back(ended.program_);
+        forgetOldestEnded(ledger);
+    }
+
+    bool isClaim(const Batch& batch)
+    {
+        return batch.records_.size() == 1 && std::holds_alternative<Claim>(batch.records_.front());
+    }
+
+    bool isRepeated(Ledger& ledger, const Batch& batch)
+    {
+        Sequence& last = ledger.lastSequence_[batch.writer_];
+        if (batch.sequence_ <= last)
+            return true;
+        last = batch.sequence_;
+        return false;
+    }
+
+    // Only the owner's writer can still repeat a batch that counts: other writers' later copies are void by
+    // their epoch, and a claim is repeated only until its writer has seen it. So the table stays small.
+    void forgetOldWriters(Ledger& ledger, const WriterId& newest)
+    {
+        constexpr std::size_t writersKept = 16;
+        if (ledger.lastSequence_.size() <= writersKept)
+            return;
+        Sequence last = ledger.lastSequence_[newest];
+        ledger.lastSequence_.clear();
+        ledger.lastSequence_[newest] = last;
+    }
+
+    void openEpoch(Ledger& ledger, LogOffset offset, const Batch& batch)
+    {
+        ledger.epoch_ = { offset.value_ };
+        ledger.owner_ = std::get<Claim>(batch.records_.front()).owner_;
+        ledger.ownerWriter_ = batch.writer_;
+        forgetOldWriters(ledger, batch.writer_);
+    }
+
+} // namespace
+
+Verdict foldBatch(Ledger& ledger, LogOffset offset, const Batch& batch)
+{
+    ledger.readTo_ = offset;
+    if (isRepeated(ledger, batch))
+        return Verdict::Duplicate;
+    if (isClaim(batch)) {
+        openEpoch(ledger, offset, batch);
+        return Verdict::Applied;
+    }
+    if (batch.epoch_ != ledger.epoch_)
+        return Verdict::Void;
+    for (const RecordBody& body : batch.records_)
+        std::visit([&ledger](const auto& record) { apply(ledger, record); }, body);
+    return Verdict::Applied;
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/Metrics.cpp
@@ -0,0 +1,86 @@
+#include "Metrics.h"
+
+#include <boost/histogram.hpp>
+#include <fmt/format.h>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace fescue {
+
+namespace {
+
+    namespace bh = boost::histogram;
+
+    constexpr double shortestSeconds = 0.0001;
+    constexpr double longestSeconds = 1000;
+    constexpr unsigned bucketCount = 42;
+
+    using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
+
+    struct Latency {
+        bh::histogram<std::tuple<LogAxis>> histogram_
+            = bh::make_histogram(LogAxis(bucketCount, shortestSeconds, longestSeconds));
+        double sum_ = 0;
+        std::uint64_t count_ = 0;
+    };
+
+    struct Registry {
+        std::mutex mutex_;
+        std::map<std::string, std::unique_ptr<std::atomic<std::uint64_t>>> counters_;
+        std::map<std::string, Latency> latencies_;
+    };
+
+    Registry& registry()
+    {
+        static Registry instance;
+        return instance;
+    }
+
+    void writeLatency(std::string& text, const std::string& name, const Latency& latency)
+    {
+        text += fmt::format("# TYPE fescue_{} histogram\n", name);
+        auto total = static_cast<std::uint64_t>(latency.histogram_.at(-1));
+        for (unsigned bucket = 0; bucket < bucketCount; ++bucket) {
+            total += static_cast<std::uint64_t>(latency.histogram_.at(static_cast<int>(bucket)));
+            double upper = latency.histogram_.axis().bin(static_cast<int>(bucket)).upper();
+            text += fmt::format("fescue_{}_bucket{{le=\"{:.6g}\"}} {}\n", name, upper, total);
+        }
+        text += fmt::format(
+            "fescue_{0}_bucket{{le=\"+Inf\"}} {1}\nfescue_{0}_sum {2:.6f}\nfescue_{0}_count {1}\n", name,
+            latency.count_, latency.sum_);
+    }
+
+} // namespace
+
+Counter::Counter(const char* name)
+{
+    std::lock_guard<std::mutex> lock(registry().mutex_);
+    auto& value = registry().counters_[name];
+    if (!value)
+        value = std::make_unique<std::atomic<std::uint64_t>>(0);
+    value_ = value.get();
+}
+
+void observeLatency(const char* name, std::chrono::microseconds duration)
+{
+    double seconds = std::chrono::duration<double>(duration).count();
+    std::lock_guard<std::mutex> lock(registry().mutex_);
+    Latency& latency = registry().latencies_[name];
+    latency.histogram_(seconds);
+    latency.sum_ += seconds;
+    ++latency.count_;
+}
+
+std::string metricsText()
+{
+    std::lock_guard<std::mutex> lock(registry().mutex_);
+    std::string text;
+    for (const auto& [name, value] : registry().counters_)
+        text += fmt::format("# TYPE fescue_{0} counter\nfescue_{0} {1}\n", name, value->load());
+    for (const auto& [name, latency] : registry().latencies_)
+        writeLatency(text, name, latency);
+    return text;
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/RequestTable.cpp
@@ -0,0 +1,154 @@
+#include "RequestTable.h"
+
+#include "ChatStream.h"
+
+namespace fescue {
+
+namespace {
+
+    constexpr const char* eventStreamType = "text/event-stream";
+    constexpr const char* doneEvent = "data: [DONE]\n\n";
+
+    void send(const FrameLinkPtr& link, const Frame& frame)
+    {
+        if (link)
+            link->send(frame);
+    }
+
+    std::string durableNote(CallNumber durableCall)
+    {
+        return ": fescue-durable-call " + std::to_string(durableCall.value_) + "\n\n";
+    }
+
+    std::vector<std::pair<std::string, std::string>> durableHeader(CallNumber durableCall)
+    {
+        return { { "Fescue-Durable-Call", std::to_string(durableCall.value_) } };
+    }
+
+    void sendWhole(const FrameLinkPtr& link, HeadFrame head, std::string body)
+    {
+        std::uint64_t id = head.id_;
+        send(link, std::move(head));
+        send(link, ChunkFrame { id, 0, std::move(body) });
+        send(link, EndFrame { id, 1 });
+    }
+
+} // namespace
+
+RequestId RequestTable::add(FrameLinkPtr link, RequestFrame frame, bool wantsStream)
+{
+    auto entry = std::make_shared<Entry>();
+    entry->link_ = std::move(link);
+    entry->frame_ = std::make_shared<const RequestFrame>(std::move(frame));
+    entry->wantsStream_ = wantsStream;
+    std::lock_guard<std::mutex> lock(mutex_);
+    ++last_;
+    entries_[last_] = std::move(entry);
+    return { last_ };
+}
+
+std::shared_ptr<const RequestFrame> RequestTable::find(RequestId request) const
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    auto found = entries_.find(request.value_);
+    return found == entries_.end() ? nullptr : found->second->frame_;
+}
+
+std::shared_ptr<RequestTable::Entry> RequestTable::take(RequestId request)
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    auto found = entries_.find(request.value_);
+    if (found == entries_.end())
+        return nullptr;
+    auto entry = std::move(found->second);
+    entries_.erase(found);
+    return entry;
+}
+
+void RequestTable::sendEvents(RequestId request, const std::string& events, CallNumber durableCall)
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    auto found = entries_.find(request.value_);
+    if (found == entries_.end() || !found->second->wantsStream_)
+        return;
+    Entry& entry = *found->second;
+    std::uint64_t id = entry.frame_->id_;
+    if (!entry.hasBegun_)
+        send(entry.link_, HeadFrame { id, 200, eventStreamType, durableHeader(durableCall) });
+    entry.hasBegun_ = true;
+    send(entry.link_, ChunkFrame { id, entry.chunks_++, events });
+}
+
+void RequestTable::sendOutcome(RequestId request, const Outcome& outcome, CallNumber durableCall)
+{
+    auto entry = take(request);
+    if (!entry)
+        return;
+    std::uint64_t id = entry->frame_->id_;
+    bool isStream = entry->wantsStream_ && outcome.status_ == 200;
+    if (!isStream && !entry->hasBegun_) {
+        HeadFrame head { id, outcome.status_, outcome.contentType_, durableHeader(durableCall) };
+        if (outcome.run_ != RunState::Final)
+            head.headers_.emplace_back("Fescue-Run-State", std::string(nameOf(outcome.run_)));
+        sendWhole(entry->link_, std::move(head), outcome.body_);
+        return;
+    }
+    std::string rest = durableNote(durableCall) + doneEvent;
+    if (!entry->hasBegun_) {
+        send(entry->link_, HeadFrame { id, 200, eventStreamType, durableHeader(durableCall) });
+        rest = toEventStream(outcome.body_) + rest;
+    }
+    send(entry->link_, ChunkFrame { id, entry->chunks_++, std::move(rest) });
+    send(entry->link_, EndFrame { id, entry->chunks_ });
+}
+
+void RequestTable::sendProblem(RequestId request, const Problem& problem)
+{
+    auto entry = take(request);
+    if (!entry)
+        return;
+    std::uint64_t id = entry->frame_->id_;
+    std::string document = toJsonText(problem);
+    if (entry->hasBegun_) {
+        send(entry->link_, ChunkFrame { id, entry->chunks_++, "event: error\ndata: " + document + "\n\n" });
+        send(entry->link_, EndFrame { id, entry->chunks_ });
+        return;
+    }
+    HeadFrame head { id, httpStatusOf(problem.kind_), "application/problem+json", {} };
+    head.headers_.emplace_back("Fescue-Run-State", std::string(nameOf(problem.run_)));
+    if (problem.retryAfter_) {
+        constexpr auto second = std::chrono::seconds(1);
+        auto seconds = std::chrono::ceil<std::chrono::seconds>(*problem.retryAfter_);
+        head.headers_.emplace_back("Retry-After", std::to_string(std::max(seconds, second).count()));
+    }
+    sendWhole(entry->link_, std::move(head), document);
+}
+
+void RequestTable::sendDocument(RequestId request, int status, const std::string& json)
+{
+    if (auto entry = take(request))
+        sendWhole(entry->link_, HeadFrame { entry->frame_->id_, status, "application/json", {} }, json);
+}
+
+void RequestTable::sendMoved(RequestId request, const VmId& to)
+{
+    if (auto entry = take(request))
+        send(entry->link_, MovedFrame { entry->frame_->id_, to });
+}
+
+void RequestTable::linkClosed(const FrameLinkPtr& link)
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    for (auto& [id, entry] : entries_) {
+        if (entry->link_ == link)
+            entry->link_.reset();
+    }
+}
+
+std::size_t RequestTable::size() const
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    return entries_.size();
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/Scheduler.cpp
@@ -0,0 +1,400 @@
+#include "Scheduler.h"
+
+#include "AdmitCall.h"
+#include "CallRunner.h"
+#include "EventLog.h"
+#include "FinishCall.h"
+#include "FrameLink.h"
+#include "HttpServer.h"
+#include "Metrics.h"
+#include "ParseCall.h"
+#include "PlatformView.h"
+#include "ProgramDocument.h"
+#include "WorkQueue.h"
+
+#include <nlohmann/json.hpp>
+#include <set>
+#include <thread>
+
+namespace fescue {
+
+namespace {
+
+    constexpr Milliseconds tickInterval { 20 };
+
+    template <class... Ts> struct Overloaded : Ts... {
+        using Ts::operator()...;
+    };
+    template <class... Ts> Overloaded(Ts...) -> Overloaded<Ts...>;
+
+    PlatformOptions platformOf(const SchedulerOptions& options)
+    {
+        PlatformOptions platform;
+        platform.log_.url_ = options.logUrl_;
+        platform.vmsUrl_ = options.vmsUrl_;
+        return platform;
+    }
+
+    ShardHomeOptions homesOf(const SchedulerOptions& options, const WriterId& writer)
+    {
+        ShardHomeOptions homes;
+        homes.vm_ = options.vm_;
+        homes.writer_ = writer;
+        homes.log_.url_ = options.logUrl_;
+        homes.limits_ = options.limits_;
+        homes.flushInterval_ = options.flushInterval_;
+        return homes;
+    }
+
+    WriterId newWriter(const SchedulerOptions& options)
+    {
+        std::random_device device;
+        Random random(options.seed_ ^ (static_cast<std::uint64_t>(device()) << 32 | device()));
+        return { options.vm_.value_ + "#" + std::to_string(random()) };
+    }
+
+} // namespace
+
+struct Scheduler::Impl {
+    SchedulerOptions options_;
+    WriterId writer_;
+    RequestTable requests_;
+    WorkQueue work_;
+    std::mutex linksMutex_;
+    std::set<FrameLinkPtr> links_;
+    std::atomic<bool> isDraining_ { false };
+    std::unique_ptr<HttpClient> client_ = std::make_unique<HttpClient>();
+    CallRunner runner_;
+    ShardHomes homes_;
+    PlatformView platform_;
+    std::unique_ptr<FrameServer> frames_;
+    std::unique_ptr<HttpServer> http_;
+
+    explicit Impl(const SchedulerOptions& options)
+        : options_(options)
+        , writer_(newWriter(options))
+        , work_(2)
+        , runner_(
+              { options.zone_, options.seed_ }, *client_, requests_,
+              [this](std::function<void()> task) { work_.post(std::move(task)); },
+              [this](const ProgramId& program, ExecutionId id, const ExecutionResult& result) {
+                  executed(program, id, result);
+              })
+        , homes_(homesOf(options, writer_), *client_,
+              [this](const ShardKey& shard, const Effect& effect) { carryOut(shard, effect); })
+        , platform_(platformOf(options), *client_,
+              { [this](const Config& config) { configChanged(config); },
+                  [this](const Members&) { broadcastView(false); } })
+    {
+        FrameHandlers handlers { [this](const FrameLinkPtr& link) { linkOpened(link); },
+            [this](const FrameLinkPtr& link, Frame frame) { frameArrived(link, std::move(frame)); },
+            [this](const FrameLinkPtr& link) { linkClosed(link); } };
+        frames_ = std::make_unique<FrameServer>(
+            options.address_, options.port_, options.threads_, FrameLimits {}, std::move(handlers));
+        HttpServerOptions http;
+        http.address_ = options.address_;
+        http.port_ = options.httpPort_;
+        http.threads_ = 1;
+        http_ = std::make_unique<HttpServer>(
+            http, [this](const HttpRequest& request, const HttpExchangePtr& exchange) {
+                answerHttp(request, exchange);
+            });
+        platform_.start();
+        work_.every(tickInterval, [this] { tick(); });
+    }
+
+    // The order of ending: nothing new arrives, then nothing is under way, then the parts go.
+    ~Impl()
+    {
+        http_.reset();
+        frames_.reset();
+        work_.stop();
+        client_.reset();
+    }
+
+    void tick()
+    {
+        homes_.tick();
+        runner_.tick();
+        platform_.tick();
+    }
+
+    void configChanged(const Config& config)
+    {
+        runner_.setManifest(config.manifest_);
+        broadcastView(true);
+    }
+
+    // The platform's list lags: a VM that has just started may not be in it yet.
+    void addSelf(Members& members) const
+    {
+        bool isListed = std::any_of(members.begin(), members.end(),
+            [this](const Member& member) { return member.vm_ == options_.vm_; });
+        if (!isListed && frames_)
+            members.push_back(
+                { options_.vm_, options_.zone_, options_.address_ + ":" + std::to_string(frames_->port()) });
+    }
+
+    ViewFrame view(bool withConfig) const
+    {
+        ViewFrame frame { platform_.members(), {} };
+        addSelf(frame.members_);
+        for (Member& member : frame.members_) {
+            if (member.vm_ == options_.vm_)
+                member.isLeaving_ = member.isLeaving_ || isDraining_;
+        }
+        if (withConfig)
+            frame.config_ = toJson(platform_.config()).dump();
+        return frame;
+    }
+
+    void broadcastView(bool withConfig)
+    {
+        ViewFrame frame = view(withConfig);
+        std::lock_guard<std::mutex> lock(linksMutex_);
+        for (const FrameLinkPtr& link : links_)
+            link->send(frame);
+    }
+
+    void linkOpened(const FrameLinkPtr& link)
+    {
+        link->send(view(platform_.isReady()));
+        std::lock_guard<std::mutex> lock(linksMutex_);
+        links_.insert(link);
+    }
+
+    void linkClosed(const FrameLinkPtr& link)
+    {
+        requests_.linkClosed(link);
+        std::lock_guard<std::mutex> lock(linksMutex_);
+        links_.erase(link);
+    }
+
+    void frameArrived(const FrameLinkPtr& link, Frame frame)
+    {
+        if (auto* request = std::get_if<RequestFrame>(&frame))
+            requestArrived(link, std::move(*request));
+        else
+            link->close();
+    }
+
+    void requestArrived(const FrameLinkPtr& link, RequestFrame frame)
+    {
+        Counter("scheduler_requests_total").add();
+        switch (frame.operation_) {
+        case Operation::ModelCall:
+        case Operation::ServiceCall:
+            return callCame(link, std::move(frame));
+        case Operation::ListPrograms:
+            return listPrograms(link, std::move(frame));
+        case Operation::CreateProgram:
+        case Operation::EndProgram:
+        case Operation::ShowProgram:
+            return programCame(link, std::move(frame));
+        }
+    }
+
+    // Whether the request was passed to the VM that the shard is expected at. A shard moves only while
+    // nothing of it is under way, unless this VM does not own it at all.
+    bool isMovedAway(const ShardKey& shard, RequestId request, bool isForced)
+    {
+        if (isForced && !isDraining_)
+            return false;
+        auto expected = expectedOwner(view(false).members_, shard);
+        if (!expected || expected->vm_ == options_.vm_)
+            return false;
+        if (homes_.isOwned(shard) && !homes_.isIdle(shard))
+            return false;
+        requests_.sendMoved(request, expected->vm_);
+        return true;
+    }
+
+    std::optional<ShardKey> placeOf(RequestId request, const RequestFrame& frame)
+    {
+        auto shard = shardOf(frame.program_);
+        if (!shard) {
+            requests_.sendProblem(request,
+                { ProblemKind::BadRequest, RunState::NotRun, "the program id has not the form of one of ours",
+                    std::nullopt });
+            return std::nullopt;
+        }
+        if (isMovedAway(*shard, request, frame.isForced_))
+            return std::nullopt;
+        return shard;
+    }
+
+    void callCame(const FrameLinkPtr& link, RequestFrame frame)
+    {
+        auto parsed = parseCall(frame, platform_.config().manifest_);
+        RequestId request = requests_.add(link, frame, parsed && parsed->wantsStream_);
+        if (!parsed)
+            return requests_.sendProblem(request, parsed.error());
+        Call call = parsed->call_;
+        call.request_ = request;
+        if (call.program_.empty())
+            return runner_.runLoose(call);
+        if (auto shard = placeOf(request, frame))
+            homes_.submit(*shard, request, [call](Shard& state, const ShardContext& context) {
+                return callArrived(state, call, context);
+            });
+    }
+
+    void programCame(const FrameLinkPtr& link, RequestFrame frame)
+    {
+        RequestId request = requests_.add(link, frame, false);
+        auto shard = placeOf(request, frame);
+        if (!shard)
+            return;
+        if (frame.operation_ == Operation::ShowProgram)
+            return homes_.submit(
+                *shard, request, [this, request, frame](Shard& state, const ShardContext& context) {
+                    return showProgram(state, request, frame, context);
+                });
+        if (frame.operation_ == Operation::EndProgram)
+            return homes_.submit(
+                *shard, request, [request, frame](Shard& state, const ShardContext& context) {
+                    return endProgram(
+                        state, { request, frame.workspace_, frame.program_, "ended by its caller" }, context);
+                });
+        auto create = parseCreation(frame, platform_.config().manifest_);
+        if (!create)
+            return requests_.sendProblem(request, create.error());
+        create->request_ = request;
+        homes_.submit(*shard, request, [create = *create](Shard& state, const ShardContext& context) {
+            return createProgram(state, create, context);
+        });
+    }
+
+    Effects showProgram(
+        Shard& state, RequestId request, const RequestFrame& frame, const ShardContext& context)
+    {
+        auto document = programDocument(state, frame.program_, frame.workspace_, context);
+        if (!document)
+            return { ReplyProblem { { request }, document.error() } };
+        requests_.sendDocument(request, 200, *document);
+        return {};
+    }
+
+    void listPrograms(const FrameLinkPtr& link, RequestFrame frame)
+    {
+        RequestId request = requests_.add(link, frame, false);
+        requests_.sendDocument(request, 200, programsText(frame.workspace_));
+    }
+
+    std::string programsText(const WorkspaceId& workspace)
+    {
+        nlohmann::json rows = nlohmann::json::array();
+        for (const ShardStatus& shard : homes_.status())
+            homes_.inspect(shard.shard_, [&](const Shard& state) { addProgramRows(state, workspace, rows); });
+        return nlohmann::json { { "programs", rows } }.dump();
+    }
+
+    void executed(const ProgramId& program, ExecutionId id, const ExecutionResult& result)
+    {
+        auto shard = shardOf(program);
+        if (!shard)
+            return;
+        homes_.report(*shard, [&](Shard& state, const ShardContext& context) {
+            return callExecuted(state, program, id, result, context);
+        });
+    }
+
+    void carryOut(const ShardKey& shard, const Effect& effect)
+    {
+        std::visit(Overloaded {
+                       [&](const ReplyProblem& reply) {
+                           for (RequestId request : reply.requests_)
+                               requests_.sendProblem(request, reply.problem_);
+                       },
+                       [&](const ReplyOutcome& reply) {
+                           for (RequestId request : reply.requests_)
+                               requests_.sendOutcome(request, reply.outcome_, reply.durableCall_);
+                       },
+                       [&](const ReplyProgram& reply) {
+                           requests_.sendDocument(reply.request_, 200,
+                               nlohmann::json {
+                                   { "program", reply.program_.value_ }, { "durable", reply.isDurable_ } }
+                                   .dump());
+                       },
+                       [&](const AttachRequest& attach) { runner_.attach(attach.program_, attach.request_); },
+                       [&](const ExecuteCall& execute) { runner_.run(execute); },
+                       [&](const CancelCall& cancel) { runner_.cancel(cancel.program_, cancel.execution_); },
+                       [&](const ReleaseCache& release) {
+                           logEvent("program_ended",
+                               { { "program", release.program_.value_ }, { "shard", streamOf(shard) } });
+                           runner_.releaseCache(release.program_, release.epoch_);
+                       },
+                   },
+            effect);
+    }
+
+    void answerHttp(const HttpRequest& request, const HttpExchangePtr& exchange)
+    {
+        if (request.path_ == "/healthz")
+            return exchange->answer({ 200, "text/plain", "ok\n" });
+        if (request.path_ == "/readyz") {
+            bool isReady = platform_.isReady() && !isDraining_;
+            return exchange->answer(
+                { isReady ? 200 : 503, "text/plain", isReady ? "ready\n" : "not ready\n" });
+        }
+        if (request.path_ == "/metrics")
+            return exchange->answer({ 200, "text/plain; version=0.0.4", metricsText() });
+        if (request.path_ == "/status")
+            return exchange->answer({ 200, "application/json", statusText() });
+        if (request.path_ == "/programs")
+            return exchange->answer({ 200, "application/json", programsText({}) });
+        exchange->answer({ 404, "text/plain", "use /healthz, /readyz, /metrics, /status or /programs\n" });
+    }
+
+    std::string statusText()
+    {
+        nlohmann::json shards = nlohmann::json::array();
+        for (const ShardStatus& row : homes_.status())
+            shards.push_back({ { "shard", streamOf(row.shard_) }, { "epoch", row.epoch_.value_ },
+                { "owner", row.owner_.value_ }, { "programs", row.programs_ }, { "running", row.running_ },
+                { "unconfirmed", row.unconfirmed_ }, { "log_down", row.isLogDown_ } });
+        nlohmann::json document { { "vm", options_.vm_.value_ }, { "zone", options_.zone_.value_ },
+            { "draining", isDraining_.load() }, { "open_requests", requests_.size() },
+            { "config", toJson(platform_.config()) }, { "shards", shards } };
+        return document.dump();
+    }
+
+    void drain()
+    {
+        isDraining_ = true;
+        logEvent("drain_started", {});
+        broadcastView(false);
+        auto deadline = monotonicNow() + options_.drainGrace_;
+        homes_.flushNow();
+        while (monotonicNow() < deadline && !isQuiet())
+            std::this_thread::sleep_for(tickInterval);
+        logEvent("drain_ended", { { "open_requests", std::to_string(requests_.size()) } });
+    }
+
+    bool isQuiet()
+    {
+        if (requests_.size() > 0 || runner_.size() > 0)
+            return false;
+        homes_.flushNow();
+        for (const ShardStatus& row : homes_.status()) {
+            if (row.unconfirmed_ > 0 && !row.isLogDown_)
+                return false;
+        }
+        return true;
+    }
+};
+
+Scheduler::Scheduler(const SchedulerOptions& options)
+    : impl_(std::make_unique<Impl>(options))
+{
+}
+
+Scheduler::~Scheduler() = default;
+
+std::uint16_t Scheduler::port() const { return impl_->frames_->port(); }
+
+std::uint16_t Scheduler::httpPort() const { return impl_->http_->port(); }
+
+void Scheduler::drain() { impl_->drain(); }
+
+} // namespace fescue
--- /dev/null
+++ b/src/SchedulerLinks.cpp
@@ -0,0 +1,195 @@
+#include "SchedulerLinks.h"
+
+#include "EventLog.h"
+
+namespace fescue {
+
+namespace {
+
+    constexpr Milliseconds avoidAfterLoss { 1000 };
+
+    struct LinkState {
+        FrameLinkPtr link_;
+        bool isOpen_ = false;
+        std::vector<Frame> waiting_; ///< Frames to send once the link is open.
+        MonotonicTime avoidUntil_;
+    };
+
+} // namespace
+
+struct SchedulerLinks::Impl {
+    std::string ownAddress_;
+    Handlers handlers_;
+    mutable std::mutex mutex_;
+    std::map<std::string, LinkState> links_; ///< By address.
+    Members members_;
+    std::shared_ptr<const Config> config_ = std::make_shared<const Config>();
+    std::unique_ptr<FrameDialer> dialer_;
+
+    Impl(std::string ownAddress, Handlers handlers)
+        : ownAddress_(std::move(ownAddress))
+        , handlers_(std::move(handlers))
+    {
+        FrameHandlers frameHandlers { [this](const FrameLinkPtr& link) { opened(link); },
+            [this](const FrameLinkPtr&, Frame frame) { arrived(std::move(frame)); },
+            [this](const FrameLinkPtr& link) { lost(link); } };
+        dialer_ = std::make_unique<FrameDialer>(2, FrameLimits {}, std::move(frameHandlers));
+    }
+
+    // Precondition for `find`, `dial` and `avoided`: the lock is held.
+    LinkState* find(const FrameLinkPtr& link, std::string& address)
+    {
+        for (auto& [at, state] : links_) {
+            if (state.link_ != link)
+                continue;
+            address = at;
+            return &state;
+        }
+        return nullptr;
+    }
+
+    void dial(const std::string& address)
+    {
+        LinkState& state = links_[address];
+        if (!state.link_)
+            state.link_ = dialer_->dial(address);
+    }
+
+    bool isAvoided(const std::string& address) const
+    {
+        auto found = links_.find(address);
+        return found != links_.end() && monotonicNow() < found->second.avoidUntil_;
+    }
+
+    void opened(const FrameLinkPtr& link)
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        std::string address;
+        LinkState* state = find(link, address);
+        if (!state)
+            return;
+        state->isOpen_ = true;
+        state->avoidUntil_ = {};
+        for (const Frame& frame : state->waiting_)
+            link->send(frame);
+        state->waiting_.clear();
+    }
+
+    void lost(const FrameLinkPtr& link)
+    {
+        std::string address;
+        {
+            std::lock_guard<std::mutex> lock(mutex_);
+            LinkState* state = find(link, address);
+            if (!state)
+                return;
+            *state = LinkState {};
+            state->avoidUntil_ = monotonicNow() + avoidAfterLoss;
+        }
+        handlers_.onLost_(address);
+    }
+
+    void arrived(Frame frame)
+    {
+        if (const auto* view = std::get_if<ViewFrame>(&frame))
+            return takeView(*view);
+        handlers_.onFrame_(std::move(frame));
+    }
+
+    void takeView(const ViewFrame& view)
+    {
+        auto config = view.config_.empty() ? tl::expected<Config, ManifestError>()
+                                           : parseConfig(nlohmann::json::parse(view.config_, nullptr, false));
+        std::lock_guard<std::mutex> lock(mutex_);
+        if (!view.members_.empty())
+            members_ = view.members_;
+        if (config && config->version_ > config_->version_)
+            config_ = std::make_shared<const Config>(std::move(*config));
+    }
+
+    Members reachable() const
+    {
+        Members members = members_;
+        for (Member& member : members)
+            member.isReachable_ = member.isReachable_ && !isAvoided(member.address_);
+        return members;
+    }
+};
+
+SchedulerLinks::SchedulerLinks(std::string ownAddress, Handlers handlers)
+    : impl_(std::make_unique<Impl>(std::move(ownAddress), std::move(handlers)))
+{
+}
+
+SchedulerLinks::~SchedulerLinks() = default;
+
+void SchedulerLinks::send(const std::string& address, const Frame& frame)
+{
+    bool isLost = false;
+    {
+        std::lock_guard<std::mutex> lock(impl_->mutex_);
+        impl_->dial(address);
+        LinkState& state = impl_->links_[address];
+        if (state.isOpen_)
+            isLost = !state.link_->send(frame);
+        else if (state.link_)
+            state.waiting_.push_back(frame);
+        else
+            isLost = true;
+    }
+    if (isLost)
+        impl_->handlers_.onLost_(address);
+}
+
+void SchedulerLinks::tick()
+{
+    std::lock_guard<std::mutex> lock(impl_->mutex_);
+    if (!impl_->isAvoided(impl_->ownAddress_))
+        impl_->dial(impl_->ownAddress_);
+}
+
+std::optional<SchedulerRoute> SchedulerLinks::routeTo(const ShardKey& shard) const
+{
+    std::lock_guard<std::mutex> lock(impl_->mutex_);
+    auto listed = expectedOwner(impl_->members_, shard);
+    auto owner = expectedOwner(impl_->reachable(), shard);
+    if (!owner)
+        return std::nullopt;
+    return SchedulerRoute { owner->vm_, owner->address_, listed && listed->vm_ != owner->vm_ };
+}
+
+std::optional<SchedulerRoute> SchedulerLinks::routeTo(const VmId& vm) const
+{
+    std::lock_guard<std::mutex> lock(impl_->mutex_);
+    for (const Member& member : impl_->reachable()) {
+        if (member.vm_ == vm && member.isReachable_)
+            return SchedulerRoute { member.vm_, member.address_, false };
+    }
+    return std::nullopt;
+}
+
+SchedulerRoute SchedulerLinks::anyRoute() const
+{
+    std::lock_guard<std::mutex> lock(impl_->mutex_);
+    if (!impl_->isAvoided(impl_->ownAddress_))
+        return { {}, impl_->ownAddress_, false };
+    for (const Member& member : impl_->reachable()) {
+        if (member.isReachable_ && !member.isLeaving_)
+            return { member.vm_, member.address_, false };
+    }
+    return { {}, impl_->ownAddress_, false };
+}
+
+std::shared_ptr<const Config> SchedulerLinks::config() const
+{
+    std::lock_guard<std::mutex> lock(impl_->mutex_);
+    return impl_->config_;
+}
+
+bool SchedulerLinks::isReady() const
+{
+    std::lock_guard<std::mutex> lock(impl_->mutex_);
+    return impl_->config_->version_.value_ != 0;
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/Settings.cpp
@@ -0,0 +1,198 @@
+#include "Settings.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+#include <csignal>
+#include <cstdlib>
+#include <gflags/gflags.h>
+#include <iostream>
+
+namespace fescue {
+
+const char* const versionText = "0.1.0";
+
+namespace {
+
+    using FlagInfo = gflags::CommandLineFlagInfo;
+
+    // gflags brings flags of its own; ours are those defined in this project's folders.
+    bool isOurs(const FlagInfo& flag)
+    {
+        return flag.filename.find("gflags") == std::string::npos && !flag.description.empty();
+    }
+
+    std::vector<FlagInfo> ourFlags()
+    {
+        std::vector<FlagInfo> all;
+        gflags::GetAllFlags(&all);
+        all.erase(std::remove_if(all.begin(), all.end(), [](const FlagInfo& flag) { return !isOurs(flag); }),
+            all.end());
+        return all;
+    }
+
+    std::string environmentName(const std::string& flag)
+    {
+        std::string name = "FESCUE_" + flag;
+        for (char& c : name)
+            c = static_cast<char>(c >= 'a' && c <= 'z' ? c - 'a' + 'A' : c);
+        return name;
+    }
+
+    [[noreturn]] void showHelp(const ProgramText& program)
+    {
+        std::cout << program.usage_
+                  << "\n\nSettings (flag, or environment variable in capitals with FESCUE_):\n";
+        for (const FlagInfo& flag : ourFlags()) {
+            std::cout << "  --" << flag.name << " (" << flag.type;
+            if (!flag.default_value.empty())
+                std::cout << ", default " << flag.default_value;
+            std::cout << ")\n      " << flag.description << "\n";
+        }
+        std::exit(0);
+    }
+
+    void setFlag(const std::string& name, const std::string& value, const std::string& shownAs)
+    {
+        FlagInfo known;
+        if (!gflags::GetCommandLineFlagInfo(name.c_str(), &known) || !isOurs(known))
+            refuseSettings(shownAs, "there is no such setting; --help lists them");
+        if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty())
+            refuseSettings(shownAs, "\"" + value + "\" is not a value of type " + known.type);
+    }
+
+    bool isBoolean(const std::string& name)
+    {
+        FlagInfo known;
+        return gflags::GetCommandLineFlagInfo(name.c_str(), &known) && known.type == "bool";
+    }
+
+    void readEnvironment()
+    {
+        for (const FlagInfo& flag : ourFlags()) {
+            std::string variable = environmentName(flag.name);
+            if (const char* value = std::getenv(variable.c_str()))
+                setFlag(flag.name, value, variable);
+        }
+    }
+
+    // Takes the flag at `arguments[i]`; returns how many arguments it took.
+    std::size_t readFlag(const std::vector<std::string>& arguments, std::size_t i)
+    {
+        std::string text = arguments[i].substr(arguments[i].rfind("--", 0) == 0 ? 2 : 1);
+        auto equals = text.find('=');
+        std::string name = text.substr(0, equals);
+        std::string shownAs = "--" + name;
+        if (equals != std::string::npos) {
+            setFlag(name, text.substr(equals + 1), shownAs);
+            return 1;
+        }
+        if (isBoolean(name)) {
+            setFlag(name, "true", shownAs);
+            return 1;
+        }
+        bool hasValue = i + 1 < arguments.size();
+        setFlag(name, hasValue ? arguments[i + 1] : "", shownAs);
+        return 2;
+    }
+
+} // namespace
+
+std::vector<std::string> readSettings(int argc, char** argv, const ProgramText& program)
+{
+    std::vector<std::string> arguments(argv + 1, argv + argc);
+    for (const std::string& argument : arguments) {
+        if (argument == "--help" || argument == "-h")
+            showHelp(program);
+        if (argument == "--version") {
+            std::cout << program.name_ << " " << versionText << "\n";
+            std::exit(0);
+        }
+    }
+    readEnvironment();
+    std::vector<std::string> rest;
+    for (std::size_t i = 0; i < arguments.size();) {
+        bool isFlag = arguments[i].size() > 1 && arguments[i].front() == '-';
+        if (isFlag) {
+            i += readFlag(arguments, i);
+            continue;
+        }
+        rest.push_back(arguments[i]);
+        ++i;
+    }
+    return rest;
+}
+
+void refuseSettings(const std::string& setting, const std::string& remedy)
+{
+    std::cerr << "wrong setting " << setting << ": " << remedy << std::endl;
+    std::exit(wrongSettings);
+}
+
+ZoneId requireZone(const std::string& setting, const std::string& value)
+{
+    if (!isZoneName(value))
+        refuseSettings(setting, "name this process's availability zone with 1 to 40 of a-z, 0-9 and -");
+    return { value };
+}
+
+std::string requireText(const std::string& setting, const std::string& value)
+{
+    if (value.empty())
+        refuseSettings(setting, "must be given");
+    return value;
+}
+
+std::string requireUrl(const std::string& setting, const std::string& value)
+{
+    std::string url = value;
+    if (url.rfind("http://", 0) != 0 && url.rfind("https://", 0) != 0)
+        refuseSettings(setting, "must be given as http://host:port");
+    while (url.back() == '/')
+        url.pop_back();
+    return url;
+}
+
+HostPort requireHostPort(const std::string& setting, const std::string& value)
+{
+    auto colon = value.rfind(':');
+    HostPort address;
+    std::string port = colon == std::string::npos ? std::string() : value.substr(colon + 1);
+    address.host_ = value.substr(0, colon);
+    auto parsed = std::from_chars(port.data(), port.data() + port.size(), address.port_);
+    in_addr ignored {};
+    bool isNumber = inet_pton(AF_INET, address.host_.c_str(), &ignored) == 1;
+    if (port.empty() || parsed.ec != std::errc() || parsed.ptr != port.data() + port.size() || !isNumber)
+        refuseSettings(setting, "must be an IP number and a port such as 127.0.0.1:7070");
+    return address;
+}
+
+std::int64_t requireRange(
+    const std::string& setting, std::int64_t value, std::int64_t least, std::int64_t most)
+{
+    if (value < least || value > most)
+        refuseSettings(setting, "must be from " + std::to_string(least) + " to " + std::to_string(most));
+    return value;
+}
+
+void blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+void waitForStopSignal()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    int received = 0;
+    sigwait(&signals, &received);
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/Shard.h
@@ -0,0 +1,201 @@
+#pragma once
+
+/** \file
+ * Shard: the decisions about one shard's programs, without I/O.
+ *
+ * An owner holds the `Ledger` (what the log says) and, for each program in use, an `ActiveProgram` that
+ * runs ahead of it by the records still on their way. Each function here takes the state, an event and the
+ * time, changes the state and returns the effects to carry out. Nothing here reads a clock, opens a
+ * socket or takes a lock, so a daemon, a fuzzer and a benchmark drive the same code:
+ *
+ *     Shard shard { Ledger { key } };
+ *     Effects effects = callArrived(shard, call, context);
+ *     // carry out the effects; append `takeBatch(shard, writer)`; report back with `entryRead`
+ *
+ * The functions stand in AdmitCall.h, FinishCall.h, ProgramLife.h and ShardLog.h. A call that the log has
+ * to confirm first (an intent, a tranche) waits inside the shard; `entryRead` returns the effect that lets
+ * it run.
+ */
+
+#include "Ledger.h"
+#include "Record.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+
+namespace fescue {
+
+/** Number of a caller's request within one scheduler process. */
+using RequestId = Quantity<struct RequestIdTag, std::uint64_t>;
+
+/** Number of one run of a call at a target, within one shard of one process. */
+using ExecutionId = Quantity<struct ExecutionIdTag, std::uint64_t>;
+
+/** What a call asks for. */
+enum class CallKind {
+    Model,
+    RepeatableService,
+    AtMostOnceService,
+};
+
+/** A call as the owner of its program sees it, checked and parsed. */
+struct Call {
+    RequestId request_;
+    WorkspaceId workspace_;
+    ProgramId program_;
+    CallNumber number_;
+    CallKind kind_ = CallKind::Model;
+    std::string fingerprint_; ///< Digest of everything that the call asks for.
+    std::string messages_; ///< Model calls: the JSON array of messages as sent.
+    ByteCount bodySize_;
+    TokenCount maxTokens_; ///< Model calls: most tokens that the answer may have.
+};
+
+/** What running a call came to. */
+struct ExecutionResult {
+    enum class Kind {
+        Answered, ///< A whole answer; `outcome_` holds it.
+        NotRun, ///< No byte reached a target.
+        Unknown, ///< It may have run; only an at-most-once call ends this way.
+        Failed, ///< A repeatable call that did not come to an end.
+    };
+    Kind kind_ = Kind::Failed;
+    Outcome outcome_;
+    Problem problem_;
+    TokenCount used_;
+    TokenCount contextTokens_; ///< Tokens of prompt and answer together.
+    std::string answerMessage_; ///< Model calls: the assistant's message, as JSON.
+};
+
+/** A call that has been let in and has no outcome yet. */
+struct RunningCall {
+    enum class Phase { AwaitsTranche, AwaitsIntent, Executing };
+    Call call_;
+    Phase phase_ = Phase::Executing;
+    ExecutionId execution_; ///< Set while it executes.
+    TokenCount reserved_;
+    TranscriptHead head_;
+    std::string newMessages_;
+    std::vector<RequestId> requests_; ///< Every caller that waits for this outcome.
+    MonotonicTime since_;
+    MonotonicTime sendBefore_;
+    bool abandoned_ = false; ///< Its callers have had their final answer; it must not be sent any more.
+};
+
+/** A program as its owner knows it: the ledger's state and what is on its way to the log. */
+struct ActiveProgram {
+    WorkspaceId workspace_;
+    ProgramId parent_;
+    TokenCount budget_;
+    TokenCount trancheLeft_; ///< What this epoch may still spend.
+    TokenCount trancheAsked_; ///< Granted by a record that is on its way.
+    TokenCount contextTokens_;
+    CallNumber lastCall_;
+    CallNumber durableCall_; ///< Last call whose record the log has confirmed.
+    TranscriptHead head_;
+    std::deque<FinishedCall> recent_;
+    std::optional<RunningCall> running_;
+    MonotonicTime lastUse_;
+    std::vector<RequestId> awaitsCreation_; ///< Callers to tell once the log has confirmed the creation.
+    MonotonicTime createdAt_;
+    MonotonicTime notBefore_; ///< An earlier owner may still send an announced call until then.
+    bool isDurable_ = false; ///< The log has confirmed its creation.
+    bool ended_ = false;
+    std::string endReason_;
+};
+
+/** The state of one shard at one VM. */
+struct Shard {
+    Ledger ledger_;
+    Epoch epoch_; ///< The epoch that this VM holds; 0 when it is not the owner.
+    std::map<ProgramId, ActiveProgram> active_;
+    std::map<ExecutionId, RunningCall> orphans_; ///< Calls still running from an epoch since lost.
+    ExecutionId lastExecution_;
+    std::vector<RecordBody> outbox_; ///< Records for the next batch.
+    std::optional<Batch> inFlight_; ///< The batch that is being appended.
+    Sequence nextSequence_ { 1 };
+    bool isUrgent_ = false; ///< A call waits for the next batch.
+    bool isLogDown_ = false; ///< The last append got no answer.
+};
+
+/** Limits that the decisions keep to. */
+struct ShardLimits {
+    Milliseconds intentSendWindow_ { 2000 }; ///< An announced call is sent within this time or never.
+    Milliseconds successorMargin_ { 500 }; ///< Added to the window for clocks that run apart.
+    Milliseconds confirmationPatience_ { 10000 }; ///< How long a call waits for the log before it is refused.
+    Milliseconds programIdle_ { 1800000 }; ///< A program without calls for this long is abandoned.
+    TokenCount trancheSize_ { 16384 };
+    std::size_t outboxRecords_ = 4096;
+};
+
+/** What each decision needs besides its event. */
+struct ShardContext {
+    MonotonicTime now_;
+    const ShardLimits& limits_;
+};
+
+/** Answer these requests with a problem, now. */
+struct ReplyProblem {
+    std::vector<RequestId> requests_;
+    Problem problem_;
+};
+/** Answer this request with a finished call's outcome. */
+struct ReplyOutcome {
+    std::vector<RequestId> requests_;
+    Outcome outcome_;
+    CallNumber durableCall_;
+};
+/** Answer a program's creation or end. */
+struct ReplyProgram {
+    RequestId request_;
+    ProgramId program_;
+    bool isDurable_ = false; ///< Whether the log has confirmed that the program exists.
+};
+/** Let this request see the output of the running call. */
+struct AttachRequest {
+    RequestId request_;
+    ProgramId program_;
+    CallNumber call_;
+};
+/** Run a call now; do not send it after `sendBefore_` when that is set. */
+struct ExecuteCall {
+    ExecutionId execution_;
+    Call call_;
+    std::vector<RequestId> requests_; ///< Every caller that waits for the outcome.
+    Epoch epoch_;
+    CallNumber durableCall_;
+    TokenCount reserved_; ///< Cut the answer when it would use more than this.
+    std::optional<MonotonicTime> sendBefore_;
+};
+/** Stop running a call whose program is gone. */
+struct CancelCall {
+    ProgramId program_;
+    ExecutionId execution_;
+};
+/** Free the engine memory of a program that the log has confirmed as ended. */
+struct ReleaseCache {
+    ProgramId program_;
+    Epoch epoch_;
+};
+
+using Effect = std::variant<ReplyProblem, ReplyOutcome, ReplyProgram, AttachRequest, ExecuteCall, CancelCall,
+    ReleaseCache>;
+using Effects = std::vector<Effect>;
+
+/** The active form of a program, loaded from the ledger when needed; null when the program is unknown.
+ *
+ * Thread safety: none; the caller holds the lock of the shard. A call that an earlier epoch announced and
+ * did not finish is recorded here as `outcome-unknown`, so it is never sent by this owner. */
+ActiveProgram* findActive(Shard& shard, const ProgramId& program, const ShardContext& context);
+
+/** Outcome that stands for a call which may have run, told as a problem document. Pure. */
+Outcome unknownOutcome(const std::string& detail);
+
+/** The effect that runs an admitted call. Marks it as executing under a new execution id. */
+ExecuteCall startExecution(Shard& shard, const ActiveProgram& active, RunningCall& running);
+
+/** Puts a record into the next batch. */
+void record(Shard& shard, RecordBody body);
+
+} // namespace fescue
--- /dev/null
+++ b/src/ShardHome.h
@@ -0,0 +1,84 @@
+#pragma once
+
+/** \file
+ * ShardHome: a VM's shards, each under its own lock, and their traffic with the log.
+ *
+ * A decision (a function of Shard.h's family) is handed in, run under the lock of its shard, and its
+ * effects are carried out in the same order. Towards the log each shard has one operation at a time:
+ *
+ *     not owned --claim--> read up to the claim --> owned --append batch--> ...
+ *
+ * An append without an answer is followed by a read, which tells whether it took effect.
+ */
+
+#include "LogClient.h"
+#include "ProgramLife.h"
+#include "Shard.h"
+
+#include <functional>
+#include <memory>
+
+namespace fescue {
+
+/** What the shards of a VM need. */
+struct ShardHomeOptions {
+    VmId vm_;
+    WriterId writer_;
+    LogAddress log_;
+    ShardLimits limits_;
+    Milliseconds flushInterval_ { 500 }; ///< How long records that nobody waits for are gathered.
+    Milliseconds claimPatience_ { 3000 }; ///< How long a request waits for its shard to be taken over.
+};
+
+/** How a shard stands, for operators. */
+struct ShardStatus {
+    ShardKey shard_;
+    Epoch epoch_;
+    VmId owner_;
+    std::size_t programs_ = 0;
+    std::size_t running_ = 0;
+    std::size_t unconfirmed_ = 0;
+    bool isLogDown_ = false;
+};
+
+/** The shards of a VM. All functions are safe from any thread and none waits. */
+class ShardHomes {
+public:
+    using Decision = std::function<Effects(Shard&, const ShardContext&)>;
+    using CarryOut = std::function<void(const ShardKey&, const Effect&)>;
+    /** Reads a shard under its lock. */
+    using Inspect = std::function<void(const Shard&)>;
+
+    /** `carryOut` is called under the shard's lock and must not call back into this object. */
+    ShardHomes(const ShardHomeOptions& options, HttpClient& client, CarryOut carryOut);
+    ~ShardHomes();
+
+    /** Runs the decision once this VM owns the shard, taking it over if need be. When that takes too long
+     * the request gets its final answer as a problem. */
+    void submit(const ShardKey& shard, RequestId request, Decision decision);
+
+    /** Runs the decision now, whether or not the shard is owned. */
+    void report(const ShardKey& shard, const Decision& decision);
+
+    /** Takes a shard over without a request, so that programs of a dead owner are looked after. */
+    void takeOver(const ShardKey& shard);
+
+    /** Whether the shard is owned and has nothing under way, so that it can move without loss. */
+    bool isIdle(const ShardKey& shard) const;
+    bool isOwned(const ShardKey& shard) const;
+
+    /** Flushes what is due and gives up on what waited too long; to be called at a steady pace. */
+    void tick();
+    /** Appends what is gathered without waiting for the flush interval. */
+    void flushNow();
+
+    void inspect(const ShardKey& shard, const Inspect& look) const;
+    /** Status of every shard that this VM has dealt with. */
+    std::vector<ShardStatus> status() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace fescue
--- /dev/null
+++ b/src/ShardLog.cpp
@@ -0,0 +1,187 @@
+#include "ShardLog.h"
+
+#include "AdmitCall.h"
+
+#include <algorithm>
+
+namespace fescue {
+
+namespace {
+
+    constexpr Milliseconds ownerRetryAfter { 200 };
+    constexpr Milliseconds lateRetryAfter { 500 };
+
+    void append(Effects& effects, Effects more)
+    {
+        std::move(more.begin(), more.end(), std::back_inserter(effects));
+    }
+
+    ActiveProgram* activeOf(Shard& shard, const ProgramId& program)
+    {
+        auto found = shard.active_.find(program);
+        return found == shard.active_.end() ? nullptr : &found->second;
+    }
+
+    Effects confirmed(Shard& shard, const ProgramCreated& created, const ShardContext&)
+    {
+        Effects effects;
+        ActiveProgram* active = activeOf(shard, created.program_);
+        if (!active)
+            return effects;
+        active->isDurable_ = true;
+        for (RequestId request : active->awaitsCreation_)
+            effects.push_back(ReplyProgram { request, created.program_, true });
+        active->awaitsCreation_.clear();
+        return effects;
+    }
+
+    Effects confirmed(Shard& shard, const TrancheGranted& grant, const ShardContext& context)
+    {
+        ActiveProgram* active = activeOf(shard, grant.program_);
+        if (!active)
+            return {};
+        active->trancheAsked_ -= grant.amount_;
+        active->trancheLeft_ += grant.amount_;
+        if (active->running_ && active->running_->phase_ == RunningCall::Phase::AwaitsTranche)
+            return startWhenFunded(shard, grant.program_, *active, context);
+        return {};
+    }
+
+    Effects withdraw(Shard& shard, const ProgramId& program, ActiveProgram& active)
+    {
+        RunningCall running = std::move(*active.running_);
+        active.running_.reset();
+        record(shard, IntentWithdrawn { program, running.call_.number_ });
+        if (running.requests_.empty())
+            return {};
+        Problem problem { ProblemKind::LogUnavailable, RunState::NotRun,
+            "the log service confirmed the call's record too late to send it; send the call again",
+            lateRetryAfter };
+        return { ReplyProblem { running.requests_, problem } };
+    }
+
+    Effects confirmed(Shard& shard, const CallIntent& intent, const ShardContext& context)
+    {
+        ActiveProgram* active = activeOf(shard, intent.program_);
+        if (!active || !active->running_ || active->running_->phase_ != RunningCall::Phase::AwaitsIntent)
+            return {};
+        RunningCall& running = *active->running_;
+        if (running.abandoned_ || context.now_ >= running.sendBefore_)
+            return withdraw(shard, intent.program_, *active);
+        return { startExecution(shard, *active, running) };
+    }
+
+    Effects confirmed(Shard& shard, const CallFinished& finished, const ShardContext&)
+    {
+        if (ActiveProgram* active = activeOf(shard, finished.program_))
+            active->durableCall_ = std::max(active->durableCall_, finished.call_);
+        return {};
+    }
+
+    Effects confirmed(Shard& shard, const ProgramEnded& ended, const ShardContext&)
+    {
+        shard.active_.erase(ended.program_);
+        return { ReleaseCache { ended.program_, shard.epoch_ } };
+    }
+
+    template <typename Other> Effects confirmed(Shard&, const Other&, const ShardContext&) { return {}; }
+
+    Problem lostOwnership(RunState run)
+    {
+        return { ProblemKind::NotOwner, run, "the program's home moved to another VM; send the call again",
+            ownerRetryAfter };
+    }
+
+    void dropActive(const ProgramId&, ActiveProgram& active, Shard& shard, Effects& effects)
+    {
+        if (!active.awaitsCreation_.empty())
+            effects.push_back(ReplyProblem { active.awaitsCreation_, lostOwnership(RunState::NotRun) });
+        if (!active.running_)
+            return;
+        if (active.running_->phase_ == RunningCall::Phase::Executing)
+            shard.orphans_[active.running_->execution_] = std::move(*active.running_);
+        else if (!active.running_->requests_.empty())
+            effects.push_back(ReplyProblem { active.running_->requests_, lostOwnership(RunState::NotRun) });
+    }
+
+    Effects loseOwnership(Shard& shard)
+    {
+        Effects effects;
+        for (auto& [program, active] : shard.active_)
+            dropActive(program, active, shard, effects);
+        shard.active_.clear();
+        shard.outbox_.clear();
+        if (shard.inFlight_ && shard.inFlight_->epoch_.value_ != 0)
+            shard.inFlight_.reset();
+        shard.epoch_ = {};
+        return effects;
+    }
+
+    bool isSameBatch(const Batch& a, const Batch& b)
+    {
+        return a.writer_ == b.writer_ && a.sequence_ == b.sequence_;
+    }
+
+    // Programs with an open intent are loaded at once, so that the time in which the earlier owner may still
+    // send counts from the claim and not from the program's next call.
+    void becomeOwner(Shard& shard, const ShardContext& context)
+    {
+        shard.epoch_ = shard.ledger_.epoch_;
+        for (const auto& [program, state] : shard.ledger_.programs_) {
+            if (state.intent_ && !state.ended_)
+                findActive(shard, program, context);
+        }
+    }
+
+    Effects batchConfirmed(Shard& shard, const Batch& batch, const ShardContext& context)
+    {
+        if (batch.epoch_.value_ == 0) {
+            becomeOwner(shard, context);
+            return {};
+        }
+        Effects effects;
+        for (const RecordBody& body : batch.records_) {
+            std::visit([&](const auto& record) { append(effects, confirmed(shard, record, context)); }, body);
+        }
+        return effects;
+    }
+
+} // namespace
+
+std::optional<Batch> takeBatch(Shard& shard, const WriterId& writer)
+{
+    if (shard.inFlight_)
+        return shard.inFlight_;
+    if (shard.outbox_.empty() || shard.epoch_.value_ == 0)
+        return std::nullopt;
+    shard.inFlight_ = Batch { writer, shard.nextSequence_, shard.epoch_, std::move(shard.outbox_) };
+    shard.outbox_.clear();
+    shard.nextSequence_ += Sequence { 1 };
+    shard.isUrgent_ = false;
+    return shard.inFlight_;
+}
+
+Batch takeClaim(Shard& shard, const WriterId& writer, const VmId& vm)
+{
+    shard.inFlight_ = Batch { writer, shard.nextSequence_, {}, { Claim { vm } } };
+    shard.nextSequence_ += Sequence { 1 };
+    return *shard.inFlight_;
+}
+
+Effects entryRead(Shard& shard, LogOffset offset, const Batch& batch, const ShardContext& context)
+{
+    Verdict verdict = foldBatch(shard.ledger_, offset, batch);
+    Effects effects;
+    if (shard.epoch_.value_ != 0 && shard.ledger_.epoch_ != shard.epoch_)
+        effects = loseOwnership(shard);
+    bool isOwn = shard.inFlight_ && isSameBatch(*shard.inFlight_, batch);
+    if (!isOwn || verdict == Verdict::Duplicate)
+        return effects;
+    Batch mine = std::move(*shard.inFlight_);
+    shard.inFlight_.reset();
+    if (verdict == Verdict::Applied)
+        append(effects, batchConfirmed(shard, mine, context));
+    return effects;
+}
+
+} // namespace fescue
--- /dev/null
+++ b/standin/Engine.cpp
@@ -0,0 +1,243 @@
+#include "Engine.h"
+
+#include "WorkQueue.h"
+
+#include <fmt/format.h>
+#include <list>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+namespace fescue::standin {
+
+using nlohmann::json;
+
+namespace {
+
+    constexpr std::string_view cachePath = "/v1/cache/";
+    constexpr std::int64_t bytesPerToken = 4;
+
+    std::int64_t tokensOf(const std::string& text)
+    {
+        return (static_cast<std::int64_t>(text.size()) + bytesPerToken - 1) / bytesPerToken;
+    }
+
+    // What the cache holds for one key: its messages, in order.
+    struct CacheEntry {
+        std::vector<std::string> messages_;
+        std::int64_t tokens_ = 0;
+        std::uint64_t lastUse_ = 0;
+    };
+
+    // One request in the batch.
+    struct Running {
+        HttpExchangePtr exchange_;
+        std::string id_;
+        std::string model_;
+        std::string key_;
+        std::vector<std::string> messages_;
+        std::int64_t promptTokens_ = 0;
+        std::int64_t cachedTokens_ = 0;
+        std::int64_t prefillLeft_ = 0;
+        std::int64_t answerTokens_ = 0;
+        std::int64_t made_ = 0;
+        std::string text_;
+    };
+
+    std::vector<std::string> messagesOf(const json& body)
+    {
+        std::vector<std::string> messages;
+        for (const json& message : body["messages"])
+            messages.push_back(message.value("role", "") + ":"
+                + (message.contains("content") ? message["content"].dump() : ""));
+        return messages;
+    }
+
+    json chunkOf(const Running& running)
+    {
+        return { { "id", running.id_ }, { "object", "chat.completion.chunk" }, { "created", 0 },
+            { "model", running.model_ } };
+    }
+
+} // namespace
+
+struct Engine::Impl {
+    EngineOptions options_;
+    std::mutex mutex_;
+    std::map<std::string, CacheEntry> cache_;
+    std::list<Running> batch_;
+    std::uint64_t uses_ = 0;
+    std::uint64_t requests_ = 0;
+    std::int64_t cutAfter_ = 0; ///< Break the streams off after so many tokens; 0 for never.
+    bool refuses_ = false;
+    WorkQueue work_ { 1 };
+    std::unique_ptr<HttpServer> http_;
+
+    std::int64_t cachedPrefix(const Running& running)
+    {
+        auto found = cache_.find(running.key_);
+        if (running.key_.empty() || found == cache_.end())
+            return 0;
+        found->second.lastUse_ = ++uses_;
+        const auto& held = found->second.messages_;
+        std::int64_t tokens = 0;
+        for (std::size_t i = 0; i < held.size() && i < running.messages_.size(); ++i) {
+            if (held[i] != running.messages_[i])
+                break;
+            tokens += tokensOf(held[i]);
+        }
+        return tokens;
+    }
+
+    std::int64_t cacheSize() const
+    {
+        std::int64_t total = 0;
+        for (const auto& [key, entry] : cache_)
+            total += entry.tokens_;
+        return total;
+    }
+
+    void keep(const Running& running)
+    {
+        if (running.key_.empty())
+            return;
+        CacheEntry& entry = cache_[running.key_];
+        entry.messages_ = running.messages_;
+        entry.messages_.push_back("assistant:" + json(running.text_).dump());
+        entry.tokens_ = running.promptTokens_ + running.made_;
+        entry.lastUse_ = ++uses_;
+        while (cache_.size() > 1 && cacheSize() > options_.cacheTokens_)
+            cache_.erase(std::min_element(cache_.begin(), cache_.end(),
+                [](const auto& a, const auto& b) { return a.second.lastUse_ < b.second.lastUse_; }));
+    }
+
+    void admit(const HttpRequest& request, const HttpExchangePtr& exchange)
+    {
+        json body = json::parse(request.body_, nullptr, false);
+        if (!body.is_object() || !body.contains("messages") || !body["messages"].is_array())
+            return exchange->answer({ 400, "application/json", "{\"error\": \"no messages\"}", {} });
+        if (refuses_)
+            return exchange->answer({ 503, "application/json", "{\"error\": \"full\"}", {} });
+        Running running;
+        running.exchange_ = exchange;
+        running.id_ = fmt::format("chat-{}", ++requests_);
+        running.model_ = body.value("model", "");
+        running.key_ = body.value("prompt_cache_key", "");
+        running.messages_ = messagesOf(body);
+        for (const std::string& message : running.messages_)
+            running.promptTokens_ += tokensOf(message);
+        running.cachedTokens_ = cachedPrefix(running);
+        running.prefillLeft_ = running.promptTokens_ - running.cachedTokens_;
+        std::int64_t most = body.value("max_tokens", options_.answerTokens_);
+        running.answerTokens_
+            = options_.ignoresMaxTokens_ ? 4 * most : std::min(most, options_.answerTokens_);
+        exchange->begin({ 200, "text/event-stream", {}, {} });
+        batch_.push_back(std::move(running));
+    }
+
+    void sendToken(Running& running)
+    {
+        std::string word = fmt::format("w{} ", running.made_++);
+        running.text_ += word;
+        json event = chunkOf(running);
+        event["choices"] = json::array({ { { "index", 0 }, { "delta", { { "content", word } } } } });
+        running.exchange_->write("data: " + event.dump() + "\n\n");
+    }
+
+    void sendEnd(const Running& running)
+    {
+        json event = chunkOf(running);
+        event["choices"]
+            = json::array({ { { "index", 0 }, { "delta", json::object() }, { "finish_reason", "stop" } } });
+        event["usage"] = { { "prompt_tokens", running.promptTokens_ }, { "completion_tokens", running.made_ },
+            { "total_tokens", running.promptTokens_ + running.made_ },
+            { "prompt_tokens_details", { { "cached_tokens", running.cachedTokens_ } } } };
+        running.exchange_->write("data: " + event.dump() + "\n\ndata: [DONE]\n\n");
+        running.exchange_->end();
+    }
+
+    // One step of the batch: prefill shares a budget of tokens, then each request makes a token.
+    void step()
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        std::int64_t prefill = options_.prefillTokensPerStep_;
+        for (auto running = batch_.begin(); running != batch_.end();) {
+            std::int64_t share = std::min(prefill, running->prefillLeft_);
+            prefill -= share;
+            running->prefillLeft_ -= share;
+            if (running->prefillLeft_ == 0)
+                sendToken(*running);
+            bool isCut = cutAfter_ > 0 && running->made_ >= cutAfter_;
+            bool isDone = running->made_ >= running->answerTokens_;
+            if (!isCut && !isDone) {
+                ++running;
+                continue;
+            }
+            if (isDone && !isCut) {
+                keep(*running);
+                sendEnd(*running);
+            } else {
+                running->exchange_->end();
+            }
+            running = batch_.erase(running);
+        }
+    }
+
+    json cacheDocument() const
+    {
+        json entries = json::array();
+        for (const auto& [key, entry] : cache_)
+            entries.push_back({ { "key", key }, { "tokens", entry.tokens_ } });
+        return { { "entries", std::move(entries) }, { "tokens", cacheSize() } };
+    }
+
+    void takeFaults(const std::string& body)
+    {
+        json wanted = json::parse(body, nullptr, false);
+        if (!wanted.is_object())
+            return;
+        cutAfter_ = wanted.value("cut_after", cutAfter_);
+        refuses_ = wanted.value("refuse", refuses_);
+    }
+
+    void handle(const HttpRequest& request, const HttpExchangePtr& exchange)
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        if (request.path_ == "/v1/chat/completions")
+            return admit(request, exchange);
+        if (request.path_ == "/v1/cache")
+            return exchange->answer({ 200, "application/json", cacheDocument().dump(), {} });
+        if (request.path_.rfind(cachePath, 0) == 0 && request.method_ == "DELETE") {
+            cache_.erase(request.path_.substr(cachePath.size()));
+            return exchange->answer({ 200, "application/json", "{}", {} });
+        }
+        if (request.path_ == "/v1/load")
+            return exchange->answer(
+                { 200, "application/json", json { { "running", batch_.size() } }.dump(), {} });
+        if (request.path_ == "/faults") {
+            takeFaults(request.body_);
+            return exchange->answer({ 200, "application/json", "{}", {} });
+        }
+        exchange->answer({ 404, "application/json", "{\"error\": \"no such path\"}", {} });
+    }
+};
+
+Engine::Engine(const EngineOptions& options)
+    : impl_(std::make_unique<Impl>())
+{
+    impl_->options_ = options;
+    impl_->work_.every(options.step_, [impl = impl_.get()] { impl->step(); });
+    impl_->http_ = std::make_unique<HttpServer>(
+        options.http_, [impl = impl_.get()](const HttpRequest& request, const HttpExchangePtr& exchange) {
+            impl->handle(request, exchange);
+        });
+}
+
+Engine::~Engine()
+{
+    impl_->http_.reset();
+    impl_->work_.stop();
+}
+
+std::uint16_t Engine::port() const { return impl_->http_->port(); }
+
+} // namespace fescue::standin
--- /dev/null
+++ b/standin/Engine.h
@@ -0,0 +1,44 @@
+#pragma once
+
+/** \file
+ * Engine: a small stand-in for a model engine with continuous batching and a prefix cache.
+ *
+ *     POST   /v1/chat/completions      streamed answer; the batch makes one token a request and step
+ *     GET    /v1/cache                 {"entries": [{"key", "tokens"}], "tokens": total}
+ *     DELETE /v1/cache/<key>           free what is held for a program
+ *     GET    /v1/load                  {"running", "queued_tokens"} as of the last report
+ *     POST   /faults {"cut_after": 5, "refuse": false, "dead": false}
+ *
+ * A token is four bytes of a message, rounded up. Prompts of one `prompt_cache_key` share their longest
+ * common run of messages with the cache; the least recently used keys give way when the cache is full.
+ */
+
+#include "HttpServer.h"
+
+#include <memory>
+
+namespace fescue::standin {
+
+/** How fast and how large the engine is. */
+struct EngineOptions {
+    HttpServerOptions http_;
+    Milliseconds step_ { 2 }; ///< Time of one step of the batch.
+    std::int64_t prefillTokensPerStep_ = 4096;
+    std::int64_t answerTokens_ = 16; ///< Length of an answer, unless `max_tokens` is less.
+    std::int64_t cacheTokens_ = 2000000;
+    bool ignoresMaxTokens_ = false; ///< It goes on beyond what was asked for.
+};
+
+/** A running engine; ends when it is destroyed. */
+class Engine {
+public:
+    explicit Engine(const EngineOptions& options);
+    ~Engine();
+    std::uint16_t port() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace fescue::standin
--- /dev/null
+++ b/standin/VmList.cpp
@@ -0,0 +1,86 @@
+#include "VmList.h"
+
+#include <deque>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+namespace fescue::standin {
+
+using nlohmann::json;
+
+namespace {
+
+    constexpr std::string_view vmPath = "/vms/";
+
+    // The list as it was from `since_` on.
+    struct Version {
+        MonotonicTime since_;
+        std::map<std::string, json> vms_;
+    };
+
+} // namespace
+
+struct VmList::Impl {
+    std::mutex mutex_;
+    std::deque<Version> versions_ { Version {} };
+    Milliseconds lag_ { 0 };
+    bool isDown_ = false;
+    std::unique_ptr<HttpServer> http_;
+
+    void change(const std::string& vm, const json* entry)
+    {
+        Version next { monotonicNow(), versions_.back().vms_ };
+        if (entry) {
+            next.vms_[vm] = *entry;
+            next.vms_[vm]["vm"] = vm;
+        } else {
+            next.vms_.erase(vm);
+        }
+        versions_.push_back(std::move(next));
+    }
+
+    json listed()
+    {
+        auto shown = monotonicNow() - lag_;
+        while (versions_.size() > 1 && versions_[1].since_ <= shown)
+            versions_.pop_front();
+        json rows = json::array();
+        for (const auto& [vm, entry] : versions_.front().vms_)
+            rows.push_back(entry);
+        return { { "vms", std::move(rows) } };
+    }
+
+    HttpResponse handle(const HttpRequest& request)
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        json body = json::parse(request.body_, nullptr, false);
+        if (request.path_ == "/faults" && body.is_object()) {
+            isDown_ = body.value("down", isDown_);
+            lag_ = Milliseconds { body.value("lag_ms", lag_.count()) };
+            return { 200, "application/json", "{}", {} };
+        }
+        if (isDown_)
+            return { 503, "application/json", "{\"error\": \"down\"}", {} };
+        if (request.path_ == "/vms")
+            return { 200, "application/json", listed().dump(), {} };
+        if (request.path_.rfind(vmPath, 0) != 0 || (request.method_ == "PUT" && !body.is_object()))
+            return { 400, "application/json", "{\"error\": \"use /vms or /vms/<vm>\"}", {} };
+        change(request.path_.substr(vmPath.size()), request.method_ == "PUT" ? &body : nullptr);
+        return { 200, "application/json", "{}", {} };
+    }
+};
+
+VmList::VmList(const HttpServerOptions& options)
+    : impl_(std::make_unique<Impl>())
+{
+    impl_->http_ = std::make_unique<HttpServer>(
+        options, [impl = impl_.get()](const HttpRequest& request, const HttpExchangePtr& exchange) {
+            exchange->answer(impl->handle(request));
+        });
+}
+
+VmList::~VmList() { impl_->http_.reset(); }
+
+std::uint16_t VmList::port() const { return impl_->http_->port(); }
+
+} // namespace fescue::standin
--- /dev/null
+++ b/test/support/Cluster.cpp
@@ -0,0 +1,178 @@
+#include "Cluster.h"
+
+#include "ConfigFold.h"
+#include "Digest.h"
+
+#include <stdexcept>
+#include <thread>
+
+namespace fescue::test {
+
+using nlohmann::json;
+
+const char* const callerKey = "key-of-the-lease-team";
+
+namespace {
+
+    constexpr std::chrono::milliseconds pollInterval { 5 };
+    constexpr std::chrono::seconds longestWait { 60 };
+
+    std::string local(int port) { return "http://127.0.0.1:" + std::to_string(port); }
+
+} // namespace
+
+std::string Answer::header(const std::string& lowerCaseName) const
+{
+    auto found = http_.headers_.find(lowerCaseName);
+    return found == http_.headers_.end() ? std::string() : found->second;
+}
+
+void waitUntil(const std::string& what, const std::function<bool()>& condition)
+{
+    auto deadline = std::chrono::steady_clock::now() + longestWait;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > deadline)
+            throw std::runtime_error("waited in vain until " + what);
+        std::this_thread::sleep_for(pollInterval);
+    }
+}
+
+json conversation(const std::vector<std::string>& turns)
+{
+    json messages = json::array();
+    for (const std::string& turn : turns)
+        messages.push_back(
+            { { "role", messages.size() % 2 == 0 ? "user" : "assistant" }, { "content", turn } });
+    return messages;
+}
+
+Cluster::Cluster(const ClusterOptions& options)
+    : options_(options)
+    , log_(std::make_unique<Process>("standin-log", options.logFlags_, 1))
+    , vms_(std::make_unique<Process>("standin-vms", std::vector<std::string> {}, 1))
+    , service_(std::make_unique<Process>("standin-service", std::vector<std::string> {}, 1))
+{
+    for (std::size_t i = 0; i < options.zones_.size() * options.enginesPerZone_; ++i)
+        engines_.push_back(std::make_unique<Process>("standin-engine", options.engineFlags_, 1));
+    json published { { "author", "test" }, { "sections", manifest() } };
+    client_.perform({ "POST", url(*log_) + "/streams/" + configStream, {}, published.dump() });
+    for (const std::string& zone : options.zones_) {
+        for (std::size_t i = 0; i < options.vmsPerZone_; ++i)
+            startVm(zone + "-vm" + std::to_string(i), zone);
+    }
+    for (const EntryVm& vm : entries_) {
+        waitUntil(vm.name_ + " is ready", [&] {
+            HttpResult result = client_.perform({ "GET", url(*vm.gateway_) + "/readyz" });
+            return result.status_ == 200;
+        });
+    }
+}
+
+json Cluster::manifest() const
+{
+    json sections { { "workspaces/lease", { { "key_sha256", { sha256Hex(callerKey) } } } },
+        { "workspaces/other", { { "key_sha256", { sha256Hex("key-of-another-team") } } } },
+        { "models/agent-llm", json::object() }, { "services/lease-app", { { "calls", json::array() } } },
+        { "pools/lease-app",
+            { { "zone", options_.zones_.front() }, { "service", "lease-app" },
+                { "targets", { { { "id", "lease-app-0" }, { "url", url(*service_) } } } } } } };
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+        std::string zone = options_.zones_[i / options_.enginesPerZone_];
+        std::string id = "engine-" + std::to_string(i);
+        sections["pools/" + id] = { { "zone", zone }, { "models", { "agent-llm" } },
+            { "targets", { { { "id", id }, { "url", url(*engines_[i]) } } } } };
+    }
+    return sections;
+}
+
+void Cluster::startVm(const std::string& name, const std::string& zone)
+{
+    EntryVm vm;
+    vm.name_ = name;
+    vm.zone_ = zone;
+    std::vector<std::string> flags { "--vm=" + name, "--zone=" + zone, "--log_url=" + url(*log_),
+        "--vms_url=" + url(*vms_), "--events_file=/dev/null" };
+    flags.insert(flags.end(), options_.schedulerFlags_.begin(), options_.schedulerFlags_.end());
+    vm.scheduler_ = std::make_unique<Process>("fescue-scheduler", flags, 2);
+    vm.gateway_ = std::make_unique<Process>("fescue-gateway",
+        std::vector<std::string> { "--vm=" + name, "--zone=" + zone, "--events_file=/dev/null",
+            "--scheduler=127.0.0.1:" + std::to_string(vm.scheduler_->port("frames")) },
+        1);
+    entries_.push_back(std::move(vm));
+    listVm(entries_.back(), "live");
+}
+
+void Cluster::listVm(const EntryVm& vm, const std::string& state)
+{
+    std::string path = url(*vms_) + "/vms/" + vm.name_;
+    if (state.empty()) {
+        client_.perform({ "DELETE", path });
+        return;
+    }
+    json entry { { "zone", vm.zone_ }, { "state", state },
+        { "address", "127.0.0.1:" + std::to_string(vm.scheduler_->port("frames")) } };
+    client_.perform({ "PUT", path, {}, entry.dump() });
+}
+
+std::string Cluster::url(const Process& process) const { return local(process.port("http")); }
+
+Answer Cluster::call(std::size_t vm, const std::string& method, const std::string& path,
+    const std::string& body, const std::vector<std::string>& headers)
+{
+    HttpCall call { method, url(*entries_[vm].gateway_) + path, headers, body };
+    call.headers_.push_back(std::string("Authorization: Bearer ") + callerKey);
+    call.timeout_ = Milliseconds { 60000 };
+    return { client_.perform(std::move(call)) };
+}
+
+std::string Cluster::createProgram(std::size_t vm, const json& wish)
+{
+    Answer answer = call(vm, "POST", "/v1/programs", wish.dump());
+    if (answer.status() != 200)
+        throw std::runtime_error("no program: " + answer.http_.body_);
+    return answer.json()["program"].get<std::string>();
+}
+
+Answer Cluster::modelCall(std::size_t vm, const std::string& program, int number, const json& messages,
+    bool isStream, int maxTokens)
+{
+    json body { { "model", "agent-llm" }, { "messages", messages }, { "stream", isStream },
+        { "max_tokens", maxTokens } };
+    return call(vm, "POST", "/v1/chat/completions", body.dump(),
+        { "Fescue-Program: " + program, "Fescue-Call: " + std::to_string(number) });
+}
+
+Answer Cluster::serviceCall(
+    std::size_t vm, const std::string& program, int number, const std::string& path, const std::string& body)
+{
+    return call(vm, "POST", "/v1/services/lease-app" + path, body,
+        { "Fescue-Program: " + program, "Fescue-Call: " + std::to_string(number) });
+}
+
+json Cluster::get(const Process& process, const std::string& path)
+{
+    return json::parse(client_.perform({ "GET", url(process) + path }).body_, nullptr, false);
+}
+
+void Cluster::faults(const Process& process, const json& faults)
+{
+    client_.perform({ "POST", url(process) + "/faults", {}, faults.dump() });
+}
+
+int Cluster::executions(const std::string& program, int number)
+{
+    json counts = get(*service_, "/executions");
+    return counts.value("\"" + program + "/" + std::to_string(number) + "\"", 0);
+}
+
+std::vector<std::string> Cluster::heldKeys()
+{
+    std::vector<std::string> keys;
+    for (const auto& engine : engines_) {
+        for (const json& entry : get(*engine, "/v1/cache")["entries"])
+            keys.push_back(entry["key"].get<std::string>());
+    }
+    return keys;
+}
+
+} // namespace fescue::test
