Gateways become ready only when the members are known

Cause: a gateway was ready as soon as it had the configuration and then waited for the first view with members, up to the polling interval of the list (program latency 1108 ms in the demo).

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -52,10 +52,10 @@
     echo "== entry VM in zone-$zone"
     start "scheduler-$zone" fescue-scheduler --vm="vm-$zone" --zone="zone-$zone" --log_url="$(http log)" \
         --vms_url="$(http vms)" --events_file="$out/scheduler-$zone.events"
-    start "gateway-$zone" fescue-gateway --vm="vm-$zone" --zone="zone-$zone" \
-        --scheduler="127.0.0.1:$(port "scheduler-$zone" frames)" --events_file="$out/gateway-$zone.events"
     curl -sS -X PUT "$(http vms)/vms/vm-$zone" -o /dev/null \
         -d "{\"zone\": \"zone-$zone\", \"state\": \"live\", \"address\": \"127.0.0.1:$(port "scheduler-$zone" frames)\"}"
+    start "gateway-$zone" fescue-gateway --vm="vm-$zone" --zone="zone-$zone" \
+        --scheduler="127.0.0.1:$(port "scheduler-$zone" frames)" --events_file="$out/gateway-$zone.events"
     until curl -sf "$(http "gateway-$zone")/readyz" >/dev/null; do sleep 0.02; done
 done
 
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -63,6 +63,7 @@
     std::mutex linksMutex_;
     std::set<FrameLinkPtr> links_;
     std::atomic<bool> isDraining_ { false };
+    std::atomic<bool> isReady_ { false }; ///< Gateways have been given the configuration.
     std::unique_ptr<HttpClient> client_ = std::make_unique<HttpClient>();
     CallRunner runner_;
     ShardHomes homes_;
@@ -117,12 +118,16 @@
         homes_.tick();
         runner_.tick();
         platform_.tick();
+        if (!isReady_ && platform_.isReady()) {
+            isReady_ = true;
+            broadcastView(true);
+        }
     }
 
     void configChanged(const Config& config)
     {
         runner_.setManifest(config.manifest_);
-        broadcastView(true);
+        broadcastView(platform_.isReady());
     }
 
     // The platform's list lags: a VM that has just started may not be in it yet.
