--- a/src/AdmitCall.cpp
+++ b/src/AdmitCall.cpp
@@ -11,6 +11,8 @@
 
     constexpr Milliseconds logRetryAfter { 2000 };
     constexpr Milliseconds ownerRetryAfter { 200 };
+    const char* const logDownDetail
+        = "the log service does not answer, and this call needs a record before it runs; send it again later";
 
     Effects refuse(const Call& call, ProblemKind kind, RunState run, std::string detail,
         std::optional<Milliseconds> retryAfter = std::nullopt)
@@ -18,12 +20,10 @@
         return { ReplyProblem { { call.request_ }, { kind, run, std::move(detail), retryAfter } } };
     }
 
-    Effects refuseForLog(const Call& call)
+    Effects refuseForLog(const Call& call, RunState run)
     {
-        return refuse(call, ProblemKind::LogUnavailable, RunState::NotRun,
-            "the log service does not answer, and this call needs a record before it runs; send it again "
-            "later",
-            logRetryAfter);
+        return refuse(call, ProblemKind::LogUnavailable, run,
+            logDownDetail, logRetryAfter);
     }
 
     const FinishedCall* findFinished(const ActiveProgram& active, CallNumber number)
@@ -33,9 +33,9 @@
         return found == active.recent_.end() ? nullptr : &*found;
     }
 
-    Effects refuseReusedNumber(const Call& call)
+    Effects refuseReusedNumber(const ActiveProgram& active, const Call& call)
     {
-        return refuse(call, ProblemKind::CallKeyReused, RunState::NotRun,
+        return refuse(call, ProblemKind::CallKeyReused, refusedRunState(active, call),
             "call " + std::to_string(call.number_.value_)
                 + " was sent before with another content; give the new content the next call number");
     }
@@ -44,19 +44,20 @@
     {
         const FinishedCall* finished = findFinished(active, call.number_);
         if (!finished)
-            return refuse(call, ProblemKind::AnswerNoLongerHeld, RunState::Final,
+            return refuse(call, ProblemKind::AnswerNoLongerHeld, RunState::Unknown,
                 "the call has finished and its answer is no longer held; it is in the program's history");
         if (finished->fingerprint_ != call.fingerprint_)
-            return refuseReusedNumber(call);
+            return refuseReusedNumber(active, call);
         return { ReplyOutcome { { call.request_ }, finished->outcome_, active.durableCall_ } };
     }
 
-    Effects joinRunning(RunningCall& running, const Call& call)
+    Effects joinRunning(ActiveProgram& active, const Call& call)
     {
+        RunningCall& running = *active.running_;
         if (running.call_.fingerprint_ != call.fingerprint_)
-            return refuseReusedNumber(call);
+            return refuseReusedNumber(active, call);
         if (running.abandoned_)
-            return refuseForLog(call);
+            return refuseForLog(call, refusedRunState(active, call));
         running.requests_.push_back(call.request_);
         return { AttachRequest { call.request_, call.program_, call.number_ } };
     }
@@ -64,36 +65,41 @@
     std::optional<Effects> refuseByOrder(
         const ActiveProgram& active, const Call& call, const ShardContext& context)
     {
+        RunState run = refusedRunState(active, call);
         if (active.ended_)
-            return refuse(call, ProblemKind::ProgramEnded, RunState::NotRun,
+            return refuse(call, ProblemKind::ProgramEnded, run,
                 "the program has ended (" + active.endReason_ + "); create a new one");
         if (active.running_ || call.number_.value_ != active.lastCall_.value_ + 1)
-            return refuse(call, ProblemKind::CallOutOfOrder, RunState::NotRun,
+            return refuse(call, ProblemKind::CallOutOfOrder, run,
                 "the program's last finished call is " + std::to_string(active.lastCall_.value_)
                     + (active.running_ ? " and the next is still running" : "")
                     + "; send its calls one by one, numbered from 1");
         if (context.now_ < active.notBefore_)
-            return refuse(call, ProblemKind::HomeUnreachable, RunState::NotRun,
+            return refuse(call, ProblemKind::HomeUnreachable, run,
                 "the program's earlier owner may still be sending a call; send this one again shortly",
                 active.notBefore_ - context.now_);
         return std::nullopt;
     }
 
-    TokenCount notYetGranted(const Shard& shard, const ProgramId& program, const ActiveProgram& active)
+    // Gives the waiting call up and tells every caller that waits for it.
+    Effects refuseRunning(ActiveProgram& active, ProblemKind kind, std::string detail,
+        std::optional<Milliseconds> retryAfter = std::nullopt)
     {
-        auto known = shard.ledger_.programs_.find(program);
-        if (known == shard.ledger_.programs_.end())
-            return {};
-        return known->second.budget_ - known->second.granted_ - active.trancheAsked_;
+        RunningCall running = std::move(*active.running_);
+        active.running_.reset();
+        return { ReplyProblem {
+            std::move(running.requests_), { kind, running.ifRefused_, std::move(detail), retryAfter } } };
     }
 
     Effects admitModelCall(Shard& shard, ActiveProgram& active, const Call& call, const ShardContext& context)
     {
         auto messages = nlohmann::json::parse(call.messages_, nullptr, false);
         auto delta = continueTranscript(active.head_, messages, call.bodySize_);
+        RunState run = refusedRunState(active, call);
         if (!delta)
-            return { ReplyProblem { { call.request_ }, delta.error() } };
+            return refuse(call, delta.error().kind_, run, delta.error().detail_);
         RunningCall running;
+        running.ifRefused_ = run;
         running.call_ = call;
         running.call_.messages_.clear();
         running.phase_ = RunningCall::Phase::AwaitsTranche;
@@ -110,9 +116,11 @@
         Shard& shard, ActiveProgram& active, const Call& call, const ShardContext& context)
     {
         bool needsIntent = call.kind_ == CallKind::AtMostOnceService;
+        RunState run = refusedRunState(active, call);
         if (needsIntent && shard.isLogDown_)
-            return refuseForLog(call);
+            return refuseForLog(call, run);
         RunningCall running;
+        running.ifRefused_ = run;
         running.call_ = call;
         running.requests_ = { call.request_ };
         running.since_ = context.now_;
@@ -126,6 +134,30 @@
         return {};
     }
 
+    Effects admit(Shard& shard, const Call& call, const ShardContext& context)
+    {
+        if (shard.epoch_.value_ == 0)
+            return refuse(call, ProblemKind::NotOwner, RunState::Unknown,
+                "this VM does not own the program's shard; send the call again", ownerRetryAfter);
+        ActiveProgram* active = findActive(shard, call.program_, context);
+        if (!active || active->workspace_ != call.workspace_)
+            return refuse(call, ProblemKind::UnknownProgram, RunState::Unknown,
+                "the program is not known here: it ended long ago, or never was; create a new one");
+        active->lastUse_ = context.now_;
+        recordClosing(shard, *active, context);
+        if (call.number_ <= active->lastCall_)
+            return answerRepeat(*active, call);
+        if (active->running_ && active->running_->call_.number_ == call.number_)
+            return joinRunning(*active, call);
+        if (auto refusal = refuseByOrder(*active, call, context))
+            return *refusal;
+        if (isOutboxFull(shard, context.limits_))
+            return refuseForLog(call, refusedRunState(*active, call));
+        if (call.kind_ == CallKind::Model)
+            return admitModelCall(shard, *active, call, context);
+        return admitServiceCall(shard, *active, call, context);
+    }
+
 } // namespace
 
 Effects startWhenFunded(
@@ -139,22 +171,19 @@
     if (active.trancheAsked_.value_ > 0)
         return {};
     TokenCount missing = running.reserved_ - active.trancheLeft_;
-    TokenCount remaining = notYetGranted(shard, program, active);
-    Call call = running.call_;
+    TokenCount remaining = active.ungranted_;
     if (remaining < missing) {
         TokenCount left = active.trancheLeft_ + remaining;
         std::string worst = std::to_string(running.reserved_.value_);
-        active.running_.reset();
-        return refuse(call, ProblemKind::BudgetExceeded, RunState::NotRun,
+        return refuseRunning(active, ProblemKind::BudgetExceeded,
             "the call may use up to " + worst + " tokens and the program has " + std::to_string(left.value_)
                 + " left; lower max_tokens or create the program with a larger budget");
     }
-    if (shard.isLogDown_) {
-        active.running_.reset();
-        return refuseForLog(call);
-    }
+    if (shard.isLogDown_)
+        return refuseRunning(active, ProblemKind::LogUnavailable, logDownDetail, logRetryAfter);
     TokenCount amount = std::min(remaining, std::max(missing, context.limits_.trancheSize_));
     active.trancheAsked_ = amount;
+    active.ungranted_ -= amount;
     record(shard, TrancheGranted { program, amount });
     shard.isUrgent_ = true;
     return {};
@@ -162,25 +191,18 @@
 
 Effects callArrived(Shard& shard, const Call& call, const ShardContext& context)
 {
-    if (shard.epoch_.value_ == 0)
-        return refuse(call, ProblemKind::NotOwner, RunState::Unknown,
-            "this VM does not own the program's shard; send the call again", ownerRetryAfter);
-    ActiveProgram* active = findActive(shard, call.program_, context);
-    if (!active || active->workspace_ != call.workspace_)
-        return refuse(call, ProblemKind::UnknownProgram, RunState::Unknown,
-            "the program is not known here: it ended long ago, or never was; create a new one");
-    active->lastUse_ = context.now_;
-    if (call.number_ <= active->lastCall_)
-        return answerRepeat(*active, call);
-    if (active->running_ && active->running_->call_.number_ == call.number_)
-        return joinRunning(*active->running_, call);
-    if (auto refusal = refuseByOrder(*active, call, context))
-        return *refusal;
-    if (shard.outbox_.size() >= context.limits_.outboxRecords_)
-        return refuseForLog(call);
-    if (call.kind_ == CallKind::Model)
-        return admitModelCall(shard, *active, call, context);
-    return admitServiceCall(shard, *active, call, context);
+    Effects effects = admit(shard, call, context);
+    if (call.kind_ != CallKind::AtMostOnceService || effects.size() != 1)
+        return effects;
+    auto* refusal = std::get_if<ReplyProblem>(&effects.front());
+    if (!refusal || refusal->problem_.run_ != RunState::NotRun)
+        return effects;
+    if (shard.isLogDown_) {
+        refusal->problem_.run_ = RunState::Unknown;
+        return effects;
+    }
+    shard.heldRefusals_.push_back({ call.request_, std::move(refusal->problem_), context.now_ });
+    return {};
 }
 
 } // namespace fescue
--- a/src/AdmitCall.h
+++ b/src/AdmitCall.h
@@ -15,7 +15,10 @@
 /** Lets a call in, attaches it to the running one, answers it from what is stored, or refuses it.
  *
  * Precondition: `call.program_` belongs to this shard. Thread safety: none; the caller holds the lock of
- * the shard. A refusal is a `ReplyProblem` whose run state is true for every attempt of this call. */
+ * the shard. A refusal is a `ReplyProblem`. For an at-most-once call its `not-run` is true of every attempt
+ * at every owner: it is held until the log confirms the next batch of this epoch, and says
+ * `outcome-unknown` when that does not come. For a call that may be repeated, `not-run` is true of the
+ * attempts under this VM's epoch. */
 Effects callArrived(Shard& shard, const Call& call, const ShardContext& context);
 
 /** Starts a waiting call whose tranche has come, or asks for the next one. Called by ShardLog. */
--- a/src/FinishCall.cpp
+++ b/src/FinishCall.cpp
@@ -2,6 +2,7 @@
 
 #include "Transcript.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace fescue {
@@ -40,6 +41,26 @@
         record(shard, std::move(finished));
     }
 
+    ReplyProblem refusalOf(RunningCall& running, Problem problem)
+    {
+        if (running.ifRefused_ == RunState::Unknown)
+            problem.run_ = RunState::Unknown;
+        return { std::move(running.requests_), std::move(problem) };
+    }
+
+    // An engine that counts more tokens than were reserved has spent them; they are granted like others, so
+    // that a successor counts them too.
+    void coverOverrun(Shard& shard, const ProgramId& program, ActiveProgram& active)
+    {
+        TokenCount missing { -(active.trancheLeft_ + active.trancheAsked_).value_ };
+        TokenCount amount = std::min(missing, active.ungranted_);
+        if (amount.value_ <= 0)
+            return;
+        active.trancheAsked_ += amount;
+        active.ungranted_ -= amount;
+        record(shard, TrancheGranted { program, amount });
+    }
+
     Effects finishOrphan(Shard& shard, ExecutionId execution, const ExecutionResult& result)
     {
         auto found = shard.orphans_.find(execution);
@@ -55,7 +76,7 @@
             if (running.call_.kind_ == CallKind::AtMostOnceService)
                 return { ReplyOutcome { running.requests_,
                     unknownOutcome("the program changed its owner while the call was being sent"), {} } };
-            return { ReplyProblem { running.requests_, result.problem_ } };
+            return { refusalOf(running, result.problem_) };
         case ExecutionResult::Kind::Failed:
             return { ReplyProblem { running.requests_, result.problem_ } };
         }
@@ -76,6 +97,7 @@
     active.running_.reset();
     active.lastUse_ = context.now_;
     active.trancheLeft_ += running.reserved_ - result.used_;
+    coverOverrun(shard, program, active);
     switch (result.kind_) {
     case ExecutionResult::Kind::Answered:
     case ExecutionResult::Kind::Unknown:
@@ -84,8 +106,9 @@
     case ExecutionResult::Kind::NotRun:
         if (running.call_.kind_ == CallKind::AtMostOnceService)
             record(shard, IntentWithdrawn { program, running.call_.number_ });
-        return { ReplyProblem { running.requests_, result.problem_ } };
+        return { refusalOf(running, result.problem_) };
     case ExecutionResult::Kind::Failed:
+        active.failedCall_ = running.call_.number_;
         return { ReplyProblem { running.requests_, result.problem_ } };
     }
     return {};
--- a/src/ProgramLife.cpp
+++ b/src/ProgramLife.cpp
@@ -1,12 +1,14 @@
 #include "ProgramLife.h"
 
 #include <algorithm>
+#include <set>
 
 namespace fescue {
 
 namespace {
 
     constexpr Milliseconds logRetryAfter { 2000 };
+    const char* const notOwnerDetail = "this VM does not own the program's shard; send the request again";
 
     Effects refuse(RequestId request, ProblemKind kind, RunState run, std::string detail)
     {
@@ -58,32 +60,42 @@
         Problem problem { ProblemKind::ProgramEnded, RunState::Unknown,
             "the program was ended while the call ran", std::nullopt };
         effects.push_back(ReplyProblem { active.running_->requests_, problem });
-        if (active.running_->phase_ == RunningCall::Phase::Executing)
+        if (active.running_->phase_ == RunningCall::Phase::Executing) {
             effects.push_back(CancelCall { program, active.running_->execution_ });
+            active.failedCall_ = active.running_->call_.number_;
+        }
         active.running_.reset();
     }
 
+    // A parent gets back what neither this epoch has spent nor an earlier one may have spent. The whole
+    // budget was taken from it when the program was created.
     void markEnded(Shard& shard, ActiveProgram& active, const ProgramId& program, const std::string& reason)
     {
         active.ended_ = true;
         active.endReason_ = reason;
-        TokenCount unspent
-            = active.parent_.empty() || active.trancheLeft_.value_ < 0 ? TokenCount {} : active.trancheLeft_;
+        if (active.closing_)
+            record(shard, std::move(*active.closing_));
+        active.closing_.reset();
+        TokenCount unspent;
+        if (!active.parent_.empty())
+            unspent = std::max(active.ungranted_ + active.trancheAsked_ + active.trancheLeft_, unspent);
         record(shard, ProgramEnded { program, reason, unspent });
     }
 
-    // A call that waits for a record gives up; if its intent may still reach the log, the call stays as
+    // A call that waits for a record gives up. Without the log this VM cannot tell whether another one owns
+    // the shard by now and has run an at-most-once call on a later attempt. If its intent may still reach the log, the call stays as
     // abandoned until the log tells, so that it can be withdrawn and is never sent.
     void giveUpWaiting(ActiveProgram& active, Effects& effects)
     {
         RunningCall& running = *active.running_;
-        Problem problem { ProblemKind::LogUnavailable, RunState::NotRun,
+        bool isOnce = running.phase_ == RunningCall::Phase::AwaitsIntent;
+        Problem problem { ProblemKind::LogUnavailable, isOnce ? RunState::Unknown : running.ifRefused_,
             "the log service has not confirmed the record that this call needs; it will not be sent, try "
             "again later",
             logRetryAfter };
         effects.push_back(ReplyProblem { std::move(running.requests_), problem });
         running.requests_.clear();
-        if (running.phase_ == RunningCall::Phase::AwaitsIntent)
+        if (isOnce)
             running.abandoned_ = true;
         else
             active.running_.reset();
@@ -96,10 +108,85 @@
             && context.now_ - active.running_->since_ >= context.limits_.confirmationPatience_;
     }
 
+    void releaseHeld(std::vector<HeldRefusal>& held, const ShardContext& context, Effects& effects)
+    {
+        std::vector<HeldRefusal> patient;
+        for (HeldRefusal& refusal : held) {
+            if (context.now_ - refusal.since_ < context.limits_.confirmationPatience_) {
+                patient.push_back(std::move(refusal));
+                continue;
+            }
+            refusal.problem_.run_ = RunState::Unknown;
+            effects.push_back(ReplyProblem { { refusal.request_ }, std::move(refusal.problem_) });
+        }
+        held = std::move(patient);
+    }
+
+    // Programs that nobody has called since this VM took the shard over are in the ledger only.
+    void endUnused(Shard& shard, const ShardContext& context)
+    {
+        if (shard.epoch_.value_ == 0 || isOutboxFull(shard, context.limits_))
+            return;
+        for (const auto& [id, program] : shard.ledger_.programs_) {
+            if (program.ended_ || shard.active_.count(id) > 0)
+                continue;
+            auto resting = shard.resting_.find(id);
+            MonotonicTime lastUse
+                = resting == shard.resting_.end() ? shard.ownedSince_ : resting->second.lastUse_;
+            if (context.now_ - lastUse >= context.limits_.programIdle_)
+                markEnded(shard, *findActive(shard, id, context), id, "abandoned");
+        }
+    }
+
+    struct ProgramOf {
+        ProgramId operator()(const Claim&) const { return {}; }
+        ProgramId operator()(const ShardSnapshot&) const { return {}; }
+        template <typename Other> ProgramId operator()(const Other& record) const { return record.program_; }
+    };
+
+    std::set<ProgramId> programsOnTheirWay(const Shard& shard)
+    {
+        std::set<ProgramId> programs;
+        for (const RecordBody& body : shard.outbox_)
+            programs.insert(std::visit(ProgramOf {}, body));
+        if (!shard.inFlight_)
+            return programs;
+        for (const RecordBody& body : shard.inFlight_->records_)
+            programs.insert(std::visit(ProgramOf {}, body));
+        return programs;
+    }
+
+    bool isInUse(const ActiveProgram& active, const ShardContext& context)
+    {
+        return active.running_ || active.closing_ || !active.isDurable_ || !active.awaitsCreation_.empty()
+            || context.now_ < active.notBefore_
+            || context.now_ - active.lastUse_ < context.limits_.restAfter_;
+    }
+
+    void restUnused(Shard& shard, const ShardContext& context)
+    {
+        std::set<ProgramId> onTheirWay = programsOnTheirWay(shard);
+        for (auto item = shard.active_.begin(); item != shard.active_.end();) {
+            const ActiveProgram& active = item->second;
+            if (isInUse(active, context) || onTheirWay.count(item->first) > 0) {
+                ++item;
+                continue;
+            }
+            if (!active.ended_)
+                shard.resting_[item->first] = { active.trancheLeft_, active.failedCall_, active.lastUse_ };
+            item = shard.active_.erase(item);
+        }
+    }
+
 } // namespace
 
 Effects createProgram(Shard& shard, const CreateProgram& create, const ShardContext& context)
 {
+    if (shard.epoch_.value_ == 0)
+        return refuse(create.request_, ProblemKind::NotOwner, RunState::NotRun, notOwnerDetail);
+    if (isOutboxFull(shard, context.limits_))
+        return refuse(create.request_, ProblemKind::LogUnavailable, RunState::NotRun,
+            "too many records wait for the log service; create the program later");
     if (!create.parent_.empty()) {
         if (auto refusal = takeFromParent(shard, create, context))
             return *refusal;
@@ -109,6 +196,7 @@
     active.parent_ = create.parent_;
     active.budget_ = create.budget_;
     active.trancheLeft_ = firstTranche(shard, create, context);
+    active.ungranted_ = create.budget_ - active.trancheLeft_;
     active.lastUse_ = context.now_;
     active.createdAt_ = context.now_;
     active.awaitsCreation_ = { create.request_ };
@@ -125,6 +213,8 @@
 
 Effects endProgram(Shard& shard, const EndProgram& end, const ShardContext& context)
 {
+    if (shard.epoch_.value_ == 0)
+        return refuse(end.request_, ProblemKind::NotOwner, RunState::NotRun, notOwnerDetail);
     ActiveProgram* active = findActive(shard, end.program_, context);
     if (!active || active->workspace_ != end.workspace_)
         return refuse(end.request_, ProblemKind::UnknownProgram, RunState::Unknown,
@@ -144,16 +234,21 @@
 {
     Effects effects;
     constexpr Milliseconds creationPatience { 1000 };
+    releaseHeld(shard.heldRefusals_, context, effects);
+    releaseHeld(shard.inFlightRefusals_, context, effects);
     for (auto& [program, active] : shard.active_) {
+        recordClosing(shard, active, context);
         if (hasWaitedTooLong(active, context))
             giveUpWaiting(active, effects);
         if (context.now_ - active.createdAt_ >= creationPatience)
             releaseCreation(active, program, effects);
-        bool isIdle = !active.running_ && !active.ended_
+        bool isIdle = !active.running_ && !active.ended_ && !active.closing_
             && context.now_ - active.lastUse_ >= context.limits_.programIdle_;
         if (isIdle)
             markEnded(shard, active, program, "abandoned");
     }
+    endUnused(shard, context);
+    restUnused(shard, context);
     return effects;
 }
 
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -1,5 +1,7 @@
 #include "Shard.h"
 
+#include <algorithm>
+
 namespace fescue {
 
 namespace {
@@ -10,6 +12,7 @@
         active.workspace_ = program.workspace_;
         active.parent_ = program.parent_;
         active.budget_ = program.budget_;
+        active.ungranted_ = program.budget_ - program.granted_;
         active.contextTokens_ = program.contextTokens_;
         active.lastCall_ = program.lastCall_;
         active.durableCall_ = program.lastCall_;
@@ -19,24 +22,50 @@
         active.createdAt_ = context.now_;
         active.isDurable_ = true;
         active.ended_ = program.ended_;
+        // The end may have cancelled the next call while it ran; the log does not tell.
+        if (active.ended_)
+            active.failedCall_ = active.lastCall_ + CallNumber { 1 };
         active.endReason_ = program.endReason_;
         return active;
     }
 
     // An intent of an earlier epoch has no outcome and never gets one: its call may have been sent. The
-    // earlier owner may even be about to send it, within the window that it gave itself.
-    void closeForeignIntent(Shard& shard, const ProgramId& id, const OpenIntent& intent,
-        ActiveProgram& active, const ShardContext& context)
+    // earlier owner may even be about to send it, within the window that it gave itself. The intent stays
+    // open in the log until that time is over, so that a third owner waits as well.
+    void closeForeignIntent(
+        const ProgramId& id, const OpenIntent& intent, ActiveProgram& active, const ShardContext& context)
     {
         Outcome outcome = unknownOutcome("the call was announced by an owner that is gone and may have run; "
                                          "ask the service about it before you start it again as a new call");
         active.lastCall_ = intent.call_;
         active.recent_.push_back({ intent.call_, intent.fingerprint_, outcome });
+        if (active.recent_.size() > recentCallsKept)
+            active.recent_.pop_front();
         active.notBefore_
             = context.now_ + context.limits_.intentSendWindow_ + context.limits_.successorMargin_;
-        record(shard, CallFinished { id, intent.call_, intent.fingerprint_, outcome, {}, {}, {}, {} });
+        active.closing_ = CallFinished { id, intent.call_, intent.fingerprint_, outcome, {}, {}, {}, {} };
     }
 
+    void wake(Shard& shard, const ProgramId& program, ActiveProgram& active)
+    {
+        auto found = shard.resting_.find(program);
+        if (found == shard.resting_.end())
+            return;
+        active.trancheLeft_ = found->second.trancheLeft_;
+        active.failedCall_ = std::max(active.failedCall_, found->second.failedCall_);
+        shard.resting_.erase(found);
+    }
+
+    struct SizeOfRecord {
+        std::size_t operator()(const CallFinished& finished) const
+        {
+            return finished.outcome_.body_.size() + finished.newMessages_.size()
+                + finished.fingerprint_.size();
+        }
+        std::size_t operator()(const ShardSnapshot& snapshot) const { return snapshot.state_.size(); }
+        template <typename Other> std::size_t operator()(const Other&) const { return 0; }
+    };
+
 } // namespace
 
 Outcome unknownOutcome(const std::string& detail)
@@ -58,7 +87,36 @@
     return effect;
 }
 
-void record(Shard& shard, RecordBody body) { shard.outbox_.push_back(std::move(body)); }
+ByteCount sizeOf(const RecordBody& body)
+{
+    constexpr std::size_t fixedPart = 256;
+    return { static_cast<std::int64_t>(fixedPart + std::visit(SizeOfRecord {}, body)) };
+}
+
+void record(Shard& shard, RecordBody body)
+{
+    shard.outboxBytes_ += sizeOf(body);
+    shard.outbox_.push_back(std::move(body));
+}
+
+bool isOutboxFull(const Shard& shard, const ShardLimits& limits)
+{
+    return shard.outbox_.size() >= limits.outboxRecords_ || shard.outboxBytes_ >= limits.outboxBytes_;
+}
+
+RunState refusedRunState(const ActiveProgram& active, const Call& call)
+{
+    bool isOnce = call.kind_ == CallKind::AtMostOnceService;
+    return isOnce || call.number_ > active.failedCall_ ? RunState::NotRun : RunState::Unknown;
+}
+
+void recordClosing(Shard& shard, ActiveProgram& active, const ShardContext& context)
+{
+    if (!active.closing_ || context.now_ < active.notBefore_)
+        return;
+    record(shard, std::move(*active.closing_));
+    active.closing_.reset();
+}
 
 ActiveProgram* findActive(Shard& shard, const ProgramId& program, const ShardContext& context)
 {
@@ -69,9 +127,10 @@
     if (known == shard.ledger_.programs_.end())
         return nullptr;
     ActiveProgram& active = shard.active_[program] = activeFrom(known->second, context);
+    wake(shard, program, active);
     const auto& intent = known->second.intent_;
     if (intent && intent->epoch_ != shard.epoch_ && !active.ended_)
-        closeForeignIntent(shard, program, *intent, active, context);
+        closeForeignIntent(program, *intent, active, context);
     return &active;
 }
 
--- a/src/Shard.h
+++ b/src/Shard.h
@@ -80,6 +80,7 @@
     std::vector<RequestId> requests_; ///< Every caller that waits for this outcome.
     MonotonicTime since_;
     MonotonicTime sendBefore_;
+    RunState ifRefused_ = RunState::NotRun; ///< What a refusal says: an earlier attempt may have run.
     bool abandoned_ = false; ///< Its callers have had their final answer; it must not be sent any more.
 };
 
@@ -90,9 +91,11 @@
     TokenCount budget_;
     TokenCount trancheLeft_; ///< What this epoch may still spend.
     TokenCount trancheAsked_; ///< Granted by a record that is on its way.
+    TokenCount ungranted_; ///< Part of the budget that no record grants, neither confirmed nor on its way.
     TokenCount contextTokens_;
     CallNumber lastCall_;
     CallNumber durableCall_; ///< Last call whose record the log has confirmed.
+    CallNumber failedCall_; ///< Last call that ran here without an outcome; its repeats may run again.
     TranscriptHead head_;
     std::deque<FinishedCall> recent_;
     std::optional<RunningCall> running_;
@@ -100,20 +103,41 @@
     std::vector<RequestId> awaitsCreation_; ///< Callers to tell once the log has confirmed the creation.
     MonotonicTime createdAt_;
     MonotonicTime notBefore_; ///< An earlier owner may still send an announced call until then.
+    std::optional<CallFinished> closing_; ///< Outcome of that call; recorded when `notBefore_` has passed.
     bool isDurable_ = false; ///< The log has confirmed its creation.
     bool ended_ = false;
     std::string endReason_;
 };
 
+/** What is kept of a program that is not in use; the rest is in the ledger. */
+struct RestingProgram {
+    TokenCount trancheLeft_;
+    CallNumber failedCall_;
+    MonotonicTime lastUse_;
+};
+
+/** A refusal of an at-most-once call. It waits until the log has shown that no other VM owned the shard and
+ * may have run the call, and only then says that the call did not run. */
+struct HeldRefusal {
+    RequestId request_;
+    Problem problem_;
+    MonotonicTime since_;
+};
+
 /** The state of one shard at one VM. */
 struct Shard {
     Ledger ledger_;
     Epoch epoch_; ///< The epoch that this VM holds; 0 when it is not the owner.
+    MonotonicTime ownedSince_;
     std::map<ProgramId, ActiveProgram> active_;
+    std::map<ProgramId, RestingProgram> resting_;
     std::map<ExecutionId, RunningCall> orphans_; ///< Calls still running from an epoch since lost.
     ExecutionId lastExecution_;
-    std::vector<RecordBody> outbox_; ///< Records for the next batch.
+    std::vector<RecordBody> outbox_; ///< Records for the next batches.
+    ByteCount outboxBytes_;
     std::optional<Batch> inFlight_; ///< The batch that is being appended.
+    std::vector<HeldRefusal> heldRefusals_; ///< Those that the next batch proves.
+    std::vector<HeldRefusal> inFlightRefusals_; ///< Those that the batch in flight proves.
     Sequence nextSequence_ { 1 };
     bool isUrgent_ = false; ///< A call waits for the next batch.
     bool isLogDown_ = false; ///< The last append got no answer.
@@ -126,7 +150,10 @@
     Milliseconds confirmationPatience_ { 10000 }; ///< How long a call waits for the log before it is refused.
     Milliseconds programIdle_ { 1800000 }; ///< A program without calls for this long is abandoned.
     TokenCount trancheSize_ { 16384 };
-    std::size_t outboxRecords_ = 4096;
+    Milliseconds restAfter_ { 60000 }; ///< A program without calls for this long keeps its ledger entry only.
+    std::size_t outboxRecords_ = 4096; ///< Most records that wait for the log before calls are refused.
+    ByteCount outboxBytes_ { 8 << 20 }; ///< Most bytes of them.
+    ByteCount batchBytes_ { 1 << 20 }; ///< Size from which records go into the next batch.
 };
 
 /** What each decision needs besides its event. */
@@ -195,7 +222,20 @@
 /** The effect that runs an admitted call. Marks it as executing under a new execution id. */
 ExecuteCall startExecution(Shard& shard, const ActiveProgram& active, RunningCall& running);
 
-/** Puts a record into the next batch. */
+/** Puts a record into the outbox. */
 void record(Shard& shard, RecordBody body);
 
+/** Approximate size of a record in memory and in the log. Pure. */
+ByteCount sizeOf(const RecordBody& body);
+
+/** Whether so much waits for the log that no more work is taken in. Pure. */
+bool isOutboxFull(const Shard& shard, const ShardLimits& limits);
+
+/** What a refusal of the call says about it. For a call that may be repeated it speaks of the attempts
+ * under this VM's epoch. Pure. */
+RunState refusedRunState(const ActiveProgram& active, const Call& call);
+
+/** Records the outcome of a call that an earlier epoch announced, once that owner can no longer send it. */
+void recordClosing(Shard& shard, ActiveProgram& active, const ShardContext& context);
+
 } // namespace fescue
--- a/src/ShardLog.cpp
+++ b/src/ShardLog.cpp
@@ -66,6 +66,8 @@
         if (!active || !active->running_ || active->running_->phase_ != RunningCall::Phase::AwaitsIntent)
             return {};
         RunningCall& running = *active->running_;
+        if (running.call_.number_ != intent.call_ || running.call_.fingerprint_ != intent.fingerprint_)
+            return {};
         if (running.abandoned_ || context.now_ >= running.sendBefore_)
             return withdraw(shard, intent.program_, *active);
         return { startExecution(shard, *active, running) };
@@ -78,30 +80,46 @@
         return {};
     }
 
+    Effects confirmed(Shard&, const TrancheReturned&, const ShardContext&) { return {}; }
+
     Effects confirmed(Shard& shard, const ProgramEnded& ended, const ShardContext&)
     {
+        auto found = shard.active_.find(ended.program_);
+        ActiveProgram* parent
+            = found == shard.active_.end() ? nullptr : activeOf(shard, found->second.parent_);
+        if (parent)
+            parent->ungranted_ += ended.returnedToParent_;
         shard.active_.erase(ended.program_);
+        shard.resting_.erase(ended.program_);
         return { ReleaseCache { ended.program_, shard.epoch_ } };
     }
 
     template <typename Other> Effects confirmed(Shard&, const Other&, const ShardContext&) { return {}; }
 
-    Problem lostOwnership(RunState run)
+    // The new owner may have run a later attempt of the same call by now, so this never says `not-run`.
+    Problem lostOwnership()
     {
-        return { ProblemKind::NotOwner, run, "the program's home moved to another VM; send the call again",
-            ownerRetryAfter };
+        return { ProblemKind::NotOwner, RunState::Unknown,
+            "the program's home moved to another VM; send the call again", ownerRetryAfter };
     }
 
     void dropActive(const ProgramId&, ActiveProgram& active, Shard& shard, Effects& effects)
     {
         if (!active.awaitsCreation_.empty())
-            effects.push_back(ReplyProblem { active.awaitsCreation_, lostOwnership(RunState::NotRun) });
+            effects.push_back(ReplyProblem { active.awaitsCreation_, lostOwnership() });
         if (!active.running_)
             return;
         if (active.running_->phase_ == RunningCall::Phase::Executing)
             shard.orphans_[active.running_->execution_] = std::move(*active.running_);
         else if (!active.running_->requests_.empty())
-            effects.push_back(ReplyProblem { active.running_->requests_, lostOwnership(RunState::NotRun) });
+            effects.push_back(ReplyProblem { active.running_->requests_, lostOwnership() });
+    }
+
+    void dropHeld(std::vector<HeldRefusal>& held, Effects& effects)
+    {
+        for (const HeldRefusal& refusal : held)
+            effects.push_back(ReplyProblem { { refusal.request_ }, lostOwnership() });
+        held.clear();
     }
 
     Effects loseOwnership(Shard& shard)
@@ -109,8 +127,13 @@
         Effects effects;
         for (auto& [program, active] : shard.active_)
             dropActive(program, active, shard, effects);
+        dropHeld(shard.heldRefusals_, effects);
+        dropHeld(shard.inFlightRefusals_, effects);
         shard.active_.clear();
+        shard.resting_.clear();
         shard.outbox_.clear();
+        shard.outboxBytes_ = {};
+        shard.isUrgent_ = false;
         if (shard.inFlight_ && shard.inFlight_->epoch_.value_ != 0)
             shard.inFlight_.reset();
         shard.epoch_ = {};
@@ -127,6 +150,7 @@
     void becomeOwner(Shard& shard, const ShardContext& context)
     {
         shard.epoch_ = shard.ledger_.epoch_;
+        shard.ownedSince_ = context.now_;
         for (const auto& [program, state] : shard.ledger_.programs_) {
             if (state.intent_ && !state.ended_)
                 findActive(shard, program, context);
@@ -143,21 +167,39 @@
         for (const RecordBody& body : batch.records_) {
             std::visit([&](const auto& record) { append(effects, confirmed(shard, record, context)); }, body);
         }
+        for (HeldRefusal& refusal : shard.inFlightRefusals_)
+            effects.push_back(ReplyProblem { { refusal.request_ }, std::move(refusal.problem_) });
+        shard.inFlightRefusals_.clear();
         return effects;
     }
 
+    // The oldest records, at least one, until they reach the size.
+    std::vector<RecordBody> takeRecords(Shard& shard, ByteCount mostBytes)
+    {
+        auto end = shard.outbox_.begin();
+        ByteCount taken;
+        while (end != shard.outbox_.end() && taken < mostBytes)
+            taken += sizeOf(*end++);
+        std::vector<RecordBody> records(
+            std::make_move_iterator(shard.outbox_.begin()), std::make_move_iterator(end));
+        shard.outbox_.erase(shard.outbox_.begin(), end);
+        shard.outboxBytes_ -= taken;
+        return records;
+    }
+
 } // namespace
 
-std::optional<Batch> takeBatch(Shard& shard, const WriterId& writer)
+std::optional<Batch> takeBatch(Shard& shard, const WriterId& writer, ByteCount mostBytes)
 {
     if (shard.inFlight_)
         return shard.inFlight_;
-    if (shard.outbox_.empty() || shard.epoch_.value_ == 0)
+    if ((shard.outbox_.empty() && shard.heldRefusals_.empty()) || shard.epoch_.value_ == 0)
         return std::nullopt;
-    shard.inFlight_ = Batch { writer, shard.nextSequence_, shard.epoch_, std::move(shard.outbox_) };
-    shard.outbox_.clear();
+    shard.inFlight_ = Batch { writer, shard.nextSequence_, shard.epoch_, takeRecords(shard, mostBytes) };
+    shard.inFlightRefusals_ = std::move(shard.heldRefusals_);
+    shard.heldRefusals_.clear();
     shard.nextSequence_ += Sequence { 1 };
-    shard.isUrgent_ = false;
+    shard.isUrgent_ = !shard.outbox_.empty();
     return shard.inFlight_;
 }
 
--- /dev/null
+++ b/test/support/ShardOracle.cpp
@@ -0,0 +1,169 @@
+#include "ShardOracle.h"
+
+#include "Transcript.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fescue::test {
+
+void ShardOracle::fail(const std::string& what)
+{
+    if (violation_.empty())
+        violation_ = what;
+}
+
+void ShardOracle::landed(LogOffset offset, const Batch& batch)
+{
+    Sequence& last = sequences_[batch.writer_];
+    if (batch.sequence_ <= last)
+        return;
+    last = batch.sequence_;
+    if (batch.epoch_.value_ == 0) {
+        epoch_ = { offset.value_ };
+        return;
+    }
+    if (batch.epoch_ != epoch_)
+        return;
+    for (const RecordBody& body : batch.records_)
+        std::visit([this](const auto& record) { note(record); }, body);
+}
+
+void ShardOracle::note(const ProgramCreated& created)
+{
+    this->created(created.program_, created.parent_, created.budget_);
+}
+
+void ShardOracle::note(const CallFinished& finished)
+{
+    ObservedProgram& program = programs_[finished.program_];
+    CallNumber last = program.finished_.empty() ? CallNumber {} : program.finished_.rbegin()->first;
+    if (finished.call_.value_ != last.value_ + 1)
+        fail("d: the recorded calls of a program are not one chain");
+    program.finished_[finished.call_] = finished.outcome_;
+    if (finished.newMessages_.empty())
+        return;
+    for (const auto& message : nlohmann::json::parse(finished.newMessages_)) {
+        if (message["content"].get<std::string>().find(finished.program_.value_) != 0)
+            fail("d: a message of another program is in the history");
+        program.head_ = extendHead(program.head_, message);
+    }
+    if (program.head_ != finished.head_)
+        fail("d: the recorded head does not follow from the recorded messages");
+}
+
+void ShardOracle::asked(RequestId request, const Attempt& attempt) { attempts_[request] = attempt; }
+
+void ShardOracle::created(const ProgramId& program, const ProgramId& parent, TokenCount budget)
+{
+    ObservedProgram& observed = programs_[program];
+    observed.parent_ = parent;
+    observed.budget_ = budget;
+}
+
+// Under one epoch the calls start in order and one at a time. A later epoch may run a repeatable call again
+// whose answer was lost with its owner, but a call that may run at most once never starts after a call of
+// a later epoch that is not before it.
+void ShardOracle::checkOrder(const Sending& sending)
+{
+    for (std::size_t index : programs_[sending.program_].sendings_) {
+        const Sending& earlier = sendings_[index];
+        bool isSameEpoch = earlier.epoch_ == sending.epoch_;
+        if (isSameEpoch && (!earlier.isOver_ || earlier.number_ > sending.number_))
+            fail("c: two calls of a program run at once or out of order");
+        bool isOnce = sending.kind_ == CallKind::AtMostOnceService;
+        if (isOnce && earlier.epoch_ > sending.epoch_ && earlier.number_ > sending.number_)
+            fail("c: a call is sent after a later call of a later owner");
+        if (isOnce && earlier.kind_ == sending.kind_ && earlier.number_ == sending.number_)
+            fail("a: an at-most-once call is sent twice");
+    }
+}
+
+std::size_t ShardOracle::sent(const ExecuteCall& execute)
+{
+    const Call& call = execute.call_;
+    Sending sending { call.program_, call.number_, call.fingerprint_, call.kind_, execute.epoch_,
+        execute.requests_, execute.reserved_ };
+    checkOrder(sending);
+    for (RequestId request : execute.requests_) {
+        if (attempts_[request].isNotRun_)
+            fail("b: a call runs after its caller was told that it does not");
+    }
+    ObservedProgram& program = programs_[call.program_];
+    program.spent_ += execute.reserved_;
+    program.sendings_.push_back(sendings_.size());
+    sendings_.push_back(std::move(sending));
+    checkBudgets();
+    return sendings_.size() - 1;
+}
+
+void ShardOracle::ran(std::size_t index, TokenCount used)
+{
+    Sending& sending = sendings_[index];
+    sending.isOver_ = true;
+    programs_[sending.program_].spent_ += used - sending.reserved_;
+    checkBudgets();
+}
+
+TokenCount ShardOracle::spentWithChildren(const ProgramId& id) const
+{
+    TokenCount spent = programs_.at(id).spent_;
+    for (const auto& [other, program] : programs_) {
+        if (program.parent_ == id)
+            spent += spentWithChildren(other);
+    }
+    return spent;
+}
+
+void ShardOracle::checkBudgets()
+{
+    for (const auto& [id, program] : programs_) {
+        if (spentWithChildren(id) > program.budget_)
+            fail("e: a program's budget is exceeded");
+    }
+}
+
+// A repeatable call may be running for another owner at the same time, so there `not-run` speaks of the
+// owner that says it.
+void ShardOracle::answered(RequestId request, RunState run, Epoch epoch)
+{
+    Attempt& attempt = attempts_[request];
+    if (attempt.isAnswered_)
+        fail("g: a request is answered twice");
+    attempt.isAnswered_ = true;
+    if (run != RunState::NotRun)
+        return;
+    attempt.isNotRun_ = true;
+    for (const Sending& sending : sendings_) {
+        bool isOnce = attempt.kind_ == CallKind::AtMostOnceService;
+        if (!isOnce && sending.epoch_ != epoch)
+            continue;
+        if (sending.program_ == attempt.program_ && sending.number_ == attempt.number_
+            && sending.fingerprint_ == attempt.fingerprint_)
+            fail("b: a call that was sent is told as not run, kind " + std::to_string(static_cast<int>(sending.kind_)) + " r" + std::to_string(request.value_)+" "+attempt.program_.value_+" n"+std::to_string(attempt.number_.value_)+" fp "+attempt.fingerprint_);
+    }
+}
+
+void ShardOracle::answeredOutcome(RequestId request, const Outcome& outcome, CallNumber durable)
+{
+    answered(request, outcome.run_);
+    const Attempt& attempt = attempts_[request];
+    const ObservedProgram& program = programs_[attempt.program_];
+    for (std::uint32_t number = 1; number <= durable.value_; ++number) {
+        if (program.finished_.count({ number }) == 0)
+            fail("d: a call is reported durable and is not in the log");
+    }
+    auto recorded = program.finished_.find(attempt.number_);
+    if (attempt.number_ <= durable && recorded != program.finished_.end()
+        && recorded->second.body_ != outcome.body_)
+        fail("d: a durable answer was replaced");
+}
+
+void ShardOracle::finish()
+{
+    for (const auto& [request, attempt] : attempts_) {
+        if (!attempt.isAnswered_)
+            fail("g: request " + std::to_string(request.value_) + " has no answer");
+    }
+}
+
+} // namespace fescue::test
--- /dev/null
+++ b/test/support/ShardWorld.cpp
@@ -0,0 +1,403 @@
+#include "ShardWorld.h"
+
+#include "AdmitCall.h"
+#include "FinishCall.h"
+#include "ShardLog.h"
+
+#include <algorithm>
+#include <array>
+
+namespace fescue::test {
+
+using nlohmann::json;
+
+namespace {
+
+    constexpr int ownerCount = 3;
+    constexpr TokenCount programBudget { 1500 };
+    const ShardKey key { { "zone" }, { 0 } };
+    const WorkspaceId workspace { "workspace" };
+
+    template <typename Item> Item* pick(std::vector<Item>& items, int index)
+    {
+        return items.empty() ? nullptr : &items[static_cast<std::size_t>(index) % items.size()];
+    }
+
+    json message(const char* role, const ProgramId& program, const std::string& text)
+    {
+        return { { "role", role }, { "content", program.value_ + ":" + text } };
+    }
+
+} // namespace
+
+ShardWorld::ShardWorld(Mutant mutant)
+    : mutant_(mutant)
+{
+    limits_.confirmationPatience_ = Milliseconds { 3000 };
+    limits_.programIdle_ = Milliseconds { 30000 };
+    limits_.trancheSize_ = { 300 };
+    limits_.outboxRecords_ = 64;
+    for (int i = 0; i < ownerCount; ++i) {
+        Owner owner;
+        owner.shard_.ledger_.shard_ = key;
+        owner.vm_ = { "vm" + std::to_string(i) };
+        owner.writer_ = { "writer" + std::to_string(i) };
+        owners_.push_back(std::move(owner));
+    }
+}
+
+// The first numbers name an owner; the others mean the one that holds the newest epoch.
+Owner& ShardWorld::ownerOf(int number)
+{
+    if (number < ownerCount)
+        return owners_[static_cast<std::size_t>(number)];
+    return *std::max_element(owners_.begin(), owners_.end(),
+        [](const Owner& a, const Owner& b) { return a.shard_.epoch_ < b.shard_.epoch_; });
+}
+
+void ShardWorld::run(const Step& step)
+{
+    Owner& owner = ownerOf(step.owner_);
+    if (step.kind_ == 0)
+        owner.isFrozen_ = !owner.isFrozen_ && step.a_ % 2 == 0;
+    if (step.kind_ == 1)
+        isLogUp_ = !isLogUp_ || step.a_ % 3 != 0;
+    if (step.kind_ == 2)
+        now_ += Milliseconds { (1 << step.a_ % 12) };
+    if (step.kind_ == 3)
+        deliverLate(step.a_);
+    if (owner.isFrozen_)
+        return;
+    switch (step.kind_) {
+    case 4:
+        return create(owner, step.a_);
+    case 5:
+        return step.b_ % 16 == 0 ? end(owner, step.a_) : tick(owner);
+    case 6:
+        return claim(owner);
+    case 7:
+    case 8:
+    case 9:
+        return append(owner, step.a_);
+    case 10:
+    case 11:
+        return read(owner, 1 + step.a_ % 4);
+    case 12:
+        return send(owner, step.a_);
+    case 13:
+    case 14:
+        send(owner, step.a_);
+        return answer(owner, step.a_, step.b_);
+    case 15:
+    case 16:
+    case 17:
+    case 18:
+        return arrive(owner, step.a_, step.b_);
+    default:
+        return;
+    }
+}
+
+Call ShardWorld::makeCall(const Client& client, int a, int b)
+{
+    static constexpr std::array<int, 8> distances { 1, 1, 1, 1, 1, 0, 2, -1 };
+    auto number = std::max<std::int64_t>(
+        client.last_.value_ + distances[static_cast<std::size_t>(a / 8 % 8)], 1);
+    Call call;
+    call.request_ = nextRequest();
+    call.workspace_ = workspace;
+    call.program_ = client.program_;
+    call.number_ = { static_cast<std::uint32_t>(number) };
+    static constexpr std::array<CallKind, 5> kinds { CallKind::AtMostOnceService, CallKind::Model,
+        CallKind::Model, CallKind::AtMostOnceService, CallKind::RepeatableService };
+    call.kind_ = kinds[(call.number_.value_ + std::hash<ProgramId>()(client.program_)) % kinds.size()];
+    std::string text = std::to_string(number) + (b % 8 == 0 ? ":other" : "");
+    call.fingerprint_ = text;
+    if (call.kind_ != CallKind::Model)
+        return call;
+    auto historyOf = [&call](const Client& source) {
+        auto history = source.histories_.find({ call.number_.value_ - 1 });
+        return history == source.histories_.end() || history->second.is_null() ? json::array()
+                                                                               : history->second;
+    };
+    json messages = historyOf(client);
+    if (b / 8 % 16 == 0 && !messages.empty())
+        messages = historyOf(*pick(clients_, b));
+    messages.push_back(message("user", client.program_, text));
+    call.messages_ = messages.dump();
+    call.fingerprint_ = call.messages_;
+    call.bodySize_ = { static_cast<std::int64_t>(call.messages_.size()) };
+    call.maxTokens_ = { 20 };
+    return call;
+}
+
+void ShardWorld::arrive(Owner& owner, int a, int b)
+{
+    Client* client = pick(clients_, a);
+    if (!client)
+        return;
+    if (owner.shard_.epoch_.value_ == 0 && b % 4 == 0)
+        return claim(owner);
+    if (owner.shard_.epoch_.value_ == 0 && b % 16 != 1)
+        return;
+    Call call = makeCall(*client, a, b);
+    calls_[call.request_] = call;
+    oracle_.asked(call.request_, { call.program_, call.number_, call.fingerprint_, call.kind_ });
+    carryOut(owner, callArrived(owner.shard_, call, context()));
+}
+
+void ShardWorld::create(Owner& owner, int a)
+{
+    constexpr std::size_t mostClients = 4;
+    if (owner.shard_.epoch_.value_ == 0 || clients_.size() >= mostClients + lastRequest_ / 20)
+        return;
+    CreateProgram create { nextRequest(), { "p" + std::to_string(++lastProgram_) }, workspace, {},
+        programBudget };
+    Client* parent = pick(clients_, a / 2);
+    if (parent && a % 2 == 0) {
+        create.parent_ = parent->program_;
+        create.budget_ = { 150 };
+    }
+    oracle_.asked(create.request_, {});
+    oracle_.created(create.program_, create.parent_, create.budget_);
+    carryOut(owner, createProgram(owner.shard_, create, context()));
+}
+
+void ShardWorld::end(Owner& owner, int a)
+{
+    Client* client = pick(clients_, a);
+    if (!client || owner.shard_.epoch_.value_ == 0)
+        return;
+    EndProgram end { nextRequest(), workspace, client->program_, "ended" };
+    oracle_.asked(end.request_, {});
+    carryOut(owner, endProgram(owner.shard_, end, context()));
+}
+
+void ShardWorld::claim(Owner& owner)
+{
+    if (owner.shard_.epoch_.value_ == 0 && !owner.shard_.inFlight_)
+        takeClaim(owner.shard_, owner.writer_, owner.vm_);
+}
+
+// Fates of an append: 0 to 3 answered, 4 its answer is lost, 5 it is lost, 6 it lands later, 7 it lands now
+// and once more later.
+void ShardWorld::append(Owner& owner, int fate)
+{
+    fate = isLogUp_ ? fate % 8 : 5;
+    auto batch = takeBatch(owner.shard_, owner.writer_);
+    if (!batch)
+        return;
+    if (mutant_ == Mutant::ConfirmsUnread && batch->epoch_.value_ != 0)
+        return confirmUnread(owner, *batch);
+    owner.shard_.isLogDown_ = fate == 4 || fate == 5;
+    if (fate >= 6)
+        late_.push_back(*batch);
+    if (fate == 5 || fate == 6)
+        return;
+    land(*batch);
+    if (fate < 4 && owner.shard_.ledger_.readTo_.value_ + 1 == log_.size())
+        read(owner, 1);
+}
+
+void ShardWorld::confirmUnread(Owner& owner, const Batch& batch)
+{
+    late_.push_back(batch);
+    LogOffset readTo = owner.shard_.ledger_.readTo_;
+    carryOut(owner, entryRead(owner.shard_, readTo, batch, context()));
+}
+
+void ShardWorld::land(const Batch& batch)
+{
+    Batch landed = batch;
+    if (mutant_ == Mutant::MixesHistories) {
+        for (RecordBody& body : landed.records_) {
+            if (auto* finished = std::get_if<CallFinished>(&body); finished && !finished->newMessages_.empty())
+                finished->newMessages_ = json::array({ message("user", { "other" }, "text") }).dump();
+        }
+    }
+    log_.push_back({ landed, now_ });
+    oracle_.landed({ log_.size() }, landed);
+}
+
+void ShardWorld::deliverLate(int a)
+{
+    Batch* batch = pick(late_, a);
+    if (!batch || !isLogUp_)
+        return;
+    Batch moved = std::move(*batch);
+    late_.erase(late_.begin() + (batch - late_.data()));
+    land(moved);
+}
+
+void ShardWorld::read(Owner& owner, int most)
+{
+    if (!isLogUp_) {
+        owner.shard_.isLogDown_ = true;
+        return;
+    }
+    owner.shard_.isLogDown_ = false;
+    for (int i = 0; i < most && owner.shard_.ledger_.readTo_.value_ < log_.size(); ++i) {
+        LogOffset offset { owner.shard_.ledger_.readTo_.value_ + 1 };
+        const Batch& batch = log_[offset.value_ - 1].batch_;
+        bool isForeignClaim = batch.epoch_.value_ == 0 && batch.writer_ != owner.writer_;
+        if (mutant_ == Mutant::HidesClaims && isForeignClaim && owner.shard_.epoch_.value_ != 0)
+            owner.shard_.ledger_.readTo_ = offset;
+        else
+            carryOut(owner, entryRead(owner.shard_, offset, batch, context()));
+    }
+}
+
+void ShardWorld::send(Owner& owner, int a)
+{
+    Execution* execution = pick(owner.executions_, a);
+    if (!execution || execution->sending_)
+        return;
+    const ExecuteCall& execute = execution->execute_;
+    bool isLate = execute.sendBefore_ && now_ >= *execute.sendBefore_;
+    if (!isLate || mutant_ == Mutant::IgnoresSendBefore) {
+        execution->sending_ = oracle_.sent(execute);
+        ++stats_["sent kind " + std::to_string(static_cast<int>(execute.call_.kind_))];
+        return;
+    }
+    ExecutionResult result;
+    result.kind_ = ExecutionResult::Kind::NotRun;
+    result.problem_ = { ProblemKind::LogUnavailable, RunState::NotRun, "too late", std::nullopt };
+    Execution refused = std::move(*execution);
+    owner.executions_.erase(owner.executions_.begin() + (execution - owner.executions_.data()));
+    carryOut(owner, callExecuted(owner.shard_, refused.execute_.call_.program_, refused.execute_.execution_,
+                        result, context()));
+    if (mutant_ == Mutant::SendsRefused)
+        oracle_.sent(refused.execute_);
+}
+
+void ShardWorld::answer(Owner& owner, int a, int b)
+{
+    Execution* picked = pick(owner.executions_, a);
+    if (!picked || !picked->sending_)
+        return;
+    Execution execution = std::move(*picked);
+    owner.executions_.erase(owner.executions_.begin() + (picked - owner.executions_.data()));
+    const Call& call = execution.execute_.call_;
+    ExecutionResult result;
+    result.kind_ = ExecutionResult::Kind::Answered;
+    std::string text = "answer" + std::to_string(++lastAnswer_);
+    result.outcome_ = { 200, "text/plain", text, RunState::Final };
+    if (b % 4 == 0) {
+        bool isOnce = call.kind_ == CallKind::AtMostOnceService;
+        result.kind_ = isOnce ? ExecutionResult::Kind::Unknown : ExecutionResult::Kind::Failed;
+        result.problem_ = { ProblemKind::TargetFailed, RunState::Unknown, "failed", std::nullopt };
+        result.outcome_ = unknownOutcome(text);
+    }
+    if (call.kind_ == CallKind::Model) {
+        TokenCount used { execution.execute_.reserved_.value_ * (1 + b % 5) / 5 };
+        oracle_.ran(*execution.sending_, used);
+        result.used_ = mutant_ == Mutant::UnderreportsUse ? TokenCount { used.value_ / 2 } : used;
+        result.contextTokens_ = result.used_;
+        json reply = message("assistant", call.program_, text);
+        result.answerMessage_ = reply.dump();
+        json history = json::parse(execution.message_);
+        history.push_back(reply);
+        histories_[text] = history;
+    } else {
+        oracle_.ran(*execution.sending_, {});
+    }
+    carryOut(owner,
+        callExecuted(owner.shard_, call.program_, execution.execute_.execution_, result, context()));
+}
+
+void ShardWorld::tick(Owner& owner) { carryOut(owner, shardTick(owner.shard_, context())); }
+
+void ShardWorld::carryOut(Owner& owner, const Effects& effects)
+{
+    for (const Effect& effect : effects)
+        std::visit([&](const auto& one) { take(owner, one); }, effect);
+}
+
+bool ShardWorld::dropsAnswer() { return mutant_ == Mutant::DropsAnswers && lastRequest_ % 4 == 0; }
+
+void ShardWorld::take(Owner& owner, const ReplyProblem& reply)
+{
+    for (RequestId request : reply.requests_) {
+        if (dropsAnswer())
+            continue;
+        oracle_.answered(request, reply.problem_.run_, owner.shard_.epoch_);
+        ++stats_["problem " + std::string(nameOf(reply.problem_.kind_))];
+        if (reply.problem_.kind_ != ProblemKind::CallOutOfOrder)
+            continue;
+        for (Client& client : clients_) {
+            if (client.program_ == calls_[request].program_ && client.last_.value_ > 0)
+                client.last_ = client.last_ - CallNumber { 1 };
+        }
+    }
+}
+
+void ShardWorld::take(Owner&, const ReplyOutcome& reply)
+{
+    for (RequestId request : reply.requests_) {
+        oracle_.answeredOutcome(request, reply.outcome_, reply.durableCall_);
+        const Call& call = calls_[request];
+        ++stats_["outcome " + std::string(nameOf(reply.outcome_.run_))];
+        for (Client& client : clients_) {
+            if (client.program_ != call.program_)
+                continue;
+            client.last_ = std::max(client.last_, call.number_);
+            auto history = histories_.find(reply.outcome_.body_);
+            if (history != histories_.end())
+                client.histories_[call.number_] = history->second;
+            else if (call.number_.value_ > 0)
+                client.histories_[call.number_] = client.histories_[{ call.number_.value_ - 1 }];
+        }
+    }
+}
+
+void ShardWorld::take(Owner&, const ReplyProgram& reply)
+{
+    oracle_.answered(reply.request_, RunState::Final);
+    bool isKnown = std::any_of(clients_.begin(), clients_.end(),
+        [&reply](const Client& client) { return client.program_ == reply.program_; });
+    if (!isKnown)
+        clients_.push_back({ reply.program_, {}, {} });
+}
+
+void ShardWorld::take(Owner& owner, const ExecuteCall& execute)
+{
+    owner.executions_.push_back({ execute, calls_[execute.call_.request_].messages_, std::nullopt });
+}
+
+// A cancelled call that was not sent never is; one that was sent counts with all that it reserved.
+void ShardWorld::take(Owner& owner, const CancelCall& cancel)
+{
+    auto found = std::find_if(
+        owner.executions_.begin(), owner.executions_.end(), [&cancel](const Execution& execution) {
+            return execution.execute_.execution_ == cancel.execution_;
+        });
+    if (found != owner.executions_.end())
+        owner.executions_.erase(found);
+}
+
+void ShardWorld::settle()
+{
+    isLogUp_ = true;
+    while (!late_.empty())
+        deliverLate(0);
+    constexpr int rounds = 12;
+    for (int round = 0; round < rounds; ++round) {
+        now_ += Milliseconds { 400 };
+        for (Owner& owner : owners_) {
+            owner.isFrozen_ = false;
+            read(owner, static_cast<int>(log_.size()));
+            tick(owner);
+            append(owner, 0);
+            while (!owner.executions_.empty()) {
+                send(owner, 0);
+                answer(owner, 0, 1);
+            }
+        }
+    }
+    oracle_.finish();
+    checkReaders();
+}
+
+void ShardWorld::checkReaders() { }
+
+} // namespace fescue::test
