--- a/test/support/ShardOracle.h
+++ b/test/support/ShardOracle.h
@@ -21,6 +21,7 @@
     CallNumber number_;
     std::string fingerprint_;
     CallKind kind_ = CallKind::Model;
+    std::size_t sentBefore_ = 0; ///< Number of sendings before the caller asked.
     bool isAnswered_ = false;
     bool isNotRun_ = false;
 };
--- a/test/support/ShardWorld.cpp
+++ b/test/support/ShardWorld.cpp
@@ -66,6 +66,8 @@
         now_ += Milliseconds { (1 << step.a_ % 12) };
     if (step.kind_ == 3)
         deliverLate(step.a_);
+    if (step.kind_ == 19)
+        return pauseAndTakeOver(owner, step.a_, step.b_);
     if (owner.isFrozen_)
         return;
     switch (step.kind_) {
@@ -98,6 +100,23 @@
     }
 }
 
+// The owner stops between a decision and what it decided, and another one takes over; now and then after
+// the time in which an announced call may still be sent.
+void ShardWorld::pauseAndTakeOver(Owner& paused, int a, int b)
+{
+    Owner& next = owners_[static_cast<std::size_t>(a) % owners_.size()];
+    if (&next == &paused || !isLogUp_)
+        return;
+    paused.isFrozen_ = b % 2 == 0;
+    next.isFrozen_ = false;
+    read(next, static_cast<int>(log_.size()));
+    claim(next);
+    append(next, 0);
+    read(next, static_cast<int>(log_.size()));
+    if (b % 4 < 2)
+        now_ += limits_.intentSendWindow_ + limits_.successorMargin_;
+}
+
 Call ShardWorld::makeCall(const Client& client, int a, int b)
 {
     static constexpr std::array<int, 8> distances { 1, 1, 1, 1, 1, 0, 2, -1 };
--- a/test/support/ShardWorld.h
+++ b/test/support/ShardWorld.h
@@ -82,6 +82,7 @@
     };
 
     Owner& ownerOf(int number);
+    void pauseAndTakeOver(Owner& paused, int a, int b);
     void arrive(Owner& owner, int a, int b);
     void create(Owner& owner, int a);
     void end(Owner& owner, int a);
