--- a/src/AdmitCall.cpp
+++ b/src/AdmitCall.cpp
@@ -140,6 +140,10 @@
             return refuse(call, ProblemKind::NotOwner, RunState::Unknown,
                 "this VM does not own the program's shard; send the call again", ownerRetryAfter);
         ActiveProgram* active = findActive(shard, call.program_, context);
+        if (!active && !shard.ledger_.complete_)
+            return refuse(call, ProblemKind::OutcomeUnknown, RunState::Unknown,
+                "the records of the program have aged out of the log, so whether the call ran is not known; "
+                "create a new program, and ask the service about calls that may run only once");
         if (!active || active->workspace_ != call.workspace_)
             return refuse(call, ProblemKind::UnknownProgram, RunState::Unknown,
                 "the program is not known here: it ended long ago, or never was; create a new one");
--- a/src/ProgramLife.cpp
+++ b/src/ProgramLife.cpp
@@ -1,5 +1,7 @@
 #include "ProgramLife.h"
 
+#include "LedgerSnapshot.h"
+
 #include <algorithm>
 #include <set>
 
@@ -249,6 +251,8 @@
     }
     endUnused(shard, context);
     restUnused(shard, context);
+    if (isSnapshotDue(shard, context))
+        recordSnapshot(shard, context);
     return effects;
 }
 
--- a/src/Shard.h
+++ b/src/Shard.h
@@ -124,6 +124,18 @@
     MonotonicTime since_;
 };
 
+/** An entry that was read before the reader knew the state that it belongs to. */
+struct GapEntry {
+    LogOffset offset_;
+    Batch batch_;
+};
+
+/** A reader that began beyond records that have aged out; see LedgerSnapshot.h. */
+struct GapReader {
+    LogOffset first_; ///< The oldest entry that was still there.
+    std::vector<GapEntry> entries_;
+};
+
 /** The state of one shard at one VM. */
 struct Shard {
     Ledger ledger_;
@@ -139,6 +151,9 @@
     std::vector<HeldRefusal> heldRefusals_; ///< Those that the next batch proves.
     std::vector<HeldRefusal> inFlightRefusals_; ///< Those that the batch in flight proves.
     Sequence nextSequence_ { 1 };
+    std::optional<GapReader> gap_; ///< Set while the ledger waits for a snapshot.
+    std::optional<LogOffset> snapshotAt_; ///< What this epoch's last snapshot covers.
+    MonotonicTime snapshotTime_;
     bool isUrgent_ = false; ///< A call waits for the next batch.
     bool isLogDown_ = false; ///< The last append got no answer.
 };
@@ -153,6 +168,8 @@
     Milliseconds restAfter_ { 60000 }; ///< A program without calls for this long keeps its ledger entry only.
     std::size_t outboxRecords_ = 4096; ///< Most records that wait for the log before calls are refused.
     ByteCount outboxBytes_ { 8 << 20 }; ///< Most bytes of them.
+    std::uint64_t snapshotEntries_ = 512; ///< A snapshot is written after so many entries,
+    Milliseconds snapshotInterval_ { 600000 }; ///< and after this time: a third of the log's retention.
     ByteCount batchBytes_ { 1 << 20 }; ///< Size from which records go into the next batch.
 };
 
--- a/src/ShardLog.cpp
+++ b/src/ShardLog.cpp
@@ -1,6 +1,7 @@
 #include "ShardLog.h"
 
 #include "AdmitCall.h"
+#include "LedgerSnapshot.h"
 
 #include <algorithm>
 
@@ -122,24 +123,6 @@
         held.clear();
     }
 
-    Effects loseOwnership(Shard& shard)
-    {
-        Effects effects;
-        for (auto& [program, active] : shard.active_)
-            dropActive(program, active, shard, effects);
-        dropHeld(shard.heldRefusals_, effects);
-        dropHeld(shard.inFlightRefusals_, effects);
-        shard.active_.clear();
-        shard.resting_.clear();
-        shard.outbox_.clear();
-        shard.outboxBytes_ = {};
-        shard.isUrgent_ = false;
-        if (shard.inFlight_ && shard.inFlight_->epoch_.value_ != 0)
-            shard.inFlight_.reset();
-        shard.epoch_ = {};
-        return effects;
-    }
-
     bool isSameBatch(const Batch& a, const Batch& b)
     {
         return a.writer_ == b.writer_ && a.sequence_ == b.sequence_;
@@ -173,6 +156,20 @@
         return effects;
     }
 
+    // Beyond a gap nothing is known about an entry until a snapshot comes. An own claim ends the search: this
+    // VM has to serve the shard with what there is.
+    Verdict foldEntry(Shard& shard, LogOffset offset, const Batch& batch)
+    {
+        if (!shard.gap_)
+            return foldBatch(shard.ledger_, offset, batch);
+        bool isOwn = shard.inFlight_ && isSameBatch(*shard.inFlight_, batch);
+        bool isKnown = readBeyondGap(shard, offset, batch);
+        if (isOwn && !isKnown)
+            closeGapIncomplete(shard);
+        bool isOwner = shard.ledger_.epoch_.value_ == offset.value_;
+        return isOwner ? Verdict::Applied : Verdict::Void;
+    }
+
     // The oldest records, at least one, until they reach the size.
     std::vector<RecordBody> takeRecords(Shard& shard, ByteCount mostBytes)
     {
@@ -189,6 +186,33 @@
 
 } // namespace
 
+Effects loseOwnership(Shard& shard)
+{
+    Effects effects;
+    for (auto& [program, active] : shard.active_)
+        dropActive(program, active, shard, effects);
+    dropHeld(shard.heldRefusals_, effects);
+    dropHeld(shard.inFlightRefusals_, effects);
+    shard.active_.clear();
+    shard.resting_.clear();
+    shard.outbox_.clear();
+    shard.outboxBytes_ = {};
+    shard.isUrgent_ = false;
+    if (shard.inFlight_ && shard.inFlight_->epoch_.value_ != 0)
+        shard.inFlight_.reset();
+    shard.snapshotAt_.reset();
+    shard.epoch_ = {};
+    return effects;
+}
+
+void forgetState(Shard& shard)
+{
+    ShardKey key = shard.ledger_.shard_;
+    shard.ledger_ = Ledger {};
+    shard.ledger_.shard_ = key;
+    shard.gap_.reset();
+}
+
 std::optional<Batch> takeBatch(Shard& shard, const WriterId& writer, ByteCount mostBytes)
 {
     if (shard.inFlight_)
@@ -212,7 +236,7 @@
 
 Effects entryRead(Shard& shard, LogOffset offset, const Batch& batch, const ShardContext& context)
 {
-    Verdict verdict = foldBatch(shard.ledger_, offset, batch);
+    Verdict verdict = foldEntry(shard, offset, batch);
     Effects effects;
     if (shard.epoch_.value_ != 0 && shard.ledger_.epoch_ != shard.epoch_)
         effects = loseOwnership(shard);
--- a/src/ShardLog.h
+++ b/src/ShardLog.h
@@ -23,6 +23,17 @@
 /** The batch that claims the shard for `vm`; it is in flight from here on. Precondition: none is. */
 Batch takeClaim(Shard& shard, const WriterId& writer, const VmId& vm);
 
+/** Ends this VM's epoch: waiting calls get their final answer, running ones go on for their callers only.
+ *
+ * Thread safety: none; the caller holds the lock of the shard. */
+Effects loseOwnership(Shard& shard);
+
+/** Forgets the state of a shard that another VM owns; it is read from the log again when it is needed.
+ *
+ * Precondition: the shard is not owned and nothing is in flight. Thread safety: none; the caller holds the
+ * lock of the shard. */
+void forgetState(Shard& shard);
+
 /** Folds an entry that was read from the log, or an own append whose place in the stream is known.
  *
  * When it is the batch in flight, the calls that waited for it are let run, and an own claim makes this
--- a/test/support/ShardOracle.cpp
+++ b/test/support/ShardOracle.cpp
@@ -24,6 +24,7 @@
     }
     if (batch.epoch_ != epoch_)
         return;
+    landing_ = offset;
     for (const RecordBody& body : batch.records_)
         std::visit([this](const auto& record) { note(record); }, body);
 }
@@ -31,6 +32,7 @@
 void ShardOracle::note(const ProgramCreated& created)
 {
     this->created(created.program_, created.parent_, created.budget_);
+    programs_[created.program_].createdAt_ = landing_;
 }
 
 void ShardOracle::note(const CallFinished& finished)
@@ -164,6 +166,21 @@
         fail("d: a durable answer was replaced");
 }
 
+void ShardOracle::toldUnknown(RequestId request, Epoch epoch)
+{
+    auto found = programs_.find(attempts_[request].program_);
+    if (found == programs_.end() || found->second.createdAt_.value_ == 0)
+        return;
+    if (found->second.createdAt_.value_ < epoch.value_)
+        fail("d: a program that the log holds is not known to a later owner");
+}
+
+void ShardOracle::compared(const std::string& one, const std::string& other)
+{
+    if (one != other)
+        fail("f: two readers of the same records hold different ledgers");
+}
+
 void ShardOracle::finish()
 {
     for (const auto& [request, attempt] : attempts_) {
--- a/test/support/ShardOracle.h
+++ b/test/support/ShardOracle.h
@@ -42,6 +42,7 @@
 struct ObservedProgram {
     ProgramId parent_;
     TokenCount budget_;
+    LogOffset createdAt_; ///< Where the log has its creation; 0 when it has none.
     TokenCount spent_; ///< Reserved while a call runs, used afterwards.
     TranscriptHead head_;
     std::map<CallNumber, Outcome> finished_; ///< As recorded in the log.
@@ -67,6 +68,10 @@
     void answered(RequestId request, RunState run, Epoch epoch = {});
     /** A caller got an outcome and was told which call is durable. */
     void answeredOutcome(RequestId request, const Outcome& outcome, CallNumber durable);
+    /** A caller was told by the owner of that epoch that its program is not known. */
+    void toldUnknown(RequestId request, Epoch epoch);
+    /** Two readers have read the same prefix. */
+    void compared(const std::string& one, const std::string& other);
     /** The run is at its end: everyone must have been answered. */
     void finish();
 
@@ -80,6 +85,7 @@
     TokenCount spentWithChildren(const ProgramId& program) const;
 
     Epoch epoch_;
+    LogOffset landing_; ///< The entry that is being noted.
     std::map<WriterId, Sequence> sequences_;
     std::map<ProgramId, ObservedProgram> programs_;
     std::map<RequestId, Attempt> attempts_;
--- a/test/support/ShardWorld.cpp
+++ b/test/support/ShardWorld.cpp
@@ -2,6 +2,7 @@
 
 #include "AdmitCall.h"
 #include "FinishCall.h"
+#include "LedgerSnapshot.h"
 #include "ShardLog.h"
 
 #include <algorithm>
@@ -15,6 +16,7 @@
 
     constexpr int ownerCount = 3;
     constexpr TokenCount programBudget { 1500 };
+    constexpr Milliseconds retention { 8000 };
     const ShardKey key { { "zone" }, { 0 } };
     const WorkspaceId workspace { "workspace" };
 
@@ -37,6 +39,9 @@
     limits_.programIdle_ = Milliseconds { 30000 };
     limits_.trancheSize_ = { 300 };
     limits_.outboxRecords_ = 64;
+    limits_.restAfter_ = Milliseconds { 2000 };
+    limits_.snapshotEntries_ = 12;
+    limits_.snapshotInterval_ = Milliseconds { 2000 };
     for (int i = 0; i < ownerCount; ++i) {
         Owner owner;
         owner.shard_.ledger_.shard_ = key;
@@ -66,6 +71,8 @@
         now_ += Milliseconds { (1 << step.a_ % 12) };
     if (step.kind_ == 3)
         deliverLate(step.a_);
+    if (step.kind_ == 3 && step.b_ % 4 == 0)
+        forget(owner);
     if (step.kind_ == 19)
         return pauseAndTakeOver(owner, step.a_, step.b_);
     if (owner.isFrozen_)
@@ -168,7 +175,7 @@
 void ShardWorld::create(Owner& owner, int a)
 {
     constexpr std::size_t mostClients = 4;
-    if (owner.shard_.epoch_.value_ == 0 || clients_.size() >= mostClients + lastRequest_ / 20)
+    if (owner.shard_.epoch_.value_ == 0 || clients_.size() >= mostClients)
         return;
     CreateProgram create { nextRequest(), { "p" + std::to_string(++lastProgram_) }, workspace, {},
         programBudget };
@@ -192,6 +199,12 @@
     carryOut(owner, endProgram(owner.shard_, end, context()));
 }
 
+void ShardWorld::forget(Owner& owner)
+{
+    if (owner.shard_.epoch_.value_ == 0 && !owner.shard_.inFlight_)
+        forgetState(owner.shard_);
+}
+
 void ShardWorld::claim(Owner& owner)
 {
     if (owner.shard_.epoch_.value_ == 0 && !owner.shard_.inFlight_)
@@ -257,15 +270,40 @@
     owner.shard_.isLogDown_ = false;
     for (int i = 0; i < most && owner.shard_.ledger_.readTo_.value_ < log_.size(); ++i) {
         LogOffset offset { owner.shard_.ledger_.readTo_.value_ + 1 };
-        const Batch& batch = log_[offset.value_ - 1].batch_;
-        bool isForeignClaim = batch.epoch_.value_ == 0 && batch.writer_ != owner.writer_;
-        if (mutant_ == Mutant::HidesClaims && isForeignClaim && owner.shard_.epoch_.value_ != 0)
-            owner.shard_.ledger_.readTo_ = offset;
-        else
-            carryOut(owner, entryRead(owner.shard_, offset, batch, context()));
+        if (offset.value_ <= firstKept()) {
+            ++stats_["gap"];
+            carryOut(owner, startBeyondGap(owner.shard_, { firstKept() + 1 }));
+        } else {
+            readEntry(owner, offset);
+        }
     }
 }
 
+void ShardWorld::readEntry(Owner& owner, LogOffset offset)
+{
+    const Batch& batch = log_[offset.value_ - 1].batch_;
+    bool isForeignClaim = batch.epoch_.value_ == 0 && batch.writer_ != owner.writer_;
+    bool isHidden
+        = mutant_ == Mutant::HidesClaims && isForeignClaim && owner.shard_.epoch_.value_ != 0;
+    bool isSkipped = mutant_ == Mutant::SkipsEntries && offset.value_ % 7 == 0 && !isForeignClaim;
+    if (isHidden || isSkipped) {
+        owner.shard_.ledger_.readTo_ = offset;
+        return;
+    }
+    bool wasComplete = owner.shard_.ledger_.complete_;
+    carryOut(owner, entryRead(owner.shard_, offset, batch, context()));
+    if (wasComplete && !owner.shard_.ledger_.complete_)
+        ++stats_["incomplete"];
+}
+
+// How many entries have aged out.
+std::size_t ShardWorld::firstKept() const
+{
+    auto kept = std::find_if(log_.begin(), log_.end(),
+        [this](const Entry& entry) { return now_ - entry.landedAt_ < retention; });
+    return static_cast<std::size_t>(kept - log_.begin());
+}
+
 void ShardWorld::send(Owner& owner, int a)
 {
     Execution* execution = pick(owner.executions_, a);
@@ -341,15 +379,30 @@
             continue;
         oracle_.answered(request, reply.problem_.run_, owner.shard_.epoch_);
         ++stats_["problem " + std::string(nameOf(reply.problem_.kind_))];
+        const ProgramId& program = calls_[request].program_;
+        bool isUnknown = reply.problem_.kind_ == ProblemKind::UnknownProgram;
+        if (isUnknown)
+            oracle_.toldUnknown(request, owner.shard_.epoch_);
+        if (isUnknown || reply.problem_.kind_ == ProblemKind::OutcomeUnknown)
+            forgetClient(program);
         if (reply.problem_.kind_ != ProblemKind::CallOutOfOrder)
             continue;
         for (Client& client : clients_) {
-            if (client.program_ == calls_[request].program_ && client.last_.value_ > 0)
+            if (client.program_ == program && client.last_.value_ > 0)
                 client.last_ = client.last_ - CallNumber { 1 };
         }
     }
 }
 
+// Now and then, so that most calls are of programs that live.
+void ShardWorld::forgetClient(const ProgramId& program)
+{
+    auto found = std::find_if(clients_.begin(), clients_.end(),
+        [&program](const Client& client) { return client.program_ == program; });
+    if (found != clients_.end() && lastRequest_ % 3 == 0)
+        clients_.erase(found);
+}
+
 void ShardWorld::take(Owner&, const ReplyOutcome& reply)
 {
     for (RequestId request : reply.requests_) {
@@ -417,6 +470,22 @@
     checkReaders();
 }
 
-void ShardWorld::checkReaders() { }
+Ledger ShardWorld::foldAll(std::uint64_t end) const
+{
+    Ledger ledger { key };
+    for (std::uint64_t offset = 1; offset <= end; ++offset)
+        foldBatch(ledger, { offset }, log_[offset - 1].batch_);
+    return ledger;
+}
+
+// Owners that began beyond a gap hold the same as one that has read everything.
+void ShardWorld::checkReaders()
+{
+    for (const Owner& owner : owners_) {
+        const Ledger& ledger = owner.shard_.ledger_;
+        if (ledger.complete_ && !owner.shard_.gap_)
+            oracle_.compared(toJsonText(ledger), toJsonText(foldAll(ledger.readTo_.value_)));
+    }
+}
 
 } // namespace fescue::test
--- a/test/support/ShardWorld.h
+++ b/test/support/ShardWorld.h
@@ -92,9 +92,13 @@
     void read(Owner& owner, int most);
     void confirmUnread(Owner& owner, const Batch& batch);
     void claim(Owner& owner);
+    void forget(Owner& owner);
     void send(Owner& owner, int a);
     void answer(Owner& owner, int a, int b);
     void tick(Owner& owner);
+    std::size_t firstKept() const;
+    void readEntry(Owner& owner, LogOffset offset);
+    Ledger foldAll(std::uint64_t end) const;
     void checkReaders();
     void carryOut(Owner& owner, const Effects& effects);
     void take(Owner& owner, const ReplyProblem& reply);
@@ -104,6 +108,7 @@
     void take(Owner& owner, const CancelCall& cancel);
     void take(Owner&, const AttachRequest&) { }
     void take(Owner&, const ReleaseCache&) { }
+    void forgetClient(const ProgramId& program);
     bool dropsAnswer();
     Call makeCall(const Client& client, int a, int b);
     ShardContext context() const { return { now_, limits_ }; }
