Return unspent tranches on a planned move and pin the shard's mended faults

Each test of ShardRefusals, ShardBudgets and ShardTakeOver was seen red with its mend taken out (failedCall_, the held refusal, the other callers of a refused call, the deferred closing of a foreign intent, ungranted budget at creation and end, overrun, end and rest of unused programs, bytes bound, hand-over, gap handling).

--- a/src/ProgramLife.cpp
+++ b/src/ProgramLife.cpp
@@ -85,8 +85,8 @@
     }
 
     // A call that waits for a record gives up. Without the log this VM cannot tell whether another one owns
-    // the shard by now and has run an at-most-once call on a later attempt. If its intent may still reach the log, the call stays as
-    // abandoned until the log tells, so that it can be withdrawn and is never sent.
+    // the shard by now and has run an at-most-once call on a later attempt. If its intent may still reach the
+    // log, the call stays as abandoned until the log tells, so that it can be withdrawn and is never sent.
     void giveUpWaiting(ActiveProgram& active, Effects& effects)
     {
         RunningCall& running = *active.running_;
@@ -110,6 +110,14 @@
             && context.now_ - active.running_->since_ >= context.limits_.confirmationPatience_;
     }
 
+    void giveBack(Shard& shard, const ProgramId& program, TokenCount& left)
+    {
+        if (left.value_ <= 0)
+            return;
+        record(shard, TrancheReturned { program, left });
+        left = {};
+    }
+
     void releaseHeld(std::vector<HeldRefusal>& held, const ShardContext& context, Effects& effects)
     {
         std::vector<HeldRefusal> patient;
@@ -232,6 +240,19 @@
     return effects;
 }
 
+void prepareHandOver(Shard& shard)
+{
+    if (shard.epoch_.value_ == 0)
+        return;
+    for (auto& [program, active] : shard.active_) {
+        if (!active.ended_)
+            giveBack(shard, program, active.trancheLeft_);
+    }
+    for (auto& [program, resting] : shard.resting_)
+        giveBack(shard, program, resting.trancheLeft_);
+    shard.isUrgent_ = shard.isUrgent_ || !shard.outbox_.empty();
+}
+
 Effects shardTick(Shard& shard, const ShardContext& context)
 {
     Effects effects;
--- a/src/ProgramLife.h
+++ b/src/ProgramLife.h
@@ -38,6 +38,12 @@
  * at-most-once call is on its way, `UnknownProgram`. */
 Effects endProgram(Shard& shard, const EndProgram& end, const ShardContext& context);
 
+/** Gives back what this epoch was granted and has not spent, so that the next owner can grant it again.
+ *
+ * For a planned move of the shard. Running calls keep what they reserved. It may be called again, and calls
+ * that come in between ask for a new tranche. Thread safety: none; the caller holds the lock of the shard. */
+void prepareHandOver(Shard& shard);
+
 /** Gives final answers to calls and creations that waited too long for the log, and ends programs that
  * nobody has used for the idle time. Thread safety: none; the caller holds the lock of the shard. */
 Effects shardTick(Shard& shard, const ShardContext& context);
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -210,6 +210,7 @@
             return false;
         if (homes_.isOwned(shard) && !homes_.isIdle(shard))
             return false;
+        homes_.handOver(shard);
         requests_.sendMoved(request, expected->vm_);
         return true;
     }
@@ -380,7 +381,7 @@
     {
         if (requests_.size() > 0 || runner_.size() > 0)
             return false;
-        homes_.flushNow();
+        homes_.handOverAll();
         for (const ShardStatus& row : homes_.status()) {
             if (row.unconfirmed_ > 0 && !row.isLogDown_)
                 return false;
--- a/src/ShardHome.cpp
+++ b/src/ShardHome.cpp
@@ -1,6 +1,7 @@
 #include "ShardHome.h"
 
 #include "EventLog.h"
+#include "LedgerSnapshot.h"
 #include "ShardLog.h"
 
 #include <map>
@@ -13,6 +14,7 @@
     constexpr Milliseconds firstRetry { 100 };
     constexpr Milliseconds longestRetry { 2000 };
     constexpr Milliseconds ownerRetryAfter { 1000 };
+    constexpr Milliseconds forgetAfter { 60000 };
 
     // A request that waits until this VM owns the shard.
     struct Waiting {
@@ -26,11 +28,12 @@
         Shard shard_;
         std::vector<Waiting> waiting_;
         bool isBusy_ = false; ///< A log operation is under way.
-        bool needsRead_ = false; ///< What is in the stream after `ledger_.readTo_` is not known.
+        bool needsRead_ = true; ///< What is in the stream after `ledger_.readTo_` is not known.
         bool wantsOwnership_ = false;
         MonotonicTime retryAt_;
         Milliseconds retryDelay_ = firstRetry;
         MonotonicTime flushAt_;
+        MonotonicTime usedAt_;
         std::uint64_t appends_ = 0;
     };
 
@@ -106,12 +109,14 @@
         if (home->isBusy_ || monotonicNow() < home->retryAt_)
             return;
         Shard& shard = home->shard_;
-        if (home->needsRead_)
+        bool isConcerned = shard.epoch_.value_ != 0 || home->wantsOwnership_ || shard.inFlight_;
+        if (home->needsRead_ && isConcerned)
             return read(home);
         if (shard.epoch_.value_ == 0 && home->wantsOwnership_ && !shard.inFlight_)
             takeClaim(shard, options_.writer_, options_.vm_);
         bool isDue = shard.isUrgent_ || monotonicNow() >= home->flushAt_;
-        if (!shard.inFlight_ && (!isDue || !takeBatch(shard, options_.writer_)))
+        ByteCount mostBytes = options_.limits_.batchBytes_;
+        if (!shard.inFlight_ && (!isDue || !takeBatch(shard, options_.writer_, mostBytes)))
             return;
         append(home);
     }
@@ -159,12 +164,25 @@
         if (!page)
             return logFailed(*home, page.error());
         logAnswered(*home);
+        if (page->first_.value_ > home->shard_.ledger_.readTo_.value_ + 1)
+            skipGap(*home, page->first_);
         for (const LogEntry& entry : page->entries_)
             foldEntry(*home, entry);
         home->needsRead_ = home->shard_.ledger_.readTo_.value_ + 1 < page->next_.value_;
         pump(home);
     }
 
+    void skipGap(Home& home, LogOffset first)
+    {
+        bool wasOwned = home.shard_.epoch_.value_ != 0;
+        logEvent("log_gap",
+            { { "shard", streamOf(home.shard_.ledger_.shard_) },
+                { "offset", std::to_string(first.value_) } });
+        carryOutAll(home, startBeyondGap(home.shard_, first));
+        if (wasOwned)
+            home.wantsOwnership_ = !home.waiting_.empty();
+    }
+
     void foldEntry(Home& home, const LogEntry& entry)
     {
         auto batch = parseBatch(entry.data_);
@@ -207,6 +225,20 @@
         home.retryDelay_ = std::min(2 * home.retryDelay_, longestRetry);
     }
 
+    // The ledger of a shard that another VM owns is read again when it is needed.
+    void forgetUnused(Home& home)
+    {
+        const Shard& shard = home.shard_;
+        bool isUsed = shard.epoch_.value_ != 0 || home.wantsOwnership_ || shard.inFlight_ || home.isBusy_
+            || !home.waiting_.empty();
+        if (isUsed)
+            home.usedAt_ = monotonicNow();
+        if (isUsed || shard.ledger_.readTo_.value_ == 0 || monotonicNow() - home.usedAt_ < forgetAfter)
+            return;
+        forgetState(home.shard_);
+        home.needsRead_ = true;
+    }
+
     void giveUpWaiting(Home& home)
     {
         auto patience = options_.claimPatience_;
@@ -265,7 +297,8 @@
     HomePtr home = impl_->homeOf(shard);
     std::lock_guard<std::mutex> lock(home->mutex_);
     const Shard& state = home->shard_;
-    bool isQuiet = state.outbox_.empty() && !state.inFlight_ && home->waiting_.empty();
+    bool isQuiet = state.outbox_.empty() && !state.inFlight_ && home->waiting_.empty()
+        && state.heldRefusals_.empty() && state.inFlightRefusals_.empty();
     for (const auto& [program, active] : state.active_)
         isQuiet = isQuiet && !active.running_;
     return isQuiet;
@@ -284,6 +317,7 @@
         std::lock_guard<std::mutex> lock(home->mutex_);
         impl_->carryOutAll(*home, shardTick(home->shard_, impl_->context()));
         impl_->giveUpWaiting(*home);
+        impl_->forgetUnused(*home);
         impl_->pump(home);
     }
 }
@@ -297,6 +331,24 @@
     }
 }
 
+void ShardHomes::handOver(const ShardKey& shard)
+{
+    HomePtr home = impl_->homeOf(shard);
+    std::lock_guard<std::mutex> lock(home->mutex_);
+    prepareHandOver(home->shard_);
+    impl_->pump(home);
+}
+
+void ShardHomes::handOverAll()
+{
+    for (const HomePtr& home : impl_->all()) {
+        std::lock_guard<std::mutex> lock(home->mutex_);
+        prepareHandOver(home->shard_);
+        home->shard_.isUrgent_ = true;
+        impl_->pump(home);
+    }
+}
+
 void ShardHomes::inspect(const ShardKey& shard, const Inspect& look) const
 {
     HomePtr home = impl_->homeOf(shard);
@@ -314,7 +366,8 @@
         row.programs_ = shard.ledger_.programs_.size() - shard.ledger_.ended_.size();
         for (const auto& [program, active] : shard.active_)
             row.running_ += active.running_ ? 1 : 0;
-        row.unconfirmed_ = shard.outbox_.size() + (shard.inFlight_ ? shard.inFlight_->records_.size() : 0);
+        row.unconfirmed_ = shard.outbox_.size() + shard.heldRefusals_.size()
+            + (shard.inFlight_ ? 1 + shard.inFlight_->records_.size() : 0);
         row.isLogDown_ = shard.isLogDown_;
         rows.push_back(std::move(row));
     }
--- a/src/ShardHome.h
+++ b/src/ShardHome.h
@@ -72,6 +72,11 @@
     /** Appends what is gathered without waiting for the flush interval. */
     void flushNow();
 
+    /** Gives the unspent budget of a shard that is about to move back to the log; see `prepareHandOver`. */
+    void handOver(const ShardKey& shard);
+    /** `handOver` for every shard, and `flushNow`; for a process that drains. */
+    void handOverAll();
+
     void inspect(const ShardKey& shard, const Inspect& look) const;
     /** Status of every shard that this VM has dealt with. */
     std::vector<ShardStatus> status() const;
--- a/src/ShardLog.cpp
+++ b/src/ShardLog.cpp
@@ -81,7 +81,12 @@
         return {};
     }
 
-    Effects confirmed(Shard&, const TrancheReturned&, const ShardContext&) { return {}; }
+    Effects confirmed(Shard& shard, const TrancheReturned& back, const ShardContext&)
+    {
+        if (ActiveProgram* active = activeOf(shard, back.program_))
+            active->ungranted_ += back.amount_;
+        return {};
+    }
 
     Effects confirmed(Shard& shard, const ProgramEnded& ended, const ShardContext&)
     {
--- /dev/null
+++ b/test/correctness/ShardBudgets.cpp
@@ -0,0 +1,118 @@
+// A program's budget holds over owners, children and moves, and is not lost by them either.
+
+#include "ShardBench.h"
+#include "Suite.h"
+
+using namespace fescue;
+using namespace fescue::test;
+
+class ShardBudgets : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ShardBudgets);
+    CPPUNIT_TEST(programOnItsWayToTheLogHasItsWholeBudget);
+    CPPUNIT_TEST(childGivesBackWhatItDidNotSpendOnce);
+    CPPUNIT_TEST(useBeyondTheReservationIsGrantedToo);
+    CPPUNIT_TEST(plannedMoveLosesNoBudget);
+    CPPUNIT_TEST(lostOwnerCountsAsHavingSpentItsTranche);
+    CPPUNIT_TEST(restingProgramKeepsItsTranche);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { bench_.claim(a_); }
+    void programOnItsWayToTheLogHasItsWholeBudget();
+    void childGivesBackWhatItDidNotSpendOnce();
+    void useBeyondTheReservationIsGrantedToo();
+    void plannedMoveLosesNoBudget();
+    void lostOwnerCountsAsHavingSpentItsTranche();
+    void restingProgramKeepsItsTranche();
+
+private:
+    std::int64_t granted(const BenchOwner& owner, const std::string& program)
+    {
+        return owner.shard_.ledger_.programs_.at({ program }).granted_.value_;
+    }
+
+    ShardBench bench_;
+    BenchOwner a_ { "a" };
+    BenchOwner b_ { "b" };
+};
+
+REGISTER_SUITE(ShardBudgets);
+
+void ShardBudgets::programOnItsWayToTheLogHasItsWholeBudget()
+{
+    bench_.create(a_, "p", 100000);
+    CHECK(!ShardBench::find<ReplyProblem>(bench_.call(a_, "p", 1, CallKind::Model, 50000)));
+    CHECK(ShardBench::find<ExecuteCall>(bench_.flush(a_)));
+}
+
+void ShardBudgets::childGivesBackWhatItDidNotSpendOnce()
+{
+    bench_.limits_.trancheSize_ = { 10000 };
+    bench_.create(a_, "parent", 10000);
+    bench_.limits_.trancheSize_ = { 100 };
+    bench_.create(a_, "child", 8000, "parent");
+    bench_.flush(a_);
+    auto run = bench_.call(a_, "child", 1, CallKind::Model, 60);
+    bench_.executed(a_, run, ExecutionResult::Kind::Answered, 60);
+    bench_.end(a_, "child");
+    bench_.end(a_, "child");
+    bench_.flush(a_);
+    CHECK_EQUAL(std::int64_t { 10000 - 7940 }, granted(a_, "parent"));
+    CHECK_EQUAL(std::int64_t { 7940 }, a_.shard_.active_[{ "parent" }].ungranted_.value_);
+}
+
+void ShardBudgets::useBeyondTheReservationIsGrantedToo()
+{
+    bench_.limits_.trancheSize_ = { 100 };
+    bench_.create(a_, "p", 1000);
+    bench_.flush(a_);
+    auto run = bench_.call(a_, "p", 1, CallKind::Model, 90);
+    bench_.executed(a_, run, ExecutionResult::Kind::Answered, 250);
+    bench_.flush(a_);
+    CHECK_EQUAL(std::int64_t { 250 }, granted(a_, "p"));
+    CHECK_EQUAL(std::int64_t { 0 }, a_.shard_.active_[{ "p" }].trancheLeft_.value_);
+}
+
+void ShardBudgets::plannedMoveLosesNoBudget()
+{
+    bench_.create(a_, "p", 16384);
+    bench_.create(a_, "resting", 16384);
+    bench_.flush(a_);
+    bench_.now_ += bench_.limits_.restAfter_;
+    bench_.call(a_, "p", 2, CallKind::Model, 1);
+    shardTick(a_.shard_, bench_.context());
+    CHECK_EQUAL(std::size_t { 1 }, a_.shard_.resting_.size());
+    prepareHandOver(a_.shard_);
+    prepareHandOver(a_.shard_);
+    bench_.flush(a_);
+    bench_.claim(b_);
+    for (const char* program : { "p", "resting" }) {
+        CHECK_EQUAL(std::int64_t { 0 }, granted(b_, program));
+        bench_.call(b_, program, 1, CallKind::Model, 16000);
+        CHECK(ShardBench::find<ExecuteCall>(bench_.flush(b_)));
+    }
+}
+
+void ShardBudgets::lostOwnerCountsAsHavingSpentItsTranche()
+{
+    bench_.create(a_, "p", 20000);
+    bench_.flush(a_);
+    bench_.claim(b_);
+    prepareHandOver(a_.shard_);
+    bench_.land(a_);
+    bench_.read(b_);
+    CHECK_EQUAL(std::int64_t { 16384 }, granted(b_, "p"));
+    auto refusal = bench_.call(b_, "p", 1, CallKind::Model, 16000);
+    CHECK(ShardBench::need<ReplyProblem>(refusal).problem_.kind_ == ProblemKind::BudgetExceeded);
+}
+
+void ShardBudgets::restingProgramKeepsItsTranche()
+{
+    bench_.create(a_, "p");
+    bench_.flush(a_);
+    bench_.now_ += bench_.limits_.restAfter_;
+    shardTick(a_.shard_, bench_.context());
+    CHECK(a_.shard_.active_.empty());
+    CHECK(ShardBench::find<ExecuteCall>(bench_.call(a_, "p", 1, CallKind::Model, 16000)));
+    CHECK(a_.shard_.resting_.empty());
+}
--- /dev/null
+++ b/test/correctness/ShardRefusals.cpp
@@ -0,0 +1,158 @@
+// What a refusal says about whether the call ran is true, and each caller gets one.
+
+#include "ShardBench.h"
+#include "Suite.h"
+
+using namespace fescue;
+using namespace fescue::test;
+
+class ShardRefusals : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ShardRefusals);
+    CPPUNIT_TEST(repeatableCallThatFailedIsNotToldAsNotRun);
+    CPPUNIT_TEST(atMostOnceCallIsRefusedOnceTheLogProvesOwnership);
+    CPPUNIT_TEST(unprovenRefusalSaysUnknown);
+    CPPUNIT_TEST(lostOwnershipSaysUnknown);
+    CPPUNIT_TEST(everyCallerOfACallWithoutBudgetIsAnswered);
+    CPPUNIT_TEST(withdrawnCallRunsWhenSentAgain);
+    CPPUNIT_TEST(abandonedCallIsWithdrawnAndRunsWhenSentAgain);
+    CPPUNIT_TEST(calledOffCallOfAnEndedProgramIsNotToldAsNotRun);
+    CPPUNIT_TEST(fullOutboxRefusesByBytes);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        bench_.claim(a_);
+        bench_.create(a_, "p");
+        bench_.flush(a_);
+    }
+    void repeatableCallThatFailedIsNotToldAsNotRun();
+    void atMostOnceCallIsRefusedOnceTheLogProvesOwnership();
+    void unprovenRefusalSaysUnknown();
+    void lostOwnershipSaysUnknown();
+    void everyCallerOfACallWithoutBudgetIsAnswered();
+    void withdrawnCallRunsWhenSentAgain();
+    void abandonedCallIsWithdrawnAndRunsWhenSentAgain();
+    void calledOffCallOfAnEndedProgramIsNotToldAsNotRun();
+    void fullOutboxRefusesByBytes();
+
+private:
+    ShardBench bench_;
+    BenchOwner a_ { "a" };
+    BenchOwner b_ { "b" };
+};
+
+REGISTER_SUITE(ShardRefusals);
+
+namespace {
+
+using Kind = ExecutionResult::Kind;
+
+void checkRefused(const Effects& effects, ProblemKind kind, RunState run)
+{
+    const Problem& problem = ShardBench::need<ReplyProblem>(effects).problem_;
+    CHECK_EQUAL(std::string(nameOf(kind)), std::string(nameOf(problem.kind_)));
+    CHECK_EQUAL(std::string(nameOf(run)), std::string(nameOf(problem.run_)));
+}
+
+} // namespace
+
+void ShardRefusals::repeatableCallThatFailedIsNotToldAsNotRun()
+{
+    bench_.executed(a_, bench_.call(a_, "p", 1, CallKind::RepeatableService), Kind::Failed);
+    auto again = bench_.call(a_, "p", 1, CallKind::RepeatableService);
+    checkRefused(bench_.executed(a_, again, Kind::NotRun), ProblemKind::TargetFailed, RunState::Unknown);
+    checkRefused(
+        bench_.call(a_, "p", 2, CallKind::RepeatableService), ProblemKind::CallOutOfOrder, RunState::NotRun);
+}
+
+void ShardRefusals::atMostOnceCallIsRefusedOnceTheLogProvesOwnership()
+{
+    CHECK(bench_.call(a_, "p", 3).empty());
+    checkRefused(bench_.flush(a_), ProblemKind::CallOutOfOrder, RunState::NotRun);
+}
+
+void ShardRefusals::unprovenRefusalSaysUnknown()
+{
+    bench_.call(a_, "p", 3);
+    bench_.now_ += bench_.limits_.confirmationPatience_;
+    checkRefused(shardTick(a_.shard_, bench_.context()), ProblemKind::CallOutOfOrder, RunState::Unknown);
+    a_.shard_.isLogDown_ = true;
+    checkRefused(bench_.call(a_, "p", 1), ProblemKind::LogUnavailable, RunState::Unknown);
+}
+
+void ShardRefusals::lostOwnershipSaysUnknown()
+{
+    bench_.call(a_, "p", 3);
+    bench_.claim(b_);
+    checkRefused(bench_.read(a_), ProblemKind::NotOwner, RunState::Unknown);
+    bench_.call(b_, "p", 3);
+    bench_.land(b_);
+    bench_.log_.pop_back();
+    bench_.claim(a_);
+    checkRefused(bench_.read(b_), ProblemKind::NotOwner, RunState::Unknown);
+}
+
+void ShardRefusals::everyCallerOfACallWithoutBudgetIsAnswered()
+{
+    bench_.create(a_, "small", 20000);
+    bench_.flush(a_);
+    auto first = bench_.call(a_, "small", 1, CallKind::Model, 16384);
+    bench_.executed(a_, first, Kind::Failed, 16384);
+    bench_.call(a_, "small", 1, CallKind::Model, 3000);
+    bench_.call(a_, "small", 1, CallKind::Model, 3000);
+    a_.shard_.active_[{ "small" }].running_->reserved_ = { 5000 };
+    auto effects = bench_.flush(a_);
+    checkRefused(effects, ProblemKind::BudgetExceeded, RunState::Unknown);
+    CHECK_EQUAL(std::size_t { 2 }, ShardBench::need<ReplyProblem>(effects).requests_.size());
+}
+
+void ShardRefusals::withdrawnCallRunsWhenSentAgain()
+{
+    bench_.call(a_, "p", 1);
+    bench_.land(a_);
+    bench_.now_ += bench_.limits_.intentSendWindow_;
+    checkRefused(bench_.read(a_), ProblemKind::LogUnavailable, RunState::NotRun);
+    bench_.call(a_, "p", 1);
+    auto effects = bench_.flush(a_);
+    CHECK(ShardBench::find<ExecuteCall>(effects));
+    checkRefused(bench_.executed(a_, effects, Kind::NotRun), ProblemKind::TargetFailed, RunState::NotRun);
+    bench_.call(a_, "p", 1);
+    CHECK(ShardBench::find<ExecuteCall>(bench_.flush(a_)));
+}
+
+void ShardRefusals::abandonedCallIsWithdrawnAndRunsWhenSentAgain()
+{
+    bench_.call(a_, "p", 1);
+    bench_.land(a_);
+    bench_.now_ += bench_.limits_.confirmationPatience_;
+    checkRefused(shardTick(a_.shard_, bench_.context()), ProblemKind::LogUnavailable, RunState::Unknown);
+    CHECK(bench_.read(a_).empty());
+    bench_.call(a_, "p", 1);
+    CHECK(ShardBench::find<ExecuteCall>(bench_.flush(a_)));
+}
+
+void ShardRefusals::calledOffCallOfAnEndedProgramIsNotToldAsNotRun()
+{
+    bench_.call(a_, "p", 1, CallKind::RepeatableService);
+    bench_.end(a_, "p");
+    bench_.flush(a_);
+    checkRefused(
+        bench_.call(a_, "p", 1, CallKind::RepeatableService), ProblemKind::ProgramEnded, RunState::Unknown);
+}
+
+void ShardRefusals::fullOutboxRefusesByBytes()
+{
+    bench_.limits_.outboxBytes_ = { 1000 };
+    bench_.limits_.batchBytes_ = { 500 };
+    for (std::uint32_t number = 1; number <= 4; ++number) {
+        auto effects = bench_.call(a_, "p", number, CallKind::RepeatableService);
+        bench_.executed(a_, effects, Kind::Answered);
+    }
+    checkRefused(
+        bench_.call(a_, "p", 5, CallKind::RepeatableService), ProblemKind::LogUnavailable, RunState::NotRun);
+    std::size_t before = bench_.log_.size();
+    bench_.flush(a_);
+    CHECK_EQUAL(before + 2, bench_.log_.size());
+    CHECK_EQUAL(std::int64_t { 0 }, a_.shard_.outboxBytes_.value_);
+}
--- /dev/null
+++ b/test/correctness/ShardTakeOver.cpp
@@ -0,0 +1,173 @@
+// A new owner goes on from what the log holds, also where older records have aged out.
+
+#include "ShardBench.h"
+#include "Suite.h"
+
+using namespace fescue;
+using namespace fescue::test;
+
+class ShardTakeOver : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ShardTakeOver);
+    CPPUNIT_TEST(thirdOwnerWaitsForTheFirst);
+    CPPUNIT_TEST(unusedProgramsOfAnEarlierOwnerEnd);
+    CPPUNIT_TEST(ledgerSurvivesItsText);
+    CPPUNIT_TEST(readerBeyondAGapGoesOnFromTheSnapshot);
+    CPPUNIT_TEST(withoutASnapshotNothingOfBeforeRuns);
+    CPPUNIT_TEST(ownerThatWasAwayTooLongIsNone);
+    CPPUNIT_TEST(snapshotsComeByCountAndByTime);
+    CPPUNIT_TEST(forgottenShardIsReadAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        bench_.claim(a_);
+        bench_.create(a_, "p");
+        bench_.flush(a_);
+    }
+    void thirdOwnerWaitsForTheFirst();
+    void unusedProgramsOfAnEarlierOwnerEnd();
+    void ledgerSurvivesItsText();
+    void readerBeyondAGapGoesOnFromTheSnapshot();
+    void withoutASnapshotNothingOfBeforeRuns();
+    void ownerThatWasAwayTooLongIsNone();
+    void snapshotsComeByCountAndByTime();
+    void forgottenShardIsReadAgain();
+
+private:
+    std::size_t snapshots() const
+    {
+        std::size_t count = 0;
+        for (const Batch& batch : bench_.log_) {
+            for (const RecordBody& body : batch.records_)
+                count += std::holds_alternative<ShardSnapshot>(body) ? 1 : 0;
+        }
+        return count;
+    }
+    void tick(BenchOwner& owner)
+    {
+        shardTick(owner.shard_, bench_.context());
+        bench_.flush(owner);
+    }
+
+    ShardBench bench_;
+    BenchOwner a_ { "a" };
+    BenchOwner b_ { "b" };
+    BenchOwner c_ { "c" };
+};
+
+REGISTER_SUITE(ShardTakeOver);
+
+void ShardTakeOver::thirdOwnerWaitsForTheFirst()
+{
+    bench_.call(a_, "p", 1);
+    auto sendBefore = *ShardBench::need<ExecuteCall>(bench_.flush(a_)).sendBefore_;
+    bench_.claim(b_);
+    tick(b_);
+    bench_.claim(c_);
+    bench_.call(c_, "p", 2);
+    auto refusal = bench_.flush(c_);
+    CHECK(ShardBench::need<ReplyProblem>(refusal).problem_.kind_ == ProblemKind::HomeUnreachable);
+    bench_.now_ += bench_.limits_.intentSendWindow_ + bench_.limits_.successorMargin_;
+    CHECK(bench_.now_ > sendBefore);
+    bench_.call(c_, "p", 2);
+    CHECK(ShardBench::find<ExecuteCall>(bench_.flush(c_)));
+    auto repeat = bench_.call(c_, "p", 1);
+    CHECK(ShardBench::need<ReplyOutcome>(repeat).outcome_.run_ == RunState::Unknown);
+}
+
+void ShardTakeOver::unusedProgramsOfAnEarlierOwnerEnd()
+{
+    bench_.claim(b_);
+    bench_.now_ += bench_.limits_.programIdle_;
+    tick(b_);
+    CHECK(b_.shard_.ledger_.programs_.at({ "p" }).ended_);
+}
+
+void ShardTakeOver::ledgerSurvivesItsText()
+{
+    auto run = bench_.call(a_, "p", 1, CallKind::Model, 10);
+    bench_.executed(a_, run, ExecutionResult::Kind::Answered, 10);
+    bench_.call(a_, "p", 2);
+    bench_.create(a_, "child", 10, "p");
+    bench_.create(a_, "over");
+    bench_.end(a_, "over");
+    bench_.flush(a_);
+    std::string text = toJsonText(a_.shard_.ledger_);
+    CHECK_EQUAL(text, toJsonText(*parseLedger(text)));
+    CHECK(!parseLedger("{}"));
+}
+
+void ShardTakeOver::readerBeyondAGapGoesOnFromTheSnapshot()
+{
+    bench_.call(a_, "p", 1);
+    bench_.flush(a_);
+    tick(a_);
+    bench_.agedOut_ = bench_.log_.size() - 1;
+    bench_.create(a_, "q");
+    bench_.flush(a_);
+    bench_.claim(b_);
+    bench_.read(a_);
+    CHECK_EQUAL(toJsonText(a_.shard_.ledger_), toJsonText(b_.shard_.ledger_));
+    CHECK(b_.shard_.ledger_.complete_);
+    auto repeat = bench_.call(b_, "p", 1);
+    CHECK(ShardBench::need<ReplyOutcome>(repeat).outcome_.run_ == RunState::Unknown);
+}
+
+void ShardTakeOver::withoutASnapshotNothingOfBeforeRuns()
+{
+    bench_.agedOut_ = bench_.log_.size();
+    bench_.claim(a_);
+    bench_.create(a_, "p");
+    bench_.flush(a_);
+    bench_.claim(b_);
+    CHECK(b_.shard_.epoch_.value_ != 0);
+    auto refusal = bench_.call(b_, "p", 1);
+    CHECK(ShardBench::need<ReplyProblem>(refusal).problem_.kind_ == ProblemKind::OutcomeUnknown);
+    bench_.create(b_, "new");
+    bench_.call(b_, "new", 1);
+    CHECK(ShardBench::find<ExecuteCall>(bench_.flush(b_)));
+    tick(b_);
+    bench_.agedOut_ = bench_.log_.size() - 1;
+    bench_.claim(c_);
+    CHECK(!c_.shard_.ledger_.complete_);
+    CHECK_EQUAL(std::size_t { 1 }, c_.shard_.ledger_.programs_.count({ "new" }));
+}
+
+void ShardTakeOver::ownerThatWasAwayTooLongIsNone()
+{
+    bench_.claim(b_);
+    tick(b_);
+    bench_.agedOut_ = bench_.log_.size() - 1;
+    bench_.call(a_, "p", 3);
+    auto effects = startBeyondGap(a_.shard_, { bench_.agedOut_ + 1 });
+    CHECK(ShardBench::need<ReplyProblem>(effects).problem_.run_ == RunState::Unknown);
+    CHECK_EQUAL(std::uint64_t { 0 }, a_.shard_.epoch_.value_);
+}
+
+void ShardTakeOver::snapshotsComeByCountAndByTime()
+{
+    tick(a_);
+    CHECK_EQUAL(std::size_t { 1 }, snapshots());
+    tick(a_);
+    CHECK_EQUAL(std::size_t { 1 }, snapshots());
+    bench_.now_ += bench_.limits_.snapshotInterval_;
+    tick(a_);
+    CHECK_EQUAL(std::size_t { 2 }, snapshots());
+    bench_.limits_.snapshotEntries_ = 1;
+    tick(a_);
+    CHECK_EQUAL(std::size_t { 3 }, snapshots());
+}
+
+void ShardTakeOver::forgottenShardIsReadAgain()
+{
+    bench_.claim(b_);
+    bench_.read(a_);
+    std::string before = toJsonText(a_.shard_.ledger_);
+    forgetState(a_.shard_);
+    CHECK(a_.shard_.ledger_.programs_.empty());
+    bench_.read(a_);
+    CHECK_EQUAL(before, toJsonText(a_.shard_.ledger_));
+    bench_.claim(a_);
+    CHECK(a_.shard_.epoch_.value_ != 0);
+}
--- /dev/null
+++ b/test/support/ShardBench.h
@@ -0,0 +1,129 @@
+#pragma once
+
+/** \file
+ * ShardBench: one or more owners of a shard over a log in memory, for tests that script each step.
+ */
+
+#include "AdmitCall.h"
+#include "FinishCall.h"
+#include "LedgerSnapshot.h"
+#include "ProgramLife.h"
+#include "ShardLog.h"
+
+#include <cppunit/TestAssert.h>
+
+namespace fescue::test {
+
+/** A process that may own the shard, with the effects that it was given last. */
+struct BenchOwner {
+    std::string name_;
+    Shard shard_ {};
+};
+
+/** The log, the time and short forms of the decisions. Not safe for several threads. */
+class ShardBench {
+public:
+    ShardLimits limits_;
+    MonotonicTime now_;
+    std::vector<Batch> log_;
+    std::size_t agedOut_ = 0;
+
+    ShardContext context() const { return { now_, limits_ }; }
+
+    /** Appends what the owner has to append; the owner does not learn of it yet. */
+    bool land(BenchOwner& owner)
+    {
+        auto batch = takeBatch(owner.shard_, { owner.name_ }, limits_.batchBytes_);
+        if (batch)
+            log_.push_back(*batch);
+        return batch.has_value();
+    }
+
+    /** Reads all that is in the log. */
+    Effects read(BenchOwner& owner)
+    {
+        Effects effects;
+        if (owner.shard_.ledger_.readTo_.value_ < agedOut_)
+            effects = startBeyondGap(owner.shard_, { agedOut_ + 1 });
+        while (owner.shard_.ledger_.readTo_.value_ < log_.size()) {
+            LogOffset offset { owner.shard_.ledger_.readTo_.value_ + 1 };
+            for (Effect& effect : entryRead(owner.shard_, offset, log_[offset.value_ - 1], context()))
+                effects.push_back(std::move(effect));
+        }
+        return effects;
+    }
+
+    Effects flush(BenchOwner& owner)
+    {
+        Effects effects;
+        while (land(owner)) {
+            for (Effect& effect : read(owner))
+                effects.push_back(std::move(effect));
+        }
+        return effects;
+    }
+
+    void claim(BenchOwner& owner)
+    {
+        owner.shard_.ledger_.shard_ = { { "zone" }, { 0 } };
+        read(owner);
+        takeClaim(owner.shard_, { owner.name_ }, { owner.name_ });
+        flush(owner);
+    }
+
+    Effects create(BenchOwner& owner, const std::string& program, std::int64_t budget = 1000000,
+        const std::string& parent = {})
+    {
+        return createProgram(
+            owner.shard_, { { ++request_ }, { program }, { "w" }, { parent }, { budget } }, context());
+    }
+
+    Effects end(BenchOwner& owner, const std::string& program)
+    {
+        return endProgram(owner.shard_, { { ++request_ }, { "w" }, { program }, "ended" }, context());
+    }
+
+    /** A call of a service, or of a model with `maxTokens`. */
+    Effects call(BenchOwner& owner, const std::string& program, std::uint32_t number,
+        CallKind kind = CallKind::AtMostOnceService, std::int64_t maxTokens = 0)
+    {
+        Call call { { ++request_ }, { "w" }, { program }, { number }, kind, "f" + std::to_string(number),
+            R"([{"role":"user","content":"hello"}])", {}, { maxTokens } };
+        return callArrived(owner.shard_, call, context());
+    }
+
+    Effects executed(
+        BenchOwner& owner, const Effects& effects, ExecutionResult::Kind kind, std::int64_t used = 0)
+    {
+        const auto& execute = need<ExecuteCall>(effects);
+        ExecutionResult result;
+        result.kind_ = kind;
+        result.outcome_ = { 200, "text/plain", "done", RunState::Final };
+        result.problem_ = { ProblemKind::TargetFailed, RunState::NotRun, "failed", std::nullopt };
+        result.used_ = { used };
+        return callExecuted(owner.shard_, execute.call_.program_, execute.execution_, result, context());
+    }
+
+    /** The first effect of a kind, or null. */
+    template <typename Kind> static const Kind* find(const Effects& effects)
+    {
+        for (const Effect& effect : effects) {
+            if (const auto* found = std::get_if<Kind>(&effect))
+                return found;
+        }
+        return nullptr;
+    }
+
+    /** The first effect of a kind; the test fails when there is none. */
+    template <typename Kind> static const Kind& need(const Effects& effects)
+    {
+        const Kind* found = find<Kind>(effects);
+        CPPUNIT_ASSERT_MESSAGE("an effect is missing", found);
+        return *found;
+    }
+
+private:
+    std::uint64_t request_ = 0;
+};
+
+} // namespace fescue::test
--- a/test/support/ShardWorld.cpp
+++ b/test/support/ShardWorld.cpp
@@ -81,6 +81,8 @@
     case 4:
         return create(owner, step.a_);
     case 5:
+        if (step.b_ % 16 == 1)
+            prepareHandOver(owner.shard_);
         return step.b_ % 16 == 0 ? end(owner, step.a_) : tick(owner);
     case 6:
         return claim(owner);
@@ -127,8 +129,8 @@
 Call ShardWorld::makeCall(const Client& client, int a, int b)
 {
     static constexpr std::array<int, 8> distances { 1, 1, 1, 1, 1, 0, 2, -1 };
-    auto number = std::max<std::int64_t>(
-        client.last_.value_ + distances[static_cast<std::size_t>(a / 8 % 8)], 1);
+    auto number
+        = std::max<std::int64_t>(client.last_.value_ + distances[static_cast<std::size_t>(a / 8 % 8)], 1);
     Call call;
     call.request_ = nextRequest();
     call.workspace_ = workspace;
@@ -243,7 +245,8 @@
     Batch landed = batch;
     if (mutant_ == Mutant::MixesHistories) {
         for (RecordBody& body : landed.records_) {
-            if (auto* finished = std::get_if<CallFinished>(&body); finished && !finished->newMessages_.empty())
+            if (auto* finished = std::get_if<CallFinished>(&body);
+                finished && !finished->newMessages_.empty())
                 finished->newMessages_ = json::array({ message("user", { "other" }, "text") }).dump();
         }
     }
@@ -283,8 +286,7 @@
 {
     const Batch& batch = log_[offset.value_ - 1].batch_;
     bool isForeignClaim = batch.epoch_.value_ == 0 && batch.writer_ != owner.writer_;
-    bool isHidden
-        = mutant_ == Mutant::HidesClaims && isForeignClaim && owner.shard_.epoch_.value_ != 0;
+    bool isHidden = mutant_ == Mutant::HidesClaims && isForeignClaim && owner.shard_.epoch_.value_ != 0;
     bool isSkipped = mutant_ == Mutant::SkipsEntries && offset.value_ % 7 == 0 && !isForeignClaim;
     if (isHidden || isSkipped) {
         owner.shard_.ledger_.readTo_ = offset;
@@ -299,8 +301,8 @@
 // How many entries have aged out.
 std::size_t ShardWorld::firstKept() const
 {
-    auto kept = std::find_if(log_.begin(), log_.end(),
-        [this](const Entry& entry) { return now_ - entry.landedAt_ < retention; });
+    auto kept = std::find_if(
+        log_.begin(), log_.end(), [this](const Entry& entry) { return now_ - entry.landedAt_ < retention; });
     return static_cast<std::size_t>(kept - log_.begin());
 }
 
@@ -321,8 +323,9 @@
     result.problem_ = { ProblemKind::LogUnavailable, RunState::NotRun, "too late", std::nullopt };
     Execution refused = std::move(*execution);
     owner.executions_.erase(owner.executions_.begin() + (execution - owner.executions_.data()));
-    carryOut(owner, callExecuted(owner.shard_, refused.execute_.call_.program_, refused.execute_.execution_,
-                        result, context()));
+    carryOut(owner,
+        callExecuted(
+            owner.shard_, refused.execute_.call_.program_, refused.execute_.execution_, result, context()));
     if (mutant_ == Mutant::SendsRefused)
         oracle_.sent(refused.execute_);
 }
@@ -358,8 +361,8 @@
     } else {
         oracle_.ran(*execution.sending_, {});
     }
-    carryOut(owner,
-        callExecuted(owner.shard_, call.program_, execution.execute_.execution_, result, context()));
+    carryOut(
+        owner, callExecuted(owner.shard_, call.program_, execution.execute_.execution_, result, context()));
 }
 
 void ShardWorld::tick(Owner& owner) { carryOut(owner, shardTick(owner.shard_, context())); }
@@ -439,10 +442,8 @@
 // A cancelled call that was not sent never is; one that was sent counts with all that it reserved.
 void ShardWorld::take(Owner& owner, const CancelCall& cancel)
 {
-    auto found = std::find_if(
-        owner.executions_.begin(), owner.executions_.end(), [&cancel](const Execution& execution) {
-            return execution.execute_.execution_ == cancel.execution_;
-        });
+    auto found = std::find_if(owner.executions_.begin(), owner.executions_.end(),
+        [&cancel](const Execution& execution) { return execution.execute_.execution_ == cancel.execution_; });
     if (found != owner.executions_.end())
         owner.executions_.erase(found);
 }
