Answer repeats of older calls from the log, and let abandoned calls end with their program

A ledger keeps the log offset of each finished call (8 bytes); a repeat beyond the four that are held is read from there, or told as outcome-unknown when it has aged out. Before, it said that the call was final without its answer. A call that waited too long for the log kept its program from ending while the log was down.

--- a/src/AdmitCall.cpp
+++ b/src/AdmitCall.cpp
@@ -32,19 +32,39 @@
         return found == active.recent_.end() ? nullptr : &*found;
     }
 
+    std::string reusedNumber(const Call& call)
+    {
+        return "call " + std::to_string(call.number_.value_)
+            + " was sent before with another content; give the new content the next call number";
+    }
+
     Effects refuseReusedNumber(const ActiveProgram& active, const Call& call)
     {
-        return refuse(call, ProblemKind::CallKeyReused, refusedRunState(active, call),
-            "call " + std::to_string(call.number_.value_)
-                + " was sent before with another content; give the new content the next call number");
+        return refuse(call, ProblemKind::CallKeyReused, refusedRunState(active, call), reusedNumber(call));
+    }
+
+    Effects refuseOldRepeat(const Call& call)
+    {
+        return refuse(call, ProblemKind::AnswerNoLongerHeld, RunState::Unknown,
+            "the call number is taken by a call that has finished, and its answer is no longer held; go on "
+            "from the program's history");
     }
 
-    Effects answerRepeat(const ActiveProgram& active, const Call& call)
+    Effects answerOldRepeat(const Shard& shard, const ActiveProgram& active, const Call& call)
+    {
+        auto known = shard.ledger_.programs_.find(call.program_);
+        if (known == shard.ledger_.programs_.end() || call.number_.value_ == 0
+            || call.number_.value_ > known->second.offsets_.size())
+            return refuseOldRepeat(call);
+        return { ReplyFromLog {
+            call, known->second.offsets_[call.number_.value_ - 1], active.durableCall_ } };
+    }
+
+    Effects answerRepeat(const Shard& shard, const ActiveProgram& active, const Call& call)
     {
         const FinishedCall* finished = findFinished(active, call.number_);
         if (!finished)
-            return refuse(call, ProblemKind::AnswerNoLongerHeld, RunState::Unknown,
-                "the call has finished and its answer is no longer held; it is in the program's history");
+            return answerOldRepeat(shard, active, call);
         if (finished->fingerprint_ != call.fingerprint_)
             return refuseReusedNumber(active, call);
         return { ReplyOutcome { { call.request_ }, finished->outcome_, active.durableCall_ } };
@@ -149,7 +169,7 @@
         active->lastUse_ = context.now_;
         recordClosing(shard, *active, context);
         if (call.number_ <= active->lastCall_)
-            return answerRepeat(*active, call);
+            return answerRepeat(shard, *active, call);
         if (active->running_ && active->running_->call_.number_ == call.number_)
             return joinRunning(*active, call);
         if (auto refusal = refuseByOrder(*active, call, context))
@@ -161,8 +181,28 @@
         return admitServiceCall(shard, *active, call, context);
     }
 
+    const CallFinished* findRecord(const Batch& batch, const Call& call)
+    {
+        for (const RecordBody& body : batch.records_) {
+            const auto* finished = std::get_if<CallFinished>(&body);
+            if (finished && finished->program_ == call.program_ && finished->call_ == call.number_)
+                return finished;
+        }
+        return nullptr;
+    }
+
 } // namespace
 
+Effects answerFromLog(const ReplyFromLog& reply, const std::optional<Batch>& batch)
+{
+    const CallFinished* finished = batch ? findRecord(*batch, reply.call_) : nullptr;
+    if (!finished)
+        return refuseOldRepeat(reply.call_);
+    if (finished->fingerprint_ != reply.call_.fingerprint_)
+        return refuse(reply.call_, ProblemKind::CallKeyReused, RunState::Unknown, reusedNumber(reply.call_));
+    return { ReplyOutcome { { reply.call_.request_ }, finished->outcome_, reply.durableCall_ } };
+}
+
 Effects startWhenFunded(
     Shard& shard, const ProgramId& program, ActiveProgram& active, const ShardContext& context)
 {
--- a/src/AdmitCall.h
+++ b/src/AdmitCall.h
@@ -21,6 +21,10 @@
  * attempts under this VM's epoch. */
 Effects callArrived(Shard& shard, const Call& call, const ShardContext& context);
 
+/** Answers a repeat from the batch that was read at `reply.offset_`; nothing when the log no longer has it.
+ * Pure. */
+Effects answerFromLog(const ReplyFromLog& reply, const std::optional<Batch>& batch);
+
 /** Starts a waiting call whose tranche has come, or asks for the next one. Called by ShardLog. */
 Effects startWhenFunded(
     Shard& shard, const ProgramId& program, ActiveProgram& active, const ShardContext& context);
--- a/src/Ledger.cpp
+++ b/src/Ledger.cpp
@@ -74,6 +74,8 @@
         if (!program || finished.call_ <= program->lastCall_)
             return;
         program->lastCall_ = finished.call_;
+        program->offsets_.resize(finished.call_.value_);
+        program->offsets_.back() = ledger.readTo_;
         program->used_ += finished.used_;
         if (!finished.newMessages_.empty()) {
             program->head_ = finished.head_;
--- a/src/Ledger.h
+++ b/src/Ledger.h
@@ -44,6 +44,7 @@
     CallNumber lastCall_;
     TranscriptHead head_;
     std::deque<FinishedCall> recent_; ///< Newest last, at most `recentCallsKept`.
+    std::vector<LogOffset> offsets_; ///< Where the log has each finished call, from call 1 on.
     std::optional<OpenIntent> intent_;
     bool ended_ = false;
     std::string endReason_;
--- a/src/LedgerSnapshot.cpp
+++ b/src/LedgerSnapshot.cpp
@@ -33,11 +33,15 @@
         json recent = json::array();
         for (const FinishedCall& finished : program.recent_)
             recent.push_back(toJson(finished));
+        json offsets = json::array();
+        for (LogOffset offset : program.offsets_)
+            offsets.push_back(offset.value_);
         json object { { "workspace", program.workspace_.value_ }, { "parent", program.parent_.value_ },
             { "budget", program.budget_.value_ }, { "granted", program.granted_.value_ },
             { "used", program.used_.value_ }, { "context_tokens", program.contextTokens_.value_ },
             { "last_call", program.lastCall_.value_ }, { "messages", program.head_.messages_ },
-            { "digest", program.head_.digest_ }, { "recent", std::move(recent) }, { "ended", program.ended_ },
+            { "digest", program.head_.digest_ }, { "recent", std::move(recent) },
+            { "offsets", std::move(offsets) }, { "ended", program.ended_ },
             { "end_reason", program.endReason_ } };
         if (program.intent_)
             object["intent"] = { { "call", program.intent_->call_.value_ },
@@ -65,6 +69,8 @@
             = { object.at("messages").get<std::uint32_t>(), object.at("digest").get<std::string>() };
         for (const json& finished : object.at("recent"))
             program.recent_.push_back(parseFinished(finished));
+        for (const json& offset : object.at("offsets"))
+            program.offsets_.push_back({ offset.get<std::uint64_t>() });
         program.ended_ = object.at("ended").get<bool>();
         program.endReason_ = object.at("end_reason").get<std::string>();
         auto intent = object.find("intent");
--- a/src/ProgramLife.cpp
+++ b/src/ProgramLife.cpp
@@ -52,7 +52,8 @@
 
     bool isAtMostOnceUnderWay(const ActiveProgram& active)
     {
-        return active.running_ && active.running_->call_.kind_ == CallKind::AtMostOnceService;
+        return active.running_ && !active.running_->abandoned_
+            && active.running_->call_.kind_ == CallKind::AtMostOnceService;
     }
 
     void stopRunning(ActiveProgram& active, const ProgramId& program, Effects& effects)
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -316,6 +316,7 @@
                            for (RequestId request : reply.requests_)
                                requests_.sendOutcome(request, reply.outcome_, reply.durableCall_);
                        },
+                       [](const ReplyFromLog&) { /* ShardHomes answers it from the log. */ },
                        [&](const ReplyProgram& reply) {
                            requests_.sendDocument(reply.request_, 200,
                                nlohmann::json {
--- a/src/Shard.h
+++ b/src/Shard.h
@@ -190,6 +190,13 @@
     Outcome outcome_;
     CallNumber durableCall_;
 };
+/** Answer this request with a finished call that only the log still has, at `offset_`; see
+ * `answerFromLog`. */
+struct ReplyFromLog {
+    Call call_;
+    LogOffset offset_;
+    CallNumber durableCall_;
+};
 /** Answer a program's creation or end. */
 struct ReplyProgram {
     RequestId request_;
@@ -223,8 +230,8 @@
     Epoch epoch_;
 };
 
-using Effect = std::variant<ReplyProblem, ReplyOutcome, ReplyProgram, AttachRequest, ExecuteCall, CancelCall,
-    ReleaseCache>;
+using Effect = std::variant<ReplyProblem, ReplyOutcome, ReplyFromLog, ReplyProgram, AttachRequest,
+    ExecuteCall, CancelCall, ReleaseCache>;
 using Effects = std::vector<Effect>;
 
 /** The active form of a program, loaded from the ledger when needed; null when the program is unknown.
--- a/src/ShardHome.cpp
+++ b/src/ShardHome.cpp
@@ -1,5 +1,6 @@
 #include "ShardHome.h"
 
+#include "AdmitCall.h"
 #include "EventLog.h"
 #include "LedgerSnapshot.h"
 #include "ShardLog.h"
@@ -90,8 +91,30 @@
     // Precondition for all below: the home's lock is held.
     void carryOutAll(Home& home, const Effects& effects)
     {
-        for (const Effect& effect : effects)
-            carryOut_(home.shard_.ledger_.shard_, effect);
+        for (const Effect& effect : effects) {
+            if (const auto* reply = std::get_if<ReplyFromLog>(&effect))
+                replyFromLog(home.shard_.ledger_.shard_, *reply);
+            else
+                carryOut_(home.shard_.ledger_.shard_, effect);
+        }
+    }
+
+    // Beside the shard's own traffic with the log, since nothing of its state depends on the answer.
+    void replyFromLog(const ShardKey& shard, const ReplyFromLog& reply)
+    {
+        readLog(client_, options_.log_, streamOf(shard), reply.offset_, Milliseconds { 0 },
+            [this, shard, reply](const tl::expected<LogPage, LogError>& page) {
+                for (const Effect& effect : answerFromLog(reply, batchAt(page, reply.offset_)))
+                    carryOut_(shard, effect);
+            });
+    }
+
+    static std::optional<Batch> batchAt(const tl::expected<LogPage, LogError>& page, LogOffset offset)
+    {
+        if (!page || page->entries_.empty() || page->entries_.front().offset_ != offset)
+            return std::nullopt;
+        auto batch = parseBatch(page->entries_.front().data_);
+        return batch ? std::optional<Batch>(std::move(*batch)) : std::nullopt;
     }
 
     void decide(Home& home, const Decision& decision) { carryOutAll(home, decision(home.shard_, context())); }
--- a/src/ShardHome.h
+++ b/src/ShardHome.h
@@ -6,7 +6,7 @@
  * A decision (a function of Shard.h's family) is handed in, run under the lock of its shard, and its
  * effects are carried out in the same order. Towards the log each shard has one operation at a time:
  *
- *     not owned --claim--> read up to the claim --> owned --append batch--> ...
+ *     not owned --read--> up to date --claim--> owned --append batch--> ...
  *
  * An append without an answer is followed by a read, which tells whether it took effect.
  */
--- a/test/correctness/ShardRefusals.cpp
+++ b/test/correctness/ShardRefusals.cpp
@@ -17,6 +17,9 @@
     CPPUNIT_TEST(abandonedCallIsWithdrawnAndRunsWhenSentAgain);
     CPPUNIT_TEST(calledOffCallOfAnEndedProgramIsNotToldAsNotRun);
     CPPUNIT_TEST(fullOutboxRefusesByBytes);
+    CPPUNIT_TEST(olderRepeatIsAnsweredFromTheLog);
+    CPPUNIT_TEST(abandonedCallDoesNotKeepItsProgramFromEnding);
+    CPPUNIT_TEST(programOfALogOutageIsUnknownToTheNextOwner);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -35,6 +38,9 @@
     void abandonedCallIsWithdrawnAndRunsWhenSentAgain();
     void calledOffCallOfAnEndedProgramIsNotToldAsNotRun();
     void fullOutboxRefusesByBytes();
+    void olderRepeatIsAnsweredFromTheLog();
+    void abandonedCallDoesNotKeepItsProgramFromEnding();
+    void programOfALogOutageIsUnknownToTheNextOwner();
 
 private:
     ShardBench bench_;
@@ -156,3 +162,45 @@
     CHECK_EQUAL(before + 2, bench_.log_.size());
     CHECK_EQUAL(std::int64_t { 0 }, a_.shard_.outboxBytes_.value_);
 }
+
+void ShardRefusals::olderRepeatIsAnsweredFromTheLog()
+{
+    for (std::uint32_t number = 1; number <= recentCallsKept + 1; ++number) {
+        auto effects = bench_.call(a_, "p", number, CallKind::RepeatableService);
+        bench_.executed(a_, effects, Kind::Answered);
+    }
+    bench_.flush(a_);
+    auto effects = bench_.call(a_, "p", 1, CallKind::RepeatableService);
+    ReplyFromLog reply = ShardBench::need<ReplyFromLog>(effects);
+    const Batch& batch = bench_.log_[reply.offset_.value_ - 1];
+    auto answer = answerFromLog(reply, batch);
+    CHECK_EQUAL(std::string("done"), ShardBench::need<ReplyOutcome>(answer).outcome_.body_);
+    checkRefused(answerFromLog(reply, std::nullopt), ProblemKind::AnswerNoLongerHeld, RunState::Unknown);
+    reply.call_.fingerprint_ = "other";
+    checkRefused(answerFromLog(reply, batch), ProblemKind::CallKeyReused, RunState::Unknown);
+}
+
+void ShardRefusals::abandonedCallDoesNotKeepItsProgramFromEnding()
+{
+    bench_.call(a_, "p", 1);
+    bench_.now_ += bench_.limits_.confirmationPatience_;
+    shardTick(a_.shard_, bench_.context());
+    CHECK(ShardBench::find<ReplyProgram>(bench_.end(a_, "p")));
+    CHECK(!ShardBench::find<ExecuteCall>(bench_.flush(a_)));
+    CHECK(a_.shard_.ledger_.programs_.at({ "p" }).ended_);
+}
+
+// Its caller was told that the program is not durable.
+void ShardRefusals::programOfALogOutageIsUnknownToTheNextOwner()
+{
+    a_.shard_.isLogDown_ = true;
+    CHECK(!ShardBench::need<ReplyProgram>(bench_.create(a_, "late")).isDurable_);
+    CHECK(ShardBench::find<ExecuteCall>(bench_.call(a_, "late", 1, CallKind::Model, 10)));
+    bench_.claim(b_);
+    bench_.flush(a_);
+    bench_.read(b_);
+    checkRefused(
+        bench_.call(b_, "late", 1, CallKind::Model, 10), ProblemKind::UnknownProgram, RunState::Unknown);
+    bench_.read(a_);
+    CHECK_EQUAL(std::size_t { 1 }, a_.shard_.orphans_.size());
+}
