--- a/test/support/Process.h
+++ b/test/support/Process.h
@@ -28,6 +28,7 @@
     /** Sends a signal and waits for the end; returns the exit status, or -signal. */
     int end(int number);
     bool isRunning() const { return id_ > 0; }
+    pid_t id() const { return id_; }
 
 private:
     void readPorts(int output, std::size_t count);
