Judge publications alike in every reader, whatever software it runs

Found and mended: - a publication nested a million deep ended every reader by its recursion (seen: signal 11); depth and size are now bounded while parsing; - a section both set and removed was accepted and removed; it is rejected now; - an unknown member, such as a misspelt one, and a version given as 1.5, true or -1 were taken; rejected now; - readers of two software versions could reach different verdicts for good.

Each check was seen red with one rule taken out of ConfigFold.cpp: version check of changes, of removals, set and removed, depth (signal 11), unknown rules, rules that skip a number, sections taken before the result is checked, type of built_on, version of a removed section forgotten. The check of the size stayed green at first, since the long author was refused anyway; its entry is padded with spaces instead.

--- a/src/ConfigFold.cpp
+++ b/src/ConfigFold.cpp
@@ -1,14 +1,89 @@
 #include "ConfigFold.h"
 
+#include <algorithm>
+
 namespace fescue {
 
 using nlohmann::json;
 
 namespace {
 
+    constexpr std::size_t longestName = 200;
+    constexpr std::size_t longestDetail = 1000;
+    constexpr int deepestNesting = 32;
+
+    // Cuts at the start of a character, since the text goes into JSON documents.
+    std::string shortened(std::string text)
+    {
+        if (text.size() <= longestDetail)
+            return text;
+        std::size_t end = longestDetail;
+        while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xC0U) == 0x80U)
+            --end;
+        text.resize(end);
+        return text;
+    }
+
     PublicationVerdict rejected(LogOffset offset, std::string author, std::string detail)
     {
-        return { offset, std::move(author), false, std::move(detail) };
+        return { offset, std::move(author), false, shortened(std::move(detail)) };
+    }
+
+    ManifestError fault(std::string detail) { return { "manifest", std::move(detail) }; }
+
+    // Copies of a deeply nested document recurse, so depth is checked while parsing.
+    tl::expected<json, ManifestError> parseEntry(const std::string& entry)
+    {
+        if (entry.size() > maxPublicationBytes)
+            return tl::make_unexpected(fault("larger than 4 MiB; split it into several publications"));
+        bool isTooDeep = false;
+        auto checkDepth = [&isTooDeep](int depth, json::parse_event_t, json&) {
+            isTooDeep = isTooDeep || depth > deepestNesting;
+            return !isTooDeep;
+        };
+        json document = json::parse(entry, checkDepth, false);
+        if (isTooDeep)
+            return tl::make_unexpected(fault("nested too deeply"));
+        if (!document.is_object())
+            return tl::make_unexpected(fault("not a JSON object; publish with `fescuectl publish`"));
+        return document;
+    }
+
+    // The first fault in the form of a publication; empty when it is well-formed.
+    std::string formFault(const json& document)
+    {
+        static const std::vector<std::string> members { "author", "built_on", "sections", "remove" };
+        if (!document.is_object())
+            return "a publication must be an object";
+        for (const auto& [name, value] : document.items()) {
+            if (std::find(members.begin(), members.end(), name) == members.end())
+                return "unknown member \"" + name + "\"; remove it or correct its name";
+        }
+        if (!document.contains("sections") || !document["sections"].is_object())
+            return "\"sections\" must be an object; leave it empty to change nothing";
+        const json builtOn = document.value("built_on", json::object());
+        if (!builtOn.is_object())
+            return "\"built_on\" must be an object";
+        for (const auto& [section, version] : builtOn.items()) {
+            if (!version.is_number_unsigned())
+                return "\"built_on\" of " + section + " must be a whole number from 0";
+        }
+        return {};
+    }
+
+    std::string namesFault(const Publication& publication)
+    {
+        if (publication.author_.size() > longestName)
+            return "\"author\" is longer than 200 bytes";
+        for (const auto& [section, object] : publication.sections_) {
+            if (section.size() > longestName)
+                return "the name of a section is longer than 200 bytes";
+        }
+        for (const std::string& section : publication.remove_) {
+            if (publication.sections_.count(section))
+                return "section " + section + " stands in \"sections\" and in \"remove\"; leave one out";
+        }
+        return {};
     }
 
     std::uint64_t versionOf(const Config& config, const std::string& section)
@@ -80,10 +155,37 @@
         return { offset, publication.author_, true, "accepted" };
     }
 
+    // The one form that all software versions must recognize alike.
+    bool isRulesRaise(const json& document, const Config& config)
+    {
+        bool hasForm = document.size() == 2 && document.contains("author") && document["author"].is_string()
+            && document.contains("rules") && document["rules"].is_number_unsigned();
+        return hasForm && document["rules"].get<std::uint64_t>() == config.rules_ + 1;
+    }
+
+    PublicationVerdict raiseRules(Config& config, LogOffset offset, const json& document)
+    {
+        ++config.rules_;
+        config.version_ = offset;
+        return { offset, shortened(document["author"].get<std::string>()), true, "accepted" };
+    }
+
+    PublicationVerdict judgeEntry(
+        Config& config, LogOffset offset, const tl::expected<json, ManifestError>& document)
+    {
+        auto publication = document ? parsePublication(*document) : tl::make_unexpected(document.error());
+        if (!publication)
+            return rejected(offset, "unknown", publication.error().detail_);
+        return judge(config, offset, *publication);
+    }
+
 } // namespace
 
 tl::expected<Publication, ManifestError> parsePublication(const json& document)
 {
+    std::string wrongForm = formFault(document);
+    if (!wrongForm.empty())
+        return tl::make_unexpected(fault(wrongForm));
     try {
         Publication publication;
         publication.author_ = document.value("author", std::string("unknown"));
@@ -92,19 +194,27 @@
             publication.builtOn_ = document["built_on"].get<std::map<std::string, std::uint64_t>>();
         if (document.contains("remove"))
             publication.remove_ = document["remove"].get<std::vector<std::string>>();
+        std::string wrongNames = namesFault(publication);
+        if (!wrongNames.empty())
+            return tl::make_unexpected(fault(wrongNames));
         return publication;
     } catch (const json::exception& error) {
         return tl::make_unexpected(ManifestError { "manifest", error.what() });
     }
 }
 
-PublicationVerdict foldPublication(Config& config, LogOffset offset, const std::string& entry)
+PublicationVerdict foldPublication(
+    Config& config, LogOffset offset, const std::string& entry, std::uint64_t rules)
 {
+    auto document = parseEntry(entry);
+    bool raisesRules = document && isRulesRaise(*document, config);
+    if (raisesRules && config.rules_ + 1 > rules)
+        config.blockedAt_ = offset;
+    if (config.blockedAt_.value_ != 0)
+        return rejected(offset, "unknown", "judged by rules that this software does not know; upgrade it");
     config.readTo_ = offset;
-    auto document = json::parse(entry, nullptr, false);
-    auto publication = parsePublication(document);
-    PublicationVerdict verdict = publication ? judge(config, offset, *publication)
-                                             : rejected(offset, "unknown", publication.error().detail_);
+    PublicationVerdict verdict
+        = raisesRules ? raiseRules(config, offset, *document) : judgeEntry(config, offset, document);
     config.recent_.push_back(verdict);
     if (config.recent_.size() > verdictsKept)
         config.recent_.erase(config.recent_.begin());
@@ -118,6 +228,7 @@
         recent.push_back({ { "offset", verdict.offset_.value_ }, { "author", verdict.author_ },
             { "accepted", verdict.isAccepted_ }, { "detail", verdict.detail_ } });
     return { { "version", config.version_.value_ }, { "read_to", config.readTo_.value_ },
+        { "rules", config.rules_ }, { "blocked_at", config.blockedAt_.value_ },
         { "sections", config.sections_ }, { "section_versions", config.sectionVersions_ },
         { "recent", std::move(recent) } };
 }
@@ -128,6 +239,10 @@
         Config config;
         config.version_ = { document.at("version").get<std::uint64_t>() };
         config.readTo_ = { document.at("read_to").get<std::uint64_t>() };
+        config.rules_ = document.at("rules").get<std::uint64_t>();
+        if (config.rules_ > rulesKnown)
+            return tl::make_unexpected(
+                ManifestError { "config", "under unknown rules; upgrade the software" });
         config.sections_ = document.at("sections").get<Sections>();
         config.sectionVersions_ = document.at("section_versions").get<std::map<std::string, std::uint64_t>>();
         for (const json& verdict : document.at("recent"))
