--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -51,6 +51,21 @@
         return homes;
     }
 
+    nlohmann::json standingOf(const ConfigStanding& standing)
+    {
+        return { { "in_force", standing.isInForce_ }, { "gap", standing.isGapOpen_ },
+            { "blocked", standing.isBlocked_ }, { "in_touch", standing.isInTouch_ } };
+    }
+
+    nlohmann::json membersOf(const Members& members)
+    {
+        nlohmann::json rows = nlohmann::json::array();
+        for (const Member& member : members)
+            rows.push_back({ { "vm", member.vm_.value_ }, { "zone", member.zone_.value_ },
+                { "leaving", member.isLeaving_ }, { "reachable", member.isReachable_ } });
+        return rows;
+    }
+
     WriterId newWriter(const SchedulerOptions& options)
     {
         std::random_device device;
@@ -442,7 +457,8 @@
                 { "unconfirmed", row.unconfirmed_ }, { "log_down", row.isLogDown_ } });
         nlohmann::json document { { "vm", options_.vm_.value_ }, { "zone", options_.zone_.value_ },
             { "draining", isDraining_.load() }, { "open_requests", requests_.size() },
-            { "config", toJson(platform_.config()) }, { "shards", shards } };
+            { "config", toJson(platform_.config()) }, { "config_standing", standingOf(platform_.standing()) },
+            { "members", membersOf(view(false).members_) }, { "shards", shards } };
         return document.dump();
     }
 
--- a/standin/LogService.cpp
+++ b/standin/LogService.cpp
@@ -28,6 +28,7 @@
         std::string stream_;
         std::uint64_t from_ = 0;
         MonotonicTime until_;
+        std::size_t listener_ = 0;
     };
 
     struct DelayedAnswer {
@@ -58,26 +59,28 @@
     std::map<std::string, Stream> streams_;
     std::vector<Reader> readers_;
     std::vector<DelayedAnswer> delayed_;
-    LogFaults faults_;
+    std::vector<LogFaults> faults_; ///< By listener.
     std::uint64_t appends_ = 0;
     std::uint64_t appendedBytes_ = 0;
     std::uint64_t reads_ = 0;
     std::uint64_t readBytes_ = 0;
     std::vector<HttpExchangePtr> hung_;
     WorkQueue work_ { 1 };
-    std::unique_ptr<HttpServer> http_;
+    std::vector<std::unique_ptr<HttpServer>> http_;
 
     // Precondition for all below: the lock is held.
-    void answer(const HttpExchangePtr& exchange, HttpResponse response)
+    void answer(std::size_t listener, const HttpExchangePtr& exchange, HttpResponse response)
     {
-        if (faults_.delayMs_ <= 0)
+        Milliseconds delay { faults_[listener].delayMs_ };
+        if (delay.count() <= 0)
             return exchange->answer(std::move(response));
-        delayed_.push_back(
-            { monotonicNow() + Milliseconds { faults_.delayMs_ }, exchange, std::move(response) });
+        delayed_.push_back({ monotonicNow() + delay, exchange, std::move(response) });
     }
 
-    void append(const std::string& name, const std::string& data, const HttpExchangePtr& exchange)
+    void append(std::size_t listener, const std::string& name, const std::string& data,
+        const HttpExchangePtr& exchange)
     {
+        LogFaults& faults = faults_[listener];
         Stream& stream = streams_[name];
         std::uint64_t offset = stream.next();
         stream.entries_.push_back(data);
@@ -87,14 +90,14 @@
             stream.entries_.pop_front();
             ++stream.first_;
         }
-        if (faults_.hangAnswers_ > 0) {
-            --faults_.hangAnswers_;
+        if (faults.hangAnswers_ > 0) {
+            --faults.hangAnswers_;
             hung_.push_back(exchange);
-        } else if (faults_.loseAnswers_ > 0) {
-            --faults_.loseAnswers_;
-            answer(exchange, jsonResponse(504, { { "error", "answer lost" } }));
+        } else if (faults.loseAnswers_ > 0) {
+            --faults.loseAnswers_;
+            answer(listener, exchange, jsonResponse(504, { { "error", "answer lost" } }));
         } else {
-            answer(exchange, jsonResponse(200, { { "offset", offset } }));
+            answer(listener, exchange, jsonResponse(200, { { "offset", offset } }));
         }
         wakeReaders();
     }
@@ -113,28 +116,30 @@
         return response;
     }
 
-    void read(const std::string& name, const HttpRequest& request, const HttpExchangePtr& exchange)
+    void read(std::size_t listener, const std::string& name, const HttpRequest& request,
+        const HttpExchangePtr& exchange)
     {
         auto from
             = static_cast<std::uint64_t>(std::max<std::int64_t>(numberOr(queryOf(request, "from"), 1), 1));
         auto wait = numberOr(queryOf(request, "wait_ms"), 0);
         if (wait <= 0 || streams_[name].next() > from)
-            return answer(exchange, page(name, from));
-        readers_.push_back({ exchange, name, from, monotonicNow() + Milliseconds { wait } });
+            return answer(listener, exchange, page(name, from));
+        readers_.push_back({ exchange, name, from, monotonicNow() + Milliseconds { wait }, listener });
     }
 
     void wakeReaders()
     {
         std::vector<Reader> waiting;
         for (Reader& reader : readers_) {
-            bool isDue = faults_.isDown_ || streams_[reader.stream_].next() > reader.from_
-                || monotonicNow() >= reader.until_;
+            bool isDown = faults_[reader.listener_].isDown_;
+            bool isDue
+                = isDown || streams_[reader.stream_].next() > reader.from_ || monotonicNow() >= reader.until_;
             if (!isDue)
                 waiting.push_back(std::move(reader));
-            else if (faults_.isDown_)
-                answer(reader.exchange_, jsonResponse(503, { { "error", "down" } }));
+            else if (isDown)
+                answer(reader.listener_, reader.exchange_, jsonResponse(503, { { "error", "down" } }));
             else
-                answer(reader.exchange_, page(reader.stream_, reader.from_));
+                answer(reader.listener_, reader.exchange_, page(reader.stream_, reader.from_));
         }
         readers_ = std::move(waiting);
     }
@@ -153,62 +158,67 @@
         delayed_ = std::move(later);
     }
 
-    void takeFaults(const std::string& body)
+    void takeFaults(LogFaults& faults, const std::string& body)
     {
         json wanted = json::parse(body, nullptr, false);
         if (!wanted.is_object())
             return;
-        faults_.isDown_ = wanted.value("down", faults_.isDown_);
-        faults_.delayMs_ = wanted.value("delay_ms", faults_.delayMs_);
-        faults_.loseAnswers_ = wanted.value("lose_answers", faults_.loseAnswers_);
-        faults_.hangAnswers_ = wanted.value("hang_answers", faults_.hangAnswers_);
+        faults.isDown_ = wanted.value("down", faults.isDown_);
+        faults.delayMs_ = wanted.value("delay_ms", faults.delayMs_);
+        faults.loseAnswers_ = wanted.value("lose_answers", faults.loseAnswers_);
+        faults.hangAnswers_ = wanted.value("hang_answers", faults.hangAnswers_);
     }
 
-    void handle(const HttpRequest& request, const HttpExchangePtr& exchange)
+    void handle(std::size_t listener, const HttpRequest& request, const HttpExchangePtr& exchange)
     {
         std::lock_guard<std::mutex> lock(mutex_);
         if (request.path_ == "/faults") {
-            takeFaults(request.body_);
+            takeFaults(faults_[listener], request.body_);
             return exchange->answer(jsonResponse(200, json::object()));
         }
         if (request.path_ == "/stats")
             return exchange->answer(jsonResponse(200,
                 { { "appends", appends_ }, { "appended_bytes", appendedBytes_ }, { "reads", reads_ },
                     { "read_bytes", readBytes_ } }));
-        if (faults_.isDown_)
-            return answer(exchange, jsonResponse(503, { { "error", "down" } }));
+        if (faults_[listener].isDown_)
+            return answer(listener, exchange, jsonResponse(503, { { "error", "down" } }));
         if (request.path_.rfind(streamsPath, 0) != 0)
             return exchange->answer(jsonResponse(404, { { "error", "no such path" } }));
         std::string name = request.path_.substr(streamsPath.size());
         if (request.method_ == "POST")
-            return append(name, request.body_, exchange);
-        read(name, request, exchange);
+            return append(listener, name, request.body_, exchange);
+        read(listener, name, request, exchange);
     }
 };
 
-LogService::LogService(const HttpServerOptions& options, std::size_t retention)
+LogService::LogService(const HttpServerOptions& options, std::size_t retention, std::size_t ports)
     : impl_(std::make_unique<Impl>())
 {
     impl_->retention_ = retention;
+    impl_->faults_.resize(ports);
     impl_->work_.every(tickInterval, [impl = impl_.get()] { impl->tick(); });
-    impl_->http_ = std::make_unique<HttpServer>(
-        options, [impl = impl_.get()](const HttpRequest& request, const HttpExchangePtr& exchange) {
-            impl->handle(request, exchange);
-        });
+    for (std::size_t listener = 0; listener < ports; ++listener) {
+        HttpServerOptions own = options;
+        own.port_ = listener == 0 ? options.port_ : 0;
+        impl_->http_.push_back(std::make_unique<HttpServer>(
+            own, [impl = impl_.get(), listener](const HttpRequest& request, const HttpExchangePtr& exchange) {
+                impl->handle(listener, request, exchange);
+            }));
+    }
 }
 
 LogService::~LogService()
 {
-    impl_->http_.reset();
+    impl_->http_.clear();
     impl_->work_.stop();
 }
 
-std::uint16_t LogService::port() const { return impl_->http_->port(); }
+std::uint16_t LogService::port(std::size_t listener) const { return impl_->http_.at(listener)->port(); }
 
-void LogService::setFaults(const LogFaults& faults)
+void LogService::setFaults(const LogFaults& faults, std::size_t listener)
 {
     std::lock_guard<std::mutex> lock(impl_->mutex_);
-    impl_->faults_ = faults;
+    impl_->faults_.at(listener) = faults;
 }
 
 } // namespace fescue::standin
--- a/standin/LogService.h
+++ b/standin/LogService.h
@@ -7,6 +7,9 @@
  *     GET  /streams/<name>?from=N&wait_ms=M         read
  *     POST /faults {"down": true}                   switch faults; members that are left out stay as they are
  *     GET  /stats                                   appends and bytes so far
+ *
+ * It can listen on several ports that share the streams. Each has its own faults, so that one availability
+ * zone can be cut off while another is not.
  */
 
 #include "HttpServer.h"
@@ -26,12 +29,13 @@
 /** A running log service; ends when it is destroyed. Safe from any thread. */
 class LogService {
 public:
-    /** `retention` is how many entries a stream keeps. Throws `std::system_error` when it cannot bind. */
-    LogService(const HttpServerOptions& options, std::size_t retention);
+    /** `retention` is how many entries a stream keeps; ports after the first are free ones. Throws
+     * `std::system_error` when it cannot bind. */
+    LogService(const HttpServerOptions& options, std::size_t retention, std::size_t ports = 1);
     ~LogService();
 
-    std::uint16_t port() const;
-    void setFaults(const LogFaults& faults);
+    std::uint16_t port(std::size_t listener = 0) const;
+    void setFaults(const LogFaults& faults, std::size_t listener = 0);
 
 private:
     struct Impl;
--- a/standin/VmList.cpp
+++ b/standin/VmList.cpp
@@ -24,8 +24,8 @@
     std::mutex mutex_;
     std::deque<Version> versions_ { Version {} };
     Milliseconds lag_ { 0 };
-    bool isDown_ = false;
-    std::unique_ptr<HttpServer> http_;
+    std::vector<char> isDown_; ///< By listener.
+    std::vector<std::unique_ptr<HttpServer>> http_;
 
     void change(const std::string& vm, const json* entry)
     {
@@ -50,16 +50,16 @@
         return { { "vms", std::move(rows) } };
     }
 
-    HttpResponse handle(const HttpRequest& request)
+    HttpResponse handle(std::size_t listener, const HttpRequest& request)
     {
         std::lock_guard<std::mutex> lock(mutex_);
         json body = json::parse(request.body_, nullptr, false);
         if (request.path_ == "/faults" && body.is_object()) {
-            isDown_ = body.value("down", isDown_);
+            isDown_[listener] = body.value("down", isDown_[listener] != 0);
             lag_ = Milliseconds { body.value("lag_ms", lag_.count()) };
             return { 200, "application/json", "{}", {} };
         }
-        if (isDown_)
+        if (isDown_[listener] != 0)
             return { 503, "application/json", "{\"error\": \"down\"}", {} };
         if (request.path_ == "/vms")
             return { 200, "application/json", listed().dump(), {} };
@@ -70,17 +70,22 @@
     }
 };
 
-VmList::VmList(const HttpServerOptions& options)
+VmList::VmList(const HttpServerOptions& options, std::size_t ports)
     : impl_(std::make_unique<Impl>())
 {
-    impl_->http_ = std::make_unique<HttpServer>(
-        options, [impl = impl_.get()](const HttpRequest& request, const HttpExchangePtr& exchange) {
-            exchange->answer(impl->handle(request));
-        });
+    impl_->isDown_.resize(ports);
+    for (std::size_t listener = 0; listener < ports; ++listener) {
+        HttpServerOptions own = options;
+        own.port_ = listener == 0 ? options.port_ : 0;
+        impl_->http_.push_back(std::make_unique<HttpServer>(
+            own, [impl = impl_.get(), listener](const HttpRequest& request, const HttpExchangePtr& exchange) {
+                exchange->answer(impl->handle(listener, request));
+            }));
+    }
 }
 
-VmList::~VmList() { impl_->http_.reset(); }
+VmList::~VmList() { impl_->http_.clear(); }
 
-std::uint16_t VmList::port() const { return impl_->http_->port(); }
+std::uint16_t VmList::port(std::size_t listener) const { return impl_->http_.at(listener)->port(); }
 
 } // namespace fescue::standin
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -3,6 +3,7 @@
 #include "ConfigFold.h"
 #include "Digest.h"
 
+#include <algorithm>
 #include <stdexcept>
 #include <thread>
 
@@ -17,6 +18,18 @@
     constexpr std::chrono::milliseconds pollInterval { 5 };
     constexpr std::chrono::seconds longestWait { 60 };
 
+    std::size_t portsOf(const ClusterOptions& options)
+    {
+        return options.isCuttable_ ? options.zones_.size() + 1 : 1;
+    }
+
+    // Both platform services listen once more for each zone that can be cut off.
+    std::vector<std::string> withPorts(std::vector<std::string> flags, const ClusterOptions& options)
+    {
+        flags.push_back("--ports=" + std::to_string(portsOf(options)));
+        return flags;
+    }
+
     std::string local(int port) { return "http://127.0.0.1:" + std::to_string(port); }
 
 } // namespace
@@ -48,8 +61,8 @@
 
 Cluster::Cluster(const ClusterOptions& options)
     : options_(options)
-    , log_(std::make_unique<Process>("standin-log", options.logFlags_, 1))
-    , vms_(std::make_unique<Process>("standin-vms", std::vector<std::string> {}, 1))
+    , log_(std::make_unique<Process>("standin-log", withPorts(options.logFlags_, options), portsOf(options)))
+    , vms_(std::make_unique<Process>("standin-vms", withPorts({}, options), portsOf(options)))
     , service_(std::make_unique<Process>("standin-service", std::vector<std::string> {}, 1))
 {
     for (std::size_t i = 0; i < options.zones_.size() * options.enginesPerZone_; ++i)
@@ -90,8 +103,9 @@
     EntryVm vm;
     vm.name_ = name;
     vm.zone_ = zone;
-    std::vector<std::string> flags { "--vm=" + name, "--zone=" + zone, "--log_url=" + url(*log_),
-        "--vms_url=" + url(*vms_), "--events_file=/dev/null" };
+    std::vector<std::string> flags { "--vm=" + name, "--zone=" + zone,
+        "--log_url=" + url(*log_, portOf(zone)), "--vms_url=" + url(*vms_, portOf(zone)),
+        "--events_file=/dev/null" };
     flags.insert(flags.end(), options_.schedulerFlags_.begin(), options_.schedulerFlags_.end());
     vm.scheduler_ = std::make_unique<Process>("fescue-scheduler", flags, 2);
     vm.gateway_ = std::make_unique<Process>("fescue-gateway",
@@ -114,7 +128,32 @@
     client_.perform({ "PUT", path, {}, entry.dump() });
 }
 
-std::string Cluster::url(const Process& process) const { return local(process.port("http")); }
+std::string Cluster::url(const Process& process, const std::string& port) const
+{
+    return local(process.port(port));
+}
+
+std::string Cluster::portOf(const std::string& zone) const
+{
+    auto found = std::find(options_.zones_.begin(), options_.zones_.end(), zone);
+    bool hasOwn = options_.isCuttable_ && found != options_.zones_.end();
+    return hasOwn ? "http" + std::to_string(found - options_.zones_.begin() + 1) : "http";
+}
+
+void Cluster::cutZone(std::size_t zone, bool isCut)
+{
+    for (const Process* process : { log_.get(), vms_.get() })
+        client_.perform({ "POST", url(*process, portOf(options_.zones_.at(zone))) + "/faults", {},
+            json { { "down", isCut } }.dump() });
+}
+
+HttpResult Cluster::publish(const json& sections)
+{
+    json config = get(*entries_.front().scheduler_, "/status")["config"];
+    json published { { "author", "test" }, { "built_on", config["section_versions"] },
+        { "sections", sections } };
+    return client_.perform({ "POST", url(*log_) + "/streams/" + configStream, {}, published.dump() });
+}
 
 Answer Cluster::call(std::size_t vm, const std::string& method, const std::string& path,
     const std::string& body, const std::vector<std::string>& headers)
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -32,6 +32,7 @@
     std::vector<std::string> schedulerFlags_;
     std::vector<std::string> engineFlags_;
     std::vector<std::string> logFlags_;
+    bool isCuttable_ = false; ///< Each zone reaches the platform by ports of its own, see `cutZone`.
 };
 
 /** An answer as a caller sees it. */
@@ -64,11 +65,15 @@
 
     nlohmann::json get(const Process& process, const std::string& path);
     void faults(const Process& process, const nlohmann::json& faults);
+    /** Cuts the VMs of a zone off from the log and the list of VMs, or heals that. */
+    void cutZone(std::size_t zone, bool isCut);
     /** How often the service executed a call. */
     int executions(const std::string& program, int number);
     /** Keys that the engines hold memory for. */
     std::vector<std::string> heldKeys();
-    std::string url(const Process& process) const;
+    std::string url(const Process& process, const std::string& port = "http") const;
+    /** Publishes sections on the versions that the first VM has in force; returns what the log answers. */
+    HttpResult publish(const nlohmann::json& sections);
 
     ClusterOptions options_;
     std::unique_ptr<Process> log_;
@@ -80,6 +85,7 @@
 
 private:
     nlohmann::json manifest() const;
+    std::string portOf(const std::string& zone) const;
 };
 
 /** Waits until a condition holds; throws `std::runtime_error` with `what` after a minute. */
