Merge the event logs of all processes into one time line

The time line orders by the lines of a process, by cause between processes and by offset within a stream; clocks decide only the rest. The path now tells where a request is received, sent, admitted, refused, recorded and answered.

--- a/apps/FescuectlMain.cpp
+++ b/apps/FescuectlMain.cpp
@@ -1,135 +1,186 @@
-// fescuectl: the operator's command line.
+// fescuectl: the operator's command line; see src/OperatorCommands.h.
 
-#include "ConfigFold.h"
 #include "Digest.h"
-#include "HttpClient.h"
-#include "LogClient.h"
-#include "ManifestFile.h"
+#include "OperatorCommands.h"
 #include "Settings.h"
 
-#include <future>
+#include <algorithm>
+#include <array>
 #include <gflags/gflags.h>
 #include <iostream>
 
-DEFINE_string(log_url, "", "address of the platform's log service (publish)");
-DEFINE_string(scheduler_url, "", "http address of a scheduler (status, programs)");
-DEFINE_int32(wait_ms, 10000, "how long publish waits for the verdict to be in force at --scheduler_url");
+DEFINE_string(log_url, "", "address of the platform's log service (publish, fetch)");
+DEFINE_string(scheduler_url, "", "http address of a scheduler (status, programs, fetch, publish)");
+DEFINE_int32(wait_ms, 10000, "how long publish waits for its verdict to be in force at --scheduler_url");
+DEFINE_string(output, "text", "text for people or json for scripts");
+DEFINE_string(svg, "", "file for the time line as a picture (timeline)");
+DEFINE_string(html, "", "file for the time line as a page (timeline)");
 
 namespace {
 
 using namespace fescue;
-using nlohmann::json;
 
 constexpr const char* usage = R"(fescuectl: publishes manifests and shows how programs fare.
 
-  fescuectl validate FILE     check a manifest (JSON or YAML) by itself
-  fescuectl publish FILE      append it to the log and tell the verdict
-  fescuectl status            configuration in force, verdicts and shards of a scheduler
-  fescuectl programs          living programs at a scheduler
-  fescuectl hash_key KEY      the digest to put into a workspace's key_sha256)";
+  fescuectl validate FILE      check a manifest (JSON or YAML) by itself
+  fescuectl publish FILE       append it to the log and tell the verdict
+  fescuectl fetch              the manifest in force, to be edited and published
+  fescuectl status             configuration in force, verdicts and shards of a scheduler
+  fescuectl programs           living programs at a scheduler
+  fescuectl hash_key KEY       the digest to put into a workspace's key_sha256
+  fescuectl timeline FILES...  one ordered time line out of the event logs of all processes
+
+`fescuectl COMMAND --help` tells more.
+Exit status: 0 done; 1 not valid, rejected or unreadable; 2 wrong settings; 3 no answer.)";
+
+struct Command {
+    const char* name_;
+    std::size_t leastWords_;
+    std::size_t mostWords_;
+    const char* help_;
+    CommandResult (*run_)(const std::vector<std::string>& words);
+};
+
+OperatorOptions optionsOf()
+{
+    OperatorOptions options;
+    if (!FLAGS_log_url.empty())
+        options.log_.url_ = requireUrl("--log_url", FLAGS_log_url);
+    if (!FLAGS_scheduler_url.empty())
+        options.schedulerUrl_ = requireUrl("--scheduler_url", FLAGS_scheduler_url);
+    options.wait_ = Milliseconds { requireRange("--wait_ms", FLAGS_wait_ms, 0, 3600000) };
+    return options;
+}
+
+CommandResult runValidate(const std::vector<std::string>& words) { return validateManifest(words[0]); }
+
+CommandResult runPublish(const std::vector<std::string>& words)
+{
+    requireUrl("--log_url", FLAGS_log_url);
+    return publishManifest(words[0], optionsOf());
+}
+
+CommandResult runFetch(const std::vector<std::string>&)
+{
+    if (FLAGS_scheduler_url.empty())
+        requireUrl("--log_url", FLAGS_log_url);
+    return fetchManifest(optionsOf());
+}
+
+CommandResult runStatus(const std::vector<std::string>&)
+{
+    requireUrl("--scheduler_url", FLAGS_scheduler_url);
+    return showStatus(optionsOf());
+}
 
-int fail(const std::string& text)
+CommandResult runPrograms(const std::vector<std::string>&)
 {
-    std::cerr << "fescuectl: " << text << std::endl;
-    return 1;
+    requireUrl("--scheduler_url", FLAGS_scheduler_url);
+    return showPrograms(optionsOf());
 }
 
-tl::expected<json, ManifestError> readChecked(const std::string& path)
+CommandResult runHashKey(const std::vector<std::string>& words)
 {
-    auto document = readManifestFile(path);
-    if (!document)
-        return document;
-    auto publication = parsePublication(*document);
-    if (!publication)
-        return tl::make_unexpected(publication.error());
-    return document;
+    std::string digest = sha256Hex(words[0]);
+    return { CommandStatus::Done, digest + "\n", { { "key_sha256", digest } } };
 }
 
-int validate(const std::string& path)
+CommandResult runTimeLine(const std::vector<std::string>& words)
 {
-    auto document = readChecked(path);
-    if (!document)
-        return fail(document.error().section_ + ": " + document.error().detail_);
-    auto manifest = parseManifest(document->at("sections").get<Sections>());
-    if (!manifest)
-        return fail(manifest.error().section_ + ": " + manifest.error().detail_);
-    std::cout << "valid by itself; whether its sections are current is decided when it is published\n";
-    return 0;
+    return showTimeLine(words, { FLAGS_svg, FLAGS_html });
 }
 
-// Reads the whole stream `config`, as every scheduler does, and so reaches the same verdicts.
-tl::expected<Config, LogError> readConfig(HttpClient& client, const LogAddress& log)
+constexpr std::size_t anyNumber = 100000;
+
+constexpr std::array<Command, 7> commands { {
+    { "validate", 1, 1, R"(fescuectl validate FILE
+
+Checks a manifest by itself: its members, and that models and services named by a pool have a section.
+Nothing is sent. Exit status 1 names the section and the fault.)",
+        runValidate },
+    { "publish", 1, 1, R"(fescuectl publish FILE --log_url=URL [--scheduler_url=URL]
+
+Appends the manifest to the log and tells the verdict, which is the same for every process. A section that
+exists already is changed only by a manifest whose built_on has its current version; `fescuectl fetch` writes
+one. With --scheduler_url it waits until that scheduler has the verdict, at most --wait_ms.
+Exit status 1: rejected, nothing is changed. 3: no answer; it may have been published, see `fescuectl status`.)",
+        runPublish },
+    { "fetch", 0, 0, R"(fescuectl fetch --log_url=URL | --scheduler_url=URL
+
+Writes the manifest in force with the versions of its sections in built_on. Keep the sections that you change,
+edit them, set author, and publish.)",
+        runFetch },
+    { "status", 0, 0, R"(fescuectl status --scheduler_url=URL
+
+Shows the configuration in force at one scheduler, the last verdicts, and the shards that it knows.)",
+        runStatus },
+    { "programs", 0, 0, R"(fescuectl programs --scheduler_url=URL
+
+Lists the living programs of the shards at one scheduler: workspace, last call, tokens used.)",
+        runPrograms },
+    { "hash_key", 1, 1, R"(fescuectl hash_key KEY
+
+Prints the SHA-256 of a caller's key for a workspace's key_sha256; the key itself stays out of manifests.)",
+        runHashKey },
+    { "timeline", 1, anyNumber, R"(fescuectl timeline FILES... [--svg=FILE] [--html=FILE]
+
+Merges the --events_file of any number of daemons into one ordered time line. Causes order events of different
+processes; clocks only decide where nothing else does, so they may disagree.)",
+        runTimeLine },
+} };
+
+const Command* findCommand(const std::string& name)
 {
-    Config config;
-    for (;;) {
-        std::promise<tl::expected<LogPage, LogError>> promise;
-        readLog(client, log, configStream, { config.readTo_.value_ + 1 }, Milliseconds { 0 },
-            [&promise](tl::expected<LogPage, LogError> page) { promise.set_value(std::move(page)); });
-        auto page = promise.get_future().get();
-        if (!page)
-            return tl::make_unexpected(page.error());
-        for (const LogEntry& entry : page->entries_)
-            foldPublication(config, entry.offset_, entry.data_);
-        if (page->entries_.empty() || config.readTo_.value_ + 1 >= page->next_.value_)
-            return config;
+    for (const Command& command : commands) {
+        if (name == command.name_)
+            return &command;
     }
+    return nullptr;
 }
 
-int publish(const std::string& path)
+// `fescuectl COMMAND --help` shows the help of the command.
+std::string helpFor(int argc, char** argv)
 {
-    LogAddress log { requireUrl("--log_url", FLAGS_log_url) };
-    auto document = readChecked(path);
-    if (!document)
-        return fail(document.error().section_ + ": " + document.error().detail_);
-    HttpClient client;
-    std::promise<tl::expected<LogOffset, LogError>> promise;
-    appendToLog(client, log, configStream, document->dump(),
-        [&promise](tl::expected<LogOffset, LogError> offset) { promise.set_value(std::move(offset)); });
-    auto offset = promise.get_future().get();
-    if (!offset)
-        return fail(offset.error().detail_ + "; whether the manifest was published is not known, see status");
-    auto config = readConfig(client, log);
-    if (!config)
-        return fail(config.error().detail_);
-    for (const PublicationVerdict& verdict : config->recent_) {
-        if (verdict.offset_ != *offset)
-            continue;
-        std::cout << (verdict.isAccepted_ ? "accepted" : "rejected") << " at offset " << offset->value_
-                  << ": " << verdict.detail_ << "\n";
-        return verdict.isAccepted_ ? 0 : 1;
+    for (int i = 1; i < argc; ++i) {
+        if (const Command* command = findCommand(argv[i]))
+            return command->help_;
     }
-    return fail("the publication is no longer among the recent verdicts; see status");
+    return usage;
 }
 
-int show(const std::string& path)
+int print(const CommandResult& result)
 {
-    std::string url = requireUrl("--scheduler_url", FLAGS_scheduler_url);
-    HttpClient client;
-    HttpResult result = client.perform({ "GET", url + path });
-    if (result.fate_ != HttpResult::Fate::Answered || result.status_ != 200)
-        return fail("no answer from " + url + "; check --scheduler_url");
-    std::cout << json::parse(result.body_, nullptr, false).dump(2) << "\n";
-    return 0;
+    bool isJson = FLAGS_output == "json";
+    bool isError = result.document_.contains("error");
+    if (isJson)
+        std::cout << result.document_.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) << "\n";
+    else if (isError)
+        std::cerr << "fescuectl: " << result.text_ << "\n";
+    else
+        std::cout << result.text_;
+    return static_cast<int>(result.status_);
 }
 
-int run(const std::vector<std::string>& words)
+int run(std::vector<std::string> words)
 {
-    if (words.size() == 2 && words[0] == "validate")
-        return validate(words[1]);
-    if (words.size() == 2 && words[0] == "publish")
-        return publish(words[1]);
-    if (words.size() == 2 && words[0] == "hash_key") {
-        std::cout << sha256Hex(words[1]) << "\n";
-        return 0;
+    if (FLAGS_output != "text" && FLAGS_output != "json")
+        refuseSettings("--output", "must be text or json");
+    const Command* command = words.empty() ? nullptr : findCommand(words[0]);
+    if (!command) {
+        std::cerr << usage << "\n";
+        return wrongSettings;
     }
-    if (words.size() == 1 && words[0] == "status")
-        return show("/status");
-    if (words.size() == 1 && words[0] == "programs")
-        return show("/programs");
-    std::cerr << usage << "\n";
-    return wrongSettings;
+    words.erase(words.begin());
+    if (words.size() < command->leastWords_ || words.size() > command->mostWords_) {
+        std::cerr << command->help_ << "\n";
+        return wrongSettings;
+    }
+    return print(command->run_(words));
 }
 
 } // namespace
 
-int main(int argc, char** argv) { return run(readSettings(argc, argv, { "fescuectl", usage })); }
+int main(int argc, char** argv)
+{
+    return run(readSettings(argc, argv, { "fescuectl", helpFor(argc, argv) }));
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -83,4 +83,4 @@
 echo "== program latency: $((($(date +%s%N) - began) / 1000000)) ms; executions at the service: $(curl -sS "$(http service)/executions")"
 echo "== memory held at the engines: $(curl -sS "$(http engine-a)/v1/cache") $(curl -sS "$(http engine-b)/v1/cache")"
 echo "== time line"
-build/fescuectl timeline "$out"/*.events
+build/fescuectl timeline "$out"/*.events ${DEMO_HTML:+--html="$DEMO_HTML"}
--- a/src/CallRunner.cpp
+++ b/src/CallRunner.cpp
@@ -180,6 +180,10 @@
 
     void sent(const ExecutionPtr& execution, const HttpResult& result)
     {
+        const Call& call = execution->execute_.call_;
+        logEvent("target_answered",
+            { { "program", call.program_.value_ }, { "call", std::to_string(call.number_.value_) },
+                { "target", execution->target_.id_.value_ }, { "status", std::to_string(result.status_) } });
         auto decided = isModelCall(*execution) ? afterModelCall(execution, result)
                                                : afterServiceCall(execution, result);
         if (decided)
--- a/src/ConfigFold.cpp
+++ b/src/ConfigFold.cpp
@@ -27,7 +27,8 @@
     {
         return "section " + section + " is at version " + std::to_string(versionOf(config, section))
             + " and the manifest was built on " + std::to_string(built)
-            + "; fetch the current one with `fescuectl status`, merge, and publish again";
+            + "; get the current one with `fescuectl fetch`, merge your change, and publish it with its "
+              "built_on";
     }
 
     bool isUnchanged(const Config& config, const std::string& section, const json& object)
--- a/src/EventLog.cpp
+++ b/src/EventLog.cpp
@@ -1,7 +1,7 @@
 #include "EventLog.h"
 
-#include <atomic>
 #include <chrono>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -16,7 +16,8 @@
     struct State {
         std::shared_ptr<spdlog::logger> logger_;
         json common_;
-        std::atomic<std::uint64_t> lastLine_ { 0 };
+        std::mutex mutex_; ///< Lines stand in the file in the order of their numbers and times.
+        std::uint64_t lastLine_ = 0;
     };
 
     State& state()
@@ -37,14 +38,15 @@
         if (!state().logger_)
             return;
         json line = state().common_;
-        line["time_us"] = microsecondsSinceEpoch();
-        line["line"] = ++state().lastLine_;
         line["level"] = level == spdlog::level::warn ? "warning" : "info";
         line["event"] = event;
         if (message)
             line["message"] = *message;
         for (const auto& [name, value] : facts)
             line[name] = value;
+        std::lock_guard<std::mutex> lock(state().mutex_);
+        line["time_us"] = microsecondsSinceEpoch();
+        line["line"] = ++state().lastLine_;
         state().logger_->log(level, line.dump(-1, ' ', false, json::error_handler_t::replace));
     }
 
--- a/src/Gateway.cpp
+++ b/src/Gateway.cpp
@@ -53,6 +53,24 @@
             homeRetryAfter };
     }
 
+    // Ids are told apart over all gateways and their restarts, so that the time line can pair events.
+    std::uint64_t firstRequestId()
+    {
+        std::random_device device;
+        return (static_cast<std::uint64_t>(device()) << 31U) ^ device();
+    }
+
+    Facts factsOf(const Pending& pending)
+    {
+        const RequestFrame& frame = pending.frame_;
+        Facts facts { { "request", std::to_string(frame.id_) }, { "workspace", frame.workspace_.value_ } };
+        if (!frame.program_.empty())
+            facts.emplace_back("program", frame.program_.value_);
+        if (frame.call_.value_ > 0)
+            facts.emplace_back("call", std::to_string(frame.call_.value_));
+        return facts;
+    }
+
     Problem brokenAnswer()
     {
         return { ProblemKind::TargetTruncated, RunState::Unknown,
@@ -67,7 +85,7 @@
     std::atomic<bool> isDraining_ { false };
     std::mutex mutex_; ///< Guards the table and the generator.
     std::map<std::uint64_t, PendingPtr> pending_;
-    std::uint64_t lastId_ = 0;
+    std::uint64_t lastId_;
     Random random_;
     WorkQueue work_;
     SchedulerLinks links_;
@@ -75,6 +93,7 @@
 
     explicit Impl(const GatewayOptions& options)
         : options_(options)
+        , lastId_(firstRequestId())
         , random_(options.seed_ ^ std::random_device()())
         , work_(1)
         , links_(options.scheduler_,
@@ -108,19 +127,28 @@
         if (isDraining_ || !links_.isReady()) {
             Problem problem { ProblemKind::ShuttingDown, RunState::NotRun,
                 "this gateway takes no requests at the moment; send the request to another", homeRetryAfter };
-            return exchange->answer(toResponse(problem));
+            return refuse(request, exchange, problem);
         }
         auto frame = parseHttp(request, links_.config()->manifest_);
         if (!frame)
-            return exchange->answer(toResponse(frame.error()));
+            return refuse(request, exchange, frame.error());
         auto pending = std::make_shared<Pending>();
         pending->exchange_ = exchange;
         pending->frame_ = std::move(*frame);
         pending->arrived_ = monotonicNow();
         enter(pending);
+        logEvent("request_received", factsOf(*pending));
         route(pending);
     }
 
+    static void refuse(const HttpRequest& request, const HttpExchangePtr& exchange, const Problem& problem)
+    {
+        logEvent("request_refused",
+            { { "method", request.method_ }, { "problem", std::string(nameOf(problem.kind_)) },
+                { "run_state", std::string(nameOf(problem.run_)) } });
+        exchange->answer(toResponse(problem));
+    }
+
     bool answerOwn(const HttpRequest& request, const HttpExchangePtr& exchange)
     {
         bool isReady = links_.isReady() && !isDraining_;
@@ -186,6 +214,9 @@
             frame = pending->frame_;
             frame.isForced_ = route->isForced_ || pending->hops_ > hopsBeforeForcing;
         }
+        Facts facts = factsOf(*pending);
+        facts.emplace_back("to", (route->vm_.empty() ? options_.vm_ : route->vm_).value_);
+        logEvent("request_sent", facts);
         links_.send(route->address_, frame);
     }
 
@@ -268,6 +299,7 @@
         if (!pending)
             return;
         std::unique_lock<std::mutex> lock(pending->mutex_);
+        logEvent("answer_received", factsOf(*pending));
         if (!pending->hasHead_ || end.chunks_ != pending->chunks_) {
             lock.unlock();
             return fail(pending, brokenAnswer());
@@ -290,6 +322,8 @@
         {
             std::lock_guard<std::mutex> lock(pending->mutex_);
             pending->movedTo_ = moved.to_;
+            logEvent(
+                "request_moved", { { "request", std::to_string(moved.id_) }, { "to", moved.to_.value_ } });
             routeLater(*pending);
             if (monotonicNow() < pending->retryAt_)
                 return;
@@ -299,6 +333,10 @@
 
     void fail(const PendingPtr& pending, const Problem& problem)
     {
+        logEvent("request_failed",
+            { { "request", std::to_string(pending->frame_.id_) },
+                { "problem", std::string(nameOf(problem.kind_)) },
+                { "run_state", std::string(nameOf(problem.run_)) } });
         {
             std::lock_guard<std::mutex> lock(pending->mutex_);
             if (pending->hasBegun_) {
--- /dev/null
+++ b/src/OperatorCommands.cpp
@@ -0,0 +1,274 @@
+#include "OperatorCommands.h"
+
+#include "ConfigFold.h"
+#include "HttpClient.h"
+#include "ManifestFile.h"
+#include "TimeLinePicture.h"
+
+#include <fmt/format.h>
+#include <fstream>
+#include <future>
+#include <sstream>
+#include <thread>
+
+namespace fescue {
+
+using nlohmann::json;
+
+namespace {
+
+    constexpr Milliseconds statusInterval { 100 };
+
+    CommandResult failed(CommandStatus status, const std::string& text)
+    {
+        return { status, text, { { "error", text } } };
+    }
+
+    CommandResult failed(const ManifestError& error)
+    {
+        return failed(CommandStatus::Refused, error.section_ + ": " + error.detail_);
+    }
+
+    tl::expected<json, ManifestError> readChecked(const std::string& path)
+    {
+        auto document = readManifestFile(path);
+        if (!document)
+            return document;
+        auto publication = parsePublication(*document);
+        if (!publication)
+            return tl::make_unexpected(publication.error());
+        return document;
+    }
+
+    // Reads the whole stream `config`, as every scheduler does, and so reaches the same verdicts.
+    tl::expected<Config, LogError> readConfig(HttpClient& client, const LogAddress& log)
+    {
+        Config config;
+        for (;;) {
+            std::promise<tl::expected<LogPage, LogError>> promise;
+            readLog(client, log, configStream, { config.readTo_.value_ + 1 }, Milliseconds { 0 },
+                [&promise](tl::expected<LogPage, LogError> page) { promise.set_value(std::move(page)); });
+            auto page = promise.get_future().get();
+            if (!page)
+                return tl::make_unexpected(page.error());
+            for (const LogEntry& entry : page->entries_)
+                foldPublication(config, entry.offset_, entry.data_);
+            if (page->entries_.empty() || config.readTo_.value_ + 1 >= page->next_.value_)
+                return config;
+        }
+    }
+
+    tl::expected<json, std::string> askScheduler(
+        HttpClient& client, const OperatorOptions& options, const std::string& path)
+    {
+        HttpResult result = client.perform({ "GET", options.schedulerUrl_ + path });
+        json document = json::parse(result.body_, nullptr, false);
+        if (result.fate_ != HttpResult::Fate::Answered || result.status_ != 200 || !document.is_object())
+            return tl::make_unexpected(
+                "no answer from " + options.schedulerUrl_ + "; check --scheduler_url or ask another VM's");
+        return document;
+    }
+
+    // The configuration that a scheduler holds, or that the log tells.
+    tl::expected<Config, std::string> currentConfig(const OperatorOptions& options)
+    {
+        HttpClient client;
+        if (options.schedulerUrl_.empty()) {
+            auto config = readConfig(client, options.log_);
+            if (!config)
+                return tl::make_unexpected(config.error().detail_);
+            return *config;
+        }
+        auto status = askScheduler(client, options, "/status");
+        if (!status)
+            return tl::make_unexpected(status.error());
+        auto config = parseConfig(status->value("config", json::object()));
+        if (!config)
+            return tl::make_unexpected("the scheduler's answer has no configuration: "
+                + config.error().detail_ + "; use the fescuectl of its version");
+        return *config;
+    }
+
+    const PublicationVerdict* findVerdict(const Config& config, LogOffset offset)
+    {
+        for (const PublicationVerdict& verdict : config.recent_) {
+            if (verdict.offset_ == offset)
+                return &verdict;
+        }
+        return nullptr;
+    }
+
+    bool awaitReader(const OperatorOptions& options, LogOffset offset)
+    {
+        HttpClient client;
+        auto deadline = monotonicNow() + options.wait_;
+        do {
+            auto status = askScheduler(client, options, "/status");
+            if (status && (*status)["config"].value("read_to", std::uint64_t { 0 }) >= offset.value_)
+                return true;
+            std::this_thread::sleep_for(statusInterval);
+        } while (monotonicNow() < deadline);
+        return false;
+    }
+
+    CommandResult tellVerdict(const PublicationVerdict& verdict, const OperatorOptions& options)
+    {
+        CommandResult result;
+        result.status_ = verdict.isAccepted_ ? CommandStatus::Done : CommandStatus::Refused;
+        result.text_ = fmt::format("{} at offset {}: {}\n", verdict.isAccepted_ ? "accepted" : "rejected",
+            verdict.offset_.value_, verdict.detail_);
+        result.document_ = { { "accepted", verdict.isAccepted_ }, { "offset", verdict.offset_.value_ },
+            { "detail", verdict.detail_ } };
+        if (!verdict.isAccepted_ || options.schedulerUrl_.empty())
+            return result;
+        bool isInForce = awaitReader(options, verdict.offset_);
+        result.document_["in_force"] = isInForce;
+        result.text_ += isInForce ? "in force at " + options.schedulerUrl_ + "\n"
+                                  : "not yet in force at " + options.schedulerUrl_
+                + "; see `fescuectl status`, or raise --wait_ms\n";
+        if (!isInForce)
+            result.status_ = CommandStatus::NoAnswer;
+        return result;
+    }
+
+    std::string verdictRows(const json& config)
+    {
+        std::string text;
+        for (const json& verdict : config.value("recent", json::array()))
+            text += fmt::format("  {:>8}  {}  {}  {}\n", verdict.value("offset", std::uint64_t { 0 }),
+                verdict.value("accepted", false) ? "accepted" : "rejected", verdict.value("author", ""),
+                verdict.value("detail", ""));
+        return text;
+    }
+
+    std::string shardRows(const json& shards)
+    {
+        std::string text;
+        for (const json& shard : shards)
+            text += fmt::format("  {:<24}  epoch {}  owner {}  programs {}  running {}  unconfirmed {}{}\n",
+                shard.value("shard", ""), shard.value("epoch", std::uint64_t { 0 }), shard.value("owner", ""),
+                shard.value("programs", 0), shard.value("running", 0), shard.value("unconfirmed", 0),
+                shard.value("log_down", false) ? "  log down" : "");
+        return text;
+    }
+
+    std::string statusText(const json& status)
+    {
+        json config = status.value("config", json::object());
+        return fmt::format(
+            "vm {} in {}{}, {} open requests\nconfiguration version {}\nverdicts:\n{}shards:\n{}",
+            status.value("vm", ""), status.value("zone", ""),
+            status.value("draining", false) ? ", draining" : "", status.value("open_requests", 0),
+            config.value("version", std::uint64_t { 0 }), verdictRows(config),
+            shardRows(status.value("shards", json::array())));
+    }
+
+    std::string programRows(const json& document)
+    {
+        std::string text;
+        for (const json& row : document.value("programs", json::array()))
+            text += fmt::format("{}  {}  last call {}  used {} of {} tokens\n", row.value("program", ""),
+                row.value("workspace", ""), row.value("last_call", 0), row.value("used", std::int64_t { 0 }),
+                row.value("budget", std::int64_t { 0 }));
+        return text.empty() ? "no living programs\n" : text;
+    }
+
+    bool writeFile(const std::string& path, const std::string& text)
+    {
+        std::ofstream file(path, std::ios::binary);
+        file << text;
+        file.close();
+        return !file.fail();
+    }
+
+} // namespace
+
+CommandResult validateManifest(const std::string& path)
+{
+    auto document = readChecked(path);
+    if (!document)
+        return failed(document.error());
+    auto manifest = parseManifest(document->at("sections").get<Sections>());
+    if (!manifest)
+        return failed(manifest.error());
+    return { CommandStatus::Done,
+        "valid by itself; whether its sections are current is decided when it is published\n",
+        { { "valid", true } } };
+}
+
+CommandResult publishManifest(const std::string& path, const OperatorOptions& options)
+{
+    auto document = readChecked(path);
+    if (!document)
+        return failed(document.error());
+    HttpClient client;
+    std::promise<tl::expected<LogOffset, LogError>> promise;
+    appendToLog(client, options.log_, configStream, document->dump(),
+        [&promise](tl::expected<LogOffset, LogError> offset) { promise.set_value(std::move(offset)); });
+    auto offset = promise.get_future().get();
+    if (!offset)
+        return failed(CommandStatus::NoAnswer,
+            offset.error().detail_
+                + "; whether the manifest was published is not known, see `fescuectl status`");
+    auto config = readConfig(client, options.log_);
+    if (!config)
+        return failed(CommandStatus::NoAnswer, config.error().detail_);
+    if (const PublicationVerdict* verdict = findVerdict(*config, *offset))
+        return tellVerdict(*verdict, options);
+    return failed(CommandStatus::NoAnswer,
+        "the publication is no longer among the recent verdicts; see `fescuectl status`");
+}
+
+CommandResult fetchManifest(const OperatorOptions& options)
+{
+    auto config = currentConfig(options);
+    if (!config)
+        return failed(CommandStatus::NoAnswer, config.error());
+    json document { { "author", "unknown" }, { "built_on", json::object() },
+        { "sections", config->sections_ } };
+    for (const auto& [section, object] : config->sections_)
+        document["built_on"][section] = config->sectionVersions_[section];
+    return { CommandStatus::Done, document.dump(2) + "\n", document };
+}
+
+CommandResult showStatus(const OperatorOptions& options)
+{
+    HttpClient client;
+    auto status = askScheduler(client, options, "/status");
+    if (!status)
+        return failed(CommandStatus::NoAnswer, status.error());
+    return { CommandStatus::Done, statusText(*status), *status };
+}
+
+CommandResult showPrograms(const OperatorOptions& options)
+{
+    HttpClient client;
+    auto programs = askScheduler(client, options, "/programs");
+    if (!programs)
+        return failed(CommandStatus::NoAnswer, programs.error());
+    return { CommandStatus::Done, programRows(*programs), *programs };
+}
+
+CommandResult showTimeLine(const std::vector<std::string>& paths, const PictureFiles& pictures)
+{
+    std::vector<EventFile> files;
+    for (const std::string& path : paths) {
+        std::ifstream file(path, std::ios::binary);
+        if (!file)
+            return failed(
+                CommandStatus::Refused, path + ": cannot be read; name the --events_file of a daemon");
+        std::stringstream text;
+        text << file.rdbuf();
+        files.push_back({ path, text.str() });
+    }
+    TimeLine timeLine = mergeTimeLine(files);
+    if (!pictures.svg_.empty() && !writeFile(pictures.svg_, toSvg(timeLine)))
+        return failed(CommandStatus::Refused, pictures.svg_ + ": cannot be written; check --svg");
+    if (!pictures.html_.empty() && !writeFile(pictures.html_, toHtml(timeLine)))
+        return failed(CommandStatus::Refused, pictures.html_ + ": cannot be written; check --html");
+    json document { { "events", json::parse(toJsonText(timeLine)) },
+        { "skipped_lines", timeLine.skippedLines_ }, { "contradictions", timeLine.contradictions_ } };
+    return { CommandStatus::Done, toText(timeLine), std::move(document) };
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/RecordEvents.cpp
@@ -0,0 +1,63 @@
+#include "RecordEvents.h"
+
+#include "EventLog.h"
+
+namespace fescue {
+
+namespace {
+
+    struct Told {
+        const char* what_ = nullptr; ///< Null for records that no call waits for.
+        ProgramId program_;
+        CallNumber call_;
+    };
+
+    Told tell(const ProgramCreated& record) { return { "program", record.program_, {} }; }
+    Told tell(const TrancheGranted& record) { return { "tranche", record.program_, {} }; }
+    Told tell(const CallIntent& record) { return { "intent", record.program_, record.call_ }; }
+    Told tell(const IntentWithdrawn& record) { return { "withdrawal", record.program_, record.call_ }; }
+    Told tell(const CallFinished& record) { return { "outcome", record.program_, record.call_ }; }
+    Told tell(const ProgramEnded& record) { return { "end", record.program_, {} }; }
+    template <typename Other> Told tell(const Other&) { return {}; }
+
+    void logRecords(const char* event, const ShardKey& shard, const Batch& batch, LogOffset offset)
+    {
+        for (const RecordBody& body : batch.records_) {
+            Told told = std::visit([](const auto& record) { return tell(record); }, body);
+            if (!told.what_)
+                continue;
+            Facts facts { { "record", told.what_ }, { "program", told.program_.value_ },
+                { "shard", streamOf(shard) }, { "epoch", std::to_string(batch.epoch_.value_) } };
+            if (told.call_.value_ > 0)
+                facts.emplace_back("call", std::to_string(told.call_.value_));
+            if (offset.value_ > 0)
+                facts.emplace_back("offset", std::to_string(offset.value_));
+            logEvent(event, facts);
+        }
+    }
+
+    Facts factsOf(const ShardKey& shard, const Batch& batch)
+    {
+        return { { "shard", streamOf(shard) }, { "epoch", std::to_string(batch.epoch_.value_) },
+            { "writer", batch.writer_.value_ }, { "sequence", std::to_string(batch.sequence_.value_) },
+            { "records", std::to_string(batch.records_.size()) } };
+    }
+
+} // namespace
+
+void logBatchAppended(const ShardKey& shard, const Batch& batch)
+{
+    logRecords("record_appended", shard, batch, {});
+    logEvent("batch_appended", factsOf(shard, batch));
+}
+
+void logBatchRead(const ShardKey& shard, LogOffset offset, const Batch& batch, bool isConfirmed)
+{
+    Facts facts = factsOf(shard, batch);
+    facts.emplace_back("offset", std::to_string(offset.value_));
+    logEvent("batch_read", facts);
+    if (isConfirmed)
+        logRecords("record_confirmed", shard, batch, offset);
+}
+
+} // namespace fescue
--- a/src/RequestTable.cpp
+++ b/src/RequestTable.cpp
@@ -1,6 +1,7 @@
 #include "RequestTable.h"
 
 #include "ChatStream.h"
+#include "EventLog.h"
 
 namespace fescue {
 
@@ -25,6 +26,27 @@
         return { { "Fescue-Durable-Call", std::to_string(durableCall.value_) } };
     }
 
+    Facts factsOf(const RequestFrame& frame)
+    {
+        Facts facts { { "request", std::to_string(frame.id_) } };
+        if (!frame.program_.empty())
+            facts.emplace_back("program", frame.program_.value_);
+        if (frame.call_.value_ > 0)
+            facts.emplace_back("call", std::to_string(frame.call_.value_));
+        return facts;
+    }
+
+    void logAnswer(const RequestFrame& frame, int status, RunState run, std::string_view problem)
+    {
+        Facts facts = factsOf(frame);
+        facts.emplace_back("status", std::to_string(status));
+        if (!problem.empty())
+            facts.emplace_back("problem", problem);
+        if (run != RunState::Final)
+            facts.emplace_back("run_state", nameOf(run));
+        logEvent("answer_sent", facts);
+    }
+
     void sendWhole(const FrameLinkPtr& link, HeadFrame head, std::string body)
     {
         std::uint64_t id = head.id_;
@@ -37,6 +59,7 @@
 
 RequestId RequestTable::add(FrameLinkPtr link, RequestFrame frame, bool wantsStream)
 {
+    logEvent("call_received", factsOf(frame));
     auto entry = std::make_shared<Entry>();
     entry->link_ = std::move(link);
     entry->frame_ = std::make_shared<const RequestFrame>(std::move(frame));
@@ -84,6 +107,7 @@
     auto entry = take(request);
     if (!entry)
         return;
+    logAnswer(*entry->frame_, outcome.status_, outcome.run_, {});
     std::uint64_t id = entry->frame_->id_;
     bool isStream = entry->wantsStream_ && outcome.status_ == 200;
     if (!isStream && !entry->hasBegun_) {
@@ -107,6 +131,7 @@
     auto entry = take(request);
     if (!entry)
         return;
+    logAnswer(*entry->frame_, httpStatusOf(problem.kind_), problem.run_, nameOf(problem.kind_));
     std::uint64_t id = entry->frame_->id_;
     std::string document = toJsonText(problem);
     if (entry->hasBegun_) {
@@ -126,14 +151,22 @@
 
 void RequestTable::sendDocument(RequestId request, int status, const std::string& json)
 {
-    if (auto entry = take(request))
-        sendWhole(entry->link_, HeadFrame { entry->frame_->id_, status, "application/json", {} }, json);
+    auto entry = take(request);
+    if (!entry)
+        return;
+    logAnswer(*entry->frame_, status, RunState::Final, {});
+    sendWhole(entry->link_, HeadFrame { entry->frame_->id_, status, "application/json", {} }, json);
 }
 
 void RequestTable::sendMoved(RequestId request, const VmId& to)
 {
-    if (auto entry = take(request))
-        send(entry->link_, MovedFrame { entry->frame_->id_, to });
+    auto entry = take(request);
+    if (!entry)
+        return;
+    Facts facts = factsOf(*entry->frame_);
+    facts.emplace_back("to", to.value_);
+    logEvent("call_moved", facts);
+    send(entry->link_, MovedFrame { entry->frame_->id_, to });
 }
 
 void RequestTable::linkClosed(const FrameLinkPtr& link)
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -321,8 +321,20 @@
                                    { "program", reply.program_.value_ }, { "durable", reply.isDurable_ } }
                                    .dump());
                        },
-                       [&](const AttachRequest& attach) { runner_.attach(attach.program_, attach.request_); },
-                       [&](const ExecuteCall& execute) { runner_.run(execute); },
+                       [&](const AttachRequest& attach) {
+                           logEvent("call_attached",
+                               { { "program", attach.program_.value_ },
+                                   { "call", std::to_string(attach.call_.value_) } });
+                           runner_.attach(attach.program_, attach.request_);
+                       },
+                       [&](const ExecuteCall& execute) {
+                           logEvent("call_admitted",
+                               { { "program", execute.call_.program_.value_ },
+                                   { "call", std::to_string(execute.call_.number_.value_) },
+                                   { "shard", streamOf(shard) },
+                                   { "epoch", std::to_string(execute.epoch_.value_) } });
+                           runner_.run(execute);
+                       },
                        [&](const CancelCall& cancel) { runner_.cancel(cancel.program_, cancel.execution_); },
                        [&](const ReleaseCache& release) {
                            logEvent("program_ended",
--- a/src/ShardHome.cpp
+++ b/src/ShardHome.cpp
@@ -1,6 +1,7 @@
 #include "ShardHome.h"
 
 #include "EventLog.h"
+#include "RecordEvents.h"
 #include "ShardLog.h"
 
 #include <map>
@@ -122,6 +123,7 @@
         home->flushAt_ = monotonicNow() + options_.flushInterval_;
         ++home->appends_;
         Batch batch = *home->shard_.inFlight_;
+        logBatchAppended(home->shard_.ledger_.shard_, batch);
         appendToLog(client_, options_.log_, streamOf(home->shard_.ledger_.shard_), toJsonText(batch),
             [this, home, batch](
                 const tl::expected<LogOffset, LogError>& offset) { appended(home, batch, offset); });
@@ -177,6 +179,8 @@
     void fold(Home& home, LogOffset offset, const Batch& batch)
     {
         Epoch before = home.shard_.epoch_;
+        bool isConfirmed = batch.writer_ == options_.writer_ && batch.epoch_ == before;
+        logBatchRead(home.shard_.ledger_.shard_, offset, batch, isConfirmed && before.value_ != 0);
         carryOutAll(home, entryRead(home.shard_, offset, batch, context()));
         if (home.shard_.epoch_ == before)
             return;
--- /dev/null
+++ b/src/TimeLinePicture.cpp
@@ -0,0 +1,164 @@
+#include "TimeLinePicture.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace fescue {
+
+namespace {
+
+    constexpr int laneWidth = 330;
+    constexpr int rowHeight = 16;
+    constexpr int headHeight = 48;
+    constexpr int margin = 16;
+    constexpr std::size_t longestLabel = 52;
+    constexpr std::int64_t microsecondsPerSecond = 1000000;
+    constexpr std::int64_t secondsPerDay = 86400;
+
+    std::string labelOf(const TimeLineLane& lane) { return lane.process_ + "@" + lane.vm_; }
+
+    std::string clockOf(std::int64_t timeUs)
+    {
+        std::int64_t seconds = timeUs / microsecondsPerSecond % secondsPerDay;
+        return fmt::format("{:02}:{:02}:{:02}.{:06}", seconds / 3600, seconds / 60 % 60, seconds % 60,
+            timeUs % microsecondsPerSecond);
+    }
+
+    std::string factsOf(const TimeLineEvent& event)
+    {
+        std::string text;
+        for (const auto& [name, value] : event.facts_)
+            text += (text.empty() ? "" : " ") + name + "=" + value;
+        return text;
+    }
+
+    std::string escaped(const std::string& text)
+    {
+        std::string safe;
+        for (char c : text) {
+            if (c == '<')
+                safe += "&lt;";
+            else if (c == '>')
+                safe += "&gt;";
+            else if (c == '&')
+                safe += "&amp;";
+            else if (c == '"')
+                safe += "&quot;";
+            else
+                safe += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+        }
+        return safe;
+    }
+
+    // Cuts between characters of UTF-8, not inside one.
+    std::string shortened(const std::string& text)
+    {
+        if (text.size() <= longestLabel)
+            return text;
+        std::size_t end = longestLabel;
+        while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xC0U) == 0x80U)
+            --end;
+        return text.substr(0, end) + "...";
+    }
+
+    int laneX(std::size_t lane) { return margin + static_cast<int>(lane) * laneWidth; }
+
+    int rowY(std::size_t row) { return headHeight + margin + static_cast<int>(row) * rowHeight; }
+
+    std::string drawLane(const TimeLine& timeLine, std::size_t lane)
+    {
+        int x = laneX(lane);
+        const TimeLineLane& shown = timeLine.lanes_[lane];
+        return fmt::format("<text x=\"{}\" y=\"20\" font-weight=\"bold\">{}</text>"
+                           "<text x=\"{}\" y=\"36\" fill=\"#666\">{}</text>"
+                           "<line x1=\"{}\" y1=\"{}\" x2=\"{}\" y2=\"{}\" stroke=\"#bbb\"/>\n",
+            x, escaped(labelOf(shown)), x, escaped(shown.zone_), x, headHeight, x,
+            rowY(timeLine.events_.size()));
+    }
+
+    std::string drawEvent(const TimeLineEvent& event, std::size_t row)
+    {
+        int x = laneX(event.lane_);
+        int y = rowY(row);
+        const char* colour = event.facts_.count("message") ? "#c0392b" : "#2c5f8a";
+        return fmt::format("<g><title>{}</title><circle cx=\"{}\" cy=\"{}\" r=\"3\" fill=\"{}\"/>"
+                           "<text x=\"{}\" y=\"{}\">{}</text></g>\n",
+            escaped(clockOf(event.timeUs_) + " " + event.name_ + " " + factsOf(event)), x, y, colour, x + 8,
+            y + 4, escaped(shortened(event.name_ + " " + factsOf(event))));
+    }
+
+    std::string drawArrow(const TimeLine& timeLine, const TimeLineArrow& arrow)
+    {
+        return fmt::format("<line x1=\"{}\" y1=\"{}\" x2=\"{}\" y2=\"{}\" stroke=\"#e08e2b\" "
+                           "stroke-opacity=\"0.7\" marker-end=\"url(#tip)\"/>\n",
+            laneX(timeLine.events_[arrow.cause_].lane_), rowY(arrow.cause_),
+            laneX(timeLine.events_[arrow.effect_].lane_), rowY(arrow.effect_));
+    }
+
+} // namespace
+
+std::string toText(const TimeLine& timeLine)
+{
+    std::size_t widest = 0;
+    for (const TimeLineLane& lane : timeLine.lanes_)
+        widest = std::max(widest, labelOf(lane).size());
+    std::string text;
+    for (std::size_t i = 0; i < timeLine.events_.size(); ++i) {
+        const TimeLineEvent& event = timeLine.events_[i];
+        text += fmt::format("{:>5}  {}  {:<{}}  {:<18}  {}\n", i + 1, clockOf(event.timeUs_),
+            labelOf(timeLine.lanes_[event.lane_]), widest, event.name_, factsOf(event));
+    }
+    if (timeLine.skippedLines_ > 0)
+        text += fmt::format("{} lines are no events and were passed over\n", timeLine.skippedLines_);
+    if (timeLine.contradictions_ > 0)
+        text += fmt::format(
+            "{} events contradict one another and stand by clock only\n", timeLine.contradictions_);
+    return text;
+}
+
+std::string toJsonText(const TimeLine& timeLine)
+{
+    nlohmann::json rows = nlohmann::json::array();
+    for (const TimeLineEvent& event : timeLine.events_) {
+        const TimeLineLane& lane = timeLine.lanes_[event.lane_];
+        rows.push_back({ { "process", lane.process_ }, { "vm", lane.vm_ }, { "zone", lane.zone_ },
+            { "time_us", event.timeUs_ }, { "event", event.name_ }, { "facts", event.facts_ } });
+    }
+    return rows.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+}
+
+std::string toSvg(const TimeLine& timeLine)
+{
+    int width = laneX(std::max<std::size_t>(timeLine.lanes_.size(), 1)) + margin;
+    std::string svg
+        = fmt::format("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{}\" height=\"{}\" "
+                      "font-family=\"monospace\" font-size=\"10\">\n<defs><marker id=\"tip\" refX=\"7\" "
+                      "refY=\"3\" markerWidth=\"8\" markerHeight=\"6\" orient=\"auto\"><path "
+                      "d=\"M0,0 L8,3 L0,6 z\" fill=\"#e08e2b\"/></marker></defs>\n"
+                      "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n",
+            width, rowY(timeLine.events_.size()) + margin);
+    for (std::size_t lane = 0; lane < timeLine.lanes_.size(); ++lane)
+        svg += drawLane(timeLine, lane);
+    for (const TimeLineArrow& arrow : timeLine.arrows_)
+        svg += drawArrow(timeLine, arrow);
+    for (std::size_t row = 0; row < timeLine.events_.size(); ++row)
+        svg += drawEvent(timeLine.events_[row], row);
+    return svg + "</svg>\n";
+}
+
+std::string toHtml(const TimeLine& timeLine)
+{
+    std::string rows;
+    for (const TimeLineLane& lane : timeLine.lanes_)
+        rows += fmt::format("<tr><td>{}</td><td>{}</td><td>{}</td></tr>\n", escaped(labelOf(lane)),
+            escaped(lane.zone_), escaped(lane.file_));
+    return fmt::format("<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>Time "
+                       "line</title></head>\n<body style=\"font-family: sans-serif\">\n<h1>Time line</h1>\n"
+                       "<p>{} events; {} lines passed over; {} contradictions. Point at an event for its "
+                       "facts.</p>\n<table><tr><th>process</th><th>zone</th><th>file</th></tr>\n{}</table>\n"
+                       "{}</body></html>\n",
+        timeLine.events_.size(), timeLine.skippedLines_, timeLine.contradictions_, rows, toSvg(timeLine));
+}
+
+} // namespace fescue
--- /dev/null
+++ b/test/correctness/TimeLineMerge.cpp
@@ -0,0 +1,158 @@
+// The time line orders events by their reasons, whatever the clocks say.
+
+#include "Cluster.h"
+#include "Suite.h"
+#include "TimeLinePicture.h"
+
+#include <csignal>
+#include <filesystem>
+
+using namespace fescue;
+using namespace fescue::test;
+using nlohmann::json;
+
+class TimeLineMerge : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TimeLineMerge);
+    CPPUNIT_TEST(shiftedClocksLeaveCausesFirst);
+    CPPUNIT_TEST(offsetsOrderAStreamUnlessACauseSpeaksAgainstIt);
+    CPPUNIT_TEST(aCycleIsListedWhole);
+    CPPUNIT_TEST(linesThatAreNoEventsAreCounted);
+    CPPUNIT_TEST(pictureEscapesWhatItShows);
+    CPPUNIT_TEST(realProcessesTellTheWholeStory);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void shiftedClocksLeaveCausesFirst();
+    void offsetsOrderAStreamUnlessACauseSpeaksAgainstIt();
+    void aCycleIsListedWhole();
+    void linesThatAreNoEventsAreCounted();
+    void pictureEscapesWhatItShows();
+    void realProcessesTellTheWholeStory();
+};
+
+REGISTER_SUITE(TimeLineMerge);
+
+namespace {
+
+std::string line(
+    const std::string& vm, std::int64_t timeUs, const std::string& event, json facts = json::object())
+{
+    facts.update(
+        { { "process", "p" }, { "vm", vm }, { "zone", "z" }, { "time_us", timeUs }, { "event", event } });
+    return facts.dump() + "\n";
+}
+
+std::size_t placeOf(const TimeLine& timeLine, const std::string& event)
+{
+    for (std::size_t i = 0; i < timeLine.events_.size(); ++i) {
+        if (timeLine.events_[i].name_ == event)
+            return i;
+    }
+    throw std::runtime_error("no event " + event);
+}
+
+// A request that goes from one process to the other and back, with the second clock `shift` ahead.
+std::vector<EventFile> exchange(std::int64_t shift)
+{
+    json id { { "request", "7" } };
+    json sent { { "request", "7" }, { "to", "b" } };
+    return { { "b", line("b", 20 + shift, "call_received", id) + line("b", 30 + shift, "answer_sent", id) },
+        { "a", line("a", 10, "request_sent", sent) + line("a", 40, "answer_received", id) } };
+}
+
+} // namespace
+
+void TimeLineMerge::shiftedClocksLeaveCausesFirst()
+{
+    std::vector<std::string> expected { "request_sent", "call_received", "answer_sent", "answer_received" };
+    constexpr std::int64_t second = 1000000;
+    for (std::int64_t shift : { -7 * second, std::int64_t { -15 }, std::int64_t { 0 }, 5 * second }) {
+        TimeLine merged = mergeTimeLine(exchange(shift));
+        std::vector<std::string> names;
+        for (const TimeLineEvent& event : merged.events_)
+            names.push_back(event.name_);
+        CHECK(names == expected);
+        CHECK_EQUAL(std::size_t { 2 }, merged.arrows_.size());
+        CHECK_EQUAL(std::size_t { 0 }, merged.contradictions_);
+    }
+}
+
+void TimeLineMerge::offsetsOrderAStreamUnlessACauseSpeaksAgainstIt()
+{
+    json first { { "shard", "z/1" }, { "offset", "1" } };
+    json second { { "shard", "z/1" }, { "offset", "2" } };
+    std::vector<EventFile> files { { "a", line("a", 90, "early", first) },
+        { "b", line("b", 10, "late", second) } };
+    TimeLine byOffset = mergeTimeLine(files);
+    CHECK(placeOf(byOffset, "early") < placeOf(byOffset, "late"));
+
+    files[0].text_ = line("a", 90, "call_received", { { "request", "7" } }) + line("a", 91, "early", first);
+    files[1].text_ += line("b", 11, "request_sent", { { "request", "7" }, { "to", "a" } });
+    TimeLine byCause = mergeTimeLine(files);
+    CHECK(placeOf(byCause, "late") < placeOf(byCause, "early"));
+    CHECK_EQUAL(std::size_t { 0 }, byCause.contradictions_);
+}
+
+void TimeLineMerge::aCycleIsListedWhole()
+{
+    std::vector<EventFile> files = exchange(0);
+    files[1].text_ = line("a", 10, "answer_received", { { "request", "7" } })
+        + line("a", 40, "request_sent", { { "request", "7" }, { "to", "b" } });
+    TimeLine merged = mergeTimeLine(files);
+    CHECK_EQUAL(std::size_t { 4 }, merged.events_.size());
+    CHECK_EQUAL(std::size_t { 1 }, merged.contradictions_);
+}
+
+void TimeLineMerge::linesThatAreNoEventsAreCounted()
+{
+    TimeLine merged = mergeTimeLine({ { "a", line("a", 1, "whole") + "{\"event\": \"ha\n[]\n\xff\xfe\n" } });
+    CHECK_EQUAL(std::size_t { 1 }, merged.events_.size());
+    CHECK_EQUAL(std::size_t { 3 }, merged.skippedLines_);
+}
+
+void TimeLineMerge::pictureEscapesWhatItShows()
+{
+    TimeLine merged = mergeTimeLine({ { "a", line("<b>", 1, "e", { { "detail", "<script>" } }) } });
+    for (const std::string& picture : { toSvg(merged), toHtml(merged) }) {
+        CHECK(picture.find("<script>") == std::string::npos);
+        CHECK(picture.find("&lt;script&gt;") != std::string::npos);
+    }
+}
+
+void TimeLineMerge::realProcessesTellTheWholeStory()
+{
+    ClusterOptions options;
+    options.eventsFolder_
+        = std::filesystem::temp_directory_path() / ("fescue-events-" + std::to_string(getpid()));
+    std::filesystem::create_directories(options.eventsFolder_);
+    Cluster cluster(options);
+    std::string program = cluster.createProgram(0);
+    CHECK_EQUAL(200, cluster.serviceCall(0, program, 1, "/invoices", "{}").status());
+    EntryVm& vm = cluster.entries_[0];
+    CHECK_EQUAL(0, vm.gateway_->end(SIGTERM));
+    CHECK_EQUAL(0, vm.scheduler_->end(SIGTERM));
+    std::vector<std::string> arguments { "timeline", "--output=json" };
+    for (const auto& file : std::filesystem::directory_iterator(options.eventsFolder_))
+        arguments.push_back(file.path());
+    Finished shown = runToEnd("fescuectl", arguments);
+    std::filesystem::remove_all(options.eventsFolder_);
+    CHECK_EQUAL(0, shown.status_);
+    json merged = json::parse(shown.output_);
+    std::vector<std::string> story;
+    std::vector<std::string> outcome;
+    std::string told;
+    for (const json& event : merged["events"]) {
+        const json& facts = event["facts"];
+        if (facts.value("program", "") != program || facts.value("call", "") != "1")
+            continue;
+        std::string record = facts.value("record", "");
+        std::string step = event["event"].get<std::string>() + " " + record;
+        (record == "outcome" ? outcome : story).push_back(step);
+        told += step + "\n";
+    }
+    std::vector<std::string> expected { "request_received ", "request_sent ", "call_received ",
+        "record_appended intent", "record_confirmed intent", "call_admitted ", "call_sent ",
+        "target_answered ", "answer_sent ", "answer_received " };
+    CPPUNIT_ASSERT_MESSAGE(told, story == expected);
+    CHECK(outcome == (std::vector<std::string> { "record_appended outcome", "record_confirmed outcome" }));
+}
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -85,17 +85,25 @@
     return sections;
 }
 
+std::string Cluster::eventsFile(const std::string& vm, const std::string& process) const
+{
+    if (options_.eventsFolder_.empty())
+        return "/dev/null";
+    return options_.eventsFolder_ + "/" + vm + "-" + process + ".events";
+}
+
 void Cluster::startVm(const std::string& name, const std::string& zone)
 {
     EntryVm vm;
     vm.name_ = name;
     vm.zone_ = zone;
     std::vector<std::string> flags { "--vm=" + name, "--zone=" + zone, "--log_url=" + url(*log_),
-        "--vms_url=" + url(*vms_), "--events_file=/dev/null" };
+        "--vms_url=" + url(*vms_), "--events_file=" + eventsFile(name, "scheduler") };
     flags.insert(flags.end(), options_.schedulerFlags_.begin(), options_.schedulerFlags_.end());
     vm.scheduler_ = std::make_unique<Process>("fescue-scheduler", flags, 2);
     vm.gateway_ = std::make_unique<Process>("fescue-gateway",
-        std::vector<std::string> { "--vm=" + name, "--zone=" + zone, "--events_file=/dev/null",
+        std::vector<std::string> { "--vm=" + name, "--zone=" + zone,
+            "--events_file=" + eventsFile(name, "gateway"),
             "--scheduler=127.0.0.1:" + std::to_string(vm.scheduler_->port("frames")) },
         1);
     entries_.push_back(std::move(vm));
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -32,6 +32,7 @@
     std::vector<std::string> schedulerFlags_;
     std::vector<std::string> engineFlags_;
     std::vector<std::string> logFlags_;
+    std::string eventsFolder_; ///< Where the daemons write their event logs; empty for nowhere.
 };
 
 /** An answer as a caller sees it. */
@@ -80,6 +81,7 @@
 
 private:
     nlohmann::json manifest() const;
+    std::string eventsFile(const std::string& vm, const std::string& process) const;
 };
 
 /** Waits until a condition holds; throws `std::runtime_error` with `what` after a minute. */
