--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -33,6 +33,7 @@
     std::vector<std::string> engineFlags_;
     std::vector<std::string> logFlags_;
     bool isCuttable_ = false; ///< Each zone reaches the platform by ports of its own, see `cutZone`.
+    std::string eventsFolder_; ///< Where the daemons write their event logs; empty for nowhere.
 };
 
 /** An answer as a caller sees it. */
@@ -86,6 +87,7 @@
 private:
     nlohmann::json manifest() const;
     std::string portOf(const std::string& zone) const;
+    std::string eventsFile(const std::string& vm, const std::string& process) const;
 };
 
 /** Waits until a condition holds; throws `std::runtime_error` with `what` after a minute. */
