--- a/bench/ProgramSize.cpp
+++ b/bench/ProgramSize.cpp
@@ -5,49 +5,30 @@
 
 #include "ShardBench.h"
 
-#include <cstdlib>
 #include <iostream>
 #include <malloc.h>
-#include <new>
 #include <nlohmann/json.hpp>
 
 namespace {
 
-std::size_t allocated = 0;
-
-} // namespace
-
-void* operator new(std::size_t size)
-{
-    void* memory = std::malloc(size);
-    if (!memory)
-        throw std::bad_alloc();
-    allocated += malloc_usable_size(memory);
-    return memory;
-}
-
-void operator delete(void* memory) noexcept
-{
-    allocated -= malloc_usable_size(memory);
-    std::free(memory);
-}
-
-void operator delete(void* memory, std::size_t) noexcept { operator delete(memory); }
-
-namespace {
-
 using namespace fescue;
 using namespace fescue::test;
 
 constexpr int programs = 200;
 constexpr std::size_t answerBytes = 1400; ///< About 340 tokens.
 
+std::size_t allocated()
+{
+    struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
 void runTurn(ShardBench& bench, BenchOwner& owner, const std::string& program, std::uint32_t number,
     nlohmann::json& history)
 {
     history.push_back({ { "role", "user" }, { "content", "next" } });
-    Call call { { number }, { "kalamaris-lease" }, { program }, { number }, CallKind::Model,
-        std::string(64, 'f'), history.dump(), { 100 }, { 400 } };
+    Call call { { number }, { "w" }, { program }, { number }, CallKind::Model, std::string(64, 'f'),
+        history.dump(), { 100 }, { 400 } };
     Effects effects = callArrived(owner.shard_, call, bench.context());
     if (!ShardBench::find<ExecuteCall>(effects))
         effects = bench.flush(owner);
@@ -68,7 +49,8 @@
     for (std::uint32_t number = 1; number <= turns; ++number)
         runTurn(bench, owner, program, number, history);
     bench.flush(owner);
-    bench.log_.assign(bench.log_.size(), {});
+    for (Batch& batch : bench.log_)
+        batch = Batch {};
 }
 
 void measure(std::uint32_t turns)
@@ -77,16 +59,16 @@
     BenchOwner owner { "kalamaris-entry-1" };
     bench.claim(owner);
     std::size_t logBefore = bench.log_.capacity() * sizeof(Batch);
-    std::size_t before = allocated;
+    std::size_t before = allocated();
     for (int i = 0; i < programs; ++i)
         runProgram(bench, owner, "gr-central-a.17.lq3k9x2f.9f86d08188" + std::to_string(100000 + i), turns);
     std::size_t logGrowth = bench.log_.capacity() * sizeof(Batch) - logBefore;
-    std::size_t inUse = allocated - before - logGrowth;
+    std::size_t inUse = allocated() - before - logGrowth;
     bench.now_ += bench.limits_.restAfter_;
     owner.shard_.snapshotAt_ = owner.shard_.ledger_.readTo_;
     owner.shard_.snapshotTime_ = bench.now_;
     shardTick(owner.shard_, bench.context());
-    std::size_t resting = allocated - before - logGrowth;
+    std::size_t resting = allocated() - before - logGrowth;
     std::cout << turns << ' ' << inUse / programs << ' ' << resting / programs << ' '
               << toJsonText(owner.shard_.ledger_).size() / programs << std::endl;
 }
