Let VMs that the list does not name find each other, and read shards again that two VMs hold

A shard that two VMs claim to hold, and every held shard when a VM is gone, is read again. Peers told of a change name the VMs they hear, since a frozen list may know only one of them.

PeerJudgement drives a zone of views step by step: dead VM, silent VM, one broken link, rack, flapping.

--- a/src/Frame.cpp
+++ b/src/Frame.cpp
@@ -73,7 +73,7 @@
         return { { "t", "peer" }, { "from", frame.from_.value_ }, { "zone", frame.zone_.value_ },
             { "address", frame.address_ }, { "leaving", frame.isLeaving_ }, { "wants", frame.wantsConfig_ },
             { "read_to", frame.readTo_.value_ }, { "held", frame.held_ }, { "unheard", std::move(unheard) },
-            { "config", frame.config_ } };
+            { "known", frame.known_ }, { "config", frame.config_ } };
     }
 
     json toJson(const WatchFrame& frame) { return { { "t", "watch" }, { "have", frame.have_.value_ } }; }
@@ -109,6 +109,7 @@
             object.at("held").get<std::vector<std::uint32_t>>() };
         for (const json& vm : object.at("unheard"))
             peer.unheard_.push_back({ vm.get<std::string>() });
+        peer.known_ = object.at("known").get<std::map<std::string, std::string>>();
         peer.config_ = textAt(object, "config");
         return peer;
     }
--- a/src/Frame.h
+++ b/src/Frame.h
@@ -13,6 +13,7 @@
 #include "Problem.h"
 #include "Types.h"
 
+#include <map>
 #include <string>
 #include <tl/expected.hpp>
 #include <utility>
@@ -90,6 +91,7 @@
     LogOffset readTo_; ///< Up to where its configuration takes the log into account.
     std::vector<std::uint32_t> held_; ///< Shards of the zone that it owns.
     std::vector<VmId> unheard_; ///< VMs of the zone that it cannot hear.
+    std::map<std::string, std::string> known_; ///< VMs that it hears and their addresses, after a change.
     std::string config_; ///< `toJson(Config)` as text when it hands it over, else empty.
 };
 
--- a/src/PeerLinks.cpp
+++ b/src/PeerLinks.cpp
@@ -63,9 +63,33 @@
     {
         PeerFrame own = announcement();
         own.wantsConfig_ = false;
+        own.known_ = known();
         link->send(own);
     }
 
+    std::map<std::string, std::string> known() const
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        return knownPeers(table_, monotonicNow());
+    }
+
+    void announce(bool withKnown)
+    {
+        PeerFrame frame = announcement();
+        frame.wantsConfig_ = false;
+        if (withKnown)
+            frame.known_ = known();
+        std::vector<FrameLinkPtr> links;
+        {
+            std::lock_guard<std::mutex> lock(mutex_);
+            const PeerTiming& timing = table_.timing_;
+            announceAt_ = monotonicNow() + (frame.isLeaving_ ? timing.announceLeaving_ : timing.announce_);
+            links = openLinks();
+        }
+        for (const FrameLinkPtr& link : links)
+            link->send(frame);
+    }
+
     void arrived(const FrameLinkPtr& link, const PeerFrame& told)
     {
         if (told.from_ == vm_ || told.zone_ != zone_)
@@ -76,6 +100,7 @@
             std::lock_guard<std::mutex> lock(mutex_);
             isNewLink = open_.emplace(link, told.from_).second;
             peerHeard(table_, told, monotonicNow());
+            table_.peers_.erase(vm_); // The peer knows this VM too.
             isAhead = told.config_.empty() && told.readTo_ > readTo_;
         }
         if (isNewLink)
@@ -165,8 +190,10 @@
     bool judge(MonotonicTime now)
     {
         std::map<VmId, bool> leaving;
-        for (const auto& [vm, peer] : table_.peers_)
-            leaving[vm] = peer.told_.isLeaving_;
+        for (const auto& [vm, peer] : table_.peers_) {
+            if (peer.wasHeard_)
+                leaving[vm] = peer.told_.isLeaving_;
+        }
         std::map<VmId, bool> before = std::move(leaving_);
         leaving_ = leaving;
         bool hasChanged = judgePeers(table_, now) || leaving != before;
@@ -208,25 +235,12 @@
         isDue = now >= impl_->announceAt_ || hasChanged;
     }
     if (isDue)
-        announceNow();
+        impl_->announce(hasChanged);
     if (hasChanged)
         impl_->handlers_.onChange_();
 }
 
-void PeerLinks::announceNow()
-{
-    PeerFrame frame = impl_->announcement();
-    frame.wantsConfig_ = false;
-    std::vector<FrameLinkPtr> links;
-    {
-        std::lock_guard<std::mutex> lock(impl_->mutex_);
-        const PeerTiming& timing = impl_->table_.timing_;
-        impl_->announceAt_ = monotonicNow() + (frame.isLeaving_ ? timing.announceLeaving_ : timing.announce_);
-        links = impl_->openLinks();
-    }
-    for (const FrameLinkPtr& link : links)
-        link->send(frame);
-}
+void PeerLinks::announceNow() { impl_->announce(false); }
 
 void PeerLinks::arrived(const FrameLinkPtr& link, const PeerFrame& frame) { impl_->arrived(link, frame); }
 
--- a/src/PeerState.cpp
+++ b/src/PeerState.cpp
@@ -58,11 +58,16 @@
     bool isUnbroken = peer.wasHeard_ && isHeard(table, peer, now);
     peer.told_ = told;
     peer.told_.config_.clear();
+    peer.told_.known_.clear();
     peer.wasHeard_ = true;
     peer.isBroken_ = false;
     peer.heardAt_ = now;
     if (!isUnbroken)
         peer.heardSince_ = now;
+    for (const auto& [vm, address] : told.known_) {
+        if (!table.peers_.count({ vm }))
+            peerOf(table, { vm }, now).listedAddress_ = address;
+    }
 }
 
 void peerBroken(PeerTable& table, const VmId& vm, MonotonicTime now)
@@ -82,6 +87,16 @@
     return now - peer.heardAt_ <= table.timing_.silence_;
 }
 
+std::map<std::string, std::string> knownPeers(const PeerTable& table, MonotonicTime now)
+{
+    std::map<std::string, std::string> known;
+    for (const auto& [vm, peer] : table.peers_) {
+        if (peer.wasHeard_ && !peer.isGone_ && isHeard(table, peer, now))
+            known[vm.value_] = peer.told_.address_;
+    }
+    return known;
+}
+
 std::vector<VmId> unheardPeers(const PeerTable& table, MonotonicTime now)
 {
     std::vector<VmId> unheard;
--- a/src/PeerState.h
+++ b/src/PeerState.h
@@ -57,6 +57,10 @@
 
 /** Whether a peer is heard at `now`, by the own evidence alone. Pure. */
 bool isHeard(const PeerTable& table, const Peer& peer, MonotonicTime now);
+/** The peers that are heard and their addresses, to tell the others. Pure.
+ *
+ * Two VMs that a lagging list does not name find each other through a third. */
+std::map<std::string, std::string> knownPeers(const PeerTable& table, MonotonicTime now);
 /** The peers that are not heard, to tell the others. Pure. */
 std::vector<VmId> unheardPeers(const PeerTable& table, MonotonicTime now);
 
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -22,7 +22,7 @@
 namespace {
 
     constexpr Milliseconds tickInterval { 20 };
-    constexpr Milliseconds orphanInterval { 200 };
+    constexpr Milliseconds shardsInterval { 500 };
     constexpr Milliseconds orphanPatience { 1500 }; ///< Until the peers have told what they hold.
 
     template <class... Ts> struct Overloaded : Ts... {
@@ -89,7 +89,10 @@
     ShardHomes homes_;
     PlatformView platform_;
     PeerLinks peers_;
-    MonotonicTime orphansAt_;
+    MonotonicTime shardsAt_;
+    std::atomic<bool> mustVerify_ {
+        false
+    }; ///< A VM is gone: it may have held what this VM believes to hold.
     std::map<ShardKey, MonotonicTime> orphans_; ///< Shards that this VM should own and nobody holds, since.
     std::atomic<std::uint16_t> framesPort_ { 0 }; ///< 0 until the server stands; peers are refused before.
     std::unique_ptr<FrameServer> frames_;
@@ -112,8 +115,7 @@
                   [this](const Members& members) { membersListed(members); } })
         , peers_(options.vm_, options.zone_,
               { [this] { return announcement(); }, [this] { return toJson(platform_.config()).dump(); },
-                  [this](const std::string& text) { configHandedOver(text); },
-                  [this] { broadcastView(false); } })
+                  [this](const std::string& text) { configHandedOver(text); }, [this] { peersChanged(); } })
     {
         FrameHandlers handlers { [](const FrameLinkPtr&) {},
             [this](const FrameLinkPtr& link, Frame frame) { frameArrived(link, std::move(frame)); },
@@ -149,7 +151,7 @@
         runner_.tick();
         platform_.tick();
         peers_.tick();
-        takeOverOrphans();
+        lookAfterShards();
         if (!isReady_ && platform_.isReady()) {
             isReady_ = true;
             broadcastView(true);
@@ -188,24 +190,35 @@
             platform_.offer(*config);
     }
 
-    // Programs of a shard that no VM holds are looked after without waiting for a request.
-    void takeOverOrphans()
+    void peersChanged()
+    {
+        mustVerify_ = true;
+        broadcastView(false);
+    }
+
+    // Two rounds: shards that two VMs believe to hold are read again, since one of them was overtaken; and
+    // programs of a shard that no VM holds are looked after without waiting for a request.
+    void lookAfterShards()
     {
         auto now = monotonicNow();
-        if (now < orphansAt_ || isDraining_ || !isReady_ || !platform_.standing().isInTouch_)
+        if (now < shardsAt_ || isDraining_ || !isReady_ || !platform_.standing().isInTouch_)
             return;
-        orphansAt_ = now + orphanInterval;
+        shardsAt_ = now + shardsInterval;
+        bool verifiesAll = mustVerify_.exchange(false);
         Members members = view(false).members_;
         for (std::uint32_t index = 0; index < shardsPerZone; ++index) {
             ShardKey shard { options_.zone_, { index } };
-            auto expected = expectedOwner(members, shard);
-            bool isOrphan = expected && expected->vm_ == options_.vm_ && !homes_.isOwned(shard)
-                && !peers_.holderOf(shard.index_);
-            if (!isOrphan) {
+            bool isHeldElsewhere = peers_.holderOf(shard.index_).has_value();
+            if (homes_.isOwned(shard)) {
                 orphans_.erase(shard);
+                if (verifiesAll || isHeldElsewhere)
+                    homes_.verify(shard);
                 continue;
             }
-            if (now - orphans_.emplace(shard, now).first->second >= orphanPatience)
+            auto expected = expectedOwner(members, shard);
+            if (isHeldElsewhere || !expected || expected->vm_ != options_.vm_)
+                orphans_.erase(shard);
+            else if (now - orphans_.emplace(shard, now).first->second >= orphanPatience)
                 homes_.takeOver(shard);
         }
     }
--- a/src/ShardHome.cpp
+++ b/src/ShardHome.cpp
@@ -72,6 +72,13 @@
         return home;
     }
 
+    HomePtr find(const ShardKey& shard) const
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        auto found = homes_.find(shard);
+        return found == homes_.end() ? nullptr : found->second;
+    }
+
     std::vector<HomePtr> all() const
     {
         std::lock_guard<std::mutex> lock(mutex_);
@@ -260,6 +267,16 @@
     impl_->pump(home);
 }
 
+void ShardHomes::verify(const ShardKey& shard)
+{
+    HomePtr home = impl_->homeOf(shard);
+    std::lock_guard<std::mutex> lock(home->mutex_);
+    if (home->shard_.epoch_.value_ == 0)
+        return;
+    home->needsRead_ = true;
+    impl_->pump(home);
+}
+
 bool ShardHomes::isIdle(const ShardKey& shard) const
 {
     HomePtr home = impl_->homeOf(shard);
@@ -273,7 +290,9 @@
 
 bool ShardHomes::isOwned(const ShardKey& shard) const
 {
-    HomePtr home = impl_->homeOf(shard);
+    HomePtr home = impl_->find(shard);
+    if (!home)
+        return false;
     std::lock_guard<std::mutex> lock(home->mutex_);
     return home->shard_.epoch_.value_ != 0;
 }
--- a/src/ShardHome.h
+++ b/src/ShardHome.h
@@ -63,6 +63,9 @@
     /** Takes a shard over without a request, so that programs of a dead owner are looked after. */
     void takeOver(const ShardKey& shard);
 
+    /** Reads what the log holds of an owned shard, to find out whether another VM has taken it over. */
+    void verify(const ShardKey& shard);
+
     /** Whether the shard is owned and has nothing under way, so that it can move without loss. */
     bool isIdle(const ShardKey& shard) const;
     bool isOwned(const ShardKey& shard) const;
--- /dev/null
+++ b/test/correctness/PeerJudgement.cpp
@@ -0,0 +1,158 @@
+// Who is gone and who is back, judged from what the VMs of a zone say.
+
+#include "PeerState.h"
+#include "Suite.h"
+
+using namespace fescue;
+
+class PeerJudgement : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(PeerJudgement);
+    CPPUNIT_TEST(deadVmIsGoneWithinASecondOfItsLinkBreaking);
+    CPPUNIT_TEST(silentVmIsGoneThoughItsLinkStands);
+    CPPUNIT_TEST(oneBrokenLinkBetweenTwoDoesNotDivideViews);
+    CPPUNIT_TEST(rackLostAtOnceIsGone);
+    CPPUNIT_TEST(flappingVmStaysGoneUntilItIsHeardForAWhile);
+    CPPUNIT_TEST(peersCorrectALaggingList);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void deadVmIsGoneWithinASecondOfItsLinkBreaking();
+    void silentVmIsGoneThoughItsLinkStands();
+    void oneBrokenLinkBetweenTwoDoesNotDivideViews();
+    void rackLostAtOnceIsGone();
+    void flappingVmStaysGoneUntilItIsHeardForAWhile();
+    void peersCorrectALaggingList();
+};
+
+REGISTER_SUITE(PeerJudgement);
+
+namespace {
+
+constexpr Milliseconds step { 100 };
+
+// A zone of VMs, each with its own table. `cut` names pairs whose link is broken, `dead` those that are not
+// there; both sides of a pair see the same.
+struct Zone {
+    std::vector<VmId> vms_;
+    std::map<VmId, PeerTable> tables_;
+    std::set<std::pair<VmId, VmId>> cut_;
+    std::set<VmId> dead_;
+    MonotonicTime now_ { Milliseconds { 1000000 } };
+    std::map<VmId, int> changes_;
+
+    explicit Zone(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            vms_.push_back({ "vm" + std::to_string(i) });
+        run(Milliseconds { 3000 });
+        changes_.clear();
+    }
+
+    bool isCut(const VmId& a, const VmId& b) const
+    {
+        return dead_.count(a) || dead_.count(b) || cut_.count({ a, b }) || cut_.count({ b, a });
+    }
+
+    void exchange(const VmId& from, const VmId& to)
+    {
+        if (isCut(from, to)) {
+            peerBroken(tables_[to], from, now_);
+            return;
+        }
+        PeerFrame told { from, { "z" }, from.value_ + ":1" };
+        told.unheard_ = unheardPeers(tables_[from], now_);
+        peerHeard(tables_[to], told, now_);
+    }
+
+    void run(Milliseconds time)
+    {
+        for (auto end = now_ + time; now_ < end; now_ += step) {
+            for (const VmId& from : vms_) {
+                for (const VmId& to : vms_) {
+                    if (from != to && !dead_.count(to))
+                        exchange(from, to);
+                }
+            }
+            for (const VmId& vm : vms_)
+                changes_[vm] += !dead_.count(vm) && judgePeers(tables_[vm], now_) ? 1 : 0;
+        }
+    }
+
+    bool isGoneFor(int viewer, int vm) { return tables_[vms_[viewer]].peers_[vms_[vm]].isGone_; }
+};
+
+} // namespace
+
+void PeerJudgement::deadVmIsGoneWithinASecondOfItsLinkBreaking()
+{
+    Zone zone(4);
+    zone.dead_ = { zone.vms_[3] };
+    zone.run(Milliseconds { 1000 });
+    for (int viewer : { 0, 1, 2 }) {
+        CHECK(zone.isGoneFor(viewer, 3));
+        CHECK_EQUAL(1, zone.changes_[zone.vms_[viewer]]);
+    }
+}
+
+void PeerJudgement::silentVmIsGoneThoughItsLinkStands()
+{
+    PeerTable table;
+    MonotonicTime now { Milliseconds { 1000000 } };
+    peerHeard(table, { { "vm1" }, { "z" } }, now);
+    judgePeers(table, now + Milliseconds { 2000 });
+    CHECK(!table.peers_[{ "vm1" }].isGone_);
+    CHECK(judgePeers(table, now + Milliseconds { 3100 }));
+    CHECK(table.peers_[{ "vm1" }].isGone_);
+}
+
+void PeerJudgement::oneBrokenLinkBetweenTwoDoesNotDivideViews()
+{
+    Zone zone(4);
+    zone.cut_ = { { zone.vms_[0], zone.vms_[1] } };
+    zone.run(Milliseconds { 20000 });
+    for (int viewer : { 0, 1, 2, 3 })
+        CHECK_EQUAL(0, zone.changes_[zone.vms_[viewer]]);
+}
+
+void PeerJudgement::rackLostAtOnceIsGone()
+{
+    Zone zone(8);
+    zone.dead_ = { zone.vms_[3], zone.vms_[4], zone.vms_[5], zone.vms_[6], zone.vms_[7] };
+    zone.run(Milliseconds { 1000 });
+    for (int viewer : { 0, 1, 2 }) {
+        for (int vm : { 3, 4, 5, 6, 7 })
+            CHECK(zone.isGoneFor(viewer, vm));
+        CHECK(!zone.isGoneFor(viewer, viewer == 0 ? 1 : 0));
+    }
+}
+
+void PeerJudgement::flappingVmStaysGoneUntilItIsHeardForAWhile()
+{
+    Zone zone(3);
+    for (int i = 0; i < 10; ++i) {
+        zone.dead_ = { zone.vms_[2] };
+        zone.run(Milliseconds { 1000 });
+        zone.dead_ = {};
+        zone.run(Milliseconds { 1000 });
+    }
+    CHECK_EQUAL(1, zone.changes_[zone.vms_[0]]);
+    CHECK(zone.isGoneFor(0, 2));
+    zone.run(Milliseconds { 1500 });
+    CHECK(!zone.isGoneFor(0, 2));
+}
+
+void PeerJudgement::peersCorrectALaggingList()
+{
+    Zone zone(3);
+    PeerTable& table = zone.tables_[zone.vms_[0]];
+    Members listed { { { "vm1" }, { "z" }, "old:1" }, { { "vm9" }, { "other" }, "o:9" } };
+    peersListed(table, { listed[0] }, zone.now_);
+    PeerFrame leaving { { "vm1" }, { "z" }, "new:1", true };
+    peerHeard(table, leaving, zone.now_);
+    Members members = correctedMembers(table, { "z" }, listed);
+    CHECK_EQUAL(std::size_t { 3 }, members.size());
+    CHECK_EQUAL(std::string("new:1"), members[0].address_);
+    CHECK(members[0].isLeaving_);
+    CHECK_EQUAL(std::string("vm9"), members[1].vm_.value_);
+    CHECK_EQUAL(std::string("vm2"), members[2].vm_.value_);
+}
