--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -98,6 +98,13 @@
     return sections;
 }
 
+std::string Cluster::eventsFile(const std::string& vm, const std::string& process) const
+{
+    if (options_.eventsFolder_.empty())
+        return "/dev/null";
+    return options_.eventsFolder_ + "/" + vm + "-" + process + ".events";
+}
+
 void Cluster::startVm(const std::string& name, const std::string& zone)
 {
     EntryVm vm;
@@ -105,11 +112,12 @@
     vm.zone_ = zone;
     std::vector<std::string> flags { "--vm=" + name, "--zone=" + zone,
         "--log_url=" + url(*log_, portOf(zone)), "--vms_url=" + url(*vms_, portOf(zone)),
-        "--events_file=/dev/null" };
+        "--events_file=" + eventsFile(name, "scheduler") };
     flags.insert(flags.end(), options_.schedulerFlags_.begin(), options_.schedulerFlags_.end());
     vm.scheduler_ = std::make_unique<Process>("fescue-scheduler", flags, 2);
     vm.gateway_ = std::make_unique<Process>("fescue-gateway",
-        std::vector<std::string> { "--vm=" + name, "--zone=" + zone, "--events_file=/dev/null",
+        std::vector<std::string> { "--vm=" + name, "--zone=" + zone,
+            "--events_file=" + eventsFile(name, "gateway"),
             "--scheduler=127.0.0.1:" + std::to_string(vm.scheduler_->port("frames")) },
         1);
     entries_.push_back(std::move(vm));
@@ -208,7 +216,8 @@
 {
     std::vector<std::string> keys;
     for (const auto& engine : engines_) {
-        for (const json& entry : get(*engine, "/v1/cache")["entries"])
+        json cache = get(*engine, "/v1/cache");
+        for (const json& entry : cache["entries"])
             keys.push_back(entry["key"].get<std::string>());
     }
     return keys;
