--- a/src/Frame.cpp
+++ b/src/Frame.cpp
@@ -22,7 +22,16 @@
         return object.at(member).get<std::string>();
     }
 
-    std::uint64_t idAt(const json& object) { return object.at("id").get<std::uint64_t>(); }
+    // The conversions of the library would take -1 or 1.5 for a count.
+    std::uint64_t countAt(const json& object, const char* member)
+    {
+        const json& value = object.at(member);
+        if (!value.is_number_unsigned())
+            throw std::invalid_argument(std::string(member) + " must be a whole number from 0");
+        return value.get<std::uint64_t>();
+    }
+
+    std::uint64_t idAt(const json& object) { return countAt(object, "id"); }
 
     json toJson(const RequestFrame& frame)
     {
@@ -84,7 +93,7 @@
         if (operation < 0 || operation > static_cast<int>(Operation::ServiceCall))
             throw std::invalid_argument("unknown operation");
         return { idAt(object), static_cast<Operation>(operation), { textAt(object, "workspace") },
-            { textAt(object, "program") }, { object.at("call").get<std::uint32_t>() },
+            { textAt(object, "program") }, { static_cast<std::uint32_t>(countAt(object, "call")) },
             { textAt(object, "service") }, textAt(object, "method"), textAt(object, "path"),
             textAt(object, "content_type"), bytesAt(object, "body"),
             object.at("timeout_ms").get<std::int64_t>(), object.at("forced").get<bool>() };
@@ -104,8 +113,7 @@
     PeerFrame parsePeer(const json& object)
     {
         PeerFrame peer { { textAt(object, "from") }, { textAt(object, "zone") }, textAt(object, "address"),
-            object.at("leaving").get<bool>(), object.at("wants").get<bool>(),
-            { object.at("read_to").get<std::uint64_t>() },
+            object.at("leaving").get<bool>(), object.at("wants").get<bool>(), { countAt(object, "read_to") },
             object.at("held").get<std::vector<std::uint32_t>>() };
         for (const json& vm : object.at("unheard"))
             peer.unheard_.push_back({ vm.get<std::string>() });
@@ -123,10 +131,9 @@
             return HeadFrame { idAt(object), object.at("status").get<int>(), textAt(object, "content_type"),
                 object.at("headers").get<std::vector<std::pair<std::string, std::string>>>() };
         if (type == "chunk")
-            return ChunkFrame { idAt(object), object.at("index").get<std::uint64_t>(),
-                bytesAt(object, "data") };
+            return ChunkFrame { idAt(object), countAt(object, "index"), bytesAt(object, "data") };
         if (type == "end")
-            return EndFrame { idAt(object), object.at("chunks").get<std::uint64_t>() };
+            return EndFrame { idAt(object), countAt(object, "chunks") };
         if (type == "moved")
             return MovedFrame { idAt(object), { textAt(object, "to") } };
         if (type == "view")
@@ -134,7 +141,7 @@
         if (type == "peer")
             return parsePeer(object);
         if (type == "watch")
-            return WatchFrame { { object.at("have").get<std::uint64_t>() } };
+            return WatchFrame { { countAt(object, "have") } };
         throw std::invalid_argument("unknown frame type");
     }
 
