Refuse nested, overlong and ill-formed requests with problem documents

Cause: copying and writing nested JSON recurses, so two million brackets overflowed the scheduler's stack (seen as home-unreachable after the process had ended). Also seen: a loose call whose messages are no list of objects went to an engine and hung; a body beyond the limit was cut without a word; unknown paths and wrong methods were all told as bad-request.

--- a/src/Gateway.cpp
+++ b/src/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "Gateway.h"
 
+#include "CallerJson.h"
 #include "EventLog.h"
 #include "HttpServer.h"
 #include "Metrics.h"
@@ -9,7 +10,6 @@
 #include "WorkQueue.h"
 
 #include <atomic>
-#include <nlohmann/json.hpp>
 #include <thread>
 
 namespace fescue {
@@ -71,6 +71,22 @@
         return facts;
     }
 
+    Problem tooLarge(ByteCount limit)
+    {
+        return { ProblemKind::TooLarge, RunState::NotRun,
+            "the body may have at most " + std::to_string(limit.value_)
+                + " bytes; send less, or have the operator raise --max_body_bytes",
+            std::nullopt };
+    }
+
+    Problem slowReader()
+    {
+        return { ProblemKind::TargetTruncated, RunState::Unknown,
+            "the answer was not read as fast as it came and was cut; send the same call again to get the "
+            "whole of it",
+            homeRetryAfter };
+    }
+
     Problem brokenAnswer()
     {
         return { ProblemKind::TargetTruncated, RunState::Unknown,
@@ -104,7 +120,8 @@
         http.address_ = options.address_;
         http.port_ = options.port_;
         http.threads_ = options.threads_;
-        http.maxBody_ = options.maxBody_;
+        // Bodies up to twice the limit are read to the end, so that their callers get a problem document.
+        http.maxBody_ = { 2 * options.maxBody_.value_ };
         http_ = std::make_unique<HttpServer>(
             http, [this](const HttpRequest& request, const HttpExchangePtr& exchange) {
                 requestArrived(request, exchange);
@@ -129,6 +146,8 @@
                 "this gateway takes no requests at the moment; send the request to another", homeRetryAfter };
             return refuse(request, exchange, problem);
         }
+        if (static_cast<std::int64_t>(request.body_.size()) > options_.maxBody_.value_)
+            return refuse(request, exchange, tooLarge(options_.maxBody_));
         auto frame = parseHttp(request, links_.config()->manifest_);
         if (!frame)
             return refuse(request, exchange, frame.error());
@@ -177,7 +196,7 @@
     {
         std::uniform_int_distribution<std::uint32_t> anyShard(0, shardsPerZone - 1);
         ShardKey shard { options_.zone_, { anyShard(random_) } };
-        auto body = nlohmann::json::parse(frame.body_, nullptr, false);
+        auto body = parseCallerJson(frame.body_);
         if (body.is_object() && body.contains("parent") && body["parent"].is_string())
             shard = shardOf({ body["parent"].get<std::string>() }).value_or(shard);
         auto now = std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
@@ -290,7 +309,7 @@
         if (pending->exchange_->write(chunk.data_))
             return;
         lock.unlock();
-        remove(pending); // The caller is gone or too slow; the call goes on for its repeat.
+        fail(pending, slowReader()); // The call goes on for its repeat.
     }
 
     void endArrived(const EndFrame& end)
@@ -340,8 +359,7 @@
         {
             std::lock_guard<std::mutex> lock(pending->mutex_);
             if (pending->hasBegun_) {
-                pending->exchange_->write("event: error\ndata: " + toJsonText(problem) + "\n\n");
-                pending->exchange_->end();
+                pending->exchange_->abort("event: error\ndata: " + toJsonText(problem) + "\n\n");
             } else {
                 pending->exchange_->answer(toResponse(problem));
             }
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -9,7 +9,9 @@
 
 namespace {
 
-    using Traits = restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
+    struct Traits : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t> {
+        static constexpr bool use_connection_count_limiter = true;
+    };
     using Server = restinio::http_server_t<Traits>;
     using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
 
@@ -69,10 +71,10 @@
         {
             std::lock_guard<std::mutex> lock(mutex_);
             auto size = static_cast<std::int64_t>(chunk.size());
-            if (!chunked_ || backlog_->closed_)
+            if (!chunked_ || isOver_ || backlog_->closed_)
                 return false;
             if (backlog_->bytes_ + size > maxBuffered_.value_) {
-                chunked_.reset();
+                isOver_ = true;
                 return false;
             }
             if (size == 0)
@@ -87,6 +89,16 @@
             return true;
         }
 
+        void abort(std::string lastChunk) override
+        {
+            {
+                std::lock_guard<std::mutex> lock(mutex_);
+                if (chunked_ && !backlog_->closed_)
+                    chunked_->append_chunk(std::move(lastChunk));
+            }
+            end();
+        }
+
         void end() override
         {
             std::lock_guard<std::mutex> lock(mutex_);
@@ -100,6 +112,7 @@
         ByteCount maxBuffered_;
         std::mutex mutex_;
         std::optional<ChunkedBuilder> chunked_;
+        bool isOver_ = false; ///< The reader is too slow; only a last word may follow.
         std::shared_ptr<Backlog> backlog_ = std::make_shared<Backlog>();
     };
 
@@ -166,6 +179,7 @@
                 .read_next_http_message_timelimit(options.readTimeout_)
                 .write_http_response_timelimit(options.writeTimeout_)
                 .max_pipelined_requests(4)
+                .max_parallel_connections(options.maxConnections_)
                 .incoming_http_msg_limits(messageLimits(options))
                 .acceptor_options_setter([](auto& acceptor) {
                     acceptor.set_option(restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -56,6 +56,8 @@
     virtual void begin(HttpResponse head) = 0;
     /** Adds a chunk. Returns false when the caller is gone or reads too slowly; the answer is then over. */
     virtual bool write(std::string chunk) = 0;
+    /** Ends a chunked answer with a last chunk that `write` may have refused for a slow reader. */
+    virtual void abort(std::string lastChunk) = 0;
     /** Ends a chunked answer. */
     virtual void end() = 0;
 };
@@ -68,6 +70,7 @@
     std::string address_ = "127.0.0.1";
     std::uint16_t port_ = 0; ///< 0 takes a free port.
     std::size_t threads_ = 2;
+    std::size_t maxConnections_ = 4096; ///< More wait in the backlog of the system.
     ByteCount maxBody_ { 8 * 1024 * 1024 };
     ByteCount maxBuffered_ { 4 * 1024 * 1024 }; ///< Most bytes waiting for a slow reader.
     Milliseconds readTimeout_ { 15000 }; ///< A half-sent request is closed after this time.
--- a/src/ParseCall.cpp
+++ b/src/ParseCall.cpp
@@ -1,8 +1,9 @@
 #include "ParseCall.h"
 
+#include "CallerJson.h"
 #include "Digest.h"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
 
 namespace fescue {
 
@@ -33,6 +34,15 @@
         return call;
     }
 
+    bool isMessageList(const json& messages)
+    {
+        if (!messages.is_array() || messages.empty())
+            return false;
+        return std::all_of(messages.begin(), messages.end(), [](const json& message) {
+            return message.is_object() && message.contains("role") && message["role"].is_string();
+        });
+    }
+
     tl::expected<TokenCount, Problem> maxTokensOf(const json& body, const Model& model)
     {
         for (const char* member : { "max_tokens", "max_completion_tokens" }) {
@@ -51,13 +61,16 @@
 
     tl::expected<ParsedCall, Problem> parseModelCall(const RequestFrame& frame, const Manifest& manifest)
     {
-        json body = json::parse(frame.body_, nullptr, false);
+        json body = parseCallerJson(frame.body_);
         if (!body.is_object())
-            return problem(ProblemKind::BadRequest, "the body must be one JSON object");
+            return problem(ProblemKind::BadRequest,
+                "the body must be one JSON object in UTF-8, nested at most "
+                    + std::to_string(deepestCallerNesting) + " deep");
         if (!body.contains("model") || !body["model"].is_string())
             return problem(ProblemKind::BadRequest, "\"model\" must name a model of the manifest");
-        if (!body.contains("messages") || !body["messages"].is_array())
-            return problem(ProblemKind::BadRequest, "\"messages\" must be a list");
+        if (!body.contains("messages") || !isMessageList(body["messages"]))
+            return problem(ProblemKind::BadRequest,
+                "\"messages\" must be a non-empty list of objects, each with a \"role\"");
         if (body.contains("stream") && !body["stream"].is_boolean())
             return problem(ProblemKind::BadRequest, "\"stream\" must be true or false");
         if (body.contains("n") && body["n"] != 1)
--- a/src/ParseHttp.cpp
+++ b/src/ParseHttp.cpp
@@ -18,6 +18,12 @@
         return tl::make_unexpected(Problem { kind, RunState::NotRun, std::move(detail), std::nullopt });
     }
 
+    tl::unexpected<Problem> unknownPath()
+    {
+        return problem(ProblemKind::UnknownPath,
+            "no such path; use /v1/programs, /v1/chat/completions or /v1/services/<service>/<path>");
+    }
+
     bool beginsWith(std::string_view text, std::string_view prefix)
     {
         return text.substr(0, prefix.size()) == prefix;
@@ -58,15 +64,17 @@
         std::string rest = request.path_.substr(programsPath.size());
         if (rest.empty() || rest == "/") {
             if (request.method_ != "POST" && request.method_ != "GET")
-                return problem(ProblemKind::BadRequest, "use POST to create a program or GET to list yours");
+                return problem(ProblemKind::WrongMethod, "use POST to create a program or GET to list yours");
             frame.operation_ = request.method_ == "POST" ? Operation::CreateProgram : Operation::ListPrograms;
             return {};
         }
         frame.program_ = { rest.substr(1) };
-        if (rest.front() != '/' || !shardOf(frame.program_))
+        if (rest.front() != '/')
+            return unknownPath();
+        if (!shardOf(frame.program_))
             return problem(ProblemKind::BadRequest, "\"" + rest + "\" is not the id of a program");
         if (request.method_ != "GET" && request.method_ != "DELETE")
-            return problem(ProblemKind::BadRequest, "use GET to show a program or DELETE to end it");
+            return problem(ProblemKind::WrongMethod, "use GET to show a program or DELETE to end it");
         frame.operation_ = request.method_ == "GET" ? Operation::ShowProgram : Operation::EndProgram;
         return {};
     }
@@ -81,7 +89,7 @@
         if (!request.query_.empty())
             frame.path_ += "?" + request.query_;
         if (frame.service_.empty())
-            return problem(ProblemKind::BadRequest, "the path must be /v1/services/<service>/<path>");
+            return problem(ProblemKind::UnknownPath, "the path must be /v1/services/<service>/<path>");
         return takeProgramHeaders(request, frame);
     }
 
@@ -92,10 +100,9 @@
         if (beginsWith(request.path_, servicesPath))
             return takeServiceRoute(request, frame);
         if (request.path_ != chatPath)
-            return problem(ProblemKind::BadRequest,
-                "no such path; use /v1/programs, /v1/chat/completions or /v1/services/<service>/<path>");
+            return unknownPath();
         if (request.method_ != "POST")
-            return problem(ProblemKind::BadRequest, "use POST for model calls");
+            return problem(ProblemKind::WrongMethod, "use POST for model calls");
         frame.operation_ = Operation::ModelCall;
         return takeProgramHeaders(request, frame);
     }
--- a/src/Problem.cpp
+++ b/src/Problem.cpp
@@ -13,8 +13,10 @@
         int status_;
     };
 
-    constexpr std::array<KindRow, 26> kindTable { {
+    constexpr std::array<KindRow, 28> kindTable { {
         { ProblemKind::BadRequest, "bad-request", 400 },
+        { ProblemKind::UnknownPath, "unknown-path", 404 },
+        { ProblemKind::WrongMethod, "wrong-method", 405 },
         { ProblemKind::TooLarge, "too-large", 413 },
         { ProblemKind::Unauthenticated, "unauthenticated", 401 },
         { ProblemKind::Forbidden, "forbidden", 403 },
--- a/src/Problem.h
+++ b/src/Problem.h
@@ -25,6 +25,8 @@
 /** The closed set of problems. `docs/OPERATIONS.md` has a remedy for each. */
 enum class ProblemKind {
     BadRequest,
+    UnknownPath,
+    WrongMethod,
     TooLarge,
     Unauthenticated,
     Forbidden,
--- a/src/ProgramDocument.cpp
+++ b/src/ProgramDocument.cpp
@@ -1,6 +1,6 @@
 #include "ProgramDocument.h"
 
-#include <nlohmann/json.hpp>
+#include "CallerJson.h"
 
 namespace fescue {
 
@@ -27,7 +27,7 @@
 
 tl::expected<CreateProgram, Problem> parseCreation(const RequestFrame& frame, const Manifest& manifest)
 {
-    json body = frame.body_.empty() ? json::object() : json::parse(frame.body_, nullptr, false);
+    json body = frame.body_.empty() ? json::object() : parseCallerJson(frame.body_);
     if (!body.is_object())
         return problem(ProblemKind::BadRequest, "the body must be a JSON object such as {\"budget\": 20000}");
     for (const auto& [name, value] : body.items()) {
--- /dev/null
+++ b/test/error/HttpServerLimits.cpp
@@ -0,0 +1,151 @@
+// The HTTP server against callers that send half, read slowly, go away or come in crowds.
+
+#include "Cluster.h"
+#include "HttpServer.h"
+#include "RawConnection.h"
+#include "Suite.h"
+
+#include <mutex>
+
+using namespace fescue;
+using namespace fescue::test;
+
+class HttpServerLimits : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(HttpServerLimits);
+    CPPUNIT_TEST(halfSentRequestIsClosed);
+    CPPUNIT_TEST(pipelinedRequestsAreAnsweredInTheirOrder);
+    CPPUNIT_TEST(slowReaderIsCutOffWithAWord);
+    CPPUNIT_TEST(writesAfterTheCallerIsGoneAreRefused);
+    CPPUNIT_TEST(connectionsBeyondTheLimitWait);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void halfSentRequestIsClosed();
+    void pipelinedRequestsAreAnsweredInTheirOrder();
+    void slowReaderIsCutOffWithAWord();
+    void writesAfterTheCallerIsGoneAreRefused();
+    void connectionsBeyondTheLimitWait();
+};
+
+REGISTER_SUITE(HttpServerLimits);
+
+namespace {
+
+constexpr const char* get = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr std::size_t chunkSize = 65536;
+
+void answerAtOnce(const HttpRequest& request, const HttpExchangePtr& exchange)
+{
+    exchange->answer({ 200, "text/plain", "<" + request.path_ + ">", {} });
+}
+
+// Keeps each exchange and begins a chunked answer to it.
+struct Streams {
+    std::mutex mutex_;
+    std::vector<HttpExchangePtr> open_;
+
+    HttpHandler handler()
+    {
+        return [this](const HttpRequest&, const HttpExchangePtr& exchange) {
+            exchange->begin({ 200, "text/event-stream", "first", {} });
+            std::lock_guard<std::mutex> lock(mutex_);
+            open_.push_back(exchange);
+        };
+    }
+
+    HttpExchangePtr at(std::size_t i)
+    {
+        waitUntil("a request has come", [&] {
+            std::lock_guard<std::mutex> lock(mutex_);
+            return open_.size() > i;
+        });
+        return open_[i];
+    }
+};
+
+} // namespace
+
+void HttpServerLimits::halfSentRequestIsClosed()
+{
+    HttpServerOptions options;
+    options.readTimeout_ = Milliseconds { 300 };
+    HttpServer server(options, answerAtOnce);
+    RawConnection half(server.port());
+    half.send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc");
+    RawConnection whole(server.port());
+    whole.send(get);
+    CHECK(whole.readTo("</x>").find("200") != std::string::npos);
+    CHECK(half.readAll().empty());
+}
+
+void HttpServerLimits::pipelinedRequestsAreAnsweredInTheirOrder()
+{
+    Streams streams;
+    HttpServer server({}, [&streams](const HttpRequest&, const HttpExchangePtr& exchange) {
+        std::lock_guard<std::mutex> lock(streams.mutex_);
+        streams.open_.push_back(exchange);
+    });
+    RawConnection caller(server.port());
+    caller.send(std::string(get) + get);
+    streams.at(1)->answer({ 200, "text/plain", "second", {} });
+    streams.at(0)->answer({ 200, "text/plain", "first", {} });
+    std::string text = caller.readTo("second");
+    CHECK(text.find("first") < text.find("second"));
+}
+
+void HttpServerLimits::slowReaderIsCutOffWithAWord()
+{
+    HttpServerOptions options;
+    options.maxBuffered_ = { 1024 * 1024 };
+    Streams streams;
+    HttpServer server(options, streams.handler());
+    RawConnection slow(server.port(), 4096);
+    slow.send(get);
+    HttpExchangePtr exchange = streams.at(0);
+    std::size_t taken = 0;
+    constexpr std::size_t moreThanKernelsKeep = 2048;
+    while (taken < moreThanKernelsKeep && exchange->write(std::string(chunkSize, 'x')))
+        ++taken;
+    CHECK(taken < moreThanKernelsKeep);
+    CHECK(!exchange->write("later"));
+    exchange->abort("the last word");
+    std::string text = slow.readTo("\r\n0\r\n\r\n");
+    CHECK(text.find("the last word") != std::string::npos);
+    CHECK(text.find("later") == std::string::npos);
+}
+
+void HttpServerLimits::writesAfterTheCallerIsGoneAreRefused()
+{
+    Streams streams;
+    HttpServer server({}, streams.handler());
+    {
+        RawConnection gone(server.port());
+        gone.send(get);
+        gone.readTo("first");
+    }
+    HttpExchangePtr exchange = streams.at(0);
+    waitUntil("a write is refused", [&] { return !exchange->write("more"); });
+    exchange->end();
+    RawConnection next(server.port());
+    next.send(get);
+    CHECK(next.readTo("first").find("200") != std::string::npos);
+}
+
+void HttpServerLimits::connectionsBeyondTheLimitWait()
+{
+    HttpServerOptions options;
+    options.maxConnections_ = 2;
+    HttpServer server(options, answerAtOnce);
+    auto first = std::make_unique<RawConnection>(server.port());
+    RawConnection second(server.port());
+    first->send(get);
+    second.send(get);
+    first->readTo("</x>");
+    second.readTo("</x>");
+    RawConnection third(server.port());
+    third.send(get);
+    second.send(get);
+    CHECK(!second.readTo("</x>").empty());
+    first.reset();
+    CHECK(!third.readTo("</x>").empty());
+}
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -101,11 +101,11 @@
         "--vms_url=" + url(*vms_), "--events_file=" + eventsFile(name, "scheduler") };
     flags.insert(flags.end(), options_.schedulerFlags_.begin(), options_.schedulerFlags_.end());
     vm.scheduler_ = std::make_unique<Process>("fescue-scheduler", flags, 2);
-    vm.gateway_ = std::make_unique<Process>("fescue-gateway",
-        std::vector<std::string> { "--vm=" + name, "--zone=" + zone,
-            "--events_file=" + eventsFile(name, "gateway"),
-            "--scheduler=127.0.0.1:" + std::to_string(vm.scheduler_->port("frames")) },
-        1);
+    std::vector<std::string> gatewayFlags { "--vm=" + name, "--zone=" + zone,
+        "--events_file=" + eventsFile(name, "gateway"),
+        "--scheduler=127.0.0.1:" + std::to_string(vm.scheduler_->port("frames")) };
+    gatewayFlags.insert(gatewayFlags.end(), options_.gatewayFlags_.begin(), options_.gatewayFlags_.end());
+    vm.gateway_ = std::make_unique<Process>("fescue-gateway", gatewayFlags, 1);
     entries_.push_back(std::move(vm));
     listVm(entries_.back(), "live");
 }
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -30,6 +30,7 @@
     std::size_t vmsPerZone_ = 1;
     std::size_t enginesPerZone_ = 1;
     std::vector<std::string> schedulerFlags_;
+    std::vector<std::string> gatewayFlags_;
     std::vector<std::string> engineFlags_;
     std::vector<std::string> logFlags_;
     std::string eventsFolder_; ///< Where the daemons write their event logs; empty for nowhere.
--- /dev/null
+++ b/test/support/RawConnection.cpp
@@ -0,0 +1,56 @@
+#include "RawConnection.h"
+
+#include <array>
+#include <netinet/in.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace fescue::test {
+
+RawConnection::RawConnection(int port, int receiveBuffer)
+    : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+    constexpr timeval longestRead { 10, 0 };
+    setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &longestRead, sizeof(longestRead));
+    setsockopt(socket_, SOL_SOCKET, SO_SNDTIMEO, &longestRead, sizeof(longestRead));
+    if (receiveBuffer > 0)
+        setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0)
+        throw std::runtime_error("no connection to port " + std::to_string(port));
+}
+
+RawConnection::~RawConnection() { close(socket_); }
+
+bool RawConnection::send(const std::string& bytes)
+{
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+        ssize_t more = ::send(socket_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (more <= 0)
+            return false;
+        sent += static_cast<std::size_t>(more);
+    }
+    return true;
+}
+
+std::string RawConnection::readTo(const std::string& mark)
+{
+    std::string text;
+    std::array<char, 65536> buffer {};
+    while (mark.empty() || text.find(mark) == std::string::npos) {
+        ssize_t size = recv(socket_, buffer.data(), buffer.size(), 0);
+        if (size < 0)
+            throw std::runtime_error("the server neither answers nor closes");
+        if (size == 0)
+            break;
+        text.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+    return text;
+}
+
+} // namespace fescue::test
