Send frames without waiting for acknowledgements

Cause: TCP_NODELAY was set before the socket was open, so the call failed and Nagle's algorithm met delayed acknowledgements on the link between gateway and scheduler. FrameLinkSockets was red with the option in the socket's init handler and is green now.

--- a/src/AdmitCall.cpp
+++ b/src/AdmitCall.cpp
@@ -22,8 +22,7 @@
 
     Effects refuseForLog(const Call& call, RunState run)
     {
-        return refuse(call, ProblemKind::LogUnavailable, run,
-            logDownDetail, logRetryAfter);
+        return refuse(call, ProblemKind::LogUnavailable, run, logDownDetail, logRetryAfter);
     }
 
     const FinishedCall* findFinished(const ActiveProgram& active, CallNumber number)
--- a/src/EventLog.cpp
+++ b/src/EventLog.cpp
@@ -57,8 +57,8 @@
     auto logger = options.file_.empty() ? spdlog::stderr_logger_mt("events")
                                         : spdlog::basic_logger_mt("events", options.file_);
     logger->set_pattern("%v");
-    logger->flush_on(spdlog::level::warn);
-    spdlog::flush_every(std::chrono::seconds(1));
+    // A line is in the file before what it tells has any effect elsewhere, also when the process is killed.
+    logger->flush_on(spdlog::level::info);
     state().common_ = { { "process", options.process_ }, { "vm", options.vm_ }, { "zone", options.zone_ } };
     state().logger_ = std::move(logger);
 }
--- a/src/FrameLink.cpp
+++ b/src/FrameLink.cpp
@@ -121,9 +121,11 @@
                 [this](const Handle& handle, const typename Endpoint::message_ptr& message) {
                     this->message(handle, message->get_payload());
                 });
-            endpoint_.set_socket_init_handler([](const Handle&, auto& socket) {
+            // Not in the socket's init handler: that one is called before the socket is open.
+            endpoint_.set_tcp_pre_init_handler([this](const Handle& handle) {
                 std::error_code ignored;
-                socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+                if (auto connection = endpoint_.get_con_from_hdl(handle, ignored))
+                    connection->get_raw_socket().set_option(asio::ip::tcp::no_delay(true), ignored);
             });
         }
 
--- a/src/LedgerSnapshot.cpp
+++ b/src/LedgerSnapshot.cpp
@@ -40,9 +40,9 @@
             { "digest", program.head_.digest_ }, { "recent", std::move(recent) }, { "ended", program.ended_ },
             { "end_reason", program.endReason_ } };
         if (program.intent_)
-            object["intent"]
-                = { { "call", program.intent_->call_.value_ }, { "fingerprint", program.intent_->fingerprint_ },
-                      { "epoch", program.intent_->epoch_.value_ } };
+            object["intent"] = { { "call", program.intent_->call_.value_ },
+                { "fingerprint", program.intent_->fingerprint_ },
+                { "epoch", program.intent_->epoch_.value_ } };
         return object;
     }
 
@@ -77,8 +77,8 @@
     Ledger parseMembers(const json& object)
     {
         Ledger ledger;
-        ledger.shard_ = { { object.at("zone").get<std::string>() },
-            { object.at("shard").get<std::uint32_t>() } };
+        ledger.shard_
+            = { { object.at("zone").get<std::string>() }, { object.at("shard").get<std::uint32_t>() } };
         ledger.readTo_ = { object.at("read_to").get<std::uint64_t>() };
         ledger.epoch_ = { object.at("epoch").get<std::uint64_t>() };
         ledger.owner_ = { object.at("owner").get<std::string>() };
@@ -154,7 +154,8 @@
         return false;
     if (!shard.snapshotAt_)
         return true;
-    bool isLong = shard.ledger_.readTo_ >= *shard.snapshotAt_ + LogOffset { context.limits_.snapshotEntries_ };
+    bool isLong
+        = shard.ledger_.readTo_ >= *shard.snapshotAt_ + LogOffset { context.limits_.snapshotEntries_ };
     return isLong || context.now_ - shard.snapshotTime_ >= context.limits_.snapshotInterval_;
 }
 
--- a/src/ProgramLife.cpp
+++ b/src/ProgramLife.cpp
@@ -85,8 +85,8 @@
     }
 
     // A call that waits for a record gives up. Without the log this VM cannot tell whether another one owns
-    // the shard by now and has run an at-most-once call on a later attempt. If its intent may still reach the log, the call stays as
-    // abandoned until the log tells, so that it can be withdrawn and is never sent.
+    // the shard by now and has run an at-most-once call on a later attempt. If its intent may still reach the
+    // log, the call stays as abandoned until the log tells, so that it can be withdrawn and is never sent.
     void giveUpWaiting(ActiveProgram& active, Effects& effects)
     {
         RunningCall& running = *active.running_;
--- a/src/RecordEvents.cpp
+++ b/src/RecordEvents.cpp
@@ -60,4 +60,21 @@
         logRecords("record_confirmed", shard, batch, offset);
 }
 
+void logEffect(const ShardKey& shard, const Effect& effect)
+{
+    if (const auto* execute = std::get_if<ExecuteCall>(&effect))
+        logEvent("call_admitted",
+            { { "program", execute->call_.program_.value_ },
+                { "call", std::to_string(execute->call_.number_.value_) }, { "shard", streamOf(shard) },
+                { "epoch", std::to_string(execute->epoch_.value_) } });
+    else if (const auto* attach = std::get_if<AttachRequest>(&effect))
+        logEvent("call_attached",
+            { { "program", attach->program_.value_ }, { "call", std::to_string(attach->call_.value_) },
+                { "shard", streamOf(shard) } });
+    else if (const auto* release = std::get_if<ReleaseCache>(&effect))
+        logEvent("program_ended",
+            { { "program", release->program_.value_ }, { "shard", streamOf(shard) },
+                { "epoch", std::to_string(release->epoch_.value_) } });
+}
+
 } // namespace fescue
--- a/src/RecordEvents.h
+++ b/src/RecordEvents.h
@@ -5,10 +5,10 @@
  *
  * An append is one `batch_appended` line, and each reader has one `batch_read` line for it, so the time
  * line can put them in order by writer and sequence number. The owner also has a line for each record: it
- * is what the callers' calls wait for.
+ * is what the callers' calls wait for. What a decision lets happen is told by `logEffect`.
  */
 
-#include "Record.h"
+#include "Shard.h"
 
 namespace fescue {
 
@@ -19,4 +19,7 @@
  * that it is valid at this offset; its records are then told one by one. */
 void logBatchRead(const ShardKey& shard, LogOffset offset, const Batch& batch, bool isConfirmed);
 
+/** Tells of a call that the owner lets run or attach to, and of a program's end. */
+void logEffect(const ShardKey& shard, const Effect& effect);
+
 } // namespace fescue
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -11,6 +11,7 @@
 #include "PeerLinks.h"
 #include "PlatformView.h"
 #include "ProgramDocument.h"
+#include "RecordEvents.h"
 #include "WorkQueue.h"
 
 #include <nlohmann/json.hpp>
@@ -403,42 +404,28 @@
 
     void carryOut(const ShardKey& shard, const Effect& effect)
     {
-        std::visit(Overloaded {
-                       [&](const ReplyProblem& reply) {
-                           for (RequestId request : reply.requests_)
-                               requests_.sendProblem(request, reply.problem_);
-                       },
-                       [&](const ReplyOutcome& reply) {
-                           for (RequestId request : reply.requests_)
-                               requests_.sendOutcome(request, reply.outcome_, reply.durableCall_);
-                       },
-                       [&](const ReplyProgram& reply) {
-                           requests_.sendDocument(reply.request_, 200,
-                               nlohmann::json {
-                                   { "program", reply.program_.value_ }, { "durable", reply.isDurable_ } }
-                                   .dump());
-                       },
-                       [&](const AttachRequest& attach) {
-                           logEvent("call_attached",
-                               { { "program", attach.program_.value_ },
-                                   { "call", std::to_string(attach.call_.value_) } });
-                           runner_.attach(attach.program_, attach.request_);
-                       },
-                       [&](const ExecuteCall& execute) {
-                           logEvent("call_admitted",
-                               { { "program", execute.call_.program_.value_ },
-                                   { "call", std::to_string(execute.call_.number_.value_) },
-                                   { "shard", streamOf(shard) },
-                                   { "epoch", std::to_string(execute.epoch_.value_) } });
-                           runner_.run(execute);
-                       },
-                       [&](const CancelCall& cancel) { runner_.cancel(cancel.program_, cancel.execution_); },
-                       [&](const ReleaseCache& release) {
-                           logEvent("program_ended",
-                               { { "program", release.program_.value_ }, { "shard", streamOf(shard) } });
-                           runner_.releaseCache(release.program_, release.epoch_);
-                       },
-                   },
+        logEffect(shard, effect);
+        std::visit(
+            Overloaded {
+                [&](const ReplyProblem& reply) {
+                    for (RequestId request : reply.requests_)
+                        requests_.sendProblem(request, reply.problem_);
+                },
+                [&](const ReplyOutcome& reply) {
+                    for (RequestId request : reply.requests_)
+                        requests_.sendOutcome(request, reply.outcome_, reply.durableCall_);
+                },
+                [&](const ReplyProgram& reply) {
+                    requests_.sendDocument(reply.request_, 200,
+                        nlohmann::json {
+                            { "program", reply.program_.value_ }, { "durable", reply.isDurable_ } }
+                            .dump());
+                },
+                [&](const AttachRequest& attach) { runner_.attach(attach.program_, attach.request_); },
+                [&](const ExecuteCall& execute) { runner_.run(execute); },
+                [&](const CancelCall& cancel) { runner_.cancel(cancel.program_, cancel.execution_); },
+                [&](const ReleaseCache& release) { runner_.releaseCache(release.program_, release.epoch_); },
+            },
             effect);
     }
 
