--- a/src/ConfigFold.cpp
+++ b/src/ConfigFold.cpp
@@ -65,7 +65,8 @@
         if (!builtOn.is_object())
             return "\"built_on\" must be an object";
         for (const auto& [section, version] : builtOn.items()) {
-            if (!version.is_number_unsigned())
+            // Numbers out of a YAML file are signed.
+            if (!version.is_number_integer() || version < 0)
                 return "\"built_on\" of " + section + " must be a whole number from 0";
         }
         return {};
--- a/src/OperatorCommands.cpp
+++ b/src/OperatorCommands.cpp
@@ -1,6 +1,6 @@
 #include "OperatorCommands.h"
 
-#include "ConfigFold.h"
+#include "ConfigSnapshot.h"
 #include "HttpClient.h"
 #include "ManifestFile.h"
 #include "TimeLinePicture.h"
@@ -40,20 +40,57 @@
         return document;
     }
 
+    tl::expected<LogPage, LogError> readPage(
+        HttpClient& client, const LogAddress& log, const char* stream, LogOffset from)
+    {
+        std::promise<tl::expected<LogPage, LogError>> promise;
+        readLog(client, log, stream, from, Milliseconds { 0 },
+            [&promise](tl::expected<LogPage, LogError> page) { promise.set_value(std::move(page)); });
+        return promise.get_future().get();
+    }
+
+    // The newest snapshot from which the stream `config`, which begins at `first`, can be read on.
+    tl::expected<Config, LogError> findSnapshot(HttpClient& client, const LogAddress& log, LogOffset first)
+    {
+        std::optional<Config> newest;
+        for (LogOffset from { 1 };;) {
+            auto page = readPage(client, log, configSnapshotStream, from);
+            if (!page)
+                return tl::make_unexpected(page.error());
+            for (const LogEntry& entry : page->entries_) {
+                auto snapshot = parseSnapshot(entry.data_);
+                if (snapshot && coversGap(newest.value_or(Config {}), *snapshot, first))
+                    newest = std::move(*snapshot);
+                from = { entry.offset_.value_ + 1 };
+            }
+            if (page->entries_.empty() || from >= page->next_)
+                break;
+        }
+        if (newest)
+            return *newest;
+        return tl::make_unexpected(LogError {
+            false, "older configuration has left the log and no snapshot covers it; give --scheduler_url" });
+    }
+
     // Reads the whole stream `config`, as every scheduler does, and so reaches the same verdicts.
     tl::expected<Config, LogError> readConfig(HttpClient& client, const LogAddress& log)
     {
         Config config;
         for (;;) {
-            std::promise<tl::expected<LogPage, LogError>> promise;
-            readLog(client, log, configStream, { config.readTo_.value_ + 1 }, Milliseconds { 0 },
-                [&promise](tl::expected<LogPage, LogError> page) { promise.set_value(std::move(page)); });
-            auto page = promise.get_future().get();
+            auto page = readPage(client, log, configStream, { config.readTo_.value_ + 1 });
             if (!page)
                 return tl::make_unexpected(page.error());
+            if (hasGap(config, page->first_)) {
+                auto snapshot = findSnapshot(client, log, page->first_);
+                if (!snapshot)
+                    return snapshot;
+                config = std::move(*snapshot);
+                continue;
+            }
             for (const LogEntry& entry : page->entries_)
                 foldPublication(config, entry.offset_, entry.data_);
-            if (page->entries_.empty() || config.readTo_.value_ + 1 >= page->next_.value_)
+            bool isRead = page->entries_.empty() || config.readTo_.value_ + 1 >= page->next_.value_;
+            if (isRead || config.blockedAt_.value_ != 0)
                 return config;
         }
     }
@@ -216,7 +253,8 @@
     if (const PublicationVerdict* verdict = findVerdict(*config, *offset))
         return tellVerdict(*verdict, options);
     return failed(CommandStatus::NoAnswer,
-        "the publication is no longer among the recent verdicts; see `fescuectl status`");
+        "the publication is not among the recent verdicts; see `fescuectl status`, and use the newest "
+        "fescuectl");
 }
 
 CommandResult fetchManifest(const OperatorOptions& options)
