Give operators gauges, histograms and counts by operation and problem kind

Both daemons: requests by operation, problems by kind, open requests, readiness. Gateway: time to the first event and of whole requests. Scheduler: queue length, in flight by target, shards, programs, unconfirmed records, shards whose log is down, and latency of engines, services and appends. Labels come from closed lists or from the manifest. The status document and the gauges have a file of their own.

--- a/src/CallRunner.cpp
+++ b/src/CallRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "ChatStream.h"
 #include "EventLog.h"
+#include "Metrics.h"
 #include "TargetRequest.h"
 
 #include <atomic>
@@ -21,6 +22,7 @@
 
         std::mutex mutex_;
         Target target_;
+        Stopwatch sent_;
         TransferId transfer_;
         std::set<TargetId> tried_;
         ChatStream stream_;
@@ -151,6 +153,7 @@
                 { "target", target.id_.value_ } });
         std::lock_guard<std::mutex> lock(execution->mutex_);
         execution->target_ = target;
+        execution->sent_ = Stopwatch();
         execution->tried_.insert(target.id_);
         execution->stream_ = ChatStream();
         HttpClient::OnData onData;
@@ -181,6 +184,8 @@
     void sent(const ExecutionPtr& execution, const HttpResult& result)
     {
         const Call& call = execution->execute_.call_;
+        observeLatency(isModelCall(*execution) ? "scheduler_engine_seconds" : "scheduler_service_seconds",
+            execution->sent_.elapsed());
         logEvent("target_answered",
             { { "program", call.program_.value_ }, { "call", std::to_string(call.number_.value_) },
                 { "target", execution->target_.id_.value_ }, { "status", std::to_string(result.status_) } });
@@ -414,6 +419,15 @@
 
 void CallRunner::tick() { impl_->tickNow(); }
 
+PoolLoad CallRunner::load() const
+{
+    std::lock_guard<std::mutex> lock(impl_->mutex_);
+    PoolLoad load { impl_->pool_.queue_.size(), {} };
+    for (const auto& [id, target] : impl_->pool_.targets_)
+        load.inFlight_[id] = target.inFlight_;
+    return load;
+}
+
 std::size_t CallRunner::size() const
 {
     std::lock_guard<std::mutex> lock(impl_->mutex_);
--- a/src/CallRunner.h
+++ b/src/CallRunner.h
@@ -19,6 +19,12 @@
 
 namespace fescue {
 
+/** How busy the pool is. */
+struct PoolLoad {
+    std::size_t queued_ = 0;
+    std::map<TargetId, std::uint32_t> inFlight_;
+};
+
 /** What a runner needs from its process. */
 struct CallRunnerOptions {
     ZoneId zone_;
@@ -49,6 +55,7 @@
     void releaseCache(const ProgramId& program, Epoch epoch);
     /** Sends what can be sent now; to be called at a steady pace. */
     void tick();
+    PoolLoad load() const;
     /** Calls that wait or run. */
     std::size_t size() const;
 
--- a/src/Frame.cpp
+++ b/src/Frame.cpp
@@ -139,6 +139,25 @@
 
 } // namespace
 
+std::string nameOf(Operation operation)
+{
+    switch (operation) {
+    case Operation::CreateProgram:
+        return "create-program";
+    case Operation::EndProgram:
+        return "end-program";
+    case Operation::ShowProgram:
+        return "show-program";
+    case Operation::ListPrograms:
+        return "list-programs";
+    case Operation::ModelCall:
+        return "model-call";
+    case Operation::ServiceCall:
+        return "service-call";
+    }
+    return "none";
+}
+
 std::string toCbor(const Frame& frame)
 {
     json object = std::visit([](const auto& typed) { return toJson(typed); }, frame);
--- a/src/Frame.h
+++ b/src/Frame.h
@@ -31,6 +31,9 @@
     ServiceCall,
 };
 
+/** Name of an operation, for logs and metrics. Pure. */
+std::string nameOf(Operation operation);
+
 /** A caller's request, authenticated and addressed. */
 struct RequestFrame {
     std::uint64_t id_ = 0; ///< Unique within the link.
--- a/src/Gateway.cpp
+++ b/src/Gateway.cpp
@@ -26,6 +26,7 @@
         HttpExchangePtr exchange_;
         RequestFrame frame_;
         MonotonicTime arrived_;
+        Stopwatch taken_;
 
         std::mutex mutex_;
         std::string address_; ///< Where it was sent.
@@ -87,6 +88,11 @@
             homeRetryAfter };
     }
 
+    void countProblem(const Problem& problem)
+    {
+        Counter("gateway_problems_total", { "kind", std::string(nameOf(problem.kind_)) }).add();
+    }
+
     Problem brokenAnswer()
     {
         return { ProblemKind::TargetTruncated, RunState::Unknown,
@@ -140,7 +146,6 @@
     {
         if (answerOwn(request, exchange))
             return;
-        Counter("gateway_requests_total").add();
         if (isDraining_ || !links_.isReady()) {
             Problem problem { ProblemKind::ShuttingDown, RunState::NotRun,
                 "this gateway takes no requests at the moment; send the request to another", homeRetryAfter };
@@ -155,6 +160,7 @@
         pending->exchange_ = exchange;
         pending->frame_ = std::move(*frame);
         pending->arrived_ = monotonicNow();
+        Counter("gateway_requests_total", { "operation", nameOf(pending->frame_.operation_) }).add();
         enter(pending);
         logEvent("request_received", factsOf(*pending));
         route(pending);
@@ -165,6 +171,7 @@
         logEvent("request_refused",
             { { "method", request.method_ }, { "problem", std::string(nameOf(problem.kind_)) },
                 { "run_state", std::string(nameOf(problem.run_)) } });
+        countProblem(problem);
         exchange->answer(toResponse(problem));
     }
 
@@ -176,7 +183,7 @@
         else if (request.path_ == "/readyz")
             exchange->answer({ isReady ? 200 : 503, "text/plain", isReady ? "ready\n" : "not ready\n" });
         else if (request.path_ == "/metrics")
-            exchange->answer({ 200, "text/plain; version=0.0.4", metricsText() });
+            exchange->answer({ 200, "text/plain; version=0.0.4", metricsText(gauges()) });
         else
             return false;
         return true;
@@ -256,9 +263,7 @@
 
     void remove(const PendingPtr& pending)
     {
-        auto taken
-            = std::chrono::duration_cast<std::chrono::microseconds>(monotonicNow() - pending->arrived_);
-        observeLatency("gateway_request_seconds", taken);
+        observeLatency("gateway_request_seconds", pending->taken_.elapsed());
         std::lock_guard<std::mutex> lock(mutex_);
         pending_.erase(pending->frame_.id_);
     }
@@ -288,6 +293,7 @@
         if (!isStream(head))
             return;
         pending->hasBegun_ = true;
+        observeLatency("gateway_first_event_seconds", pending->taken_.elapsed());
         pending->exchange_->begin({ head.status_, head.contentType_, {}, head.headers_ });
     }
 
@@ -356,6 +362,7 @@
             { { "request", std::to_string(pending->frame_.id_) },
                 { "problem", std::string(nameOf(problem.kind_)) },
                 { "run_state", std::string(nameOf(problem.run_)) } });
+        countProblem(problem);
         {
             std::lock_guard<std::mutex> lock(pending->mutex_);
             if (pending->hasBegun_) {
@@ -412,6 +419,14 @@
         }
     }
 
+    std::vector<Gauge> gauges()
+    {
+        bool isReady = links_.isReady() && !isDraining_;
+        return { { "gateway_ready", {}, isReady ? 1.0 : 0.0 },
+            { "gateway_draining", {}, isDraining_ ? 1.0 : 0.0 },
+            { "gateway_open_requests", {}, static_cast<double>(openRequests()) } };
+    }
+
     std::size_t openRequests()
     {
         std::lock_guard<std::mutex> lock(mutex_);
--- a/src/Metrics.cpp
+++ b/src/Metrics.cpp
@@ -27,7 +27,8 @@
 
     struct Registry {
         std::mutex mutex_;
-        std::map<std::string, std::unique_ptr<std::atomic<std::uint64_t>>> counters_;
+        using Series = std::pair<std::string, std::string>; ///< Name and label.
+        std::map<Series, std::unique_ptr<std::atomic<std::uint64_t>>> counters_;
         std::map<std::string, Latency> latencies_;
     };
 
@@ -37,6 +38,27 @@
         return instance;
     }
 
+    std::string labelText(const MetricLabel& label)
+    {
+        if (label.name_.empty())
+            return {};
+        std::string value;
+        for (char c : label.value_) {
+            if (c == '\\' || c == '"')
+                value += '\\';
+            value += c == '\n' ? ' ' : c;
+        }
+        return fmt::format("{{{}=\"{}\"}}", label.name_, value);
+    }
+
+    // Once for all series of a name.
+    void writeType(std::string& text, std::string& last, const std::string& name, const char* type)
+    {
+        if (name != last)
+            text += fmt::format("# TYPE fescue_{} {}\n", name, type);
+        last = name;
+    }
+
     void writeLatency(std::string& text, const std::string& name, const Latency& latency)
     {
         text += fmt::format("# TYPE fescue_{} histogram\n", name);
@@ -53,15 +75,20 @@
 
 } // namespace
 
-Counter::Counter(const char* name)
+Counter::Counter(const char* name, const MetricLabel& label)
 {
     std::lock_guard<std::mutex> lock(registry().mutex_);
-    auto& value = registry().counters_[name];
+    auto& value = registry().counters_[{ name, labelText(label) }];
     if (!value)
         value = std::make_unique<std::atomic<std::uint64_t>>(0);
     value_ = value.get();
 }
 
+std::chrono::microseconds Stopwatch::elapsed() const
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - start_);
+}
+
 void observeLatency(const char* name, std::chrono::microseconds duration)
 {
     double seconds = std::chrono::duration<double>(duration).count();
@@ -72,12 +99,19 @@
     ++latency.count_;
 }
 
-std::string metricsText()
+std::string metricsText(const std::vector<Gauge>& gauges)
 {
     std::lock_guard<std::mutex> lock(registry().mutex_);
     std::string text;
-    for (const auto& [name, value] : registry().counters_)
-        text += fmt::format("# TYPE fescue_{0} counter\nfescue_{0} {1}\n", name, value->load());
+    std::string last;
+    for (const auto& [series, value] : registry().counters_) {
+        writeType(text, last, series.first, "counter");
+        text += fmt::format("fescue_{}{} {}\n", series.first, series.second, value->load());
+    }
+    for (const Gauge& gauge : gauges) {
+        writeType(text, last, gauge.name_, "gauge");
+        text += fmt::format("fescue_{}{} {}\n", gauge.name_, labelText(gauge.label_), gauge.value_);
+    }
     for (const auto& [name, latency] : registry().latencies_)
         writeLatency(text, name, latency);
     return text;
--- a/src/RequestTable.cpp
+++ b/src/RequestTable.cpp
@@ -2,6 +2,7 @@
 
 #include "ChatStream.h"
 #include "EventLog.h"
+#include "Metrics.h"
 
 namespace fescue {
 
@@ -40,8 +41,10 @@
     {
         Facts facts = factsOf(frame);
         facts.emplace_back("status", std::to_string(status));
-        if (!problem.empty())
+        if (!problem.empty()) {
             facts.emplace_back("problem", problem);
+            Counter("scheduler_problems_total", { "kind", std::string(problem) }).add();
+        }
         if (run != RunState::Final)
             facts.emplace_back("run_state", nameOf(run));
         logEvent("answer_sent", facts);
@@ -60,6 +63,7 @@
 RequestId RequestTable::add(FrameLinkPtr link, RequestFrame frame, bool wantsStream)
 {
     logEvent("call_received", factsOf(frame));
+    Counter("scheduler_requests_total", { "operation", nameOf(frame.operation_) }).add();
     auto entry = std::make_shared<Entry>();
     entry->link_ = std::move(link);
     entry->frame_ = std::make_shared<const RequestFrame>(std::move(frame));
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -6,12 +6,12 @@
 #include "FinishCall.h"
 #include "FrameLink.h"
 #include "HttpServer.h"
-#include "Metrics.h"
 #include "ParseCall.h"
 #include "PeerLinks.h"
 #include "PlatformView.h"
 #include "ProgramDocument.h"
 #include "RecordEvents.h"
+#include "SchedulerStatus.h"
 #include "WorkQueue.h"
 
 #include <nlohmann/json.hpp>
@@ -52,21 +52,6 @@
         return homes;
     }
 
-    nlohmann::json standingOf(const ConfigStanding& standing)
-    {
-        return { { "in_force", standing.isInForce_ }, { "gap", standing.isGapOpen_ },
-            { "blocked", standing.isBlocked_ }, { "in_touch", standing.isInTouch_ } };
-    }
-
-    nlohmann::json membersOf(const Members& members)
-    {
-        nlohmann::json rows = nlohmann::json::array();
-        for (const Member& member : members)
-            rows.push_back({ { "vm", member.vm_.value_ }, { "zone", member.zone_.value_ },
-                { "leaving", member.isLeaving_ }, { "reachable", member.isReachable_ } });
-        return rows;
-    }
-
     WriterId newWriter(const SchedulerOptions& options)
     {
         std::random_device device;
@@ -273,7 +258,6 @@
 
     void requestArrived(const FrameLinkPtr& link, RequestFrame frame)
     {
-        Counter("scheduler_requests_total").add();
         switch (frame.operation_) {
         case Operation::ModelCall:
         case Operation::ServiceCall:
@@ -439,26 +423,19 @@
                 { isReady ? 200 : 503, "text/plain", isReady ? "ready\n" : "not ready\n" });
         }
         if (request.path_ == "/metrics")
-            return exchange->answer({ 200, "text/plain; version=0.0.4", metricsText() });
+            return exchange->answer({ 200, "text/plain; version=0.0.4", metricsText(gaugesOf(state())) });
         if (request.path_ == "/status")
-            return exchange->answer({ 200, "application/json", statusText() });
+            return exchange->answer({ 200, "application/json", statusText(state()) });
         if (request.path_ == "/programs")
             return exchange->answer({ 200, "application/json", programsText({}) });
         exchange->answer({ 404, "text/plain", "use /healthz, /readyz, /metrics, /status or /programs\n" });
     }
 
-    std::string statusText()
+    SchedulerState state()
     {
-        nlohmann::json shards = nlohmann::json::array();
-        for (const ShardStatus& row : homes_.status())
-            shards.push_back({ { "shard", streamOf(row.shard_) }, { "epoch", row.epoch_.value_ },
-                { "owner", row.owner_.value_ }, { "programs", row.programs_ }, { "running", row.running_ },
-                { "unconfirmed", row.unconfirmed_ }, { "log_down", row.isLogDown_ } });
-        nlohmann::json document { { "vm", options_.vm_.value_ }, { "zone", options_.zone_.value_ },
-            { "draining", isDraining_.load() }, { "open_requests", requests_.size() },
-            { "config", toJson(platform_.config()) }, { "config_standing", standingOf(platform_.standing()) },
-            { "members", membersOf(view(false).members_) }, { "shards", shards } };
-        return document.dump();
+        return { options_.vm_, options_.zone_, homes_.status(), runner_.load(), requests_.size(),
+            platform_.isReady(), isDraining_, platform_.config(), platform_.standing(),
+            view(false).members_ };
     }
 
     void drain()
--- a/src/ShardHome.cpp
+++ b/src/ShardHome.cpp
@@ -1,6 +1,7 @@
 #include "ShardHome.h"
 
 #include "EventLog.h"
+#include "Metrics.h"
 #include "RecordEvents.h"
 #include "ShardLog.h"
 
@@ -125,8 +126,10 @@
         Batch batch = *home->shard_.inFlight_;
         logBatchAppended(home->shard_.ledger_.shard_, batch);
         appendToLog(client_, options_.log_, streamOf(home->shard_.ledger_.shard_), toJsonText(batch),
-            [this, home, batch](
-                const tl::expected<LogOffset, LogError>& offset) { appended(home, batch, offset); });
+            [this, home, batch, sent = Stopwatch()](const tl::expected<LogOffset, LogError>& offset) {
+                observeLatency("scheduler_append_seconds", sent.elapsed());
+                appended(home, batch, offset);
+            });
     }
 
     void appended(const HomePtr& home, const Batch& batch, const tl::expected<LogOffset, LogError>& offset)
