End processes without touching freed connections

Cause, by the address sanitizer: links outlived their endpoint (a gateway's table of links was destroyed after the dialer; the connection's socket then reached into the freed io_context), and RESTinio's open connections counted down a limiter of the server that had been destroyed before them. Links now hold their connection weakly, and the closed server is left in memory.

--- a/src/FrameLink.cpp
+++ b/src/FrameLink.cpp
@@ -24,17 +24,18 @@
     template <typename Endpoint>
     class Link final : public FrameLink, public std::enable_shared_from_this<Link<Endpoint>> {
     public:
-        Link(typename Endpoint::connection_ptr connection, ByteCount maxBacklog)
-            : connection_(std::move(connection))
+        Link(const typename Endpoint::connection_ptr& connection, ByteCount maxBacklog)
+            : connection_(connection)
             , maxBacklog_(maxBacklog)
         {
         }
 
         bool send(const Frame& frame) override
         {
-            if (isClosed_)
+            auto connection = connection_.lock();
+            if (isClosed_ || !connection)
                 return false;
-            asio::post(*connection_->get_strand(),
+            asio::post(*connection->get_strand(),
                 [self = this->shared_from_this(), bytes = toCbor(frame)] { self->write(bytes); });
             return true;
         }
@@ -43,19 +44,24 @@
         {
             isClosed_ = true;
             std::error_code ignored;
-            connection_->terminate(ignored);
+            if (auto connection = connection_.lock())
+                connection->terminate(ignored);
         }
 
     private:
         void write(const std::string& bytes)
         {
-            bool isTooSlow
-                = connection_->get_buffered_amount() > static_cast<std::size_t>(maxBacklog_.value_);
-            if (isTooSlow || connection_->send(bytes, websocketpp::frame::opcode::binary))
+            auto connection = connection_.lock();
+            if (!connection)
+                return;
+            bool isTooSlow = connection->get_buffered_amount() > static_cast<std::size_t>(maxBacklog_.value_);
+            if (isTooSlow || connection->send(bytes, websocketpp::frame::opcode::binary))
                 close();
         }
 
-        typename Endpoint::connection_ptr connection_;
+        // The endpoint's pending operations own the connection: its socket must not outlive the endpoint,
+        // and links are kept by others for as long as they like.
+        std::weak_ptr<typename Endpoint::connection_type> connection_;
         ByteCount maxBacklog_;
         std::atomic<bool> isClosed_ { false };
     };
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -209,6 +209,10 @@
         for (std::thread& thread : threads_)
             thread.join();
         threads_.clear();
+        // Connections that are still open count down a limiter of the server when `io_` drops their pending
+        // reads, which is after the server's turn to go. So the server, closed by now, is left in memory;
+        // a process has one or two of them.
+        static_cast<void>(server_.release());
     }
 };
 
