--- /dev/null
+++ b/test/failure/ShardRetention.cpp
@@ -0,0 +1,90 @@
+// A shard whose older records the log no longer has goes on from its snapshot, through separate processes.
+
+#include "Cluster.h"
+#include "Suite.h"
+
+#include <csignal>
+
+using namespace fescue::test;
+using nlohmann::json;
+
+class ShardRetention : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ShardRetention);
+    CPPUNIT_TEST(nextOwnerBeyondTheRetentionGoesOnFromTheSnapshot);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void nextOwnerBeyondTheRetentionGoesOnFromTheSnapshot();
+};
+
+REGISTER_SUITE(ShardRetention);
+
+namespace {
+
+std::string streamUrl(Cluster& cluster, const std::string& program)
+{
+    auto zoneEnd = program.find('.');
+    auto shardEnd = program.find('.', zoneEnd + 1);
+    return cluster.url(*cluster.log_) + "/streams/shard/" + program.substr(0, zoneEnd) + "/"
+        + program.substr(zoneEnd + 1, shardEnd - zoneEnd - 1);
+}
+
+json newestRecords(Cluster& cluster, const std::string& program)
+{
+    std::string url = streamUrl(cluster, program) + "?from=1";
+    json page = json::parse(cluster.client_.perform({ "GET", url }).body_, nullptr, false);
+    return json::parse(page["entries"].back()["data"].get<std::string>())["records"];
+}
+
+bool holdsOutcome(Cluster& cluster, const std::string& program)
+{
+    for (const json& record : newestRecords(cluster, program)) {
+        if (record["kind"] == "finished")
+            return true;
+    }
+    return false;
+}
+
+// Whether the newest entry is a snapshot that holds the program's first call.
+bool holdsSnapshot(Cluster& cluster, const std::string& program)
+{
+    for (const json& record : newestRecords(cluster, program)) {
+        if (record["kind"] != "snapshot")
+            continue;
+        json state = json::parse(record["state"].get<std::string>());
+        return state["programs"][program].value("last_call", 0) == 1;
+    }
+    return false;
+}
+
+void replaceVm(Cluster& cluster, const std::string& name)
+{
+    cluster.entries_.back().scheduler_->end(SIGKILL);
+    cluster.entries_.back().gateway_->end(SIGKILL);
+    cluster.listVm(cluster.entries_.back(), "");
+    cluster.startVm(name, cluster.options_.zones_.front());
+    std::string ready = cluster.url(*cluster.entries_.back().gateway_) + "/readyz";
+    waitUntil(name + " is ready", [&] { return cluster.client_.perform({ "GET", ready }).status_ == 200; });
+}
+
+} // namespace
+
+void ShardRetention::nextOwnerBeyondTheRetentionGoesOnFromTheSnapshot()
+{
+    ClusterOptions options;
+    options.logFlags_ = { "--retention=2" };
+    options.schedulerFlags_ = { "--config_snapshot_ms=200" };
+    Cluster cluster(options);
+    std::string program = cluster.createProgram(0);
+    Answer paid = cluster.serviceCall(0, program, 1, "/payouts", "{}");
+    CHECK_EQUAL(200, paid.status());
+    waitUntil("the outcome is durable", [&] { return holdsOutcome(cluster, program); });
+    // The first owner wrote its snapshot before the call; its successor writes one that holds it.
+    replaceVm(cluster, "zone-a-second");
+    CHECK_EQUAL(paid.http_.body_, cluster.serviceCall(1, program, 1, "/payouts", "{}").http_.body_);
+    waitUntil("the snapshot is written", [&] { return holdsSnapshot(cluster, program); });
+    replaceVm(cluster, "zone-a-third");
+    CHECK_EQUAL(paid.http_.body_, cluster.serviceCall(2, program, 1, "/payouts", "{}").http_.body_);
+    CHECK_EQUAL(200, cluster.serviceCall(2, program, 2, "/payouts", "{}").status());
+    CHECK_EQUAL(1, cluster.executions(program, 1));
+}
--- a/test/fuzz/ShardFuzz.cpp
+++ b/test/fuzz/ShardFuzz.cpp
@@ -13,12 +13,14 @@
     CPPUNIT_TEST_SUITE(ShardFuzz);
     CPPUNIT_TEST(everyScheduleKeepsTheRules);
     CPPUNIT_TEST(manyOwnersKeepTheRulesForLong);
+    CPPUNIT_TEST(schedulesReachWhatMatters);
     CPPUNIT_TEST(brokenRulesAreSeen);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void everyScheduleKeepsTheRules();
     void manyOwnersKeepTheRulesForLong();
+    void schedulesReachWhatMatters();
     void brokenRulesAreSeen();
 };
 
@@ -115,6 +117,24 @@
     }
 }
 
+void ShardFuzz::schedulesReachWhatMatters()
+{
+    constexpr std::uint64_t schedules = 300;
+    std::map<std::string, std::uint64_t> reached;
+    for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
+        Random random(seed);
+        ShardWorld world;
+        for (int i = 0; i < 1500; ++i)
+            world.run(randomStep(random));
+        for (const auto& [thing, count] : world.stats_)
+            reached[thing] += count;
+    }
+    for (const char* thing : { "sent kind 0", "sent kind 1", "sent kind 2", "outcome outcome-unknown", "gap",
+             "incomplete", "answered from the log", "no longer in the log", "problem budget-exceeded",
+             "problem home-unreachable", "problem transcript-mismatch", "problem call-key-reused" })
+        CPPUNIT_ASSERT_MESSAGE(std::string("not reached: ") + thing, reached[thing] > 0);
+}
+
 void ShardFuzz::brokenRulesAreSeen()
 {
     checkSeen(Mutant::HidesClaims, 'a', "a second owner that hides claims");
--- a/test/support/ShardWorld.cpp
+++ b/test/support/ShardWorld.cpp
@@ -15,20 +15,8 @@
 namespace {
 
     constexpr int ownerCount = 3;
-    constexpr TokenCount programBudget { 800 };
     constexpr Milliseconds retention { 12000 };
     const ShardKey key { { "zone" }, { 0 } };
-    const WorkspaceId workspace { "workspace" };
-
-    template <typename Item> Item* pick(std::vector<Item>& items, int index)
-    {
-        return items.empty() ? nullptr : &items[static_cast<std::size_t>(index) % items.size()];
-    }
-
-    json message(const char* role, const ProgramId& program, const std::string& text)
-    {
-        return { { "role", role }, { "content", program.value_ + ":" + text } };
-    }
 
 } // namespace
 
@@ -126,81 +114,6 @@
         now_ += limits_.intentSendWindow_ + limits_.successorMargin_;
 }
 
-Call ShardWorld::makeCall(const Client& client, int a, int b)
-{
-    static constexpr std::array<int, 16> distances { 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 0, 0, 2, -1, -1, -5 };
-    auto number = std::max<std::int64_t>(
-        client.last_.value_ + distances[static_cast<std::size_t>(a / 8) % distances.size()], 1);
-    Call call;
-    call.request_ = nextRequest();
-    call.workspace_ = workspace;
-    call.program_ = client.program_;
-    call.number_ = { static_cast<std::uint32_t>(number) };
-    static constexpr std::array<CallKind, 5> kinds { CallKind::AtMostOnceService, CallKind::Model,
-        CallKind::Model, CallKind::AtMostOnceService, CallKind::RepeatableService };
-    call.kind_ = kinds[(call.number_.value_ + std::hash<ProgramId>()(client.program_)) % kinds.size()];
-    std::string text = std::to_string(number) + (b % 8 == 0 ? ":other" : "");
-    call.fingerprint_ = text;
-    if (call.kind_ != CallKind::Model)
-        return call;
-    auto historyOf = [&call](const Client& source) {
-        auto history = source.histories_.find({ call.number_.value_ - 1 });
-        return history == source.histories_.end() || history->second.is_null() ? json::array()
-                                                                               : history->second;
-    };
-    json messages = historyOf(client);
-    if (b / 8 % 16 == 0 && !messages.empty())
-        messages = historyOf(*pick(clients_, b));
-    messages.push_back(message("user", client.program_, text));
-    call.messages_ = messages.dump();
-    call.fingerprint_ = call.messages_;
-    call.bodySize_ = { static_cast<std::int64_t>(call.messages_.size()) };
-    call.maxTokens_ = { 20 };
-    return call;
-}
-
-void ShardWorld::arrive(Owner& owner, int a, int b)
-{
-    Client* client = pick(clients_, a);
-    if (!client)
-        return;
-    if (owner.shard_.epoch_.value_ == 0 && b % 4 == 0)
-        return claim(owner);
-    if (owner.shard_.epoch_.value_ == 0 && b % 16 != 1)
-        return;
-    Call call = makeCall(*client, a, b);
-    calls_[call.request_] = call;
-    oracle_.asked(call.request_, { call.program_, call.number_, call.fingerprint_, call.kind_ });
-    carryOut(owner, callArrived(owner.shard_, call, context()));
-}
-
-void ShardWorld::create(Owner& owner, int a)
-{
-    constexpr std::size_t mostClients = 4;
-    if (owner.shard_.epoch_.value_ == 0 || clients_.size() >= mostClients)
-        return;
-    CreateProgram create { nextRequest(), { "p" + std::to_string(++lastProgram_) }, workspace, {},
-        programBudget };
-    Client* parent = pick(clients_, a / 2);
-    if (parent && a % 2 == 0) {
-        create.parent_ = parent->program_;
-        create.budget_ = { 150 };
-    }
-    oracle_.asked(create.request_, {});
-    oracle_.created(create.program_, create.parent_, create.budget_);
-    carryOut(owner, createProgram(owner.shard_, create, context()));
-}
-
-void ShardWorld::end(Owner& owner, int a)
-{
-    Client* client = pick(clients_, a);
-    if (!client || owner.shard_.epoch_.value_ == 0)
-        return;
-    EndProgram end { nextRequest(), workspace, client->program_, "ended" };
-    oracle_.asked(end.request_, {});
-    carryOut(owner, endProgram(owner.shard_, end, context()));
-}
-
 void ShardWorld::forget(Owner& owner)
 {
     if (owner.shard_.epoch_.value_ == 0 && !owner.shard_.inFlight_)
@@ -247,7 +160,7 @@
         for (RecordBody& body : landed.records_) {
             if (auto* finished = std::get_if<CallFinished>(&body);
                 finished && !finished->newMessages_.empty())
-                finished->newMessages_ = json::array({ message("user", { "other" }, "text") }).dump();
+                finished->newMessages_ = json::array({ historyMessage("user", { "other" }, "text") }).dump();
         }
     }
     log_.push_back({ landed, now_ });
@@ -353,7 +266,7 @@
         oracle_.ran(*execution.sending_, used);
         result.used_ = mutant_ == Mutant::UnderreportsUse ? TokenCount {} : used;
         result.contextTokens_ = used;
-        json reply = message("assistant", call.program_, text);
+        json reply = historyMessage("assistant", call.program_, text);
         result.answerMessage_ = reply.dump();
         json history = json::parse(execution.message_);
         history.push_back(reply);
@@ -373,76 +286,6 @@
         std::visit([&](const auto& one) { take(owner, one); }, effect);
 }
 
-bool ShardWorld::dropsAnswer() { return mutant_ == Mutant::DropsAnswers && lastRequest_ % 4 == 0; }
-
-void ShardWorld::take(Owner& owner, const ReplyProblem& reply)
-{
-    for (RequestId request : reply.requests_) {
-        if (dropsAnswer())
-            continue;
-        oracle_.answered(request, reply.problem_.run_, owner.shard_.epoch_);
-        ++stats_["problem " + std::string(nameOf(reply.problem_.kind_))];
-        const ProgramId& program = calls_[request].program_;
-        bool isUnknown = reply.problem_.kind_ == ProblemKind::UnknownProgram;
-        if (isUnknown)
-            oracle_.toldUnknown(request, owner.shard_.epoch_);
-        if (isUnknown || reply.problem_.kind_ == ProblemKind::OutcomeUnknown)
-            forgetClient(program);
-        if (reply.problem_.kind_ != ProblemKind::CallOutOfOrder)
-            continue;
-        for (Client& client : clients_) {
-            if (client.program_ == program && client.last_.value_ > 0)
-                client.last_ = client.last_ - CallNumber { 1 };
-        }
-    }
-}
-
-// Now and then, so that most calls are of programs that live.
-void ShardWorld::forgetClient(const ProgramId& program)
-{
-    auto found = std::find_if(clients_.begin(), clients_.end(),
-        [&program](const Client& client) { return client.program_ == program; });
-    if (found != clients_.end() && lastRequest_ % 3 == 0)
-        clients_.erase(found);
-}
-
-void ShardWorld::take(Owner&, const ReplyOutcome& reply)
-{
-    for (RequestId request : reply.requests_) {
-        oracle_.answeredOutcome(request, reply.outcome_, reply.durableCall_);
-        const Call& call = calls_[request];
-        ++stats_["outcome " + std::string(nameOf(reply.outcome_.run_))];
-        for (Client& client : clients_) {
-            if (client.program_ != call.program_)
-                continue;
-            client.last_ = std::max(client.last_, call.number_);
-            auto history = histories_.find(reply.outcome_.body_);
-            if (history != histories_.end())
-                client.histories_[call.number_] = history->second;
-            else if (call.number_.value_ > 0)
-                client.histories_[call.number_] = client.histories_[{ call.number_.value_ - 1 }];
-        }
-    }
-}
-
-void ShardWorld::take(Owner& owner, const ReplyFromLog& reply)
-{
-    std::optional<Batch> batch;
-    if (isLogUp_ && reply.offset_.value_ > firstKept())
-        batch = log_[reply.offset_.value_ - 1].batch_;
-    ++stats_[batch ? "answered from the log" : "no longer in the log"];
-    carryOut(owner, answerFromLog(reply, batch));
-}
-
-void ShardWorld::take(Owner&, const ReplyProgram& reply)
-{
-    oracle_.answered(reply.request_, RunState::Final);
-    bool isKnown = std::any_of(clients_.begin(), clients_.end(),
-        [&reply](const Client& client) { return client.program_ == reply.program_; });
-    if (!isKnown)
-        clients_.push_back({ reply.program_, {}, {} });
-}
-
 void ShardWorld::take(Owner& owner, const ExecuteCall& execute)
 {
     owner.executions_.push_back({ execute, calls_[execute.call_.request_].messages_, std::nullopt });
--- a/test/support/ShardWorld.h
+++ b/test/support/ShardWorld.h
@@ -57,6 +57,15 @@
     std::vector<Execution> executions_;
 };
 
+/** The item that a step's argument means; null when there is none. */
+template <typename Item> Item* pick(std::vector<Item>& items, int index)
+{
+    return items.empty() ? nullptr : &items[static_cast<std::size_t>(index) % items.size()];
+}
+
+/** A message of a program's history; its text begins with the program, so that the oracle sees mixtures. */
+nlohmann::json historyMessage(const char* role, const ProgramId& program, const std::string& text);
+
 /** The world. Not safe for several threads. */
 class ShardWorld {
 public:
