--- a/test/support/ShardBench.h
+++ b/test/support/ShardBench.h
@@ -10,7 +10,7 @@
 #include "ProgramLife.h"
 #include "ShardLog.h"
 
-#include <cppunit/TestAssert.h>
+#include <stdexcept>
 
 namespace fescue::test {
 
@@ -118,7 +118,8 @@
     template <typename Kind> static const Kind& need(const Effects& effects)
     {
         const Kind* found = find<Kind>(effects);
-        CPPUNIT_ASSERT_MESSAGE("an effect is missing", found);
+        if (!found)
+            throw std::runtime_error("an effect is missing");
         return *found;
     }
 
