--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -413,6 +413,10 @@
                     for (RequestId request : reply.requests_)
                         requests_.sendOutcome(request, reply.outcome_, reply.durableCall_);
                 },
+                [&](const ReplyMoved& reply) {
+                    for (RequestId request : reply.requests_)
+                        requests_.sendMoved(request, reply.to_);
+                },
                 [](const ReplyFromLog&) { /* ShardHomes answers it from the log. */ },
                 [&](const ReplyProgram& reply) {
                     requests_.sendDocument(reply.request_, 200,
--- a/src/Shard.h
+++ b/src/Shard.h
@@ -197,6 +197,11 @@
     LogOffset offset_;
     CallNumber durableCall_;
 };
+/** Send these requests on to the VM that owns the shard now; none of them has been executed here. */
+struct ReplyMoved {
+    std::vector<RequestId> requests_;
+    VmId to_;
+};
 /** Answer a program's creation or end. */
 struct ReplyProgram {
     RequestId request_;
@@ -230,7 +235,7 @@
     Epoch epoch_;
 };
 
-using Effect = std::variant<ReplyProblem, ReplyOutcome, ReplyFromLog, ReplyProgram, AttachRequest,
+using Effect = std::variant<ReplyProblem, ReplyOutcome, ReplyFromLog, ReplyMoved, ReplyProgram, AttachRequest,
     ExecuteCall, CancelCall, ReleaseCache>;
 using Effects = std::vector<Effect>;
 
--- a/src/ShardLog.cpp
+++ b/src/ShardLog.cpp
@@ -109,6 +109,16 @@
             "the program's home moved to another VM; send the call again", ownerRetryAfter };
     }
 
+    // What waits here was not executed here, so the new owner decides on it as on any repeat. Beyond a gap
+    // the new owner is not known.
+    Effect sendOn(const Shard& shard, std::vector<RequestId> requests)
+    {
+        bool isKnown = shard.ledger_.epoch_ != shard.epoch_;
+        if (!isKnown)
+            return ReplyProblem { std::move(requests), lostOwnership() };
+        return ReplyMoved { std::move(requests), shard.ledger_.owner_ };
+    }
+
     void dropActive(const ProgramId&, ActiveProgram& active, Shard& shard, Effects& effects)
     {
         if (!active.awaitsCreation_.empty())
@@ -118,13 +128,13 @@
         if (active.running_->phase_ == RunningCall::Phase::Executing)
             shard.orphans_[active.running_->execution_] = std::move(*active.running_);
         else if (!active.running_->requests_.empty())
-            effects.push_back(ReplyProblem { active.running_->requests_, lostOwnership() });
+            effects.push_back(sendOn(shard, active.running_->requests_));
     }
 
-    void dropHeld(std::vector<HeldRefusal>& held, Effects& effects)
+    void dropHeld(const Shard& shard, std::vector<HeldRefusal>& held, Effects& effects)
     {
         for (const HeldRefusal& refusal : held)
-            effects.push_back(ReplyProblem { { refusal.request_ }, lostOwnership() });
+            effects.push_back(sendOn(shard, { refusal.request_ }));
         held.clear();
     }
 
@@ -196,8 +206,8 @@
     Effects effects;
     for (auto& [program, active] : shard.active_)
         dropActive(program, active, shard, effects);
-    dropHeld(shard.heldRefusals_, effects);
-    dropHeld(shard.inFlightRefusals_, effects);
+    dropHeld(shard, shard.heldRefusals_, effects);
+    dropHeld(shard, shard.inFlightRefusals_, effects);
     shard.active_.clear();
     shard.resting_.clear();
     shard.outbox_.clear();
--- a/test/support/ShardWorld.h
+++ b/test/support/ShardWorld.h
@@ -113,6 +113,7 @@
     void take(Owner& owner, const ReplyProblem& reply);
     void take(Owner&, const ReplyOutcome& reply);
     void take(Owner& owner, const ReplyFromLog& reply);
+    void take(Owner&, const ReplyMoved& reply);
     void take(Owner&, const ReplyProgram& reply);
     void take(Owner& owner, const ExecuteCall& execute);
     void take(Owner& owner, const CancelCall& cancel);
--- a/test/support/ShardWorldCallers.cpp
+++ b/test/support/ShardWorldCallers.cpp
@@ -158,6 +158,22 @@
     carryOut(owner, answerFromLog(reply, batch));
 }
 
+// The gateway sends the request on; a VM that does not answer is told as unknown.
+void ShardWorld::take(Owner&, const ReplyMoved& reply)
+{
+    for (Owner& owner : owners_) {
+        if (owner.vm_ != reply.to_)
+            continue;
+        for (RequestId request : reply.requests_) {
+            ++stats_["moved"];
+            if (owner.isFrozen_)
+                oracle_.answered(request, RunState::Unknown);
+            else
+                carryOut(owner, callArrived(owner.shard_, calls_[request], context()));
+        }
+    }
+}
+
 void ShardWorld::take(Owner&, const ReplyProgram& reply)
 {
     oracle_.answered(reply.request_, RunState::Final);
