--- a/src/FrameLink.cpp
+++ b/src/FrameLink.cpp
@@ -138,6 +138,7 @@
             endpoint_.stop();
             for (std::thread& thread : threads_)
                 thread.join();
+            threads_.clear();
         }
     };
 
@@ -162,7 +163,9 @@
     impl_->start(threads);
 }
 
-FrameServer::~FrameServer() { impl_->stop(); }
+FrameServer::~FrameServer() { stop(); }
+
+void FrameServer::stop() { impl_->stop(); }
 
 std::uint16_t FrameServer::port() const
 {
--- a/src/FrameLink.h
+++ b/src/FrameLink.h
@@ -53,6 +53,9 @@
 
     /** The port that is bound. Safe from any thread. */
     std::uint16_t port() const;
+    /** Ends the threads; no callback comes any more, and what is sent over links goes nowhere. Safe to call
+     * twice, not from a callback. */
+    void stop();
 
 private:
     struct Impl;
--- a/src/PeerLinks.cpp
+++ b/src/PeerLinks.cpp
@@ -221,7 +221,9 @@
 {
 }
 
-PeerLinks::~PeerLinks() { impl_->dialer_.reset(); }
+PeerLinks::~PeerLinks() { stop(); }
+
+void PeerLinks::stop() { impl_->dialer_.reset(); }
 
 void PeerLinks::tick()
 {
--- a/src/PeerLinks.h
+++ b/src/PeerLinks.h
@@ -30,6 +30,9 @@
     PeerLinks(const VmId& vm, const ZoneId& zone, PeerHandlers handlers);
     ~PeerLinks();
 
+    /** Closes the links that it opened; no handler is called any more. Precondition: `tick` is over. */
+    void stop();
+
     /** Opens links, announces and judges what is due; to be called at a steady pace. */
     void tick();
     /** Tells every peer at once; for a VM that begins to leave. */
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -135,13 +135,14 @@
         work_.every(tickInterval, [this] { tick(); });
     }
 
-    // The order of ending: no more ticks that send over links, nothing new arrives, nothing is under way,
-    // then the parts go.
+    // The order of ending: nothing ticks, nothing new arrives, nothing is under way, then the parts go. What
+    // is under way ends with answers over links, which must still be there.
     ~Impl()
     {
         http_.reset();
         work_.stop();
-        frames_.reset();
+        frames_->stop();
+        peers_.stop();
         client_.reset();
     }
 
