--- a/src/TimeLinePicture.cpp
+++ b/src/TimeLinePicture.cpp
@@ -29,7 +29,7 @@
     {
         std::string text;
         for (const auto& [name, value] : event.facts_)
-            text += (text.empty() ? "" : " ") + name + "=" + value;
+            text += fmt::format("{}{}={}", text.empty() ? "" : " ", name, value);
         return text;
     }
 
