--- a/src/OperatorCommands.cpp
+++ b/src/OperatorCommands.cpp
@@ -181,11 +181,15 @@
     std::string shardRows(const json& shards)
     {
         std::string text;
-        for (const json& shard : shards)
+        for (const json& shard : shards) {
+            bool isUnused = shard.value("owner", "").empty() && !shard.value("log_down", false);
+            if (isUnused)
+                continue;
             text += fmt::format("  {:<24}  epoch {}  owner {}  programs {}  running {}  unconfirmed {}{}\n",
                 shard.value("shard", ""), shard.value("epoch", std::uint64_t { 0 }), shard.value("owner", ""),
                 shard.value("programs", 0), shard.value("running", 0), shard.value("unconfirmed", 0),
                 shard.value("log_down", false) ? "  log down" : "");
+        }
         return text;
     }
 
