--- a/src/ProgramLife.cpp
+++ b/src/ProgramLife.cpp
@@ -52,7 +52,8 @@
 
     bool isAtMostOnceUnderWay(const ActiveProgram& active)
     {
-        return active.running_ && active.running_->call_.kind_ == CallKind::AtMostOnceService;
+        return active.running_ && !active.running_->abandoned_
+            && active.running_->call_.kind_ == CallKind::AtMostOnceService;
     }
 
     void stopRunning(ActiveProgram& active, const ProgramId& program, Effects& effects)
@@ -110,6 +111,14 @@
             && context.now_ - active.running_->since_ >= context.limits_.confirmationPatience_;
     }
 
+    void giveBack(Shard& shard, const ProgramId& program, TokenCount& left)
+    {
+        if (left.value_ <= 0)
+            return;
+        record(shard, TrancheReturned { program, left });
+        left = {};
+    }
+
     void releaseHeld(std::vector<HeldRefusal>& held, const ShardContext& context, Effects& effects)
     {
         std::vector<HeldRefusal> patient;
@@ -232,6 +241,19 @@
     return effects;
 }
 
+void prepareHandOver(Shard& shard)
+{
+    if (shard.epoch_.value_ == 0)
+        return;
+    for (auto& [program, active] : shard.active_) {
+        if (!active.ended_)
+            giveBack(shard, program, active.trancheLeft_);
+    }
+    for (auto& [program, resting] : shard.resting_)
+        giveBack(shard, program, resting.trancheLeft_);
+    shard.isUrgent_ = shard.isUrgent_ || !shard.outbox_.empty();
+}
+
 Effects shardTick(Shard& shard, const ShardContext& context)
 {
     Effects effects;
--- a/src/ShardHome.h
+++ b/src/ShardHome.h
@@ -6,7 +6,7 @@
  * A decision (a function of Shard.h's family) is handed in, run under the lock of its shard, and its
  * effects are carried out in the same order. Towards the log each shard has one operation at a time:
  *
- *     not owned --claim--> read up to the claim --> owned --append batch--> ...
+ *     not owned --read--> up to date --claim--> owned --append batch--> ...
  *
  * An append without an answer is followed by a read, which tells whether it took effect.
  */
@@ -63,6 +63,9 @@
     /** Takes a shard over without a request, so that programs of a dead owner are looked after. */
     void takeOver(const ShardKey& shard);
 
+    /** Reads what the log holds of an owned shard, to find out whether another VM has taken it over. */
+    void verify(const ShardKey& shard);
+
     /** Whether the shard is owned and has nothing under way, so that it can move without loss. */
     bool isIdle(const ShardKey& shard) const;
     bool isOwned(const ShardKey& shard) const;
@@ -72,6 +75,11 @@
     /** Appends what is gathered without waiting for the flush interval. */
     void flushNow();
 
+    /** Gives the unspent budget of a shard that is about to move back to the log; see `prepareHandOver`. */
+    void handOver(const ShardKey& shard);
+    /** `handOver` for every shard, and `flushNow`; for a process that drains. */
+    void handOverAll();
+
     void inspect(const ShardKey& shard, const Inspect& look) const;
     /** Status of every shard that this VM has dealt with. */
     std::vector<ShardStatus> status() const;
