Check failures by the history of concurrent callers; keep a list of engine memory to free

Red on the tree before: a call whose only target is gone was held for a minute instead of refused (a target that had failed it still counted as able to serve it); see test/failure/Refusals. A paused owner that woke told not-run of a call that its successor had run. Planned stops and long histories are still red.

--- a/apps/SchedulerMain.cpp
+++ b/apps/SchedulerMain.cpp
@@ -18,6 +18,7 @@
 DEFINE_int32(flush_ms, 500, "how long records that nobody waits for are gathered before they are appended");
 DEFINE_int32(drain_ms, 30000, "how long open calls may go on after SIGTERM");
 DEFINE_int32(idle_ms, 1800000, "a program without calls for this long is ended");
+DEFINE_int32(cache_check_ms, 15000, "how often each engine's list of cached programs is checked");
 DEFINE_int64(tranche_tokens, 16384,
     "part of a program's budget that one owner may spend before it asks the log again");
 DEFINE_string(events_file, "", "file for the event log; empty for standard error");
@@ -40,6 +41,8 @@
     options.seed_ = static_cast<std::uint64_t>(FLAGS_seed);
     options.flushInterval_ = Milliseconds { requireRange("--flush_ms", FLAGS_flush_ms, 0, 60000) };
     options.drainGrace_ = Milliseconds { requireRange("--drain_ms", FLAGS_drain_ms, 0, 3600000) };
+    options.cacheCheckInterval_
+        = Milliseconds { requireRange("--cache_check_ms", FLAGS_cache_check_ms, 50, 3600000) };
     options.limits_.programIdle_ = Milliseconds { requireRange("--idle_ms", FLAGS_idle_ms, 100, 604800000) };
     options.limits_.trancheSize_ = { requireRange("--tranche_tokens", FLAGS_tranche_tokens, 1, 1000000000) };
     return options;
--- a/src/AdmitCall.cpp
+++ b/src/AdmitCall.cpp
@@ -18,9 +18,16 @@
         return { ReplyProblem { { call.request_ }, { kind, run, std::move(detail), retryAfter } } };
     }
 
+    // Without the log an owner cannot know whether a successor has run the call meanwhile: it may have been
+    // paused. So only calls that may be repeated are told for certain that they did not run.
+    RunState runStateUnconfirmed(const Call& call)
+    {
+        return call.kind_ == CallKind::AtMostOnceService ? RunState::Unknown : RunState::NotRun;
+    }
+
     Effects refuseForLog(const Call& call)
     {
-        return refuse(call, ProblemKind::LogUnavailable, RunState::NotRun,
+        return refuse(call, ProblemKind::LogUnavailable, runStateUnconfirmed(call),
             "the log service does not answer, and this call needs a record before it runs; send it again "
             "later",
             logRetryAfter);
@@ -68,12 +75,12 @@
             return refuse(call, ProblemKind::ProgramEnded, RunState::NotRun,
                 "the program has ended (" + active.endReason_ + "); create a new one");
         if (active.running_ || call.number_.value_ != active.lastCall_.value_ + 1)
-            return refuse(call, ProblemKind::CallOutOfOrder, RunState::NotRun,
+            return refuse(call, ProblemKind::CallOutOfOrder, runStateUnconfirmed(call),
                 "the program's last finished call is " + std::to_string(active.lastCall_.value_)
                     + (active.running_ ? " and the next is still running" : "")
                     + "; send its calls one by one, numbered from 1");
         if (context.now_ < active.notBefore_)
-            return refuse(call, ProblemKind::HomeUnreachable, RunState::NotRun,
+            return refuse(call, ProblemKind::HomeUnreachable, runStateUnconfirmed(call),
                 "the program's earlier owner may still be sending a call; send this one again shortly",
                 active.notBefore_ - context.now_);
         return std::nullopt;
--- /dev/null
+++ b/src/CacheKeeper.h
@@ -0,0 +1,67 @@
+#pragma once
+
+/** \file
+ * CacheKeeper: frees the engine memory of programs that are gone.
+ *
+ * An order to free memory is repeated until the engine has confirmed it. Orders can still be lost, since
+ * their owner may die, so each engine's own list is compared with the shards from time to time:
+ *
+ *     engine's list -> programs by shard -> read the shard's stream to its end -> free what has ended
+ *
+ * Only the owner of a program's shard frees its memory, and only by a ledger that was read up to the end
+ * after the list was taken: a program in the list was created before that, so its record, or the claim of
+ * the owner that created it, has been read. A program that has ended never lives again, so a late order
+ * does no harm.
+ */
+
+#include "HttpClient.h"
+#include "Manifest.h"
+#include "Members.h"
+#include "ShardHome.h"
+
+#include <functional>
+#include <memory>
+
+namespace fescue {
+
+/** What a keeper needs to know of its process. */
+struct CacheKeeperOptions {
+    VmId vm_;
+    WriterId writer_;
+    ZoneId zone_;
+    Milliseconds listInterval_ { 15000 }; ///< Between two lists of one engine of the own zone.
+};
+
+/** Frees engine memory. All functions are safe from any thread and none waits. */
+class CacheKeeper {
+public:
+    using MembersNow = std::function<Members()>;
+
+    /** `members` is called without any lock held. The keeper must outlive the callbacks of `client`. */
+    CacheKeeper(const CacheKeeperOptions& options, HttpClient& client, ShardHomes& homes, MembersNow members);
+    ~CacheKeeper();
+
+    void setManifest(const Manifest& manifest);
+    /** Orders the engines of the own zone to free what they hold for a program whose end the log has
+     * confirmed. May be called under the lock of a shard. */
+    void release(const ProgramId& program, Epoch epoch);
+    /** Sends what is due; to be called at a steady pace without any lock held. */
+    void tick();
+    /** Orders that no engine has confirmed yet. */
+    std::size_t unconfirmed() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+/** Whether the owner of a shard may have a program's memory freed. Pure.
+ *
+ * Precondition: the shard's ledger was read to the end of its stream after the program was seen at an engine.
+ * False when the shard is not owned, since then nothing is known for certain. */
+bool isGone(const Shard& shard, const ProgramId& program);
+
+/** Whether a shard's owner is dead, so that this VM may take it over to look after its programs. Pure. */
+bool isOrphaned(const Shard& shard, const CacheKeeperOptions& options, const Members& members);
+
+} // namespace fescue
--- a/src/CallRunner.cpp
+++ b/src/CallRunner.cpp
@@ -392,20 +392,10 @@
     impl_->client_.cancel(execution->transfer_);
 }
 
-void CallRunner::releaseCache(const ProgramId& program, Epoch epoch)
+void CallRunner::forget(const ProgramId& program)
 {
     std::lock_guard<std::mutex> lock(impl_->mutex_);
     forgetProgram(impl_->pool_, program);
-    for (const auto& [id, target] : impl_->manifest_.targets_) {
-        if (target.models_.empty() || target.zone_ != impl_->options_.zone_)
-            continue;
-        impl_->client_.start(
-            releaseRequest(program, epoch, target), [program, id = id](const HttpResult& result) {
-                logEvent("cache_released",
-                    { { "program", program.value_ }, { "target", id.value_ },
-                        { "status", std::to_string(result.status_) } });
-            });
-    }
 }
 
 void CallRunner::tick() { impl_->tickNow(); }
--- a/src/CallRunner.h
+++ b/src/CallRunner.h
@@ -45,8 +45,8 @@
     /** Lets a further caller see the output of a program's running call, from its start. */
     void attach(const ProgramId& program, RequestId request);
     void cancel(const ProgramId& program, ExecutionId execution);
-    /** Orders the engines to free what they hold for a program that has ended. */
-    void releaseCache(const ProgramId& program, Epoch epoch);
+    /** Forgets where a program that has ended ran. */
+    void forget(const ProgramId& program);
     /** Sends what can be sent now; to be called at a steady pace. */
     void tick();
     /** Calls that wait or run. */
--- a/src/FrameLink.cpp
+++ b/src/FrameLink.cpp
@@ -36,6 +36,8 @@
             return !connection_->send(toCbor(frame), websocketpp::frame::opcode::binary);
         }
 
+        bool isFlushed() const override { return connection_->get_buffered_amount() == 0; }
+
         void close() override
         {
             std::error_code ignored;
--- a/src/FrameLink.h
+++ b/src/FrameLink.h
@@ -21,6 +21,8 @@
     virtual ~FrameLink() = default;
     /** Queues a frame. Returns false when the link is closed, or is now closed for its backlog. */
     virtual bool send(const Frame& frame) = 0;
+    /** Whether all queued frames have been handed to the network. */
+    virtual bool isFlushed() const = 0;
     /** Closes the link; its `onClosed_` still comes. */
     virtual void close() = 0;
 };
--- a/src/Gateway.cpp
+++ b/src/Gateway.cpp
@@ -20,6 +20,8 @@
     constexpr Milliseconds retryDelay { 50 };
     constexpr Milliseconds homeRetryAfter { 1000 };
     constexpr std::uint32_t hopsBeforeForcing = 2;
+    // After the gateway has said that it is not ready, requests still come until the balancer has noticed.
+    constexpr Milliseconds balancerDelay { 1000 };
 
     // A caller's request on its way. `mutex_` keeps the frames of its answer in order.
     struct Pending {
@@ -53,6 +55,15 @@
             homeRetryAfter };
     }
 
+    // An earlier attempt of a program's call may have run through another gateway.
+    Problem notTaken(const RequestFrame& frame)
+    {
+        bool isRepeatPossible = !frame.program_.empty();
+        return { ProblemKind::ShuttingDown, isRepeatPossible ? RunState::Unknown : RunState::NotRun,
+            "this gateway takes no requests at the moment; send the same request to another",
+            homeRetryAfter };
+    }
+
     Problem brokenAnswer()
     {
         return { ProblemKind::TargetTruncated, RunState::Unknown,
@@ -64,7 +75,8 @@
 
 struct Gateway::Impl {
     GatewayOptions options_;
-    std::atomic<bool> isDraining_ { false };
+    std::atomic<bool> isDraining_ { false }; ///< No more requests are wanted, but they are served.
+    std::atomic<bool> isClosed_ { false }; ///< No more requests are taken.
     std::mutex mutex_; ///< Guards the table and the generator.
     std::map<std::uint64_t, PendingPtr> pending_;
     std::uint64_t lastId_ = 0;
@@ -105,14 +117,13 @@
         if (answerOwn(request, exchange))
             return;
         Counter("gateway_requests_total").add();
-        if (isDraining_ || !links_.isReady()) {
-            Problem problem { ProblemKind::ShuttingDown, RunState::NotRun,
-                "this gateway takes no requests at the moment; send the request to another", homeRetryAfter };
-            return exchange->answer(toResponse(problem));
-        }
+        if (!links_.isReady())
+            return exchange->answer(toResponse(notTaken({})));
         auto frame = parseHttp(request, links_.config()->manifest_);
         if (!frame)
             return exchange->answer(toResponse(frame.error()));
+        if (isClosed_)
+            return exchange->answer(toResponse(notTaken(*frame)));
         auto pending = std::make_shared<Pending>();
         pending->exchange_ = exchange;
         pending->frame_ = std::move(*frame);
@@ -144,6 +155,17 @@
         pending_[lastId_] = pending;
     }
 
+    // Each way of a request to a scheduler has a number of its own, so that what an earlier one still sends
+    // is never taken for the answer of the later one.
+    void renumber(const PendingPtr& pending)
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        if (!pending_.erase(pending->frame_.id_))
+            return;
+        pending->frame_.id_ = ++lastId_;
+        pending_[lastId_] = pending;
+    }
+
     // A new program goes to a shard of this zone; a child to the shard of its parent.
     void nameNewProgram(RequestFrame& frame)
     {
@@ -181,6 +203,7 @@
                 return;
             }
             pending->isRouted_ = true;
+            renumber(pending);
             pending->address_ = route->address_;
             pending->movedTo_ = {};
             frame = pending->frame_;
@@ -345,6 +368,9 @@
         auto now = monotonicNow();
         for (const PendingPtr& pending : allPending()) {
             std::unique_lock<std::mutex> lock(pending->mutex_);
+            bool isStranded = pending->isRouted_ && !pending->hasHead_ && !links_.isUsable(pending->address_);
+            if (isStranded)
+                routeLater(*pending);
             if (pending->isRouted_ || now < pending->retryAt_)
                 continue;
             bool isTooLate = now - pending->arrived_ >= options_.homePatience_;
@@ -366,7 +392,11 @@
     {
         isDraining_ = true;
         logEvent("drain_started", {});
-        auto deadline = monotonicNow() + options_.drainGrace_;
+        auto begun = monotonicNow();
+        auto deadline = begun + options_.drainGrace_;
+        while (monotonicNow() < std::min(deadline, begun + balancerDelay))
+            std::this_thread::sleep_for(tickInterval);
+        isClosed_ = true;
         while (monotonicNow() < deadline && openRequests() > 0)
             std::this_thread::sleep_for(tickInterval);
         logEvent("drain_ended", { { "open_requests", std::to_string(openRequests()) } });
--- a/src/Gateway.h
+++ b/src/Gateway.h
@@ -41,7 +41,8 @@
     Gateway& operator=(const Gateway&) = delete;
 
     std::uint16_t port() const;
-    /** Refuses new requests as not-run and waits for open ones, at most `drainGrace_`. */
+    /** Says that it is not ready, serves on until the balancer must have noticed, and waits for open
+     * requests; at most `drainGrace_`. */
     void drain();
 
 private:
--- a/src/ProgramLife.cpp
+++ b/src/ProgramLife.cpp
@@ -77,9 +77,10 @@
     void giveUpWaiting(ActiveProgram& active, Effects& effects)
     {
         RunningCall& running = *active.running_;
-        Problem problem { ProblemKind::LogUnavailable, RunState::NotRun,
-            "the log service has not confirmed the record that this call needs; it will not be sent, try "
-            "again later",
+        bool isOnce = running.call_.kind_ == CallKind::AtMostOnceService;
+        Problem problem { ProblemKind::LogUnavailable, isOnce ? RunState::Unknown : RunState::NotRun,
+            "the log service has not confirmed the record that this call needs; this attempt will not be "
+            "sent, send the same call again later",
             logRetryAfter };
         effects.push_back(ReplyProblem { std::move(running.requests_), problem });
         running.requests_.clear();
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -1,6 +1,7 @@
 #include "Scheduler.h"
 
 #include "AdmitCall.h"
+#include "CacheKeeper.h"
 #include "CallRunner.h"
 #include "EventLog.h"
 #include "FinishCall.h"
@@ -35,6 +36,21 @@
         return platform;
     }
 
+    // A request that waits, while this VM drains, until its shard can move.
+    struct HeldRequest {
+        RequestId request_;
+        ShardKey shard_;
+        VmId to_;
+    };
+
+    // Where the shard was before VMs began to leave: that owner lets its calls end before the shard moves.
+    std::optional<Member> ownerBeforeLeaving(Members members, const ShardKey& shard)
+    {
+        for (Member& member : members)
+            member.isLeaving_ = false;
+        return expectedOwner(members, shard);
+    }
+
     ShardHomeOptions homesOf(const SchedulerOptions& options, const WriterId& writer)
     {
         ShardHomeOptions homes;
@@ -63,12 +79,16 @@
     std::mutex linksMutex_;
     std::set<FrameLinkPtr> links_;
     std::atomic<bool> isDraining_ { false };
+    std::mutex heldMutex_;
+    std::vector<HeldRequest> held_;
     std::atomic<bool> isReady_ { false }; ///< Gateways have been given the configuration.
     std::unique_ptr<HttpClient> client_ = std::make_unique<HttpClient>();
     CallRunner runner_;
     ShardHomes homes_;
+    CacheKeeper keeper_;
     PlatformView platform_;
     std::unique_ptr<FrameServer> frames_;
+    std::atomic<std::uint16_t> framePort_ { 0 }; ///< 0 until frames can arrive.
     std::unique_ptr<HttpServer> http_;
 
     explicit Impl(const SchedulerOptions& options)
@@ -83,6 +103,8 @@
               })
         , homes_(homesOf(options, writer_), *client_,
               [this](const ShardKey& shard, const Effect& effect) { carryOut(shard, effect); })
+        , keeper_({ options.vm_, writer_, options.zone_, options.cacheCheckInterval_ }, *client_, homes_,
+              [this] { return view(false).members_; })
         , platform_(platformOf(options), *client_,
               { [this](const Config& config) { configChanged(config); },
                   [this](const Members&) { broadcastView(false); } })
@@ -92,6 +114,7 @@
             [this](const FrameLinkPtr& link) { linkClosed(link); } };
         frames_ = std::make_unique<FrameServer>(
             options.address_, options.port_, options.threads_, FrameLimits {}, std::move(handlers));
+        framePort_ = frames_->port();
         HttpServerOptions http;
         http.address_ = options.address_;
         http.port_ = options.httpPort_;
@@ -117,7 +140,10 @@
     {
         homes_.tick();
         runner_.tick();
+        keeper_.tick();
         platform_.tick();
+        if (isDraining_)
+            moveHeld();
         if (!isReady_ && platform_.isReady()) {
             isReady_ = true;
             broadcastView(true);
@@ -127,6 +153,7 @@
     void configChanged(const Config& config)
     {
         runner_.setManifest(config.manifest_);
+        keeper_.setManifest(config.manifest_);
         broadcastView(platform_.isReady());
     }
 
@@ -135,9 +162,9 @@
     {
         bool isListed = std::any_of(members.begin(), members.end(),
             [this](const Member& member) { return member.vm_ == options_.vm_; });
-        if (!isListed && frames_)
+        if (!isListed && framePort_ != 0)
             members.push_back(
-                { options_.vm_, options_.zone_, options_.address_ + ":" + std::to_string(frames_->port()) });
+                { options_.vm_, options_.zone_, options_.address_ + ":" + std::to_string(framePort_) });
     }
 
     ViewFrame view(bool withConfig) const
@@ -205,15 +232,61 @@
     {
         if (isForced && !isDraining_)
             return false;
-        auto expected = expectedOwner(view(false).members_, shard);
-        if (!expected || expected->vm_ == options_.vm_)
-            return false;
-        if (homes_.isOwned(shard) && !homes_.isIdle(shard))
+        Members members = view(false).members_;
+        auto expected = expectedOwner(members, shard);
+        if (!expected)
+            return isDraining_ && refuseLast(request);
+        bool isOwned = homes_.isOwned(shard);
+        if (expected->vm_ == options_.vm_ && !isOwned)
+            expected = ownerBeforeLeaving(std::move(members), shard);
+        if (expected->vm_ == options_.vm_)
             return false;
+        if (isOwned && !homes_.isIdle(shard))
+            return isDraining_ && hold({ request, shard, expected->vm_ });
         requests_.sendMoved(request, expected->vm_);
         return true;
     }
 
+    bool hold(HeldRequest held)
+    {
+        std::lock_guard<std::mutex> lock(heldMutex_);
+        held_.push_back(std::move(held));
+        return true;
+    }
+
+    // The last VM of a zone has nobody to hand its shards to. An earlier attempt of the call may have run.
+    bool refuseLast(RequestId request)
+    {
+        constexpr Milliseconds retryAfter { 1000 };
+        requests_.sendProblem(request,
+            { ProblemKind::ShuttingDown, RunState::Unknown,
+                "the last scheduler of the program's zone is shutting down; send the same call again later",
+                retryAfter });
+        return true;
+    }
+
+    void moveHeld()
+    {
+        homes_.flushNow();
+        std::lock_guard<std::mutex> lock(heldMutex_);
+        std::vector<HeldRequest> later;
+        for (const HeldRequest& held : held_) {
+            if (homes_.isIdle(held.shard_) || !homes_.isOwned(held.shard_))
+                requests_.sendMoved(held.request_, held.to_);
+            else
+                later.push_back(held);
+        }
+        held_ = std::move(later);
+    }
+
+    void refuseHeld()
+    {
+        std::lock_guard<std::mutex> lock(heldMutex_);
+        for (const HeldRequest& held : held_)
+            refuseLast(held.request_);
+        held_.clear();
+    }
+
     std::optional<ShardKey> placeOf(RequestId request, const RequestFrame& frame)
     {
         auto shard = shardOf(frame.program_);
@@ -327,7 +400,8 @@
                        [&](const ReleaseCache& release) {
                            logEvent("program_ended",
                                { { "program", release.program_.value_ }, { "shard", streamOf(shard) } });
-                           runner_.releaseCache(release.program_, release.epoch_);
+                           runner_.forget(release.program_);
+                           keeper_.release(release.program_, release.epoch_);
                        },
                    },
             effect);
@@ -373,9 +447,19 @@
         homes_.flushNow();
         while (monotonicNow() < deadline && !isQuiet())
             std::this_thread::sleep_for(tickInterval);
+        refuseHeld();
+        while (monotonicNow() < deadline + tickInterval && !areLinksFlushed())
+            std::this_thread::sleep_for(tickInterval);
         logEvent("drain_ended", { { "open_requests", std::to_string(requests_.size()) } });
     }
 
+    bool areLinksFlushed()
+    {
+        std::lock_guard<std::mutex> lock(linksMutex_);
+        return std::all_of(
+            links_.begin(), links_.end(), [](const FrameLinkPtr& link) { return link->isFlushed(); });
+    }
+
     bool isQuiet()
     {
         if (requests_.size() > 0 || runner_.size() > 0)
--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -28,6 +28,7 @@
     std::uint64_t seed_ = 0;
     Milliseconds flushInterval_ { 500 };
     Milliseconds drainGrace_ { 30000 };
+    Milliseconds cacheCheckInterval_ { 15000 }; ///< Between two comparisons with an engine's own list.
     ShardLimits limits_;
 };
 
--- a/src/SchedulerLinks.cpp
+++ b/src/SchedulerLinks.cpp
@@ -168,6 +168,18 @@
     return std::nullopt;
 }
 
+bool SchedulerLinks::isUsable(const std::string& address) const
+{
+    std::lock_guard<std::mutex> lock(impl_->mutex_);
+    if (address == impl_->ownAddress_ || impl_->members_.empty())
+        return true;
+    for (const Member& member : impl_->members_) {
+        if (member.address_ == address)
+            return member.isReachable_;
+    }
+    return false;
+}
+
 SchedulerRoute SchedulerLinks::anyRoute() const
 {
     std::lock_guard<std::mutex> lock(impl_->mutex_);
--- a/src/SchedulerLinks.h
+++ b/src/SchedulerLinks.h
@@ -45,6 +45,8 @@
     std::optional<SchedulerRoute> routeTo(const ShardKey& shard) const;
     /** The route to a VM by name; nothing when it is unknown or out of reach. */
     std::optional<SchedulerRoute> routeTo(const VmId& vm) const;
+    /** Whether a scheduler at `address` may still be waited for: our own, or a member in reach. */
+    bool isUsable(const std::string& address) const;
     /** Where calls go that belong to no shard. */
     SchedulerRoute anyRoute() const;
 
--- a/src/ShardHome.cpp
+++ b/src/ShardHome.cpp
@@ -25,6 +25,8 @@
         std::mutex mutex_;
         Shard shard_;
         std::vector<Waiting> waiting_;
+        std::vector<ShardHomes::Inspect> lookers_; ///< Wait for a read that has not begun.
+        std::vector<ShardHomes::Inspect> readers_; ///< Wait for the end of the read under way.
         bool isBusy_ = false; ///< A log operation is under way.
         bool needsRead_ = false; ///< What is in the stream after `ledger_.readTo_` is not known.
         bool wantsOwnership_ = false;
@@ -106,7 +108,7 @@
         if (home->isBusy_ || monotonicNow() < home->retryAt_)
             return;
         Shard& shard = home->shard_;
-        if (home->needsRead_)
+        if (home->needsRead_ || !home->lookers_.empty())
             return read(home);
         if (shard.epoch_.value_ == 0 && home->wantsOwnership_ && !shard.inFlight_)
             takeClaim(shard, options_.writer_, options_.vm_);
@@ -147,6 +149,8 @@
     void read(const HomePtr& home)
     {
         home->isBusy_ = true;
+        std::move(home->lookers_.begin(), home->lookers_.end(), std::back_inserter(home->readers_));
+        home->lookers_.clear();
         LogOffset from { home->shard_.ledger_.readTo_.value_ + 1 };
         readLog(client_, options_.log_, streamOf(home->shard_.ledger_.shard_), from, Milliseconds { 0 },
             [this, home](const tl::expected<LogPage, LogError>& page) { pageRead(home, page); });
@@ -162,9 +166,19 @@
         for (const LogEntry& entry : page->entries_)
             foldEntry(*home, entry);
         home->needsRead_ = home->shard_.ledger_.readTo_.value_ + 1 < page->next_.value_;
+        if (!home->needsRead_)
+            letReadersLook(*home);
         pump(home);
     }
 
+    void letReadersLook(Home& home)
+    {
+        std::vector<Inspect> readers;
+        readers.swap(home.readers_);
+        for (const Inspect& look : readers)
+            look(home.shard_);
+    }
+
     void foldEntry(Home& home, const LogEntry& entry)
     {
         auto batch = parseBatch(entry.data_);
@@ -260,6 +274,25 @@
     impl_->pump(home);
 }
 
+void ShardHomes::whenRead(const ShardKey& shard, Inspect look)
+{
+    HomePtr home = impl_->homeOf(shard);
+    std::lock_guard<std::mutex> lock(home->mutex_);
+    home->lookers_.push_back(std::move(look));
+    impl_->pump(home);
+}
+
+void ShardHomes::takeOverIf(const ShardKey& shard, Condition condition)
+{
+    HomePtr home = impl_->homeOf(shard);
+    std::weak_ptr<Home> weak = home;
+    whenRead(shard, [weak, condition = std::move(condition)](const Shard& state) {
+        auto owner = weak.lock();
+        if (owner && state.epoch_.value_ == 0 && condition(state))
+            owner->wantsOwnership_ = true;
+    });
+}
+
 bool ShardHomes::isIdle(const ShardKey& shard) const
 {
     HomePtr home = impl_->homeOf(shard);
--- a/src/ShardHome.h
+++ b/src/ShardHome.h
@@ -48,6 +48,7 @@
     using CarryOut = std::function<void(const ShardKey&, const Effect&)>;
     /** Reads a shard under its lock. */
     using Inspect = std::function<void(const Shard&)>;
+    using Condition = std::function<bool(const Shard&)>;
 
     /** `carryOut` is called under the shard's lock and must not call back into this object. */
     ShardHomes(const ShardHomeOptions& options, HttpClient& client, CarryOut carryOut);
@@ -63,6 +64,12 @@
     /** Takes a shard over without a request, so that programs of a dead owner are looked after. */
     void takeOver(const ShardKey& shard);
 
+    /** Looks at a shard after its stream was read to the end by a read that begins after this call; never
+     * while the log is down. `look` is called under the shard's lock and must not call back. */
+    void whenRead(const ShardKey& shard, Inspect look);
+    /** Reads the shard's stream to its end and takes the shard over if it is not owned and `condition` holds.
+     */
+    void takeOverIf(const ShardKey& shard, Condition condition);
     /** Whether the shard is owned and has nothing under way, so that it can move without loss. */
     bool isIdle(const ShardKey& shard) const;
     bool isOwned(const ShardKey& shard) const;
--- a/src/ShardLog.cpp
+++ b/src/ShardLog.cpp
@@ -92,6 +92,7 @@
             ownerRetryAfter };
     }
 
+    // A call that waits for its record was not sent by this owner, but the newer one may have run its repeat.
     void dropActive(const ProgramId&, ActiveProgram& active, Shard& shard, Effects& effects)
     {
         if (!active.awaitsCreation_.empty())
@@ -101,7 +102,7 @@
         if (active.running_->phase_ == RunningCall::Phase::Executing)
             shard.orphans_[active.running_->execution_] = std::move(*active.running_);
         else if (!active.running_->requests_.empty())
-            effects.push_back(ReplyProblem { active.running_->requests_, lostOwnership(RunState::NotRun) });
+            effects.push_back(ReplyProblem { active.running_->requests_, lostOwnership(RunState::Unknown) });
     }
 
     Effects loseOwnership(Shard& shard)
@@ -122,13 +123,14 @@
         return a.writer_ == b.writer_ && a.sequence_ == b.sequence_;
     }
 
-    // Programs with an open intent are loaded at once, so that the time in which the earlier owner may still
-    // send counts from the claim and not from the program's next call.
+    // Programs are loaded at once: the time in which the earlier owner may still send an open intent counts
+    // from the claim and not from the program's next call, and a program that nobody uses any more is ended
+    // after its idle time by whoever owns it.
     void becomeOwner(Shard& shard, const ShardContext& context)
     {
         shard.epoch_ = shard.ledger_.epoch_;
         for (const auto& [program, state] : shard.ledger_.programs_) {
-            if (state.intent_ && !state.ended_)
+            if (!state.ended_)
                 findActive(shard, program, context);
         }
     }
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -21,7 +21,8 @@
     bool isServedByAny(const TargetPool& pool, const QueuedCall& call)
     {
         return std::any_of(pool.targets_.begin(), pool.targets_.end(), [&call](const auto& entry) {
-            return !entry.second.target_.isLeaving_ && serves(entry.second.target_, call);
+            return !entry.second.target_.isLeaving_ && serves(entry.second.target_, call)
+                && !call.avoid_.count(entry.first);
         });
     }
 
--- a/standin/Engine.cpp
+++ b/standin/Engine.cpp
@@ -41,6 +41,7 @@
         std::int64_t answerTokens_ = 0;
         std::int64_t made_ = 0;
         std::string text_;
+        std::string echo_; ///< First word of the answer.
     };
 
     std::vector<std::string> messagesOf(const json& body)
@@ -52,6 +53,18 @@
         return messages;
     }
 
+    // What follows `echo=` in the last message, up to the next space or its end.
+    std::string echoOf(const json& body)
+    {
+        constexpr std::string_view mark = "echo=";
+        std::string text = body["messages"].empty() ? "" : body["messages"].back().value("content", "");
+        auto at = text.rfind(mark);
+        if (at == std::string::npos)
+            return {};
+        text.erase(0, at + mark.size());
+        return text.substr(0, text.find(' '));
+    }
+
     json chunkOf(const Running& running)
     {
         return { { "id", running.id_ }, { "object", "chat.completion.chunk" }, { "created", 0 },
@@ -69,6 +82,8 @@
     std::uint64_t requests_ = 0;
     std::int64_t cutAfter_ = 0; ///< Break the streams off after so many tokens; 0 for never.
     bool refuses_ = false;
+    std::int64_t loseReleases_ = 0; ///< So many orders to free memory are lost.
+    std::map<std::string, std::int64_t> used_; ///< Tokens of prompts and answers for each key.
     WorkQueue work_ { 1 };
     std::unique_ptr<HttpServer> http_;
 
@@ -123,8 +138,10 @@
         running.model_ = body.value("model", "");
         running.key_ = body.value("prompt_cache_key", "");
         running.messages_ = messagesOf(body);
+        running.echo_ = echoOf(body);
         for (const std::string& message : running.messages_)
             running.promptTokens_ += tokensOf(message);
+        used_[running.key_] += running.promptTokens_;
         running.cachedTokens_ = cachedPrefix(running);
         running.prefillLeft_ = running.promptTokens_ - running.cachedTokens_;
         std::int64_t most = body.value("max_tokens", options_.answerTokens_);
@@ -136,7 +153,10 @@
 
     void sendToken(Running& running)
     {
-        std::string word = fmt::format("w{} ", running.made_++);
+        bool isEcho = running.made_ == 0 && !running.echo_.empty();
+        std::string word = isEcho ? running.echo_ + " " : fmt::format("w{} ", running.made_);
+        ++running.made_;
+        ++used_[running.key_];
         running.text_ += word;
         json event = chunkOf(running);
         event["choices"] = json::array({ { { "index", 0 }, { "delta", { { "content", word } } } } });
@@ -197,6 +217,17 @@
             return;
         cutAfter_ = wanted.value("cut_after", cutAfter_);
         refuses_ = wanted.value("refuse", refuses_);
+        loseReleases_ = wanted.value("lose_releases", loseReleases_);
+    }
+
+    void release(const std::string& key, const HttpExchangePtr& exchange)
+    {
+        if (loseReleases_ > 0) {
+            --loseReleases_;
+            return exchange->answer({ 500, "application/json", "{\"error\": \"lost\"}", {} });
+        }
+        cache_.erase(key);
+        exchange->answer({ 200, "application/json", "{}", {} });
     }
 
     void handle(const HttpRequest& request, const HttpExchangePtr& exchange)
@@ -206,10 +237,10 @@
             return admit(request, exchange);
         if (request.path_ == "/v1/cache")
             return exchange->answer({ 200, "application/json", cacheDocument().dump(), {} });
-        if (request.path_.rfind(cachePath, 0) == 0 && request.method_ == "DELETE") {
-            cache_.erase(request.path_.substr(cachePath.size()));
-            return exchange->answer({ 200, "application/json", "{}", {} });
-        }
+        if (request.path_.rfind(cachePath, 0) == 0 && request.method_ == "DELETE")
+            return release(request.path_.substr(cachePath.size()), exchange);
+        if (request.path_ == "/used")
+            return exchange->answer({ 200, "application/json", json(used_).dump(), {} });
         if (request.path_ == "/v1/load")
             return exchange->answer(
                 { 200, "application/json", json { { "running", batch_.size() } }.dump(), {} });
--- a/standin/Engine.h
+++ b/standin/Engine.h
@@ -7,10 +7,12 @@
  *     GET    /v1/cache                 {"entries": [{"key", "tokens"}], "tokens": total}
  *     DELETE /v1/cache/<key>           free what is held for a program
  *     GET    /v1/load                  {"running", "queued_tokens"} as of the last report
- *     POST   /faults {"cut_after": 5, "refuse": false, "dead": false}
+ *     GET    /used                     {"<key>": tokens of prompts and answers so far, ...}
+ *     POST   /faults {"cut_after": 5, "refuse": false, "lose_releases": 1}
  *
  * A token is four bytes of a message, rounded up. Prompts of one `prompt_cache_key` share their longest
  * common run of messages with the cache; the least recently used keys give way when the cache is full.
+ * An answer begins with what the last message has behind `echo=`, so that a caller knows it for its own.
  */
 
 #include "HttpServer.h"
--- a/standin/PlainService.cpp
+++ b/standin/PlainService.cpp
@@ -24,6 +24,7 @@
 struct PlainService::Impl {
     std::mutex mutex_;
     std::map<std::string, int> executions_;
+    json journal_ = json::array(); ///< Every execution, in order.
     std::map<std::string, std::uint64_t> newestToken_;
     std::vector<DelayedAnswer> delayed_;
     std::vector<HttpExchangePtr> unanswered_;
@@ -64,7 +65,10 @@
             return exchange->answer({ 503, "application/json", "{\"error\": \"full\"}", {} });
         if (isFenced(request))
             return exchange->answer({ 412, "application/json", "{\"error\": \"old fencing token\"}", {} });
-        int times = ++executions_[headerOf(request, "idempotency-key")];
+        std::string key = headerOf(request, "idempotency-key");
+        int times = ++executions_[key];
+        journal_.push_back({ { "key", key }, { "body", request.body_ },
+            { "at_ms", monotonicNow().time_since_epoch().count() } });
         if (loseAnswers_ > 0) {
             --loseAnswers_;
             unanswered_.push_back(exchange);
@@ -86,6 +90,8 @@
         }
         if (request.path_ == "/executions")
             return exchange->answer({ 200, "application/json", json(executions_).dump(), {} });
+        if (request.path_ == "/journal")
+            return exchange->answer({ 200, "application/json", journal_.dump(), {} });
         execute(request, exchange);
     }
 
--- a/standin/PlainService.h
+++ b/standin/PlainService.h
@@ -5,6 +5,7 @@
  *
  *     any  /<path>                    executes the request and answers {"executed": n, "body": ...}
  *     GET  /executions                {"<Idempotency-Key>": times, ...}
+ *     GET  /journal                   [{"key", "body", "at_ms": on the machine's monotonic clock}, ...]
  *     POST /faults {"delay_ms": 100, "lose_answers": 1, "refuse": false, "checks_fencing": true}
  *
  * With `lose_answers` a request is executed and its connection then gives no answer. With
--- /dev/null
+++ b/test/failure/Refusals.cpp
@@ -0,0 +1,77 @@
+// A refusal comes at once, says when to come back, and a "not run" in it is true.
+
+#include "History.h"
+#include "Suite.h"
+
+#include <csignal>
+
+using namespace fescue::test;
+using nlohmann::json;
+
+class Refusals : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(Refusals);
+    CPPUNIT_TEST(callWithoutTargetIsNotRunAndLaterRuns);
+    CPPUNIT_TEST(callWithoutLogIsNotHeld);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void callWithoutTargetIsNotRunAndLaterRuns();
+    void callWithoutLogIsNotHeld();
+};
+
+REGISTER_SUITE(Refusals);
+
+namespace {
+
+SeenCall pay(Cluster& cluster, History& history, const std::string& program, int number)
+{
+    SeenCall call;
+    call.program_ = program;
+    call.number_ = number;
+    call.isService_ = true;
+    call.token_ = program + "." + std::to_string(number);
+    return sendRecorded(cluster, history, 0, call);
+}
+
+} // namespace
+
+void Refusals::callWithoutTargetIsNotRunAndLaterRuns()
+{
+    Cluster cluster;
+    History history;
+    std::string program = cluster.createProgram(0);
+    history.created(program, 200000);
+    int port = cluster.service_->port("http");
+    cluster.service_->end(SIGKILL);
+    SeenCall refused = pay(cluster, history, program, 1);
+    CHECK_EQUAL(std::string("not-run"), refused.answer_.headers_["fescue-run-state"]);
+    CHECK(!refused.answer_.headers_["retry-after"].empty());
+    cluster.service_ = std::make_unique<Process>(
+        "standin-service", std::vector<std::string> { "--listen=127.0.0.1:" + std::to_string(port) }, 1);
+    waitUntil("the repeat runs", [&] { return pay(cluster, history, program, 1).answer_.status_ == 200; });
+    CHECK_EQUAL(1, cluster.executions(program, 1));
+    CHECK_EQUAL(std::string(), faultsOf(history.calls(), evidenceOf(cluster, history)));
+}
+
+// What is refused is not held back: it does not run later by itself.
+void Refusals::callWithoutLogIsNotHeld()
+{
+    Cluster cluster;
+    History history;
+    std::string program = cluster.createProgram(0);
+    history.created(program, 200000);
+    cluster.faults(*cluster.log_, { { "down", true } });
+    SeenCall refused;
+    waitUntil("the owner knows that the log is down", [&] {
+        refused = pay(cluster, history, program, 1);
+        return problemOf(refused.answer_) == "log-unavailable";
+    });
+    CHECK(!refused.answer_.headers_["retry-after"].empty());
+    CHECK_EQUAL(0, cluster.executions(program, 1));
+    cluster.faults(*cluster.log_, { { "down", false } });
+    waitUntil("the announcement is withdrawn",
+        [&] { return cluster.call(0, "GET", "/v1/programs/" + program).json()["running"] == false; });
+    CHECK_EQUAL(0, cluster.executions(program, 1));
+    CHECK_EQUAL(200, pay(cluster, history, program, 1).answer_.status_);
+    CHECK_EQUAL(std::string(), faultsOf(history.calls(), evidenceOf(cluster, history)));
+}
--- /dev/null
+++ b/test/failure/WholeAnswers.cpp
@@ -0,0 +1,98 @@
+// Each caller gets the whole answer to its own request, or sees that it did not.
+
+#include "History.h"
+#include "Suite.h"
+
+#include <csignal>
+#include <future>
+
+using namespace fescue::test;
+using nlohmann::json;
+
+class WholeAnswers : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(WholeAnswers);
+    CPPUNIT_TEST(cutStreamShowsAnErrorAndItsRepeatIsWhole);
+    CPPUNIT_TEST(streamOfAKilledOwnerShowsAnErrorAndItsRepeatIsWhole);
+    CPPUNIT_TEST(crossedRequestsGetTheirOwnAnswers);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void cutStreamShowsAnErrorAndItsRepeatIsWhole();
+    void streamOfAKilledOwnerShowsAnErrorAndItsRepeatIsWhole();
+    void crossedRequestsGetTheirOwnAnswers();
+};
+
+REGISTER_SUITE(WholeAnswers);
+
+namespace {
+
+SeenCall streamOf(const std::string& program)
+{
+    SeenCall call;
+    call.program_ = program;
+    call.number_ = 1;
+    call.token_ = program + ".1";
+    call.isStream_ = true;
+    return call;
+}
+
+json turnOf(const SeenCall& call) { return conversation({ "do echo=" + call.token_ }); }
+
+void repeatUntilWhole(Cluster& cluster, History& history, std::size_t vm, const SeenCall& call)
+{
+    waitUntil("a repeat gets the whole answer",
+        [&] { return !contentOf(sendRecorded(cluster, history, vm, call, turnOf(call))).empty(); });
+    CHECK_EQUAL(std::string(), faultsOf(history.calls(), evidenceOf(cluster, history)));
+}
+
+} // namespace
+
+void WholeAnswers::cutStreamShowsAnErrorAndItsRepeatIsWhole()
+{
+    Cluster cluster;
+    History history;
+    SeenCall call = streamOf(cluster.createProgram(0));
+    history.created(call.program_, 200000);
+    cluster.faults(*cluster.engines_[0], { { "cut_after", 5 } });
+    SeenCall cut = sendRecorded(cluster, history, 0, call, turnOf(call));
+    CHECK_EQUAL(200, cut.answer_.status_);
+    CHECK(showsError(cut));
+    cluster.faults(*cluster.engines_[0], { { "cut_after", 0 } });
+    repeatUntilWhole(cluster, history, 0, call);
+}
+
+void WholeAnswers::streamOfAKilledOwnerShowsAnErrorAndItsRepeatIsWhole()
+{
+    ClusterOptions options;
+    options.vmsPerZone_ = 2;
+    options.engineFlags_ = { "--step_ms=100" };
+    Cluster cluster(options);
+    History history;
+    SeenCall call = streamOf(cluster.createProgram(0));
+    history.created(call.program_, 200000);
+    std::size_t owner = ownerOf(cluster, call.program_);
+    auto first = std::async(
+        std::launch::async, [&] { return sendRecorded(cluster, history, 1 - owner, call, turnOf(call)); });
+    waitUntil("the engine has made some words",
+        [&] { return cluster.get(*cluster.engines_[0], "/used").value(call.program_, 0) > 15; });
+    cluster.entries_[owner].scheduler_->end(SIGKILL);
+    SeenCall cut = first.get();
+    CHECK(showsError(cut));
+    cluster.entries_[owner].gateway_->end(SIGKILL);
+    cluster.listVm(cluster.entries_[owner], "");
+    repeatUntilWhole(cluster, history, 1 - owner, call);
+}
+
+void WholeAnswers::crossedRequestsGetTheirOwnAnswers()
+{
+    ClusterOptions cluster2;
+    cluster2.vmsPerZone_ = 2;
+    cluster2.enginesPerZone_ = 2;
+    Cluster cluster(cluster2);
+    History history;
+    ChainOptions options;
+    options.programs_ = 24;
+    options.gateways_ = { 0, 1 };
+    runPrograms(cluster, history, options);
+    CHECK_EQUAL(std::string(), faultsOf(history.calls(), evidenceOf(cluster, history)));
+}
