--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -241,7 +241,7 @@
             expected = ownerBeforeLeaving(std::move(members), shard);
         if (expected->vm_ == options_.vm_)
             return false;
-        if (isOwned && !homes_.isIdle(shard))
+        if (isOwned && !homes_.letGo(shard))
             return isDraining_ && hold({ request, shard, expected->vm_ });
         requests_.sendMoved(request, expected->vm_);
         return true;
@@ -271,7 +271,7 @@
         std::lock_guard<std::mutex> lock(heldMutex_);
         std::vector<HeldRequest> later;
         for (const HeldRequest& held : held_) {
-            if (homes_.isIdle(held.shard_) || !homes_.isOwned(held.shard_))
+            if (homes_.letGo(held.shard_))
                 requests_.sendMoved(held.request_, held.to_);
             else
                 later.push_back(held);
--- a/src/ShardHome.cpp
+++ b/src/ShardHome.cpp
@@ -293,15 +293,24 @@
     });
 }
 
-bool ShardHomes::isIdle(const ShardKey& shard) const
+bool ShardHomes::letGo(const ShardKey& shard)
 {
     HomePtr home = impl_->homeOf(shard);
     std::lock_guard<std::mutex> lock(home->mutex_);
-    const Shard& state = home->shard_;
+    Shard& state = home->shard_;
+    if (state.epoch_.value_ == 0)
+        return true;
     bool isQuiet = state.outbox_.empty() && !state.inFlight_ && home->waiting_.empty();
     for (const auto& [program, active] : state.active_)
         isQuiet = isQuiet && !active.running_;
-    return isQuiet;
+    if (!isQuiet)
+        return false;
+    logEvent(
+        "shard_let_go", { { "shard", streamOf(shard) }, { "epoch", std::to_string(state.epoch_.value_) } });
+    state.active_.clear();
+    state.epoch_ = {};
+    home->wantsOwnership_ = false;
+    return true;
 }
 
 bool ShardHomes::isOwned(const ShardKey& shard) const
--- a/src/ShardHome.h
+++ b/src/ShardHome.h
@@ -70,8 +70,9 @@
     /** Reads the shard's stream to its end and takes the shard over if it is not owned and `condition` holds.
      */
     void takeOverIf(const ShardKey& shard, Condition condition);
-    /** Whether the shard is owned and has nothing under way, so that it can move without loss. */
-    bool isIdle(const ShardKey& shard) const;
+    /** Gives a shard up that has nothing under way, so that it moves without loss: from then on it takes no
+     * call here. False when something is under way; true when it is not owned. */
+    bool letGo(const ShardKey& shard);
     bool isOwned(const ShardKey& shard) const;
 
     /** Flushes what is due and gives up on what waited too long; to be called at a steady pace. */
