--- a/src/CacheKeeper.cpp
+++ b/src/CacheKeeper.cpp
@@ -68,16 +68,14 @@
     CacheKeeperOptions options_;
     HttpClient& client_;
     ShardHomes& homes_;
-    MembersNow members_;
     mutable std::mutex mutex_; ///< Guards the tables; taken after a shard's lock, never before one.
     std::map<TargetId, EngineState> engines_;
     std::map<OrderKey, Order> orders_;
 
-    Impl(const CacheKeeperOptions& options, HttpClient& client, ShardHomes& homes, MembersNow members)
+    Impl(const CacheKeeperOptions& options, HttpClient& client, ShardHomes& homes)
         : options_(options)
         , client_(client)
         , homes_(homes)
-        , members_(std::move(members))
     {
     }
 
@@ -160,16 +158,12 @@
         }
         if (result.fate_ != HttpResult::Fate::Answered || result.status_ != 200)
             return;
-        Members members = members_();
         for (const auto& [shard, programs] : programsOf(result.body_, options_.zone_))
-            compare(shard, programs, engine, members);
+            compare(shard, programs, engine);
     }
 
-    void compare(const ShardKey& shard, const std::vector<ProgramId>& programs, const TargetId& engine,
-        const Members& members)
+    void compare(const ShardKey& shard, const std::vector<ProgramId>& programs, const TargetId& engine)
     {
-        if (!homes_.isOwned(shard))
-            return lookForOwner(shard, members);
         bool hasGone = false;
         homes_.inspect(shard, [&](const Shard& state) {
             hasGone = std::any_of(programs.begin(), programs.end(),
@@ -184,17 +178,6 @@
             }
         });
     }
-
-    // Programs of a dead owner have nobody who would end them. The VM that is expected next takes over.
-    void lookForOwner(const ShardKey& shard, const Members& members)
-    {
-        auto expected = expectedOwner(members, shard);
-        if (!expected || expected->vm_ != options_.vm_)
-            return;
-        homes_.takeOverIf(shard, [options = options_, members](const Shard& state) {
-            return isOrphaned(state, options, members);
-        });
-    }
 };
 
 bool isGone(const Shard& shard, const ProgramId& program)
@@ -207,18 +190,8 @@
     return shard.ledger_.complete_ && shard.active_.count(program) == 0;
 }
 
-bool isOrphaned(const Shard& shard, const CacheKeeperOptions& options, const Members& members)
-{
-    const Ledger& ledger = shard.ledger_;
-    if (ledger.owner_ == options.vm_)
-        return ledger.ownerWriter_ != options.writer_;
-    return std::none_of(members.begin(), members.end(),
-        [&ledger](const Member& member) { return member.vm_ == ledger.owner_ && member.isReachable_; });
-}
-
-CacheKeeper::CacheKeeper(
-    const CacheKeeperOptions& options, HttpClient& client, ShardHomes& homes, MembersNow members)
-    : impl_(std::make_unique<Impl>(options, client, homes, std::move(members)))
+CacheKeeper::CacheKeeper(const CacheKeeperOptions& options, HttpClient& client, ShardHomes& homes)
+    : impl_(std::make_unique<Impl>(options, client, homes))
 {
 }
 
--- a/src/CacheKeeper.h
+++ b/src/CacheKeeper.h
@@ -16,18 +16,14 @@
 
 #include "HttpClient.h"
 #include "Manifest.h"
-#include "Members.h"
 #include "ShardHome.h"
 
-#include <functional>
 #include <memory>
 
 namespace fescue {
 
 /** What a keeper needs to know of its process. */
 struct CacheKeeperOptions {
-    VmId vm_;
-    WriterId writer_;
     ZoneId zone_;
     Milliseconds listInterval_ { 15000 }; ///< Between two lists of one engine of the own zone.
 };
@@ -35,10 +31,8 @@
 /** Frees engine memory. All functions are safe from any thread and none waits. */
 class CacheKeeper {
 public:
-    using MembersNow = std::function<Members()>;
-
-    /** `members` is called without any lock held. The keeper must outlive the callbacks of `client`. */
-    CacheKeeper(const CacheKeeperOptions& options, HttpClient& client, ShardHomes& homes, MembersNow members);
+    /** Precondition: the keeper outlives the callbacks of `client`. */
+    CacheKeeper(const CacheKeeperOptions& options, HttpClient& client, ShardHomes& homes);
     ~CacheKeeper();
 
     void setManifest(const Manifest& manifest);
@@ -61,7 +55,4 @@
  * False when the shard is not owned, since then nothing is known for certain. */
 bool isGone(const Shard& shard, const ProgramId& program);
 
-/** Whether a shard's owner is dead, so that this VM may take it over to look after its programs. Pure. */
-bool isOrphaned(const Shard& shard, const CacheKeeperOptions& options, const Members& members);
-
 } // namespace fescue
--- a/src/ShardHome.cpp
+++ b/src/ShardHome.cpp
@@ -1,6 +1,7 @@
 #include "ShardHome.h"
 
 #include "EventLog.h"
+#include "RecordEvents.h"
 #include "ShardLog.h"
 
 #include <map>
@@ -28,6 +29,7 @@
         std::vector<ShardHomes::Inspect> lookers_; ///< Wait for a read that has not begun.
         std::vector<ShardHomes::Inspect> readers_; ///< Wait for the end of the read under way.
         bool isBusy_ = false; ///< A log operation is under way.
+        bool isSettling_ = false; ///< It is being let go and has told the log what it did not spend.
         bool needsRead_ = false; ///< What is in the stream after `ledger_.readTo_` is not known.
         bool wantsOwnership_ = false;
         MonotonicTime retryAt_;
@@ -38,6 +40,21 @@
 
     using HomePtr = std::shared_ptr<Home>;
 
+    // What this epoch may still spend is of use to the next only when the log knows that it was not spent.
+    bool returnTranches(Shard& shard)
+    {
+        bool hasReturned = false;
+        for (auto& [program, active] : shard.active_) {
+            if (active.ended_ || active.trancheLeft_.value_ <= 0)
+                continue;
+            record(shard, TrancheReturned { program, active.trancheLeft_ });
+            active.trancheLeft_ = {};
+            hasReturned = true;
+        }
+        shard.isUrgent_ = shard.isUrgent_ || hasReturned;
+        return hasReturned;
+    }
+
     Problem notTakenOver()
     {
         return { ProblemKind::LogUnavailable, RunState::Unknown,
@@ -124,6 +141,7 @@
         home->flushAt_ = monotonicNow() + options_.flushInterval_;
         ++home->appends_;
         Batch batch = *home->shard_.inFlight_;
+        logBatchAppended(home->shard_.ledger_.shard_, batch);
         appendToLog(client_, options_.log_, streamOf(home->shard_.ledger_.shard_), toJsonText(batch),
             [this, home, batch](
                 const tl::expected<LogOffset, LogError>& offset) { appended(home, batch, offset); });
@@ -191,6 +209,8 @@
     void fold(Home& home, LogOffset offset, const Batch& batch)
     {
         Epoch before = home.shard_.epoch_;
+        bool isConfirmed = batch.writer_ == options_.writer_ && batch.epoch_ == before;
+        logBatchRead(home.shard_.ledger_.shard_, offset, batch, isConfirmed && before.value_ != 0);
         carryOutAll(home, entryRead(home.shard_, offset, batch, context()));
         if (home.shard_.epoch_ == before)
             return;
@@ -282,35 +302,30 @@
     impl_->pump(home);
 }
 
-void ShardHomes::takeOverIf(const ShardKey& shard, Condition condition)
-{
-    HomePtr home = impl_->homeOf(shard);
-    std::weak_ptr<Home> weak = home;
-    whenRead(shard, [weak, condition = std::move(condition)](const Shard& state) {
-        auto owner = weak.lock();
-        if (owner && state.epoch_.value_ == 0 && condition(state))
-            owner->wantsOwnership_ = true;
-    });
-}
-
-bool ShardHomes::letGo(const ShardKey& shard)
+ShardHomes::LetGo ShardHomes::letGo(const ShardKey& shard)
 {
     HomePtr home = impl_->homeOf(shard);
     std::lock_guard<std::mutex> lock(home->mutex_);
     Shard& state = home->shard_;
     if (state.epoch_.value_ == 0)
-        return true;
-    bool isQuiet = state.outbox_.empty() && !state.inFlight_ && home->waiting_.empty();
+        return LetGo::Gone;
+    bool isWaitedFor
+        = !home->waiting_.empty() || !state.heldRefusals_.empty() || !state.inFlightRefusals_.empty();
     for (const auto& [program, active] : state.active_)
-        isQuiet = isQuiet && !active.running_;
-    if (!isQuiet)
-        return false;
+        isWaitedFor = isWaitedFor || active.running_;
+    home->isSettling_ = home->isSettling_ && !isWaitedFor;
+    if (isWaitedFor || !state.outbox_.empty() || state.inFlight_)
+        return home->isSettling_ ? LetGo::Settling : LetGo::Busy;
+    home->isSettling_ = returnTranches(state);
+    if (home->isSettling_) {
+        impl_->pump(home);
+        return LetGo::Settling;
+    }
     logEvent(
         "shard_let_go", { { "shard", streamOf(shard) }, { "epoch", std::to_string(state.epoch_.value_) } });
-    state.active_.clear();
-    state.epoch_ = {};
+    impl_->carryOutAll(*home, loseOwnership(state));
     home->wantsOwnership_ = false;
-    return true;
+    return LetGo::Gone;
 }
 
 bool ShardHomes::isOwned(const ShardKey& shard) const
--- a/src/ShardHome.h
+++ b/src/ShardHome.h
@@ -48,7 +48,6 @@
     using CarryOut = std::function<void(const ShardKey&, const Effect&)>;
     /** Reads a shard under its lock. */
     using Inspect = std::function<void(const Shard&)>;
-    using Condition = std::function<bool(const Shard&)>;
 
     /** `carryOut` is called under the shard's lock and must not call back into this object. */
     ShardHomes(const ShardHomeOptions& options, HttpClient& client, CarryOut carryOut);
@@ -67,12 +66,14 @@
     /** Looks at a shard after its stream was read to the end by a read that begins after this call; never
      * while the log is down. `look` is called under the shard's lock and must not call back. */
     void whenRead(const ShardKey& shard, Inspect look);
-    /** Reads the shard's stream to its end and takes the shard over if it is not owned and `condition` holds.
-     */
-    void takeOverIf(const ShardKey& shard, Condition condition);
-    /** Gives a shard up that has nothing under way, so that it moves without loss: from then on it takes no
-     * call here. False when something is under way; true when it is not owned. */
-    bool letGo(const ShardKey& shard);
+    /** How far a shard is on its way to another VM. */
+    enum class LetGo {
+        Busy, ///< Something is under way.
+        Settling, ///< It gives back to the log what it may still spend; it should get no new calls.
+        Gone, ///< It is not owned here, or not any more.
+    };
+    /** Gives up a shard that has nothing under way, so that it moves without loss. */
+    LetGo letGo(const ShardKey& shard);
     bool isOwned(const ShardKey& shard) const;
 
     /** Flushes what is due and gives up on what waited too long; to be called at a steady pace. */
