--- a/src/CallRunner.cpp
+++ b/src/CallRunner.cpp
@@ -26,6 +26,7 @@
         ChatStream stream_;
         std::string passedOn_; ///< Events that callers have been sent, for those who attach later.
         std::vector<RequestId> requests_;
+        TokenCount spent_; ///< What attempts without a whole answer have cost.
         bool isCancelled_ = false;
         bool isCutShort_ = false; ///< The engine went on beyond what was reserved.
     };
@@ -63,10 +64,23 @@
         ChatUsage usage = execution.stream_.usage();
         bool isReported = !execution.isCutShort_ && usage.prompt_.value_ > 0;
         result.contextTokens_ = isReported ? usage.prompt_ + usage.completion_ : execution.execute_.reserved_;
-        result.used_ = result.contextTokens_;
+        result.used_ = result.contextTokens_ + execution.spent_;
         return result;
     }
 
+    // What an attempt without a whole answer cost at most. An engine whose connection broke may have gone on.
+    TokenCount spentBy(const Execution& execution, const HttpResult& result)
+    {
+        if (result.fate_ == HttpResult::Fate::NotSent)
+            return {};
+        const ExecuteCall& execute = execution.execute_;
+        if (result.fate_ == HttpResult::Fate::Unknown)
+            return execute.reserved_;
+        if (result.status_ != 200)
+            return {};
+        return execute.reserved_ - execute.call_.maxTokens_ + execution.stream_.contentEvents();
+    }
+
 } // namespace
 
 struct CallRunner::Impl {
@@ -203,11 +217,14 @@
             return answered;
         }
         bool canRepeat = execution->passedOn_.empty() && !execution->isCancelled_;
+        execution->spent_ += spentBy(*execution, result);
+        auto failed = problemResult(ExecutionResult::Kind::Failed, failure(result, canRepeat));
+        failed.used_ = execution->spent_;
         lock.unlock();
         dispatchOver(execution->id_, endOf(result));
         if (canRepeat && tryAgain(execution))
             return std::nullopt;
-        return problemResult(ExecutionResult::Kind::Failed, failure(result, canRepeat));
+        return failed;
     }
 
     std::optional<ExecutionResult> afterServiceCall(const ExecutionPtr& execution, const HttpResult& result)
