--- a/test/failure/LongHistories.cpp
+++ b/test/failure/LongHistories.cpp
@@ -38,6 +38,7 @@
     Load(std::size_t vms, const ChainOptions& wish, const std::vector<std::string>& flags = {})
         : cluster_(layout(vms, flags))
     {
+        waitUntilSettled(cluster_);
         ChainOptions options = wish;
         options.done_ = &done_;
         callers_
--- a/test/failure/PlannedStop.cpp
+++ b/test/failure/PlannedStop.cpp
@@ -43,6 +43,7 @@
     layout.vmsPerZone_ = 2;
     layout.engineFlags_ = { "--step_ms=5" };
     Cluster cluster(layout);
+    waitUntilSettled(cluster);
     History history;
     std::atomic<int> done { 0 };
     ChainOptions options;
--- a/test/support/History.h
+++ b/test/support/History.h
@@ -81,6 +81,9 @@
 SeenCall sendRecorded(Cluster& cluster, History& history, std::size_t vm, SeenCall call,
     const nlohmann::json& messages = nullptr);
 
+/** Waits until each shard has an owner, so that none moves but by the faults of a test. */
+void waitUntilSettled(Cluster& cluster);
+
 /** Index of the VM with the newest epoch of a program's shard; the number of VMs when nobody has one. An
  * older owner may not know yet that it was overtaken. */
 std::size_t ownerOf(Cluster& cluster, const std::string& program);
