--- a/src/FrameLink.h
+++ b/src/FrameLink.h
@@ -22,6 +22,8 @@
     /** Queues a frame. Returns false when the link is known to be closed; a link whose backlog has grown too
      * large is closed, and `onClosed_` tells. */
     virtual bool send(const Frame& frame) = 0;
+    /** Whether all queued frames have been handed to the network. */
+    virtual bool isFlushed() = 0;
     /** Closes the link; its `onClosed_` still comes. */
     virtual void close() = 0;
 };
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -1,6 +1,7 @@
 #include "Scheduler.h"
 
 #include "AdmitCall.h"
+#include "CacheKeeper.h"
 #include "CallRunner.h"
 #include "EventLog.h"
 #include "FinishCall.h"
@@ -41,6 +42,13 @@
         return platform;
     }
 
+    // A request that waits until its shard can move.
+    struct HeldRequest {
+        RequestId request_;
+        ShardKey shard_;
+        VmId to_;
+    };
+
     ShardHomeOptions homesOf(const SchedulerOptions& options, const WriterId& writer)
     {
         ShardHomeOptions homes;
@@ -69,10 +77,13 @@
     std::mutex linksMutex_;
     std::set<FrameLinkPtr> links_;
     std::atomic<bool> isDraining_ { false };
+    std::mutex heldMutex_;
+    std::vector<HeldRequest> held_;
     std::atomic<bool> isReady_ { false }; ///< Gateways have been given the configuration.
     std::unique_ptr<HttpClient> client_ = std::make_unique<HttpClient>();
     CallRunner runner_;
     ShardHomes homes_;
+    CacheKeeper keeper_;
     PlatformView platform_;
     PeerLinks peers_;
     MonotonicTime shardsAt_;
@@ -96,6 +107,7 @@
               })
         , homes_(homesOf(options, writer_), *client_,
               [this](const ShardKey& shard, const Effect& effect) { carryOut(shard, effect); })
+        , keeper_({ options.zone_, options.cacheCheckInterval_ }, *client_, homes_)
         , platform_(platformOf(options), *client_,
               { [this](const Config& config) { configChanged(config); },
                   [this](const Members& members) { membersListed(members); } })
@@ -136,9 +148,11 @@
     {
         homes_.tick();
         runner_.tick();
+        keeper_.tick();
         platform_.tick();
         peers_.tick();
         lookAfterShards();
+        moveHeld();
         if (!isReady_ && platform_.isReady()) {
             isReady_ = true;
             broadcastView(true);
@@ -148,6 +162,7 @@
     void configChanged(const Config& config)
     {
         runner_.setManifest(config.manifest_);
+        keeper_.setManifest(config.manifest_);
         broadcastView(platform_.isReady());
     }
 
@@ -302,15 +317,65 @@
             return true;
         }
         auto expected = expectedOwner(view(false).members_, shard);
-        if (!expected || expected->vm_ == options_.vm_)
+        if (!expected)
+            return isDraining_ && refuseLast(request);
+        if (expected->vm_ == options_.vm_)
             return false;
-        if (isOwned && !homes_.isIdle(shard))
+        auto state = homes_.letGo(shard);
+        if (state == ShardHomes::LetGo::Settling || (state == ShardHomes::LetGo::Busy && isDraining_))
+            return hold({ request, shard, expected->vm_ });
+        if (state == ShardHomes::LetGo::Busy)
             return false;
-        homes_.handOver(shard);
+        if (isOwned)
+            peers_.announceNow();
         requests_.sendMoved(request, expected->vm_);
         return true;
     }
 
+    bool hold(HeldRequest held)
+    {
+        std::lock_guard<std::mutex> lock(heldMutex_);
+        held_.push_back(std::move(held));
+        return true;
+    }
+
+    // The last VM of a zone has nobody to hand its shards to. An earlier attempt of the call may have run.
+    bool refuseLast(RequestId request)
+    {
+        constexpr Milliseconds retryAfter { 1000 };
+        requests_.sendProblem(request,
+            { ProblemKind::ShuttingDown, RunState::Unknown,
+                "the last scheduler of the program's zone is shutting down; send the same call again later",
+                retryAfter });
+        return true;
+    }
+
+    void moveHeld()
+    {
+        if (isDraining_)
+            homes_.flushNow();
+        std::lock_guard<std::mutex> lock(heldMutex_);
+        std::vector<HeldRequest> later;
+        for (const HeldRequest& held : held_) {
+            if (homes_.letGo(held.shard_) == ShardHomes::LetGo::Gone)
+                requests_.sendMoved(held.request_, held.to_);
+            else
+                later.push_back(held);
+        }
+        bool hasMoved = later.size() < held_.size();
+        held_ = std::move(later);
+        if (hasMoved)
+            peers_.announceNow();
+    }
+
+    void refuseHeld()
+    {
+        std::lock_guard<std::mutex> lock(heldMutex_);
+        for (const HeldRequest& held : held_)
+            refuseLast(held.request_);
+        held_.clear();
+    }
+
     std::optional<ShardKey> placeOf(RequestId request, const RequestFrame& frame)
     {
         auto shard = shardOf(frame.program_);
@@ -404,32 +469,34 @@
     void carryOut(const ShardKey& shard, const Effect& effect)
     {
         logEffect(shard, effect);
-        std::visit(
-            Overloaded {
-                [&](const ReplyProblem& reply) {
-                    for (RequestId request : reply.requests_)
-                        requests_.sendProblem(request, reply.problem_);
-                },
-                [&](const ReplyOutcome& reply) {
-                    for (RequestId request : reply.requests_)
-                        requests_.sendOutcome(request, reply.outcome_, reply.durableCall_);
-                },
-                [&](const ReplyMoved& reply) {
-                    for (RequestId request : reply.requests_)
-                        requests_.sendMoved(request, reply.to_);
-                },
-                [](const ReplyFromLog&) { /* ShardHomes answers it from the log. */ },
-                [&](const ReplyProgram& reply) {
-                    requests_.sendDocument(reply.request_, 200,
-                        nlohmann::json {
-                            { "program", reply.program_.value_ }, { "durable", reply.isDurable_ } }
-                            .dump());
-                },
-                [&](const AttachRequest& attach) { runner_.attach(attach.program_, attach.request_); },
-                [&](const ExecuteCall& execute) { runner_.run(execute); },
-                [&](const CancelCall& cancel) { runner_.cancel(cancel.program_, cancel.execution_); },
-                [&](const ReleaseCache& release) { runner_.releaseCache(release.program_, release.epoch_); },
-            },
+        std::visit(Overloaded {
+                       [&](const ReplyProblem& reply) {
+                           for (RequestId request : reply.requests_)
+                               requests_.sendProblem(request, reply.problem_);
+                       },
+                       [&](const ReplyOutcome& reply) {
+                           for (RequestId request : reply.requests_)
+                               requests_.sendOutcome(request, reply.outcome_, reply.durableCall_);
+                       },
+                       [&](const ReplyMoved& reply) {
+                           for (RequestId request : reply.requests_)
+                               requests_.sendMoved(request, reply.to_);
+                       },
+                       [](const ReplyFromLog&) { /* ShardHomes answers it from the log. */ },
+                       [&](const ReplyProgram& reply) {
+                           requests_.sendDocument(reply.request_, 200,
+                               nlohmann::json {
+                                   { "program", reply.program_.value_ }, { "durable", reply.isDurable_ } }
+                                   .dump());
+                       },
+                       [&](const AttachRequest& attach) { runner_.attach(attach.program_, attach.request_); },
+                       [&](const ExecuteCall& execute) { runner_.run(execute); },
+                       [&](const CancelCall& cancel) { runner_.cancel(cancel.program_, cancel.execution_); },
+                       [&](const ReleaseCache& release) {
+                           runner_.forget(release.program_);
+                           keeper_.release(release.program_, release.epoch_);
+                       },
+                   },
             effect);
     }
 
@@ -468,14 +535,24 @@
         homes_.flushNow();
         while (monotonicNow() < deadline && !isQuiet())
             std::this_thread::sleep_for(tickInterval);
+        refuseHeld();
+        while (monotonicNow() < deadline + tickInterval && !areLinksFlushed())
+            std::this_thread::sleep_for(tickInterval);
         logEvent("drain_ended", { { "open_requests", std::to_string(requests_.size()) } });
     }
 
+    bool areLinksFlushed()
+    {
+        std::lock_guard<std::mutex> lock(linksMutex_);
+        return std::all_of(
+            links_.begin(), links_.end(), [](const FrameLinkPtr& link) { return link->isFlushed(); });
+    }
+
     bool isQuiet()
     {
         if (requests_.size() > 0 || runner_.size() > 0)
             return false;
-        homes_.handOverAll();
+        homes_.flushNow();
         for (const ShardStatus& row : homes_.status()) {
             if (row.unconfirmed_ > 0 && !row.isLogDown_)
                 return false;
--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -29,6 +29,7 @@
     Milliseconds flushInterval_ { 500 };
     Milliseconds configSnapshotPeriod_ { 600000 }; ///< A third of the log's retention, or less.
     Milliseconds drainGrace_ { 30000 };
+    Milliseconds cacheCheckInterval_ { 15000 }; ///< Between two comparisons with an engine's own list.
     ShardLimits limits_;
 };
 
--- a/src/ShardHome.cpp
+++ b/src/ShardHome.cpp
@@ -30,7 +30,10 @@
         std::mutex mutex_;
         Shard shard_;
         std::vector<Waiting> waiting_;
+        std::vector<ShardHomes::Inspect> lookers_; ///< Wait for a read that has not begun.
+        std::vector<ShardHomes::Inspect> readers_; ///< Wait for the end of the read under way.
         bool isBusy_ = false; ///< A log operation is under way.
+        bool isSettling_ = false; ///< It is being let go and has told the log what it did not spend.
         bool needsRead_ = true; ///< What is in the stream after `ledger_.readTo_` is not known.
         bool wantsOwnership_ = false;
         MonotonicTime retryAt_;
@@ -142,7 +145,7 @@
             return;
         Shard& shard = home->shard_;
         bool isConcerned = shard.epoch_.value_ != 0 || home->wantsOwnership_ || shard.inFlight_;
-        if (home->needsRead_ && isConcerned)
+        if ((home->needsRead_ && isConcerned) || !home->lookers_.empty())
             return read(home);
         if (shard.epoch_.value_ == 0 && home->wantsOwnership_ && !shard.inFlight_)
             takeClaim(shard, options_.writer_, options_.vm_);
@@ -187,6 +190,8 @@
     void read(const HomePtr& home)
     {
         home->isBusy_ = true;
+        std::move(home->lookers_.begin(), home->lookers_.end(), std::back_inserter(home->readers_));
+        home->lookers_.clear();
         LogOffset from { home->shard_.ledger_.readTo_.value_ + 1 };
         readLog(client_, options_.log_, streamOf(home->shard_.ledger_.shard_), from, Milliseconds { 0 },
             [this, home](const tl::expected<LogPage, LogError>& page) { pageRead(home, page); });
@@ -204,6 +209,8 @@
         for (const LogEntry& entry : page->entries_)
             foldEntry(*home, entry);
         home->needsRead_ = home->shard_.ledger_.readTo_.value_ + 1 < page->next_.value_;
+        if (!home->needsRead_)
+            letReadersLook(*home);
         pump(home);
     }
 
@@ -218,6 +225,14 @@
             home.wantsOwnership_ = !home.waiting_.empty();
     }
 
+    void letReadersLook(Home& home)
+    {
+        std::vector<Inspect> readers;
+        readers.swap(home.readers_);
+        for (const Inspect& look : readers)
+            look(home.shard_);
+    }
+
     void foldEntry(Home& home, const LogEntry& entry)
     {
         auto batch = parseBatch(entry.data_);
@@ -339,16 +354,39 @@
     impl_->pump(home);
 }
 
-bool ShardHomes::isIdle(const ShardKey& shard) const
+void ShardHomes::whenRead(const ShardKey& shard, Inspect look)
 {
     HomePtr home = impl_->homeOf(shard);
     std::lock_guard<std::mutex> lock(home->mutex_);
-    const Shard& state = home->shard_;
-    bool isQuiet = state.outbox_.empty() && !state.inFlight_ && home->waiting_.empty()
-        && state.heldRefusals_.empty() && state.inFlightRefusals_.empty();
+    home->lookers_.push_back(std::move(look));
+    impl_->pump(home);
+}
+
+ShardHomes::LetGo ShardHomes::letGo(const ShardKey& shard)
+{
+    HomePtr home = impl_->homeOf(shard);
+    std::lock_guard<std::mutex> lock(home->mutex_);
+    Shard& state = home->shard_;
+    if (state.epoch_.value_ == 0)
+        return LetGo::Gone;
+    bool isWaitedFor
+        = !home->waiting_.empty() || !state.heldRefusals_.empty() || !state.inFlightRefusals_.empty();
     for (const auto& [program, active] : state.active_)
-        isQuiet = isQuiet && !active.running_;
-    return isQuiet;
+        isWaitedFor = isWaitedFor || active.running_;
+    home->isSettling_ = home->isSettling_ && !isWaitedFor;
+    if (isWaitedFor || !state.outbox_.empty() || state.inFlight_)
+        return home->isSettling_ ? LetGo::Settling : LetGo::Busy;
+    prepareHandOver(state);
+    home->isSettling_ = !state.outbox_.empty();
+    if (home->isSettling_) {
+        impl_->pump(home);
+        return LetGo::Settling;
+    }
+    logEvent(
+        "shard_let_go", { { "shard", streamOf(shard) }, { "epoch", std::to_string(state.epoch_.value_) } });
+    impl_->carryOutAll(*home, loseOwnership(state));
+    home->wantsOwnership_ = false;
+    return LetGo::Gone;
 }
 
 bool ShardHomes::isOwned(const ShardKey& shard) const
@@ -380,24 +418,6 @@
     }
 }
 
-void ShardHomes::handOver(const ShardKey& shard)
-{
-    HomePtr home = impl_->homeOf(shard);
-    std::lock_guard<std::mutex> lock(home->mutex_);
-    prepareHandOver(home->shard_);
-    impl_->pump(home);
-}
-
-void ShardHomes::handOverAll()
-{
-    for (const HomePtr& home : impl_->all()) {
-        std::lock_guard<std::mutex> lock(home->mutex_);
-        prepareHandOver(home->shard_);
-        home->shard_.isUrgent_ = true;
-        impl_->pump(home);
-    }
-}
-
 void ShardHomes::inspect(const ShardKey& shard, const Inspect& look) const
 {
     HomePtr home = impl_->homeOf(shard);
--- a/src/ShardHome.h
+++ b/src/ShardHome.h
@@ -66,8 +66,17 @@
     /** Reads what the log holds of an owned shard, to find out whether another VM has taken it over. */
     void verify(const ShardKey& shard);
 
-    /** Whether the shard is owned and has nothing under way, so that it can move without loss. */
-    bool isIdle(const ShardKey& shard) const;
+    /** Looks at a shard after its stream was read to the end by a read that begins after this call; never
+     * while the log is down. `look` is called under the shard's lock and must not call back. */
+    void whenRead(const ShardKey& shard, Inspect look);
+    /** How far a shard is on its way to another VM. */
+    enum class LetGo {
+        Busy, ///< Something is under way.
+        Settling, ///< It gives back to the log what it may still spend; it should get no new calls.
+        Gone, ///< It is not owned here, or not any more.
+    };
+    /** Gives up a shard that has nothing under way, so that it moves without loss. */
+    LetGo letGo(const ShardKey& shard);
     bool isOwned(const ShardKey& shard) const;
 
     /** Flushes what is due and gives up on what waited too long; to be called at a steady pace. */
@@ -75,11 +84,6 @@
     /** Appends what is gathered without waiting for the flush interval. */
     void flushNow();
 
-    /** Gives the unspent budget of a shard that is about to move back to the log; see `prepareHandOver`. */
-    void handOver(const ShardKey& shard);
-    /** `handOver` for every shard, and `flushNow`; for a process that drains. */
-    void handOverAll();
-
     void inspect(const ShardKey& shard, const Inspect& look) const;
     /** Status of every shard that this VM has dealt with. */
     std::vector<ShardStatus> status() const;
