--- a/bench/Baselines.cpp
+++ b/bench/Baselines.cpp
@@ -144,10 +144,11 @@
         scheduler.output_ = [](std::uint64_t, Seconds) {};
         scheduler.loadReported_
             = [state](int engine, const EngineLoad& load, Seconds) { state->loads_[engine] = load; };
-        scheduler.evicted_ = [](int, int) {};
+        scheduler.evicted_ = [](int, int, Seconds) {};
         scheduler.programEnded_ = [state](int program) { state->lastEngine_.erase(program); };
         scheduler.removeQueued_ = [state](std::uint64_t id) { return removeWaiting(*state, id); };
         scheduler.overdue_ = [](Seconds) { return std::vector<std::uint64_t>(); };
+        scheduler.stale_ = [](Seconds) { return std::vector<StaleCopy>(); };
         scheduler.mayRetry_ = [](Seconds) { return true; };
         return scheduler;
     }
--- a/bench/Simulation.cpp
+++ b/bench/Simulation.cpp
@@ -18,6 +18,7 @@
     constexpr int mostRefusals = 12;
     constexpr int workspaces = 4;
     constexpr int crashingPrograms = 3;
+    constexpr std::uint64_t partsOfTurn = 16;
 
     enum class Kind {
         Arrive,
@@ -52,6 +53,7 @@
         std::size_t turn_ = 0;
         int context_ = 0;
         int parent_ = -1;
+        std::uint64_t root_ = 0;
         int openParts_ = 0; // Pause and sub-agents that the next turn waits for.
         int vm_ = 0;
         int workspace_ = 0;
@@ -75,7 +77,7 @@
     struct Loop {
         const Scenario& scenario_;
         Random random_;
-        Random shapes_;
+        Random arrivals_;
         Measures measures_;
         std::priority_queue<Event, std::vector<Event>, Later> events_;
         std::uint64_t order_ = 0;
@@ -87,6 +89,7 @@
         std::vector<Program> programs_;
         std::unordered_map<std::uint64_t, OpenCall> calls_;
         std::uint64_t lastCall_ = 0;
+        std::uint64_t lastRoot_ = 0;
         std::deque<std::vector<EngineLoad>> reports_;
         std::vector<std::pair<int, int>> evictions_;
         bool isCut_ = false;
@@ -95,7 +98,7 @@
         explicit Loop(const Scenario& scenario)
             : scenario_(scenario)
             , random_(scenario.seed_)
-            , shapes_(scenario.seed_ * 7919)
+            , arrivals_(scenario.seed_ * 7919)
         {
         }
 
@@ -114,18 +117,42 @@
             return !isAcross && !engines_[engine].isDead_;
         }
 
-        void startProgram(int parent, ProgramShape shape)
+        // A program's own generator, so that it is the same whatever the schedulers do meanwhile.
+        Random generatorOf(std::uint64_t root, std::uint64_t part) const
+        {
+            std::seed_seq seeds { scenario_.seed_, root, part };
+            return Random(seeds);
+        }
+
+        void startRoot()
+        {
+            Program program;
+            program.root_ = ++lastRoot_;
+            Random random = generatorOf(program.root_, 0);
+            program.shape_ = drawProgram(scenario_.mix_, random);
+            auto zone = std::uniform_int_distribution<int>(0, zones - 1)(random);
+            int inZone = (scenario_.mix_.vms_ - zone + zones - 1) / zones;
+            program.vm_ = zone + zones * std::uniform_int_distribution<int>(0, inZone - 1)(random);
+            program.workspace_ = std::uniform_int_distribution<int>(0, workspaces - 1)(random);
+            start(std::move(program));
+        }
+
+        void startChild(int parent, std::uint64_t part)
         {
             Program program;
-            program.shape_ = std::move(shape);
+            program.root_ = programs_[parent].root_;
+            Random random = generatorOf(program.root_, part);
+            program.shape_ = drawChild(scenario_.mix_, random);
             program.parent_ = parent;
+            program.vm_ = programs_[parent].vm_;
+            program.workspace_ = programs_[parent].workspace_;
+            start(std::move(program));
+        }
+
+        void start(Program program)
+        {
             program.start_ = now_;
-            int zone = static_cast<int>(draw() * zones);
-            int inZone = (scenario_.mix_.vms_ - zone + zones - 1) / zones;
-            program.vm_
-                = parent >= 0 ? programs_[parent].vm_ : zone + zones * static_cast<int>(draw() * inZone);
-            program.workspace_
-                = parent >= 0 ? programs_[parent].workspace_ : static_cast<int>(draw() * workspaces);
+            int parent = program.parent_;
             if (parent < 0 && crashingLeft_ > 0) {
                 --crashingLeft_;
                 program.crashes_ = true;
@@ -139,8 +166,8 @@
             if (now_ >= lastArrival)
                 return;
             double rate = capacityOfMix_ * scenario_.load_;
-            at(now_ + std::exponential_distribution<double>(rate)(shapes_), Kind::Arrive);
-            startProgram(-1, drawProgram(scenario_.mix_, shapes_));
+            at(now_ + std::exponential_distribution<double>(rate)(arrivals_), Kind::Arrive);
+            startRoot();
         }
 
         void beginTurn(int index, bool isNew)
@@ -317,7 +344,8 @@
             program.openParts_ = 1 + children;
             at(now_ + turn.pause_, Kind::Turn, index, program.turn_);
             for (int child = 0; child < children; ++child)
-                startProgram(index, drawChild(scenario_.mix_, shapes_));
+                startChild(
+                    index, partsOfTurn * (programs_[index].turn_ + 1) + static_cast<std::uint64_t>(child));
         }
 
         void finish(int index)
@@ -430,8 +458,10 @@
                     if (call == calls_.end())
                         continue;
                     cancelCall(engines_[call->second.engine_], id);
-                    endCall(id, { CallEnd::Kind::Cancelled });
+                    endCall(id, { CallEnd::Kind::Hung });
                 }
+                for (const StaleCopy& copy : vms_[vm].stale_(now_))
+                    releasePrefix(engines_[copy.engine_], copy.program_, now_);
                 pump(static_cast<int>(vm));
             }
         }
@@ -485,7 +515,7 @@
                 return at(now_ + reportInterval, Kind::Report);
             case Kind::Evictions:
                 for (const auto& [program, engine] : evictions_)
-                    vms_[programs_[program].vm_].evicted_(program, engine);
+                    vms_[programs_[program].vm_].evicted_(program, engine, now_);
                 evictions_.clear();
                 return at(now_ + evictionLag, Kind::Evictions);
             case Kind::Tick:
--- a/bench/Simulation.h
+++ b/bench/Simulation.h
@@ -38,7 +38,7 @@
 
 /** How a call ended at an engine. */
 struct CallEnd {
-    enum class Kind { Answered, Unreachable, BrokenOff, Cancelled };
+    enum class Kind { Answered, Unreachable, BrokenOff, Hung, Cancelled };
     Kind kind_ = Kind::Answered;
     int prompt_ = 0;
     int cached_ = 0;
@@ -51,6 +51,12 @@
     int engine_ = 0;
 };
 
+/** A prefix that a scheduler has released. */
+struct StaleCopy {
+    int program_ = 0;
+    int engine_ = 0;
+};
+
 /** A refusal; nothing of the call was sent. */
 struct Refusal {
     Seconds retryAfter_ = 0;
@@ -64,10 +70,11 @@
     std::function<void(std::uint64_t, const CallEnd&, Seconds)> ended_;
     std::function<void(std::uint64_t, Seconds)> output_;
     std::function<void(int, const EngineLoad&, Seconds)> loadReported_;
-    std::function<void(int program, int engine)> evicted_;
+    std::function<void(int program, int engine, Seconds)> evicted_;
     std::function<void(int program)> programEnded_;
     std::function<bool(std::uint64_t)> removeQueued_;
     std::function<std::vector<std::uint64_t>(Seconds)> overdue_;
+    std::function<std::vector<StaleCopy>(Seconds)> stale_;
     std::function<bool(Seconds)> mayRetry_;
     bool releasesOnEnd_ = false;
 };
--- a/src/CallRunner.cpp
+++ b/src/CallRunner.cpp
@@ -1,7 +1,8 @@
 #include "CallRunner.h"
 
-#include "ChatStream.h"
 #include "EventLog.h"
+#include "Execution.h"
+#include "LoadPoll.h"
 #include "TargetRequest.h"
 
 #include <atomic>
@@ -10,65 +11,6 @@
 
 namespace fescue {
 
-namespace {
-
-    // One call at its way through the targets. `mutex_` guards what the stream's events change.
-    struct Execution {
-        DispatchId id_;
-        ExecuteCall execute_;
-        std::shared_ptr<const RequestFrame> frame_;
-        bool isLoose_ = false;
-
-        std::mutex mutex_;
-        Target target_;
-        TransferId transfer_;
-        std::set<TargetId> tried_;
-        ChatStream stream_;
-        std::string passedOn_; ///< Events that callers have been sent, for those who attach later.
-        std::vector<RequestId> requests_;
-        bool isCancelled_ = false;
-        bool isCutShort_ = false; ///< The engine went on beyond what was reserved.
-    };
-
-    using ExecutionPtr = std::shared_ptr<Execution>;
-
-    bool isModelCall(const Execution& execution) { return execution.execute_.call_.kind_ == CallKind::Model; }
-
-    // A status by which a target says that it did not take the call in.
-    bool isRefusal(int status) { return status == 429 || status == 503; }
-
-    ExecutionResult problemResult(ExecutionResult::Kind kind, Problem problem)
-    {
-        ExecutionResult result;
-        result.kind_ = kind;
-        result.problem_ = std::move(problem);
-        return result;
-    }
-
-    ExecutionResult unknownResult(const std::string& error)
-    {
-        ExecutionResult result;
-        result.kind_ = ExecutionResult::Kind::Unknown;
-        result.outcome_ = unknownOutcome("the service's answer was lost (" + error
-            + "); the call may have run and will not be sent again; ask the service about it");
-        return result;
-    }
-
-    ExecutionResult modelResult(const Execution& execution)
-    {
-        ExecutionResult result;
-        result.kind_ = ExecutionResult::Kind::Answered;
-        result.outcome_ = { 200, "application/json", execution.stream_.completion(), RunState::Final };
-        result.answerMessage_ = execution.stream_.message();
-        ChatUsage usage = execution.stream_.usage();
-        bool isReported = !execution.isCutShort_ && usage.prompt_.value_ > 0;
-        result.contextTokens_ = isReported ? usage.prompt_ + usage.completion_ : execution.execute_.reserved_;
-        result.used_ = result.contextTokens_;
-        return result;
-    }
-
-} // namespace
-
 struct CallRunner::Impl {
     CallRunnerOptions options_;
     HttpClient& client_;
@@ -83,6 +25,8 @@
     std::map<DispatchId, ExecutionPtr> executions_;
     std::map<ProgramId, ExecutionPtr> byProgram_;
     DispatchId last_;
+    std::map<ProgramId, Epoch> epochs_; ///< Under which this VM last ran a call of a program.
+    LoadPoll poll_;
 
     Impl(const CallRunnerOptions& options, HttpClient& client, RequestTable& requests, Post post,
         OnResult onResult)
@@ -104,11 +48,17 @@
         queued.workspace_ = call.workspace_;
         queued.program_ = call.program_;
         queued.service_ = execution.frame_->service_;
-        if (isModelCall(execution))
+        constexpr std::int64_t bytesPerToken = 4;
+        if (isModelCall(execution)) {
             queued.model_ = modelOf(*execution.frame_);
+            queued.digest_ = digestOf(*execution.frame_);
+            queued.promptTokens_ = { call.bodySize_.value_ / bytesPerToken };
+        }
         queued.maxTokens_ = call.maxTokens_;
-        queued.newTokens_ = { call.bodySize_.value_ };
-        queued.arrived_ = monotonicNow();
+        queued.bytes_ = call.bodySize_;
+        queued.arrived_ = execution.arrived_;
+        if (execution.frame_->timeoutMs_ > 0)
+            queued.deadline_ = execution.arrived_ + Milliseconds { execution.frame_->timeoutMs_ };
         queued.avoid_ = execution.tried_;
         return queued;
     }
@@ -161,10 +111,23 @@
             std::move(call), [this, execution](HttpResult result) { sent(execution, result); }, onData);
     }
 
+    // Called before `execution.mutex_` is taken, since the pool's lock comes first. Not for each token.
+    void noteOutput(Execution& execution)
+    {
+        constexpr Milliseconds interval { 1000 };
+        auto now = monotonicNow();
+        if (now < execution.lastSeen_ + interval)
+            return;
+        execution.lastSeen_ = now;
+        std::lock_guard<std::mutex> lock(mutex_);
+        outputSeen(pool_, execution.id_, now);
+    }
+
     void takeData(const ExecutionPtr& execution, int status, std::string_view data)
     {
         if (status != 200)
             return;
+        noteOutput(*execution);
         std::lock_guard<std::mutex> lock(execution->mutex_);
         for (const std::string& event : execution->stream_.take(data)) {
             execution->passedOn_ += event;
@@ -194,80 +157,48 @@
             && execution->stream_.isDone();
         if (isWhole || execution->isCutShort_) {
             auto answered = modelResult(*execution);
+            ChatUsage usage = execution->stream_.usage();
             lock.unlock();
-            dispatchOver(execution->id_, DispatchEnd::Answered);
+            dispatchOver(
+                execution->id_, { DispatchEnd::Answered, usage.prompt_, usage.cached_, usage.completion_ });
             return answered;
         }
         bool canRepeat = execution->passedOn_.empty() && !execution->isCancelled_;
+        DispatchEnd end = endOfModelCall(*execution, result);
+        execution->isOverdue_ = false;
         lock.unlock();
-        dispatchOver(execution->id_, endOf(result));
-        if (canRepeat && tryAgain(execution))
+        dispatchOver(execution->id_, { end });
+        if (canRepeat && tryAgain(execution, end))
             return std::nullopt;
+        if (execution->refusal_)
+            return problemResult(ExecutionResult::Kind::Failed, *execution->refusal_);
         return problemResult(ExecutionResult::Kind::Failed, failure(result, canRepeat));
     }
 
     std::optional<ExecutionResult> afterServiceCall(const ExecutionPtr& execution, const HttpResult& result)
     {
         bool isOnce = execution->execute_.call_.kind_ == CallKind::AtMostOnceService;
-        dispatchOver(execution->id_, endOf(result));
+        DispatchEnd end = endOf(result);
+        dispatchOver(execution->id_, { end });
         if (result.fate_ == HttpResult::Fate::Answered && (isOnce || !isRefusal(result.status_)))
             return serviceResult(result);
         if (isOnce && result.fate_ == HttpResult::Fate::Unknown)
             return unknownResult(result.error_);
-        if (tryAgain(execution))
+        if (tryAgain(execution, end))
             return std::nullopt;
         bool isNotRun = result.fate_ == HttpResult::Fate::NotSent && isOnce;
         return problemResult(
             isNotRun ? ExecutionResult::Kind::NotRun : ExecutionResult::Kind::Failed, failure(result, true));
     }
 
-    static DispatchEnd endOf(const HttpResult& result)
-    {
-        switch (result.fate_) {
-        case HttpResult::Fate::NotSent:
-            return DispatchEnd::Unreachable;
-        case HttpResult::Fate::Unknown:
-            return DispatchEnd::Failed;
-        case HttpResult::Fate::Answered:
-            break;
-        }
-        if (isRefusal(result.status_))
-            return DispatchEnd::Refused;
-        return result.status_ >= 500 ? DispatchEnd::Failed : DispatchEnd::Answered;
-    }
-
-    static Problem failure(const HttpResult& result, bool isNothingPassedOn)
-    {
-        constexpr Milliseconds retryAfter { 1000 };
-        bool isUnsent = result.fate_ == HttpResult::Fate::NotSent;
-        std::string cause
-            = result.error_.empty() ? "status " + std::to_string(result.status_) : result.error_;
-        if (!isNothingPassedOn)
-            return { ProblemKind::TargetTruncated, RunState::Unknown,
-                "the target broke off in the middle of its answer (" + cause + "); send the call again",
-                retryAfter };
-        return { ProblemKind::TargetFailed, isUnsent ? RunState::NotRun : RunState::Unknown,
-            "no target answered the call (" + cause + "); send it again after the time given", retryAfter };
-    }
-
-    static ExecutionResult serviceResult(const HttpResult& result)
-    {
-        ExecutionResult answered;
-        answered.kind_ = ExecutionResult::Kind::Answered;
-        auto type = result.headers_.find("content-type");
-        answered.outcome_ = { result.status_, type == result.headers_.end() ? std::string() : type->second,
-            result.body_, RunState::Final };
-        return answered;
-    }
-
-    void dispatchOver(DispatchId id, DispatchEnd end)
+    void dispatchOver(DispatchId id, const DispatchResult& result)
     {
         std::lock_guard<std::mutex> lock(mutex_);
-        dispatchEnded(pool_, id, end, monotonicNow());
+        dispatchEnded(pool_, id, result, monotonicNow(), random_);
         dispatchAll();
     }
 
-    bool tryAgain(const ExecutionPtr& execution)
+    bool tryAgain(const ExecutionPtr& execution, DispatchEnd end)
     {
         std::lock_guard<std::mutex> lock(mutex_);
         std::lock_guard<std::mutex> inner(execution->mutex_);
@@ -276,8 +207,15 @@
         const auto& sendBefore = execution->execute_.sendBefore_;
         if (sendBefore && monotonicNow() >= *sendBefore)
             return false;
-        if (!enqueueCall(pool_, toQueued(*execution), monotonicNow(), random_))
+        // A call that never left this process costs the targets nothing.
+        if (end != DispatchEnd::Unreachable && !mayRetry(pool_))
+            return false;
+        auto entered = enqueueCall(pool_, toQueued(*execution), monotonicNow(), random_);
+        if (!entered) {
+            if (entered.error().kind_ == ProblemKind::Quarantined)
+                execution->refusal_ = entered.error();
             return false;
+        }
         post_([this] { tickNow(); });
         return true;
     }
@@ -285,9 +223,68 @@
     void tickNow()
     {
         std::lock_guard<std::mutex> lock(mutex_);
+        endOverdue();
+        endExpired();
+        releaseStale();
+        pollLoads();
         dispatchAll();
     }
 
+    // Precondition of these four: `mutex_` is held.
+    void endOverdue()
+    {
+        for (DispatchId id : overdueDispatches(pool_, monotonicNow())) {
+            auto found = executions_.find(id);
+            if (found == executions_.end())
+                continue;
+            std::lock_guard<std::mutex> inner(found->second->mutex_);
+            found->second->isOverdue_ = true;
+            client_.cancel(found->second->transfer_);
+        }
+    }
+
+    void endExpired()
+    {
+        for (DispatchId id : takeExpired(pool_, monotonicNow())) {
+            auto found = executions_.find(id);
+            if (found == executions_.end())
+                continue;
+            ExecutionPtr execution = found->second;
+            bool isOnce = execution->execute_.call_.kind_ == CallKind::AtMostOnceService;
+            bool isNotRun = isOnce || execution->tried_.empty();
+            Problem late { ProblemKind::DeadlineExceeded, isNotRun ? RunState::NotRun : RunState::Unknown,
+                "no target was free within the time that the caller gave; allow the call more time",
+                std::nullopt };
+            auto result = problemResult(
+                isNotRun ? ExecutionResult::Kind::NotRun : ExecutionResult::Kind::Failed, late);
+            post_([this, execution, result] { finish(execution, result); });
+        }
+    }
+
+    void releaseStale()
+    {
+        for (const StalePrefix& stale : takeStalePrefixes(pool_, monotonicNow())) {
+            auto target = manifest_.targets_.find(stale.target_);
+            auto epoch = epochs_.find(stale.program_);
+            if (target != manifest_.targets_.end() && epoch != epochs_.end())
+                client_.start(
+                    releaseRequest(stale.program_, epoch->second, target->second), [](const HttpResult&) {});
+        }
+    }
+
+    void pollLoads()
+    {
+        for (const Target& target : nextPolls(poll_, pool_, monotonicNow())) {
+            client_.start(loadRequest(target), [this, id = target.id_](const HttpResult& result) {
+                auto report = parseLoad(result.body_);
+                if (result.status_ != 200 || !report)
+                    return;
+                std::lock_guard<std::mutex> lock(mutex_);
+                loadReported(pool_, id, *report, monotonicNow());
+            });
+        }
+    }
+
     void finish(const ExecutionPtr& execution, const ExecutionResult& result)
     {
         {
@@ -315,6 +312,7 @@
         execution->execute_ = execute;
         execution->requests_ = execute.requests_;
         execution->isLoose_ = isLoose;
+        execution->arrived_ = monotonicNow();
         if (!frame) {
             Problem gone { ProblemKind::Internal, RunState::NotRun, "the request is gone", std::nullopt };
             auto result = problemResult(ExecutionResult::Kind::NotRun, gone);
@@ -328,6 +326,8 @@
         executions_[last_] = execution;
         if (!isLoose)
             byProgram_[execute.call_.program_] = execution;
+        if (!isLoose && isModelCall(*execution))
+            epochs_[execute.call_.program_] = execute.epoch_;
         enter(execution);
     }
 };
@@ -396,6 +396,7 @@
 {
     std::lock_guard<std::mutex> lock(impl_->mutex_);
     forgetProgram(impl_->pool_, program);
+    impl_->epochs_.erase(program);
     for (const auto& [id, target] : impl_->manifest_.targets_) {
         if (target.models_.empty() || target.zone_ != impl_->options_.zone_)
             continue;
--- /dev/null
+++ b/src/Execution.cpp
@@ -0,0 +1,96 @@
+#include "Execution.h"
+
+#include <xxhash.h>
+
+namespace fescue {
+
+bool isModelCall(const Execution& execution) { return execution.execute_.call_.kind_ == CallKind::Model; }
+
+ContentDigest digestOf(const RequestFrame& frame)
+{
+    auto digest = XXH3_64bits(frame.body_.data(), frame.body_.size());
+    return { digest == 0 ? 1 : digest };
+}
+
+bool isRefusal(int status) { return status == 429 || status == 503; }
+
+ExecutionResult problemResult(ExecutionResult::Kind kind, Problem problem)
+{
+    ExecutionResult result;
+    result.kind_ = kind;
+    result.problem_ = std::move(problem);
+    return result;
+}
+
+ExecutionResult unknownResult(const std::string& error)
+{
+    ExecutionResult result;
+    result.kind_ = ExecutionResult::Kind::Unknown;
+    result.outcome_ = unknownOutcome("the service's answer was lost (" + error
+        + "); the call may have run and will not be sent again; ask the service about it");
+    return result;
+}
+
+ExecutionResult modelResult(const Execution& execution)
+{
+    ExecutionResult result;
+    result.kind_ = ExecutionResult::Kind::Answered;
+    result.outcome_ = { 200, "application/json", execution.stream_.completion(), RunState::Final };
+    result.answerMessage_ = execution.stream_.message();
+    ChatUsage usage = execution.stream_.usage();
+    bool isReported = !execution.isCutShort_ && usage.prompt_.value_ > 0;
+    result.contextTokens_ = isReported ? usage.prompt_ + usage.completion_ : execution.execute_.reserved_;
+    result.used_ = result.contextTokens_;
+    return result;
+}
+
+DispatchEnd endOf(const HttpResult& result)
+{
+    switch (result.fate_) {
+    case HttpResult::Fate::NotSent:
+        return DispatchEnd::Unreachable;
+    case HttpResult::Fate::Unknown:
+        return DispatchEnd::BrokenOff;
+    case HttpResult::Fate::Answered:
+        break;
+    }
+    if (isRefusal(result.status_))
+        return DispatchEnd::Refused;
+    return result.status_ >= 500 ? DispatchEnd::Failed : DispatchEnd::Answered;
+}
+
+DispatchEnd endOfModelCall(const Execution& execution, const HttpResult& result)
+{
+    if (execution.isCancelled_)
+        return DispatchEnd::Cancelled;
+    if (execution.isOverdue_)
+        return DispatchEnd::Hung;
+    DispatchEnd end = endOf(result);
+    bool isTruncated = end == DispatchEnd::Answered && result.status_ == 200;
+    return isTruncated ? DispatchEnd::Failed : end;
+}
+
+Problem failure(const HttpResult& result, bool isNothingPassedOn)
+{
+    constexpr Milliseconds retryAfter { 1000 };
+    bool isUnsent = result.fate_ == HttpResult::Fate::NotSent;
+    std::string cause = result.error_.empty() ? "status " + std::to_string(result.status_) : result.error_;
+    if (!isNothingPassedOn)
+        return { ProblemKind::TargetTruncated, RunState::Unknown,
+            "the target broke off in the middle of its answer (" + cause + "); send the call again",
+            retryAfter };
+    return { ProblemKind::TargetFailed, isUnsent ? RunState::NotRun : RunState::Unknown,
+        "no target answered the call (" + cause + "); send it again after the time given", retryAfter };
+}
+
+ExecutionResult serviceResult(const HttpResult& result)
+{
+    ExecutionResult answered;
+    answered.kind_ = ExecutionResult::Kind::Answered;
+    auto type = result.headers_.find("content-type");
+    answered.outcome_ = { result.status_, type == result.headers_.end() ? std::string() : type->second,
+        result.body_, RunState::Final };
+    return answered;
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/Execution.h
@@ -0,0 +1,73 @@
+#pragma once
+
+/** \file
+ * Execution: one admitted call at its way through the targets, and what the end of a transfer means for it.
+ *
+ * The functions are pure but for reading the execution, whose `mutex_` the caller holds where they take one.
+ */
+
+#include "ChatStream.h"
+#include "Frame.h"
+#include "HttpClient.h"
+#include "TargetPool.h"
+
+#include <memory>
+#include <mutex>
+
+namespace fescue {
+
+/** One call at its way through the targets. `mutex_` guards what stands below it. */
+struct Execution {
+    DispatchId id_;
+    ExecuteCall execute_;
+    std::shared_ptr<const RequestFrame> frame_;
+    bool isLoose_ = false;
+    MonotonicTime arrived_;
+
+    std::mutex mutex_;
+    Target target_;
+    TransferId transfer_;
+    std::set<TargetId> tried_;
+    ChatStream stream_;
+    std::string passedOn_; ///< Events that callers have been sent, for those who attach later.
+    std::vector<RequestId> requests_;
+    bool isCancelled_ = false;
+    bool isOverdue_ = false; ///< Its target hangs; it was ended so that another can run it.
+    std::optional<Problem> refusal_; ///< Why it may not go to a further target, if that says more.
+    MonotonicTime lastSeen_; ///< When the pool last heard of its output; used by one thread.
+    bool isCutShort_ = false; ///< The engine went on beyond what was reserved.
+};
+
+using ExecutionPtr = std::shared_ptr<Execution>;
+
+/** Whether the call goes to a model engine. */
+bool isModelCall(const Execution& execution);
+
+/** Digest of a request's content: the same for a repeat under another key or program. Never 0. */
+ContentDigest digestOf(const RequestFrame& frame);
+
+/** Whether a target said by this status that it did not take the call in. */
+bool isRefusal(int status);
+
+/** A result that carries a problem. */
+ExecutionResult problemResult(ExecutionResult::Kind kind, Problem problem);
+
+/** The result of an at-most-once call whose answer was lost. */
+ExecutionResult unknownResult(const std::string& error);
+
+/** The result of a model call whose answer is whole or was cut at its reservation. */
+ExecutionResult modelResult(const Execution& execution);
+
+/** The result of a service call that was answered. */
+ExecutionResult serviceResult(const HttpResult& result);
+
+/** What a transfer's end says about the target. */
+DispatchEnd endOf(const HttpResult& result);
+
+/** The same for a model call whose answer is not whole. */
+DispatchEnd endOfModelCall(const Execution& execution, const HttpResult& result);
+
+/** The problem of a call that no target answered. */
+Problem failure(const HttpResult& result, bool isNothingPassedOn);
+
+} // namespace fescue
--- /dev/null
+++ b/src/FairQueue.cpp
@@ -0,0 +1,89 @@
+#include "FairQueue.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace fescue {
+
+namespace {
+
+    double weightOf(const FairQueue& queue, const WorkspaceId& workspace)
+    {
+        constexpr double leastWeight = 0.01;
+        auto found = queue.weights_.find(workspace);
+        return found == queue.weights_.end() ? 1 : std::max(leastWeight, found->second);
+    }
+
+    // A call with its sort key: the virtual time of its workspace when its turn comes, then its rank.
+    struct Ranked {
+        double rank_ = 0;
+        double virtualMs_ = 0;
+        QueuedCall* call_ = nullptr;
+    };
+
+    // Gives each call the virtual time at which its workspace would reach it, one mean call after another.
+    void setVirtualTimes(const FairQueue& queue, std::vector<Ranked>& calls)
+    {
+        constexpr double meanCallMs = 5000;
+        std::map<WorkspaceId, double> reached = queue.servedMs_;
+        for (Ranked& ranked : calls) {
+            double& virtualMs = reached[ranked.call_->workspace_];
+            ranked.virtualMs_ = virtualMs;
+            virtualMs += meanCallMs / weightOf(queue, ranked.call_->workspace_);
+        }
+    }
+
+} // namespace
+
+void pushCall(FairQueue& queue, QueuedCall call)
+{
+    bool isWaiting = false;
+    double least = -1;
+    for (const QueuedCall& other : queue.calls_) {
+        isWaiting = isWaiting || other.workspace_ == call.workspace_;
+        double served = queue.servedMs_[other.workspace_];
+        least = least < 0 ? served : std::min(least, served);
+    }
+    double& served = queue.servedMs_[call.workspace_];
+    if (!isWaiting && least >= 0)
+        served = std::max(served, least);
+    queue.bytes_ += call.bytes_;
+    queue.calls_.push_back(std::move(call));
+}
+
+void orderCalls(FairQueue& queue, MonotonicTime now)
+{
+    if (queue.calls_.size() < 2)
+        return;
+    std::vector<Ranked> ranked;
+    ranked.reserve(queue.calls_.size());
+    for (QueuedCall& call : queue.calls_) {
+        double rank = rankOf(queue, call, now);
+        ranked.push_back({ rank, 0, &call });
+    }
+    std::stable_sort(
+        ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) { return a.rank_ < b.rank_; });
+    setVirtualTimes(queue, ranked);
+    std::stable_sort(ranked.begin(), ranked.end(),
+        [](const Ranked& a, const Ranked& b) { return a.virtualMs_ < b.virtualMs_; });
+    std::deque<QueuedCall> ordered;
+    for (const Ranked& next : ranked)
+        ordered.push_back(std::move(*next.call_));
+    queue.calls_ = std::move(ordered);
+}
+
+void chargeService(FairQueue& queue, const ProgramId& program, const WorkspaceId& workspace, double engineMs)
+{
+    if (!program.empty())
+        queue.attainedMs_[program] += engineMs;
+    queue.servedMs_[workspace] += engineMs / weightOf(queue, workspace);
+}
+
+double rankOf(const FairQueue& queue, const QueuedCall& call, MonotonicTime now)
+{
+    auto found = queue.attainedMs_.find(call.program_);
+    double attained = found == queue.attainedMs_.end() ? 0 : found->second;
+    return attained - queue.ageing_ * static_cast<double>((now - call.arrived_).count());
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/TargetLoad.cpp
@@ -0,0 +1,98 @@
+#include "TargetLoad.h"
+
+#include <algorithm>
+
+namespace fescue {
+
+namespace {
+
+    constexpr double weightOfSample = 0.1;
+    constexpr double shareOfTokenTimePerCall = 0.02; // Each call in a batch lengthens its steps by so much.
+    constexpr std::int64_t fewestTokensForPace = 500;
+    constexpr std::int64_t fewestAnswerTokensForPace = 8;
+    constexpr double leastPrefillMs = 0.005;
+
+    void blend(double& average, double sample) { average += weightOfSample * (sample - average); }
+
+    double runningAt(const TargetLoad& load, std::uint32_t inFlight)
+    {
+        if (!load.reportedAt_)
+            return inFlight;
+        return load.report_.running_ + static_cast<double>(load.unreported_.size());
+    }
+
+    void dropSentBefore(TargetLoad& load, MonotonicTime time)
+    {
+        while (!load.unreported_.empty() && load.unreported_.front().sentAt_ < time) {
+            load.unreportedTokens_ -= load.unreported_.front().tokens_;
+            load.unreported_.pop_front();
+        }
+    }
+
+    // The fastest computation seen is the one without queueing; the estimate drifts up so that it can follow
+    // a target that has become slower.
+    void learnPrefill(TargetPace& pace, double perToken)
+    {
+        constexpr double drift = 1.02;
+        pace.prefillMs_ = std::max(leastPrefillMs, std::min(pace.prefillMs_ * drift, perToken));
+    }
+
+} // namespace
+
+void noteSent(TargetLoad& load, TokenCount uncached, MonotonicTime now)
+{
+    load.unreported_.push_back({ now, uncached });
+    load.unreportedTokens_ += uncached;
+    dropSentBefore(load, now - reportValid);
+    if (load.reportedAt_ && *load.reportedAt_ + reportValid < now) {
+        load.reportedAt_.reset();
+        load.report_ = {};
+    }
+}
+
+void takeReport(TargetLoad& load, const LoadReport& report, MonotonicTime now)
+{
+    load.report_ = report;
+    load.reportedAt_ = now;
+    blend(load.pace_.running_, report.running_);
+    dropSentBefore(load, now - reportLag);
+}
+
+Milliseconds takePace(TargetLoad& load, const PaceSample& sample, std::uint32_t inFlight)
+{
+    TargetPace& pace = load.pace_;
+    auto firstOutput = static_cast<double>(sample.firstOutput_.count());
+    auto total = static_cast<double>(sample.total_.count());
+    auto computed = static_cast<double>(sample.computed_.value_);
+    ++pace.samples_;
+    blend(pace.callMs_, total);
+    if (!load.reportedAt_)
+        blend(pace.running_, inFlight);
+    if (sample.completion_.value_ >= fewestAnswerTokensForPace)
+        blend(pace.tokenMs_, (total - firstOutput) / static_cast<double>(sample.completion_.value_));
+    if (sample.computed_.value_ >= fewestTokensForPace)
+        learnPrefill(pace, firstOutput / computed);
+    double queueing = std::max(0.0, firstOutput - computed * pace.prefillMs_);
+    return Milliseconds { static_cast<std::int64_t>(queueing) };
+}
+
+double firstTokenMs(const TargetLoad& load, TokenCount uncached)
+{
+    auto ahead = load.report_.queuedTokens_ + load.unreportedTokens_ + uncached;
+    double batchWait = load.report_.waiting_ * load.pace_.callMs_ / std::max(1U, load.report_.running_);
+    return static_cast<double>(ahead.value_) * load.pace_.prefillMs_ + batchWait;
+}
+
+double costMs(const TargetLoad& load, TokenCount uncached, double answerTokens, std::uint32_t inFlight)
+{
+    constexpr double leastShare = 0.2;
+    const TargetPace& pace = load.pace_;
+    double running = runningAt(load, inFlight);
+    double share = std::max(leastShare, 1 + shareOfTokenTimePerCall * (running - pace.running_));
+    double own = firstTokenMs(load, uncached) + answerTokens * pace.tokenMs_ * share;
+    double prefillOfOthers = static_cast<double>(uncached.value_) * pace.prefillMs_ * running;
+    double answersOfOthers = answerTokens * pace.tokenMs_ * shareOfTokenTimePerCall * running;
+    return own + prefillOfOthers + answersOfOthers;
+}
+
+} // namespace fescue
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -9,7 +9,7 @@
     constexpr Milliseconds firstBackoff { 250 };
     constexpr Milliseconds longestBackoff { 10000 };
     constexpr Milliseconds shortestRetryAfter { 500 };
-    constexpr std::uint64_t retrySpreadMs = 1500;
+    constexpr Milliseconds longestRetryAfter { 30000 };
 
     bool serves(const Target& target, const QueuedCall& call)
     {
@@ -25,57 +25,201 @@
         });
     }
 
-    bool hasRoom(const TargetState& state, const QueuedCall& call, MonotonicTime now)
+    bool hasSuspect(const TargetPool& pool, const TargetId& target, MonotonicTime now)
     {
-        return !state.target_.isLeaving_ && state.inFlight_ < state.window_ && now >= state.notBefore_
-            && serves(state.target_, call) && !call.avoid_.count(state.target_.id_);
+        return std::any_of(pool.running_.begin(), pool.running_.end(), [&](const auto& entry) {
+            return entry.second.target_ == target
+                && isSuspect(pool.quarantine_, entry.second.call_.digest_, now);
+        });
     }
 
-    Milliseconds spread(Random& random)
+    bool isOpen(const TargetState& state, MonotonicTime now)
     {
-        std::uniform_int_distribution<std::uint64_t> jitter(0, retrySpreadMs);
-        return shortestRetryAfter + Milliseconds { jitter(random) };
+        return !state.target_.isLeaving_ && now >= state.notBefore_
+            && (state.failures_ == 0 || state.inFlight_ == 0);
     }
 
-    // Lower is better: another zone costs a little, another target than the last costs the cached prefix.
-    std::int64_t costOf(const TargetPool& pool, const TargetState& state, const QueuedCall& call)
+    bool isFull(const TargetState& state) { return state.inFlight_ + 1 > state.window_.size_; }
+
+    bool hasRoom(const TargetPool& pool, MonotonicTime now)
     {
-        constexpr std::int64_t costOfCallInFlight = 1000;
-        constexpr std::int64_t costOfOtherZone = 500;
-        auto last = pool.lastTarget_.find(call.program_);
-        bool isCached = last != pool.lastTarget_.end() && last->second == state.target_.id_;
-        return state.inFlight_ * costOfCallInFlight
-            + (state.target_.zone_ == pool.zone_ ? 0 : costOfOtherZone)
-            + (isCached ? 0 : call.contextTokens_.value_);
+        return std::any_of(pool.targets_.begin(), pool.targets_.end(),
+            [now](const auto& entry) { return isOpen(entry.second, now) && !isFull(entry.second); });
     }
 
-    TargetState* chooseTarget(TargetPool& pool, const QueuedCall& call, MonotonicTime now, Random& random)
+    bool mayRun(const TargetPool& pool, const TargetState& state, const QueuedCall& call, MonotonicTime now)
     {
-        std::vector<TargetState*> best;
-        std::int64_t bestCost = 0;
-        for (auto& [id, state] : pool.targets_) {
-            if (!hasRoom(state, call, now))
-                continue;
-            std::int64_t cost = costOf(pool, state, call);
-            if (best.empty() || cost < bestCost)
-                best.clear();
-            if (best.empty())
-                bestCost = cost;
-            if (cost == bestCost)
-                best.push_back(&state);
+        if (!isOpen(state, now) || !serves(state.target_, call) || call.avoid_.count(state.target_.id_))
+            return false;
+        return !isSuspect(pool.quarantine_, call.digest_, now) || !hasSuspect(pool, state.target_.id_, now);
+    }
+
+    TokenCount uncachedAt(const TargetPool& pool, const QueuedCall& call, const TargetId& target)
+    {
+        auto program = pool.held_.find(call.program_);
+        if (program == pool.held_.end())
+            return call.promptTokens_;
+        auto held = program->second.find(target);
+        if (held == program->second.end())
+            return call.promptTokens_;
+        return std::max(TokenCount { 0 }, call.promptTokens_ - held->second.tokens_);
+    }
+
+    Candidate candidateOf(const TargetPool& pool, const TargetState& state, const QueuedCall& call)
+    {
+        Candidate candidate { state.target_.id_ };
+        TokenCount uncached = uncachedAt(pool, call, state.target_.id_);
+        double answer = std::min(pool.answerTokens_, static_cast<double>(call.maxTokens_.value_));
+        candidate.costMs_ = costMs(state.load_, uncached, answer, state.inFlight_);
+        bool holdsPrefix = uncached + uncached < call.promptTokens_;
+        if (!holdsPrefix)
+            candidate.costMs_ *= 1 + pool.options_.placement_.moveMargin_;
+        if (state.target_.zone_ != pool.zone_)
+            candidate.costMs_ += pool.options_.placement_.otherZoneMs_;
+        candidate.isFull_ = isFull(state);
+        if (candidate.isFull_)
+            candidate.costMs_ += state.load_.pace_.callMs_ / std::max(1U, state.inFlight_);
+        return candidate;
+    }
+
+    Choice choose(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
+    {
+        std::vector<Candidate> candidates;
+        for (const auto& [id, state] : pool.targets_) {
+            if (mayRun(pool, state, call, now))
+                candidates.push_back(candidateOf(pool, state, call));
         }
-        if (best.empty())
-            return nullptr;
-        std::uniform_int_distribution<std::size_t> pick(0, best.size() - 1);
-        return best[pick(random)];
+        return chooseTarget(candidates, pool.options_.placement_);
     }
 
-    void backOff(TargetState& state, MonotonicTime now)
+    // Full jitter (Brooker, "Exponential Backoff And Jitter", 2015).
+    void backOff(TargetState& state, MonotonicTime now, Random& random)
     {
         constexpr std::uint32_t mostDoublings = 6;
         auto doublings = std::min(state.failures_, mostDoublings);
         ++state.failures_;
-        state.notBefore_ = now + std::min(firstBackoff * (1 << doublings), longestBackoff);
+        auto longest = std::min(firstBackoff * (1 << doublings), longestBackoff);
+        std::uniform_int_distribution<std::int64_t> jitter(longest.count() / 4, longest.count());
+        state.notBefore_ = now + Milliseconds { jitter(random) };
+    }
+
+    bool isSameKind(const QueuedCall& a, const QueuedCall& b)
+    {
+        return a.model_ == b.model_ && a.service_ == b.service_;
+    }
+
+    // The rate at which places become free, by Little's law. It holds from the first call on and after idle
+    // times, unlike a rate counted from past ends.
+    Milliseconds waitBehind(
+        const TargetPool& pool, const QueuedCall& call, std::ptrdiff_t ahead, MonotonicTime now)
+    {
+        constexpr double leastPerMs = 0.0002;
+        double endsPerMs = 0;
+        double freePlaces = 0;
+        for (const auto& [id, state] : pool.targets_) {
+            if (!isOpen(state, now) || !serves(state.target_, call))
+                continue;
+            endsPerMs += state.window_.size_ / std::max(1.0, state.load_.pace_.callMs_);
+            freePlaces += std::max(0.0, state.window_.size_ - state.inFlight_);
+        }
+        double waiting = std::max(0.0, static_cast<double>(ahead) - freePlaces);
+        double wait = waiting / std::max(leastPerMs, endsPerMs);
+        return Milliseconds { static_cast<std::int64_t>(wait) };
+    }
+
+    // Expected wait of a call that comes now, behind the calls that go before it.
+    Milliseconds expectedWait(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
+    {
+        double rank = rankOf(pool.queue_, call, now);
+        const auto& calls = pool.queue_.calls_;
+        auto ahead = std::count_if(calls.begin(), calls.end(), [&](const QueuedCall& other) {
+            return isSameKind(other, call) && rankOf(pool.queue_, other, now) <= rank;
+        });
+        return waitBehind(pool, call, ahead, now);
+    }
+
+    // Wait of a call that goes last.
+    Milliseconds longestWait(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
+    {
+        const auto& calls = pool.queue_.calls_;
+        auto ahead = std::count_if(
+            calls.begin(), calls.end(), [&call](const QueuedCall& other) { return isSameKind(other, call); });
+        return waitBehind(pool, call, ahead, now);
+    }
+
+    Problem refusal(ProblemKind kind, const std::string& detail, Milliseconds wait, Random& random)
+    {
+        auto middle = std::clamp(wait, 2 * shortestRetryAfter, longestRetryAfter);
+        std::uniform_int_distribution<std::int64_t> jitter(middle.count() / 2, middle.count() * 3 / 2);
+        return { kind, RunState::NotRun, detail, Milliseconds { jitter(random) } };
+    }
+
+    bool isQueueFull(const TargetPool& pool, const QueuedCall& call)
+    {
+        return pool.queue_.calls_.size() >= pool.options_.queueLimit_
+            || pool.queue_.bytes_ + call.bytes_ > pool.options_.queueBytes_;
+    }
+
+    bool isWaitTooLong(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
+    {
+        bool isNew = !pool.queue_.attainedMs_.count(call.program_);
+        if (isNew && longestWait(pool, call, now) > pool.options_.longestWaitForNew_)
+            return true;
+        return expectedWait(pool, call, now) > pool.options_.longestWait_;
+    }
+
+    // The crash is charged to a suspect that was there, else to each call that was.
+    void strike(TargetPool& pool, TargetState& state, const RunningDispatch& ended, MonotonicTime now)
+    {
+        constexpr Milliseconds sameCrash { 2000 };
+        bool wasSuspect = isSuspect(pool.quarantine_, ended.call_.digest_, now);
+        bool isExplained = hasSuspect(pool, state.target_.id_, now)
+            || (state.suspectFailedAt_ != MonotonicTime {} && now < state.suspectFailedAt_ + sameCrash);
+        if (wasSuspect)
+            state.suspectFailedAt_ = now;
+        if (wasSuspect || !isExplained)
+            recordStrike(pool.quarantine_, ended.call_.digest_, now);
+    }
+
+    void learn(TargetPool& pool, TargetState& state, const RunningDispatch& ended,
+        const DispatchResult& result, MonotonicTime now)
+    {
+        constexpr double weight = 0.02;
+        if (ended.call_.model_.empty())
+            return;
+        PaceSample sample;
+        sample.total_ = now - ended.sentAt_;
+        sample.firstOutput_ = ended.firstOutputAt_.value_or(now) - ended.sentAt_;
+        sample.computed_ = std::max(TokenCount { 0 }, result.prompt_ - result.cached_);
+        sample.completion_ = result.completion_;
+        Milliseconds queueing = takePace(state.load_, sample, state.inFlight_);
+        if (state.load_.report_.waiting_ == 0)
+            adaptWindow(state.window_, queueing, state.inFlight_ + 1, now, pool.options_.window_);
+        pool.answerTokens_ += weight * (static_cast<double>(result.completion_.value_) - pool.answerTokens_);
+        const TargetPace& pace = state.load_.pace_;
+        double engineMs = static_cast<double>(sample.computed_.value_) * pace.prefillMs_
+            + static_cast<double>(result.completion_.value_) * pace.tokenMs_;
+        chargeService(pool.queue_, ended.call_.program_, ended.call_.workspace_, engineMs);
+        if (!ended.call_.program_.empty() && result.prompt_.value_ > 0)
+            pool.held_[ended.call_.program_][ended.target_] = { result.prompt_ + result.completion_, now };
+        clearStrikes(pool.quarantine_, ended.call_.digest_);
+    }
+
+    void forgetHeld(TargetPool& pool, const ProgramId& program, const TargetId& target)
+    {
+        auto found = pool.held_.find(program);
+        if (found != pool.held_.end())
+            found->second.erase(target);
+    }
+
+    void touchHeld(TargetPool& pool, const ProgramId& program, const TargetId& target, MonotonicTime now)
+    {
+        auto found = pool.held_.find(program);
+        if (found == pool.held_.end())
+            return;
+        auto held = found->second.find(target);
+        if (held != found->second.end())
+            held->second.usedAt_ = now;
     }
 
 } // namespace
@@ -88,69 +232,199 @@
         if (known != pool.targets_.end())
             next[id] = known->second;
         next[id].target_ = target;
+        next[id].inFlight_ = 0;
     }
     pool.targets_ = std::move(next);
+    // A target may have been gone and come back while its calls went on.
+    for (const auto& [id, running] : pool.running_) {
+        auto target = pool.targets_.find(running.target_);
+        if (target != pool.targets_.end())
+            ++target->second.inFlight_;
+    }
+    pool.queue_.weights_.clear();
+    for (const auto& [id, workspace] : manifest.workspaces_)
+        pool.queue_.weights_[id] = workspace.weight_;
 }
 
-tl::expected<void, Problem> enqueueCall(TargetPool& pool, QueuedCall call, MonotonicTime, Random& random)
+tl::expected<void, Problem> enqueueCall(TargetPool& pool, QueuedCall call, MonotonicTime now, Random& random)
 {
+    if (isQuarantined(pool.quarantine_, call.digest_, now))
+        return tl::make_unexpected(Problem { ProblemKind::Quarantined, RunState::NotRun,
+            "this request took down each target that ran it; change its content", std::nullopt });
+    if (call.deadline_ && now >= *call.deadline_)
+        return tl::make_unexpected(Problem { ProblemKind::DeadlineExceeded, RunState::NotRun,
+            "the time that the caller gave is over; allow the call more time", std::nullopt });
     if (!isServedByAny(pool, call))
-        return tl::make_unexpected(Problem { ProblemKind::NoTarget, RunState::NotRun,
-            "no target serves this call; check the pools of the manifest", spread(random) });
-    if (pool.queue_.size() >= pool.queueLimit_)
-        return tl::make_unexpected(Problem { ProblemKind::Overloaded, RunState::NotRun,
-            "all targets are busy and the queue is full; send the call again after the time given",
-            spread(random) });
-    pool.queue_.push_back(std::move(call));
+        return tl::make_unexpected(refusal(ProblemKind::NoTarget,
+            "no target serves this call; check the pools of the manifest", shortestRetryAfter, random));
+    bool isTooLate = call.deadline_ && now + expectedWait(pool, call, now) > *call.deadline_;
+    if (isQueueFull(pool, call) || isTooLate || isWaitTooLong(pool, call, now))
+        return tl::make_unexpected(refusal(ProblemKind::Overloaded,
+            "all targets are busy and the wait is too long; send the call again after the time given",
+            longestWait(pool, call, now), random));
+    pushCall(pool.queue_, std::move(call));
     return {};
 }
 
-std::vector<Dispatch> nextDispatches(TargetPool& pool, MonotonicTime now, Random& random)
+std::vector<Dispatch> nextDispatches(TargetPool& pool, MonotonicTime now, Random&)
 {
     std::vector<Dispatch> dispatches;
-    for (auto call = pool.queue_.begin(); call != pool.queue_.end();) {
-        TargetState* state = chooseTarget(pool, *call, now, random);
-        if (!state) {
+    if (pool.queue_.calls_.empty() || !hasRoom(pool, now))
+        return dispatches;
+    if (pool.options_.ordersByProgram_)
+        orderCalls(pool.queue_, now);
+    auto& calls = pool.queue_.calls_;
+    for (auto call = calls.begin(); call != calls.end();) {
+        Choice choice = choose(pool, *call, now);
+        if (choice.kind_ != Choice::Kind::Run) {
             ++call;
             continue;
         }
-        ++state->inFlight_;
-        pool.running_[call->id_] = state->target_.id_;
-        if (!call->program_.empty() && !call->model_.empty())
-            pool.lastTarget_[call->program_] = state->target_.id_;
-        dispatches.push_back({ call->id_, state->target_ });
-        call = pool.queue_.erase(call);
+        TargetState& state = pool.targets_[choice.target_];
+        if (state.inFlight_ == 0)
+            state.lastOutput_ = now;
+        ++state.inFlight_;
+        TokenCount uncached = uncachedAt(pool, *call, choice.target_);
+        Milliseconds expected { static_cast<std::int64_t>(firstTokenMs(state.load_, uncached)) };
+        noteSent(state.load_, uncached, now);
+        touchHeld(pool, call->program_, choice.target_, now);
+        dispatches.push_back({ call->id_, state.target_ });
+        pool.queue_.bytes_ -= call->bytes_;
+        pool.running_[call->id_] = { std::move(*call), choice.target_, now, expected, std::nullopt };
+        call = calls.erase(call);
     }
     return dispatches;
 }
 
-void dispatchEnded(TargetPool& pool, DispatchId id, DispatchEnd end, MonotonicTime now)
+void outputSeen(TargetPool& pool, DispatchId id, MonotonicTime now)
 {
     auto running = pool.running_.find(id);
     if (running == pool.running_.end())
         return;
-    auto target = pool.targets_.find(running->second);
+    if (!running->second.firstOutputAt_)
+        running->second.firstOutputAt_ = now;
+    auto target = pool.targets_.find(running->second.target_);
+    if (target != pool.targets_.end())
+        target->second.lastOutput_ = now;
+}
+
+void dispatchEnded(
+    TargetPool& pool, DispatchId id, const DispatchResult& result, MonotonicTime now, Random& random)
+{
+    auto running = pool.running_.find(id);
+    if (running == pool.running_.end())
+        return;
+    RunningDispatch ended = std::move(running->second);
     pool.running_.erase(running);
+    auto target = pool.targets_.find(ended.target_);
     if (target == pool.targets_.end())
         return;
     TargetState& state = target->second;
     --state.inFlight_;
-    if (end == DispatchEnd::Answered)
+    if (result.end_ == DispatchEnd::Answered) {
         state.failures_ = 0;
-    else if (end != DispatchEnd::Cancelled)
-        backOff(state, now);
+        state.lastOutput_ = now;
+        earnRetry(pool.retries_);
+        learn(pool, state, ended, result, now);
+        return;
+    }
+    if (result.end_ == DispatchEnd::Cancelled)
+        return;
+    if (result.end_ == DispatchEnd::BrokenOff)
+        strike(pool, state, ended, now);
+    if (result.end_ == DispatchEnd::BrokenOff || result.end_ == DispatchEnd::Unreachable)
+        forgetHeld(pool, ended.call_.program_, ended.target_);
+    backOff(state, now, random);
+}
+
+bool mayRetry(TargetPool& pool) { return spendRetry(pool.retries_); }
+
+void loadReported(TargetPool& pool, const TargetId& target, const LoadReport& report, MonotonicTime now)
+{
+    auto found = pool.targets_.find(target);
+    if (found == pool.targets_.end())
+        return;
+    takeReport(found->second.load_, report, now);
+    if (report.waiting_ > report.running_ * pool.options_.waitingShare_)
+        shrinkWindow(found->second.window_, now, pool.options_.window_);
+}
+
+void prefixEvicted(TargetPool& pool, const ProgramId& program, const TargetId& target, MonotonicTime now)
+{
+    constexpr Milliseconds eventLag { 5000 };
+    auto found = pool.held_.find(program);
+    if (found == pool.held_.end())
+        return;
+    auto held = found->second.find(target);
+    if (held != found->second.end() && held->second.usedAt_ + eventLag < now)
+        found->second.erase(held);
+}
+
+std::vector<DispatchId> overdueDispatches(const TargetPool& pool, MonotonicTime now)
+{
+    std::vector<DispatchId> overdue;
+    for (const auto& [id, running] : pool.running_) {
+        auto target = pool.targets_.find(running.target_);
+        if (target == pool.targets_.end() || running.call_.model_.empty())
+            continue;
+        auto alive = std::max(running.sentAt_, target->second.lastOutput_);
+        constexpr int patience = 3;
+        if (now > alive + pool.options_.hungAfter_ + patience * running.expected_)
+            overdue.push_back(id);
+    }
+    return overdue;
+}
+
+std::vector<DispatchId> takeExpired(TargetPool& pool, MonotonicTime now)
+{
+    std::vector<DispatchId> expired;
+    for (const QueuedCall& call : pool.queue_.calls_) {
+        if (call.deadline_ && now >= *call.deadline_)
+            expired.push_back(call.id_);
+    }
+    for (DispatchId id : expired)
+        removeQueued(pool, id);
+    return expired;
+}
+
+std::vector<StalePrefix> takeStalePrefixes(TargetPool& pool, MonotonicTime now)
+{
+    std::vector<StalePrefix> stale;
+    if (!pool.options_.releasesStale_)
+        return stale;
+    for (auto& [program, targets] : pool.held_) {
+        MonotonicTime newest;
+        for (const auto& [target, held] : targets)
+            newest = std::max(newest, held.usedAt_);
+        for (auto held = targets.begin(); held != targets.end();) {
+            bool isLeftBehind = held->second.usedAt_ < newest;
+            if (!isLeftBehind && now < held->second.usedAt_ + pool.options_.idleRelease_) {
+                ++held;
+                continue;
+            }
+            stale.push_back({ program, held->first });
+            held = targets.erase(held);
+        }
+    }
+    return stale;
 }
 
 bool removeQueued(TargetPool& pool, DispatchId id)
 {
-    auto found = std::find_if(
-        pool.queue_.begin(), pool.queue_.end(), [id](const QueuedCall& call) { return call.id_ == id; });
-    if (found == pool.queue_.end())
+    auto& calls = pool.queue_.calls_;
+    auto found
+        = std::find_if(calls.begin(), calls.end(), [id](const QueuedCall& call) { return call.id_ == id; });
+    if (found == calls.end())
         return false;
-    pool.queue_.erase(found);
+    pool.queue_.bytes_ -= found->bytes_;
+    calls.erase(found);
     return true;
 }
 
-void forgetProgram(TargetPool& pool, const ProgramId& program) { pool.lastTarget_.erase(program); }
+void forgetProgram(TargetPool& pool, const ProgramId& program)
+{
+    pool.held_.erase(program);
+    pool.queue_.attainedMs_.erase(program);
+}
 
 } // namespace fescue
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -9,36 +9,26 @@
  *
  *     enqueueCall(pool, call, now, random);
  *     for (const Dispatch& dispatch : nextDispatches(pool, now, random)) { ... send it ... }
- *     dispatchEnded(pool, dispatch.id_, DispatchEnd::Answered, now);
+ *     outputSeen(pool, dispatch.id_, now);
+ *     dispatchEnded(pool, dispatch.id_, { DispatchEnd::Answered, usage... }, now, random);
+ *
+ * The stages stand in files of their own: AdmissionWindow, FairQueue, TargetLoad, Placement, RetryBudget,
+ * Quarantine. docs/POLICY.md has what each of them brings.
  */
 
+#include "AdmissionWindow.h"
+#include "FairQueue.h"
 #include "Manifest.h"
-#include "ProgramId.h"
-#include "Shard.h"
+#include "Placement.h"
+#include "Quarantine.h"
+#include "RetryBudget.h"
+#include "TargetLoad.h"
 
-#include <deque>
 #include <map>
-#include <set>
+#include <vector>
 
 namespace fescue {
 
-/** Number of one call in the pool, unique in this process. */
-using DispatchId = Quantity<struct DispatchIdTag, std::uint64_t>;
-
-/** A call that wants a target. */
-struct QueuedCall {
-    DispatchId id_;
-    WorkspaceId workspace_;
-    ProgramId program_; ///< Empty for a call outside of any program.
-    ModelId model_; ///< Empty for a service call.
-    ServiceId service_; ///< Empty for a model call.
-    TokenCount contextTokens_; ///< Tokens of the program's transcript that some engine may hold.
-    TokenCount newTokens_; ///< Most tokens of prompt that no engine can hold.
-    TokenCount maxTokens_;
-    MonotonicTime arrived_;
-    std::set<TargetId> avoid_; ///< Targets that failed this call already.
-};
-
 /** A call that goes to a target now. */
 struct Dispatch {
     DispatchId id_;
@@ -49,19 +39,55 @@
 struct TargetState {
     Target target_;
     std::uint32_t inFlight_ = 0;
-    std::uint32_t window_ = 8;
+    AdmissionWindow window_;
+    TargetLoad load_;
     MonotonicTime notBefore_; ///< No new work until then, after failures.
-    std::uint32_t failures_ = 0; ///< In a row.
+    std::uint32_t failures_ = 0; ///< In a row; with any, only one call at a time tries the target.
+    MonotonicTime lastOutput_; ///< When any call last showed that it is alive.
+    MonotonicTime suspectFailedAt_; ///< When a suspect call last broke off here.
+};
+
+/** A call at a target. */
+struct RunningDispatch {
+    QueuedCall call_;
+    TargetId target_;
+    MonotonicTime sentAt_;
+    Milliseconds expected_ { 0 }; ///< Time to the first token, as expected when it was sent.
+    std::optional<MonotonicTime> firstOutputAt_;
+};
+
+/** Tokens of a program that a target holds, as far as this VM knows. */
+struct HeldTokens {
+    TokenCount tokens_;
+    MonotonicTime usedAt_;
+};
+
+/** Parameters of the stages. */
+struct PoolOptions {
+    WindowLimits window_;
+    PlacementOptions placement_;
+    double waitingShare_ = 0.1; ///< Share of its batch that may wait at a target.
+    std::size_t queueLimit_ = 1024;
+    ByteCount queueBytes_ { 16 << 20 };
+    Milliseconds longestWaitForNew_ { 4000 }; ///< Programs without service are refused beyond this wait.
+    Milliseconds longestWait_ { 60000 }; ///< All calls are refused beyond this wait.
+    Milliseconds hungAfter_ { 10000 }; ///< A target is hung after this and thrice the expected time.
+    Milliseconds idleRelease_ { 600000 }; ///< Prefixes unused for this long are released.
+    bool ordersByProgram_ = true; ///< False: in order of arrival.
+    bool releasesStale_ = true;
 };
 
 /** All targets and waiting calls of a VM. */
 struct TargetPool {
     ZoneId zone_;
+    PoolOptions options_;
     std::map<TargetId, TargetState> targets_;
-    std::deque<QueuedCall> queue_;
-    std::map<DispatchId, TargetId> running_;
-    std::map<ProgramId, TargetId> lastTarget_; ///< Where a program's prefix was computed last.
-    std::size_t queueLimit_ = 1024;
+    FairQueue queue_;
+    std::map<DispatchId, RunningDispatch> running_;
+    std::map<ProgramId, std::map<TargetId, HeldTokens>> held_;
+    RetryBudget retries_;
+    Quarantine quarantine_;
+    double answerTokens_ = 200; ///< Moving average of an answer's length.
 };
 
 /** How a dispatch ended. */
@@ -69,22 +95,62 @@
     Answered,
     Refused, ///< The target said that it is full or leaving; the call did not run.
     Unreachable, ///< The call did not leave this process.
-    Failed, ///< The target broke off or gave an error of its own.
+    Failed, ///< The target gave an error of its own.
+    BrokenOff, ///< The target was lost while it ran the call.
+    Hung, ///< It was cancelled as overdue.
     Cancelled,
 };
 
+/** How a dispatch ended and what the target reported of it. */
+struct DispatchResult {
+    DispatchEnd end_ = DispatchEnd::Answered;
+    TokenCount prompt_; ///< 0 when it is not known.
+    TokenCount cached_;
+    TokenCount completion_;
+};
+
+/** Cache to be released: nobody will use it there any more. */
+struct StalePrefix {
+    ProgramId program_;
+    TargetId target_;
+};
+
 /** Takes the targets of a manifest; calls in flight at targets that are gone still end normally. */
 void setTargets(TargetPool& pool, const Manifest& manifest);
 
-/** Lets a call wait for a target. Errors: `Overloaded` when the queue is full, `NoTarget` when no target
- * that is not leaving serves it; both are true "not-run" refusals and say when to come back. */
+/** Lets a call wait for a target. Errors: `Overloaded` when the queue is full or the expected wait too long,
+ * `NoTarget` when no target that is not leaving serves it, `DeadlineExceeded`, `Quarantined`; all are true
+ * "not-run" refusals for a call that has not been sent before. */
 tl::expected<void, Problem> enqueueCall(TargetPool& pool, QueuedCall call, MonotonicTime now, Random& random);
 
 /** Takes waiting calls off the queue for as long as a target has room. */
 std::vector<Dispatch> nextDispatches(TargetPool& pool, MonotonicTime now, Random& random);
 
+/** Notes that a call has shown output; the first time counts as its first token. Unknown ids are ignored. */
+void outputSeen(TargetPool& pool, DispatchId id, MonotonicTime now);
+
 /** Takes the end of a dispatch. Unknown ids are ignored. */
-void dispatchEnded(TargetPool& pool, DispatchId id, DispatchEnd end, MonotonicTime now);
+void dispatchEnded(
+    TargetPool& pool, DispatchId id, const DispatchResult& result, MonotonicTime now, Random& random);
+
+/** Whether a call may be sent to a further target now; takes it from the retry budget. */
+bool mayRetry(TargetPool& pool);
+
+/** Takes a load report. */
+void loadReported(TargetPool& pool, const TargetId& target, const LoadReport& report, MonotonicTime now);
+
+/** Takes a cache event: the target no longer holds the program's prefix. An event may be so late that the
+ * prefix has come back since, so it is ignored for a prefix used a moment ago. */
+void prefixEvicted(TargetPool& pool, const ProgramId& program, const TargetId& target, MonotonicTime now);
+
+/** Calls at targets that hang; to be cancelled and ended as `Hung`. Pure. */
+std::vector<DispatchId> overdueDispatches(const TargetPool& pool, MonotonicTime now);
+
+/** Takes the calls off the queue whose deadline has passed. */
+std::vector<DispatchId> takeExpired(TargetPool& pool, MonotonicTime now);
+
+/** Takes the prefixes that are to be released: copies left behind by a move, and those long unused. */
+std::vector<StalePrefix> takeStalePrefixes(TargetPool& pool, MonotonicTime now);
 
 /** Takes a waiting call off the queue. Returns false when it is not waiting. */
 bool removeQueued(TargetPool& pool, DispatchId id);
--- a/src/TargetRequest.cpp
+++ b/src/TargetRequest.cpp
@@ -77,4 +77,12 @@
     return call;
 }
 
+HttpCall loadRequest(const Target& target)
+{
+    HttpCall call;
+    call.url_ = target.url_ + "/v1/load";
+    call.timeout_ = Milliseconds { 2000 };
+    return call;
+}
+
 } // namespace fescue
--- a/src/TargetRequest.h
+++ b/src/TargetRequest.h
@@ -28,4 +28,7 @@
 /** An order to an engine to free what it holds for a program. Pure. */
 HttpCall releaseRequest(const ProgramId& program, Epoch epoch, const Target& target);
 
+/** A question to an engine for its load. Pure. */
+HttpCall loadRequest(const Target& target);
+
 } // namespace fescue
--- a/standin/Engine.h
+++ b/standin/Engine.h
@@ -6,7 +6,7 @@
  *     POST   /v1/chat/completions      streamed answer; the batch makes one token a request and step
  *     GET    /v1/cache                 {"entries": [{"key", "tokens"}], "tokens": total}
  *     DELETE /v1/cache/<key>           free what is held for a program
- *     GET    /v1/load                  {"running", "queued_tokens"} as of the last report
+ *     GET    /v1/load                  {"running", "waiting", "queued_tokens"}, which lags
  *     POST   /faults {"cut_after": 5, "refuse": false, "dead": false}
  *
  * A token is four bytes of a message, rounded up. Prompts of one `prompt_cache_key` share their longest
@@ -25,6 +25,7 @@
     Milliseconds step_ { 2 }; ///< Time of one step of the batch.
     std::int64_t prefillTokensPerStep_ = 4096;
     std::int64_t answerTokens_ = 16; ///< Length of an answer, unless `max_tokens` is less.
+    std::uint64_t stepsPerReport_ = 100; ///< Load reports lag by one to two times as many steps.
     std::int64_t cacheTokens_ = 2000000;
     bool ignoresMaxTokens_ = false; ///< It goes on beyond what was asked for.
 };
--- /dev/null
+++ b/test/correctness/PoolStages.cpp
@@ -0,0 +1,284 @@
+#include "LoadPoll.h"
+#include "Suite.h"
+
+using namespace fescue;
+
+namespace {
+
+MonotonicTime at(std::int64_t ms) { return MonotonicTime(Milliseconds { 100000 + ms }); }
+
+Manifest manifestOf(std::size_t engines)
+{
+    Manifest manifest;
+    for (std::size_t i = 0; i < engines; ++i) {
+        Target target;
+        target.id_ = { "engine-" + std::to_string(i) };
+        target.zone_ = { "zone-a" };
+        target.models_ = { { "model" } };
+        manifest.targets_[target.id_] = target;
+    }
+    return manifest;
+}
+
+} // namespace
+
+class PoolStages : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(PoolStages);
+    CPPUNIT_TEST(crashingRequestIsRefusedAfterTwoTargets);
+    CPPUNIT_TEST(requestsAtATargetThatDiesOfItselfRunElsewhere);
+    CPPUNIT_TEST(suspectsNeverShareATarget);
+    CPPUNIT_TEST(shortProgramGoesBeforeALoopingOne);
+    CPPUNIT_TEST(longProgramIsNotStarved);
+    CPPUNIT_TEST(workspacesShareByWeight);
+    CPPUNIT_TEST(returningProgramFindsItsPrefix);
+    CPPUNIT_TEST(newProgramIsRefusedWhenTheWaitIsLong);
+    CPPUNIT_TEST(coldPoolTakesABurst);
+    CPPUNIT_TEST(queueIsBoundedInBytes);
+    CPPUNIT_TEST(callPastItsDeadlineLeavesTheQueue);
+    CPPUNIT_TEST(retriesStopWhenTheBudgetIsSpent);
+    CPPUNIT_TEST(silentTargetIsOverdueAndABusyOneIsNot);
+    CPPUNIT_TEST(targetThatComesBackCountsItsCallsInFlight);
+    CPPUNIT_TEST(windowShrinksWhenCallsWaitAtTheTarget);
+    CPPUNIT_TEST(pollsAreBoundedAndTakeTurns);
+    CPPUNIT_TEST_SUITE_END();
+
+    TargetPool pool_;
+    Random random_ { 1 };
+    std::uint64_t last_ = 0;
+
+public:
+    void setUp() override
+    {
+        pool_ = {};
+        pool_.zone_ = { "zone-a" };
+        setTargets(pool_, manifestOf(3));
+    }
+
+    QueuedCall call(const std::string& program, std::uint64_t digest = 0, std::int64_t prompt = 1000)
+    {
+        QueuedCall queued;
+        queued.id_ = { ++last_ };
+        queued.program_ = { program };
+        queued.model_ = { "model" };
+        queued.promptTokens_ = { prompt };
+        queued.maxTokens_ = { 100 };
+        queued.digest_ = { digest };
+        queued.arrived_ = at(0);
+        return queued;
+    }
+
+    tl::expected<void, Problem> enter(const QueuedCall& queued, std::int64_t ms = 0)
+    {
+        return enqueueCall(pool_, queued, at(ms), random_);
+    }
+
+    std::vector<Dispatch> next(std::int64_t ms = 0) { return nextDispatches(pool_, at(ms), random_); }
+
+    void end(const Dispatch& dispatch, DispatchEnd end, std::int64_t ms)
+    {
+        dispatchEnded(pool_, dispatch.id_, { end, { 1000 }, { 0 }, { 50 } }, at(ms), random_);
+    }
+
+    // Leaves one place in all, so that the order shows.
+    void narrowTo(double window)
+    {
+        setTargets(pool_, manifestOf(1));
+        pool_.targets_.begin()->second.window_.size_ = window;
+        pool_.targets_.begin()->second.load_.pace_.callMs_ = 500;
+    }
+
+    void crashingRequestIsRefusedAfterTwoTargets()
+    {
+        for (std::uint32_t i = 0; i < strikesToQuarantine; ++i) {
+            CHECK(enter(call("program-" + std::to_string(i), 7), i * 20000).has_value());
+            auto sent = next(i * 20000);
+            CHECK_EQUAL(std::size_t { 1 }, sent.size());
+            end(sent[0], DispatchEnd::BrokenOff, i * 20000 + 100);
+        }
+        auto again = enter(call("under another key", 7), 60000);
+        CHECK(!again.has_value());
+        CHECK(again.error().kind_ == ProblemKind::Quarantined);
+        CHECK(enter(call("another request", 8), 60000).has_value());
+    }
+
+    // Two targets die of themselves; the same innocent calls were at both.
+    void requestsAtATargetThatDiesOfItselfRunElsewhere()
+    {
+        narrowTo(8);
+        for (std::uint64_t i = 1; i <= 3; ++i)
+            CHECK(enter(call("program", 10 + i)).has_value());
+        for (const Dispatch& sent : next())
+            end(sent, DispatchEnd::BrokenOff, 100);
+        for (std::uint64_t i = 1; i <= 3; ++i)
+            CHECK(enter(call("program", 10 + i), 20000).has_value());
+    }
+
+    void suspectsNeverShareATarget()
+    {
+        narrowTo(8);
+        CHECK(enter(call("a", 11)).has_value());
+        CHECK(enter(call("b", 12)).has_value());
+        for (const Dispatch& sent : next())
+            end(sent, DispatchEnd::BrokenOff, 100);
+        CHECK(enter(call("a", 11), 20000).has_value());
+        CHECK(enter(call("b", 12), 20000).has_value());
+        pool_.targets_.begin()->second.failures_ = 0;
+        CHECK_EQUAL(std::size_t { 1 }, next(20000).size());
+    }
+
+    void shortProgramGoesBeforeALoopingOne()
+    {
+        narrowTo(1);
+        chargeService(pool_.queue_, { "looping" }, {}, 500000);
+        CHECK(enter(call("looping")).has_value());
+        QueuedCall fresh = call("fresh");
+        CHECK(enter(fresh).has_value());
+        auto sent = next();
+        CHECK_EQUAL(std::size_t { 1 }, sent.size());
+        CHECK(sent[0].id_ == fresh.id_);
+    }
+
+    void longProgramIsNotStarved()
+    {
+        narrowTo(1);
+        chargeService(pool_.queue_, { "long" }, {}, 100000);
+        QueuedCall waiting = call("long");
+        CHECK(enter(waiting).has_value());
+        QueuedCall fresh = call("fresh");
+        fresh.arrived_ = at(10000);
+        CHECK(enter(fresh, 10000).has_value());
+        auto sent = next(10000);
+        CHECK(sent.at(0).id_ == waiting.id_);
+    }
+
+    void workspacesShareByWeight()
+    {
+        narrowTo(8);
+        pool_.queue_.weights_[{ "heavy" }] = 3;
+        for (int i = 0; i < 16; ++i) {
+            QueuedCall queued = call("program-" + std::to_string(i));
+            queued.workspace_ = { i % 2 ? "heavy" : "light" };
+            CHECK(enter(queued).has_value());
+        }
+        int heavy = 0;
+        for (const Dispatch& sent : next())
+            heavy += pool_.running_.at(sent.id_).call_.workspace_.value_ == "heavy" ? 1 : 0;
+        CHECK_EQUAL(6, heavy);
+    }
+
+    void returningProgramFindsItsPrefix()
+    {
+        CHECK(enter(call("program", 0, 50000)).has_value());
+        Dispatch first = next().at(0);
+        dispatchEnded(
+            pool_, first.id_, { DispatchEnd::Answered, { 50000 }, { 0 }, { 50 } }, at(5000), random_);
+        for (int i = 0; i < 3; ++i) {
+            CHECK(enter(call("other-" + std::to_string(i)), 5000).has_value());
+            next(5000);
+        }
+        CHECK(enter(call("program", 0, 50100), 6000).has_value());
+        CHECK(next(6000).at(0).target_.id_ == first.target_.id_);
+    }
+
+    void newProgramIsRefusedWhenTheWaitIsLong()
+    {
+        narrowTo(1);
+        pool_.targets_.begin()->second.load_.pace_.callMs_ = 1000;
+        for (int i = 0; i < 6; ++i)
+            CHECK(enter(call("program-" + std::to_string(i))).has_value());
+        auto refused = enter(call("one more"));
+        CHECK(!refused.has_value());
+        CHECK(refused.error().kind_ == ProblemKind::Overloaded);
+        CHECK(refused.error().run_ == RunState::NotRun);
+        CHECK(refused.error().retryAfter_.has_value());
+        chargeService(pool_.queue_, { "under way" }, {}, 1);
+        CHECK(enter(call("under way")).has_value());
+    }
+
+    void coldPoolTakesABurst()
+    {
+        for (int i = 0; i < 40; ++i)
+            CHECK(enter(call("program-" + std::to_string(i))).has_value());
+        CHECK_EQUAL(std::size_t { 24 }, next().size());
+    }
+
+    void queueIsBoundedInBytes()
+    {
+        QueuedCall large = call("large");
+        large.bytes_ = pool_.options_.queueBytes_ + ByteCount { 1 };
+        CHECK(!enter(large).has_value());
+        large.bytes_ = pool_.options_.queueBytes_;
+        CHECK(enter(large).has_value());
+        CHECK(removeQueued(pool_, large.id_));
+        CHECK(pool_.queue_.bytes_ == ByteCount {});
+    }
+
+    void callPastItsDeadlineLeavesTheQueue()
+    {
+        narrowTo(0);
+        QueuedCall queued = call("program");
+        queued.deadline_ = at(500);
+        CHECK(enter(queued).has_value());
+        CHECK(takeExpired(pool_, at(499)).empty());
+        CHECK(takeExpired(pool_, at(500)).at(0) == queued.id_);
+        CHECK(enter(queued, 500).error().kind_ == ProblemKind::DeadlineExceeded);
+    }
+
+    void retriesStopWhenTheBudgetIsSpent()
+    {
+        int retries = 0;
+        while (mayRetry(pool_))
+            ++retries;
+        CHECK(retries <= 10);
+        constexpr int successes = 100;
+        for (int i = 0; i < successes; ++i)
+            earnRetry(pool_.retries_);
+        retries = 0;
+        while (mayRetry(pool_))
+            ++retries;
+        CHECK(retries <= successes / 10);
+    }
+
+    void silentTargetIsOverdueAndABusyOneIsNot()
+    {
+        narrowTo(8);
+        CHECK(enter(call("a")).has_value());
+        CHECK(enter(call("b")).has_value());
+        auto sent = next();
+        outputSeen(pool_, sent.at(0).id_, at(60000));
+        CHECK(overdueDispatches(pool_, at(65000)).empty());
+        CHECK_EQUAL(std::size_t { 2 }, overdueDispatches(pool_, at(120000)).size());
+    }
+
+    void targetThatComesBackCountsItsCallsInFlight()
+    {
+        CHECK(enter(call("program")).has_value());
+        Dispatch sent = next().at(0);
+        setTargets(pool_, {});
+        setTargets(pool_, manifestOf(3));
+        CHECK_EQUAL(std::uint32_t { 1 }, pool_.targets_.at(sent.target_.id_).inFlight_);
+        end(sent, DispatchEnd::Answered, 100);
+        CHECK_EQUAL(std::uint32_t { 0 }, pool_.targets_.at(sent.target_.id_).inFlight_);
+    }
+
+    void windowShrinksWhenCallsWaitAtTheTarget()
+    {
+        TargetId id { "engine-0" };
+        double before = pool_.targets_[id].window_.size_;
+        loadReported(pool_, id, { 30, 0, { 0 } }, at(0));
+        CHECK_EQUAL(before, pool_.targets_[id].window_.size_);
+        loadReported(pool_, id, { 30, 20, { 0 } }, at(1000));
+        CHECK(pool_.targets_[id].window_.size_ < before);
+    }
+
+    void pollsAreBoundedAndTakeTurns()
+    {
+        LoadPoll poll;
+        poll.mostAtOnce_ = 2;
+        CHECK_EQUAL(std::size_t { 2 }, nextPolls(poll, pool_, at(0)).size());
+        CHECK(nextPolls(poll, pool_, at(10)).empty());
+        CHECK_EQUAL(std::string("engine-2"), nextPolls(poll, pool_, at(1000)).at(0).id_.value_);
+    }
+};
+
+REGISTER_SUITE(PoolStages);
