--- a/bench/EngineModel.cpp
+++ b/bench/EngineModel.cpp
@@ -58,6 +58,18 @@
 
 } // namespace
 
+EngineLoad loadOf(const EngineModel& engine)
+{
+    EngineLoad load;
+    load.running_ = static_cast<int>(engine.batch_.size());
+    load.waiting_ = static_cast<int>(engine.waiting_.size());
+    for (const EngineCall& call : engine.batch_)
+        load.queuedTokens_ += call.prefillLeft_;
+    for (const EngineCall& call : engine.waiting_)
+        load.queuedTokens_ += call.prompt_;
+    return load;
+}
+
 std::int64_t heldFor(const EngineModel& engine, int program)
 {
     auto found = engine.held_.find(program);
--- a/bench/EngineModel.h
+++ b/bench/EngineModel.h
@@ -75,6 +75,15 @@
     std::vector<int> evicted_; ///< Programs whose prefix gave way since this was last emptied.
 };
 
+/** Load as an engine reports it. */
+struct EngineLoad {
+    int running_ = 0;
+    int waiting_ = 0;
+    std::int64_t queuedTokens_ = 0;
+};
+
+/** The load at this moment. */
+EngineLoad loadOf(const EngineModel& engine);
 /** Tokens held for a program. */
 std::int64_t heldFor(const EngineModel& engine, int program);
 /** Lets waiting calls into the batch and returns the time of the next step; 0 when there is nothing to do. */
--- a/bench/Simulation.cpp
+++ b/bench/Simulation.cpp
@@ -1,4 +1,4 @@
-#include "Simulation.h"
+#include "SimulationState.h"
 
 #include <algorithm>
 #include <queue>
@@ -16,64 +16,9 @@
     constexpr Seconds restartTime = 20;
     constexpr int mostSends = 3;
     constexpr int mostRefusals = 12;
-    constexpr int workspaces = 4;
     constexpr int crashingPrograms = 3;
     constexpr std::uint64_t partsOfTurn = 16;
 
-    enum class Kind {
-        Arrive,
-        Turn,
-        StepEnd,
-        Report,
-        Evictions,
-        Tick,
-        Patience,
-        FaultStart,
-        FaultEnd,
-        Restart
-    };
-
-    struct Event {
-        Seconds at_;
-        std::uint64_t order_;
-        Kind kind_;
-        std::uint64_t subject_;
-        std::uint64_t generation_;
-    };
-
-    struct Later {
-        bool operator()(const Event& a, const Event& b) const
-        {
-            return a.at_ != b.at_ ? a.at_ > b.at_ : a.order_ > b.order_;
-        }
-    };
-
-    struct Program {
-        ProgramShape shape_;
-        std::size_t turn_ = 0;
-        int context_ = 0;
-        int parent_ = -1;
-        std::uint64_t root_ = 0;
-        int openParts_ = 0; // Pause and sub-agents that the next turn waits for.
-        int vm_ = 0;
-        int workspace_ = 0;
-        int refusals_ = 0;
-        int repeats_ = 0;
-        Seconds start_ = 0;
-        Seconds turnStart_ = 0;
-        bool isOver_ = false;
-        bool crashes_ = false;
-        double output_ = 0;
-    };
-
-    struct OpenCall {
-        int program_ = 0;
-        int engine_ = -1;
-        int sends_ = 0;
-        Seconds arrived_ = 0;
-        WaitingCall waiting_;
-    };
-
     struct Loop {
         const Scenario& scenario_;
         Random random_;
@@ -90,6 +35,7 @@
         std::unordered_map<std::uint64_t, OpenCall> calls_;
         std::uint64_t lastCall_ = 0;
         std::uint64_t lastRoot_ = 0;
+        double capacityOfMix_ = 0;
         std::deque<std::vector<EngineLoad>> reports_;
         std::vector<std::pair<int, int>> evictions_;
         bool isCut_ = false;
@@ -117,36 +63,11 @@
             return !isAcross && !engines_[engine].isDead_;
         }
 
-        // A program's own generator, so that it is the same whatever the schedulers do meanwhile.
-        Random generatorOf(std::uint64_t root, std::uint64_t part) const
-        {
-            std::seed_seq seeds { scenario_.seed_, root, part };
-            return Random(seeds);
-        }
-
-        void startRoot()
-        {
-            Program program;
-            program.root_ = ++lastRoot_;
-            Random random = generatorOf(program.root_, 0);
-            program.shape_ = drawProgram(scenario_.mix_, random);
-            auto zone = std::uniform_int_distribution<int>(0, zones - 1)(random);
-            int inZone = (scenario_.mix_.vms_ - zone + zones - 1) / zones;
-            program.vm_ = zone + zones * std::uniform_int_distribution<int>(0, inZone - 1)(random);
-            program.workspace_ = std::uniform_int_distribution<int>(0, workspaces - 1)(random);
-            start(std::move(program));
-        }
+        void startRoot() { start(drawRoot(scenario_, ++lastRoot_)); }
 
         void startChild(int parent, std::uint64_t part)
         {
-            Program program;
-            program.root_ = programs_[parent].root_;
-            Random random = generatorOf(program.root_, part);
-            program.shape_ = drawChild(scenario_.mix_, random);
-            program.parent_ = parent;
-            program.vm_ = programs_[parent].vm_;
-            program.workspace_ = programs_[parent].workspace_;
-            start(std::move(program));
+            start(drawPart(scenario_, programs_[parent], parent, part));
         }
 
         void start(Program program)
@@ -427,16 +348,8 @@
         void report()
         {
             std::vector<EngineLoad> loads;
-            for (const EngineModel& engine : engines_) {
-                EngineLoad load;
-                load.running_ = static_cast<int>(engine.batch_.size());
-                load.waiting_ = static_cast<int>(engine.waiting_.size());
-                for (const EngineCall& call : engine.batch_)
-                    load.queuedTokens_ += call.prefillLeft_;
-                for (const EngineCall& call : engine.waiting_)
-                    load.queuedTokens_ += call.prompt_;
-                loads.push_back(load);
-            }
+            for (const EngineModel& engine : engines_)
+                loads.push_back(loadOf(engine));
             reports_.push_back(std::move(loads));
             if (reports_.size() <= reportLag)
                 return;
@@ -532,7 +445,41 @@
             }
         }
 
-        double capacityOfMix_ = 0;
+        void prepare(const MakeScheduler& make)
+        {
+            const Mix& mix = scenario_.mix_;
+            capacityOfMix_ = capacityOf(mix);
+            engines_.resize(mix.engines_);
+            generations_.resize(mix.engines_);
+            for (int i = 0; i < mix.engines_; ++i) {
+                engines_[i].shape_ = mix.engine_;
+                engineZones_.push_back(i % zones);
+            }
+            for (int vm = 0; vm < mix.vms_; ++vm) {
+                std::uint64_t seed = scenario_.seed_ * 1000 + static_cast<std::uint64_t>(vm);
+                vms_.push_back(make({ zoneOfVm(vm), engineZones_, seed }));
+            }
+            for (Kind kind : { Kind::Arrive, Kind::Report, Kind::Tick, Kind::Evictions })
+                at(0, kind);
+            at(faultFrom, Kind::FaultStart);
+            at(faultTo, Kind::FaultEnd);
+        }
+
+        void run()
+        {
+            while (!events_.empty() && now_ < runEnd) {
+                Event event = events_.top();
+                events_.pop();
+                now_ = event.at_;
+                handle(event);
+            }
+            for (EngineModel& engine : engines_) {
+                crash(engine, now_);
+                measures_.deadTokenSeconds_ += engine.deadTokenSeconds_;
+            }
+            for (std::size_t i = 0; i < programs_.size(); ++i)
+                giveUp(static_cast<int>(i));
+        }
     };
 
 } // namespace
@@ -540,35 +487,8 @@
 Measures simulate(const Scenario& scenario, const MakeScheduler& make)
 {
     Loop loop(scenario);
-    const Mix& mix = scenario.mix_;
-    loop.capacityOfMix_ = capacityOf(mix);
-    loop.engines_.resize(mix.engines_);
-    loop.generations_.resize(mix.engines_);
-    for (int i = 0; i < mix.engines_; ++i) {
-        loop.engines_[i].shape_ = mix.engine_;
-        loop.engineZones_.push_back(i % zones);
-    }
-    for (int vm = 0; vm < mix.vms_; ++vm)
-        loop.vms_.push_back(make({ loop.zoneOfVm(vm), loop.engineZones_,
-            scenario.seed_ * 1000 + static_cast<std::uint64_t>(vm) }));
-    loop.at(0, Kind::Arrive);
-    loop.at(0, Kind::Report);
-    loop.at(0, Kind::Tick);
-    loop.at(0, Kind::Evictions);
-    loop.at(faultFrom, Kind::FaultStart);
-    loop.at(faultTo, Kind::FaultEnd);
-    while (!loop.events_.empty() && loop.now_ < runEnd) {
-        Event event = loop.events_.top();
-        loop.events_.pop();
-        loop.now_ = event.at_;
-        loop.handle(event);
-    }
-    for (EngineModel& engine : loop.engines_) {
-        crash(engine, loop.now_);
-        loop.measures_.deadTokenSeconds_ += engine.deadTokenSeconds_;
-    }
-    for (std::size_t i = 0; i < loop.programs_.size(); ++i)
-        loop.giveUp(static_cast<int>(i));
+    loop.prepare(make);
+    loop.run();
     return std::move(loop.measures_);
 }
 
--- a/bench/Simulation.h
+++ b/bench/Simulation.h
@@ -29,13 +29,6 @@
     std::set<int> avoid_;
 };
 
-/** Load as an engine reports it. */
-struct EngineLoad {
-    int running_ = 0;
-    int waiting_ = 0;
-    std::int64_t queuedTokens_ = 0;
-};
-
 /** How a call ended at an engine. */
 struct CallEnd {
     enum class Kind { Answered, Unreachable, BrokenOff, Hung, Cancelled };
--- a/src/Quarantine.h
+++ b/src/Quarantine.h
@@ -4,9 +4,9 @@
  * Quarantine: requests that crash the targets which run them.
  *
  * When a target breaks off, each call that it was running is suspect and gets a strike under the digest of
- * its content, before a second target sees it. A second strike puts the digest into
- * quarantine, whatever key it comes under. A target that dies of itself takes innocent calls down: they have
- * one strike, and a suspect is never run beside another, so the next crash is charged to its suspect alone.
+ * its content, before a second target sees it. A second strike puts the digest into quarantine, whatever key
+ * it comes under; a whole answer clears it. A target that dies of itself takes innocent calls down: they have
+ * one strike, and since suspects never share a target, the next crash condemns at most one of them.
  */
 
 #include "QueuedCall.h"
--- a/src/TargetLoad.cpp
+++ b/src/TargetLoad.cpp
@@ -14,10 +14,10 @@
 
     void blend(double& average, double sample) { average += weightOfSample * (sample - average); }
 
-    double runningAt(const TargetLoad& load, std::uint32_t inFlight)
+    double runningAt(const TargetLoad& load, double assumedRunning)
     {
         if (!load.reportedAt_)
-            return inFlight;
+            return assumedRunning;
         return load.report_.running_ + static_cast<double>(load.unreported_.size());
     }
 
@@ -83,11 +83,11 @@
     return static_cast<double>(ahead.value_) * load.pace_.prefillMs_ + batchWait;
 }
 
-double costMs(const TargetLoad& load, TokenCount uncached, double answerTokens, std::uint32_t inFlight)
+double costMs(const TargetLoad& load, TokenCount uncached, double answerTokens, double assumedRunning)
 {
     constexpr double leastShare = 0.2;
     const TargetPace& pace = load.pace_;
-    double running = runningAt(load, inFlight);
+    double running = runningAt(load, assumedRunning);
     double share = std::max(leastShare, 1 + shareOfTokenTimePerCall * (running - pace.running_));
     double own = firstTokenMs(load, uncached) + answerTokens * pace.tokenMs_ * share;
     double prefillOfOthers = static_cast<double>(uncached.value_) * pace.prefillMs_ * running;
--- a/src/TargetLoad.h
+++ b/src/TargetLoad.h
@@ -72,8 +72,8 @@
 double firstTokenMs(const TargetLoad& load, TokenCount uncached);
 
 /** Cost of running a call: the expected time until its answer is whole, plus the delay that it brings to the
- * calls that share the batch, which all stand still while its prompt is computed. Pure. `inFlight` counts
- * our own calls there, which stand for the load of a target without reports. */
-double costMs(const TargetLoad& load, TokenCount uncached, double answerTokens, std::uint32_t inFlight);
+ * calls that share the batch, which all stand still while its prompt is computed. Pure. `assumedRunning` is
+ * the batch of a target that does not report its load. */
+double costMs(const TargetLoad& load, TokenCount uncached, double answerTokens, double assumedRunning);
 
 } // namespace fescue
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -33,8 +33,11 @@
         });
     }
 
-    bool isOpen(const TargetState& state, MonotonicTime now)
+    bool isOpen(const TargetPool& pool, const TargetState& state, MonotonicTime now)
     {
+        auto zone = pool.zones_.find(state.target_.zone_);
+        if (zone != pool.zones_.end() && now < zone->second.notBefore_)
+            return false;
         return !state.target_.isLeaving_ && now >= state.notBefore_
             && (state.failures_ == 0 || state.inFlight_ == 0);
     }
@@ -43,13 +46,14 @@
 
     bool hasRoom(const TargetPool& pool, MonotonicTime now)
     {
-        return std::any_of(pool.targets_.begin(), pool.targets_.end(),
-            [now](const auto& entry) { return isOpen(entry.second, now) && !isFull(entry.second); });
+        return std::any_of(pool.targets_.begin(), pool.targets_.end(), [&pool, now](const auto& entry) {
+            return isOpen(pool, entry.second, now) && !isFull(entry.second);
+        });
     }
 
     bool mayRun(const TargetPool& pool, const TargetState& state, const QueuedCall& call, MonotonicTime now)
     {
-        if (!isOpen(state, now) || !serves(state.target_, call) || call.avoid_.count(state.target_.id_))
+        if (!isOpen(pool, state, now) || !serves(state.target_, call) || call.avoid_.count(state.target_.id_))
             return false;
         return !isSuspect(pool.quarantine_, call.digest_, now) || !hasSuspect(pool, state.target_.id_, now);
     }
@@ -65,12 +69,28 @@
         return std::max(TokenCount { 0 }, call.promptTokens_ - held->second.tokens_);
     }
 
-    Candidate candidateOf(const TargetPool& pool, const TargetState& state, const QueuedCall& call)
+    // Other zones do not report to this VM, so they are taken to be as busy as its own.
+    double meanRunning(const TargetPool& pool)
+    {
+        double running = 0;
+        double reporting = 0;
+        for (const auto& [id, state] : pool.targets_) {
+            if (!state.load_.reportedAt_)
+                continue;
+            running += state.load_.report_.running_;
+            reporting += 1;
+        }
+        return reporting == 0 ? 0 : running / reporting;
+    }
+
+    Candidate candidateOf(
+        const TargetPool& pool, const TargetState& state, const QueuedCall& call, double assumedRunning)
     {
         Candidate candidate { state.target_.id_ };
         TokenCount uncached = uncachedAt(pool, call, state.target_.id_);
         double answer = std::min(pool.answerTokens_, static_cast<double>(call.maxTokens_.value_));
-        candidate.costMs_ = costMs(state.load_, uncached, answer, state.inFlight_);
+        candidate.costMs_ = costMs(
+            state.load_, uncached, answer, std::max(assumedRunning, static_cast<double>(state.inFlight_)));
         bool holdsPrefix = uncached + uncached < call.promptTokens_;
         if (!holdsPrefix)
             candidate.costMs_ *= 1 + pool.options_.placement_.moveMargin_;
@@ -85,15 +105,16 @@
     Choice choose(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
     {
         std::vector<Candidate> candidates;
+        double assumedRunning = meanRunning(pool) * pool.options_.placement_.otherZoneLoad_;
         for (const auto& [id, state] : pool.targets_) {
             if (mayRun(pool, state, call, now))
-                candidates.push_back(candidateOf(pool, state, call));
+                candidates.push_back(candidateOf(pool, state, call, assumedRunning));
         }
         return chooseTarget(candidates, pool.options_.placement_);
     }
 
     // Full jitter (Brooker, "Exponential Backoff And Jitter", 2015).
-    void backOff(TargetState& state, MonotonicTime now, Random& random)
+    template <typename State> void backOff(State& state, MonotonicTime now, Random& random)
     {
         constexpr std::uint32_t mostDoublings = 6;
         auto doublings = std::min(state.failures_, mostDoublings);
@@ -117,7 +138,7 @@
         double endsPerMs = 0;
         double freePlaces = 0;
         for (const auto& [id, state] : pool.targets_) {
-            if (!isOpen(state, now) || !serves(state.target_, call))
+            if (!isOpen(pool, state, now) || !serves(state.target_, call))
                 continue;
             endsPerMs += state.window_.size_ / std::max(1.0, state.load_.pace_.callMs_);
             freePlaces += std::max(0.0, state.window_.size_ - state.inFlight_);
@@ -168,19 +189,6 @@
         return expectedWait(pool, call, now) > pool.options_.longestWait_;
     }
 
-    // The crash is charged to a suspect that was there, else to each call that was.
-    void strike(TargetPool& pool, TargetState& state, const RunningDispatch& ended, MonotonicTime now)
-    {
-        constexpr Milliseconds sameCrash { 2000 };
-        bool wasSuspect = isSuspect(pool.quarantine_, ended.call_.digest_, now);
-        bool isExplained = hasSuspect(pool, state.target_.id_, now)
-            || (state.suspectFailedAt_ != MonotonicTime {} && now < state.suspectFailedAt_ + sameCrash);
-        if (wasSuspect)
-            state.suspectFailedAt_ = now;
-        if (wasSuspect || !isExplained)
-            recordStrike(pool.quarantine_, ended.call_.digest_, now);
-    }
-
     void learn(TargetPool& pool, TargetState& state, const RunningDispatch& ended,
         const DispatchResult& result, MonotonicTime now)
     {
@@ -323,6 +331,7 @@
     --state.inFlight_;
     if (result.end_ == DispatchEnd::Answered) {
         state.failures_ = 0;
+        pool.zones_.erase(state.target_.zone_);
         state.lastOutput_ = now;
         earnRetry(pool.retries_);
         learn(pool, state, ended, result, now);
@@ -331,10 +340,12 @@
     if (result.end_ == DispatchEnd::Cancelled)
         return;
     if (result.end_ == DispatchEnd::BrokenOff)
-        strike(pool, state, ended, now);
+        recordStrike(pool.quarantine_, ended.call_.digest_, now);
     if (result.end_ == DispatchEnd::BrokenOff || result.end_ == DispatchEnd::Unreachable)
         forgetHeld(pool, ended.call_.program_, ended.target_);
     backOff(state, now, random);
+    if (result.end_ == DispatchEnd::Unreachable && state.target_.zone_ != pool.zone_)
+        backOff(pool.zones_[state.target_.zone_], now, random);
 }
 
 bool mayRetry(TargetPool& pool) { return spendRetry(pool.retries_); }
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -43,8 +43,7 @@
     TargetLoad load_;
     MonotonicTime notBefore_; ///< No new work until then, after failures.
     std::uint32_t failures_ = 0; ///< In a row; with any, only one call at a time tries the target.
-    MonotonicTime lastOutput_; ///< When any call last showed that it is alive.
-    MonotonicTime suspectFailedAt_; ///< When a suspect call last broke off here.
+    MonotonicTime lastOutput_; ///< When any call last showed that the target is alive.
 };
 
 /** A call at a target. */
@@ -56,6 +55,12 @@
     std::optional<MonotonicTime> firstOutputAt_;
 };
 
+/** Another zone as this VM sees it; a cut makes all of its targets unreachable at once. */
+struct ZoneState {
+    MonotonicTime notBefore_;
+    std::uint32_t failures_ = 0; ///< In a row.
+};
+
 /** Tokens of a program that a target holds, as far as this VM knows. */
 struct HeldTokens {
     TokenCount tokens_;
@@ -84,6 +89,7 @@
     std::map<TargetId, TargetState> targets_;
     FairQueue queue_;
     std::map<DispatchId, RunningDispatch> running_;
+    std::map<ZoneId, ZoneState> zones_; ///< Those whose targets were unreachable.
     std::map<ProgramId, std::map<TargetId, HeldTokens>> held_;
     RetryBudget retries_;
     Quarantine quarantine_;
--- a/test/correctness/PoolStages.cpp
+++ b/test/correctness/PoolStages.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST_SUITE(PoolStages);
     CPPUNIT_TEST(crashingRequestIsRefusedAfterTwoTargets);
     CPPUNIT_TEST(requestsAtATargetThatDiesOfItselfRunElsewhere);
+    CPPUNIT_TEST(crashingRequestBesideASuspectDoesNotEscape);
     CPPUNIT_TEST(suspectsNeverShareATarget);
     CPPUNIT_TEST(shortProgramGoesBeforeALoopingOne);
     CPPUNIT_TEST(longProgramIsNotStarved);
@@ -113,6 +114,19 @@
             CHECK(enter(call("program", 10 + i), 20000).has_value());
     }
 
+    void crashingRequestBesideASuspectDoesNotEscape()
+    {
+        narrowTo(8);
+        recordStrike(pool_.quarantine_, { 5 }, at(0));
+        CHECK(enter(call("suspect", 5)).has_value());
+        CHECK(enter(call("crashing", 7)).has_value());
+        for (const Dispatch& sent : next())
+            end(sent, DispatchEnd::BrokenOff, 100);
+        CHECK(enter(call("crashing", 7), 20000).has_value());
+        end(next(20000).at(0), DispatchEnd::BrokenOff, 20100);
+        CHECK(enter(call("crashing", 7), 40000).error().kind_ == ProblemKind::Quarantined);
+    }
+
     void suspectsNeverShareATarget()
     {
         narrowTo(8);
