Forget idle programs, and release their prefixes under the epoch that left them

What the pool kept of a program went only when this VM released it, so a program that moved to another VM stayed for good: attained service, held prefixes and the epoch. A quarantined request was refused as not run although its content had run; it is now outcome-unknown. Tests: PoolStages idleProgramIsForgotten and copyLeftBehindIsReleasedUnderItsEpoch.

--- a/src/CallRunner.cpp
+++ b/src/CallRunner.cpp
@@ -26,7 +26,6 @@
     std::map<DispatchId, ExecutionPtr> executions_;
     std::map<ProgramId, ExecutionPtr> byProgram_;
     DispatchId last_;
-    std::map<ProgramId, Epoch> epochs_; ///< Under which this VM last ran a call of a program.
     LoadPoll poll_;
 
     Impl(const CallRunnerOptions& options, HttpClient& client, RequestTable& requests, Post post,
@@ -55,6 +54,7 @@
             queued.digest_ = digestOf(*execution.frame_);
             queued.promptTokens_ = { call.bodySize_.value_ / bytesPerToken };
         }
+        queued.epoch_ = execution.execute_.epoch_;
         queued.maxTokens_ = call.maxTokens_;
         queued.bytes_ = call.bodySize_;
         queued.arrived_ = execution.arrived_;
@@ -273,10 +273,9 @@
     {
         for (const StalePrefix& stale : takeStalePrefixes(pool_, monotonicNow())) {
             auto target = manifest_.targets_.find(stale.target_);
-            auto epoch = epochs_.find(stale.program_);
-            if (target != manifest_.targets_.end() && epoch != epochs_.end())
+            if (target != manifest_.targets_.end())
                 client_.start(
-                    releaseRequest(stale.program_, epoch->second, target->second), [](const HttpResult&) {});
+                    releaseRequest(stale.program_, stale.epoch_, target->second), [](const HttpResult&) {});
         }
     }
 
@@ -334,8 +333,6 @@
         executions_[last_] = execution;
         if (!isLoose)
             byProgram_[execute.call_.program_] = execution;
-        if (!isLoose && isModelCall(*execution))
-            epochs_[execute.call_.program_] = execute.epoch_;
         enter(execution);
     }
 };
@@ -404,7 +401,6 @@
 {
     std::lock_guard<std::mutex> lock(impl_->mutex_);
     forgetProgram(impl_->pool_, program);
-    impl_->epochs_.erase(program);
     for (const auto& [id, target] : impl_->manifest_.targets_) {
         if (target.models_.empty() || target.zone_ != impl_->options_.zone_)
             continue;
--- a/src/FairQueue.cpp
+++ b/src/FairQueue.cpp
@@ -72,17 +72,30 @@
     queue.calls_ = std::move(ordered);
 }
 
-void chargeService(FairQueue& queue, const ProgramId& program, const WorkspaceId& workspace, double engineMs)
+void chargeService(FairQueue& queue, const QueuedCall& call, double engineMs, MonotonicTime now)
 {
-    if (!program.empty())
-        queue.attainedMs_[program] += engineMs;
-    queue.servedMs_[workspace] += engineMs / weightOf(queue, workspace);
+    if (!call.program_.empty()) {
+        AttainedService& attained = queue.attained_[call.program_];
+        attained.engineMs_ += engineMs;
+        attained.lastUse_ = now;
+    }
+    queue.servedMs_[call.workspace_] += engineMs / weightOf(queue, call.workspace_);
+}
+
+void forgetIdle(FairQueue& queue, MonotonicTime before)
+{
+    for (auto program = queue.attained_.begin(); program != queue.attained_.end();) {
+        if (program->second.lastUse_ < before)
+            program = queue.attained_.erase(program);
+        else
+            ++program;
+    }
 }
 
 double rankOf(const FairQueue& queue, const QueuedCall& call, MonotonicTime now)
 {
-    auto found = queue.attainedMs_.find(call.program_);
-    double attained = found == queue.attainedMs_.end() ? 0 : found->second;
+    auto found = queue.attained_.find(call.program_);
+    double attained = found == queue.attained_.end() ? 0 : found->second.engineMs_;
     return attained - queue.ageing_ * static_cast<double>((now - call.arrived_).count());
 }
 
--- a/src/FairQueue.h
+++ b/src/FairQueue.h
@@ -17,11 +17,17 @@
 
 namespace fescue {
 
+/** Service that a program has had. */
+struct AttainedService {
+    double engineMs_ = 0;
+    MonotonicTime lastUse_;
+};
+
 /** Waiting calls with the service that their programs and workspaces have had. */
 struct FairQueue {
     std::deque<QueuedCall> calls_;
     ByteCount bytes_;
-    std::map<ProgramId, double> attainedMs_; ///< Engine time of each program under way.
+    std::map<ProgramId, AttainedService> attained_; ///< Of each program under way.
     std::map<WorkspaceId, double> servedMs_; ///< Virtual time: engine time by weight.
     std::map<WorkspaceId, double> weights_;
     double ageing_ = 20; ///< Attained milliseconds that a waiting millisecond makes up for.
@@ -34,8 +40,11 @@
 /** Sorts the waiting calls, the one to go first in front. */
 void orderCalls(FairQueue& queue, MonotonicTime now);
 
-/** Charges engine time to a program and its workspace. */
-void chargeService(FairQueue& queue, const ProgramId& program, const WorkspaceId& workspace, double engineMs);
+/** Charges engine time to the program and the workspace of a call. */
+void chargeService(FairQueue& queue, const QueuedCall& call, double engineMs, MonotonicTime now);
+
+/** Forgets the programs that have had no service since `before`: ended elsewhere or abandoned. */
+void forgetIdle(FairQueue& queue, MonotonicTime before);
 
 /** Rank of a call among those of its workspace; lower goes first. Pure. */
 double rankOf(const FairQueue& queue, const QueuedCall& call, MonotonicTime now);
--- a/src/QueuedCall.h
+++ b/src/QueuedCall.h
@@ -29,6 +29,7 @@
     TokenCount maxTokens_;
     ByteCount bytes_; ///< Memory that the call takes up while it waits.
     ContentDigest digest_;
+    Epoch epoch_; ///< Under which the call runs; 0 outside of any program.
     MonotonicTime arrived_;
     std::optional<MonotonicTime> deadline_; ///< The caller does not wait any longer.
     std::set<TargetId> avoid_; ///< Targets that failed this call already.
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -183,7 +183,7 @@
 
     bool isWaitTooLong(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
     {
-        bool isNew = !pool.queue_.attainedMs_.count(call.program_);
+        bool isNew = !pool.queue_.attained_.count(call.program_);
         if (isNew && longestWait(pool, call, now) > pool.options_.longestWaitForNew_)
             return true;
         return expectedWait(pool, call, now) > pool.options_.longestWait_;
@@ -207,9 +207,10 @@
         const TargetPace& pace = state.load_.pace_;
         double engineMs = static_cast<double>(sample.computed_.value_) * pace.prefillMs_
             + static_cast<double>(result.completion_.value_) * pace.tokenMs_;
-        chargeService(pool.queue_, ended.call_.program_, ended.call_.workspace_, engineMs);
+        chargeService(pool.queue_, ended.call_, engineMs, now);
         if (!ended.call_.program_.empty() && result.prompt_.value_ > 0)
-            pool.held_[ended.call_.program_][ended.target_] = { result.prompt_ + result.completion_, now };
+            pool.held_[ended.call_.program_][ended.target_]
+                = { result.prompt_ + result.completion_, now, ended.call_.epoch_ };
         clearStrikes(pool.quarantine_, ended.call_.digest_);
     }
 
@@ -257,7 +258,7 @@
 tl::expected<void, Problem> enqueueCall(TargetPool& pool, QueuedCall call, MonotonicTime now, Random& random)
 {
     if (isQuarantined(pool.quarantine_, call.digest_, now))
-        return tl::make_unexpected(Problem { ProblemKind::Quarantined, RunState::NotRun,
+        return tl::make_unexpected(Problem { ProblemKind::Quarantined, RunState::Unknown,
             "this request took down each target that ran it; change its content", std::nullopt });
     if (call.deadline_ && now >= *call.deadline_)
         return tl::make_unexpected(Problem { ProblemKind::DeadlineExceeded, RunState::NotRun,
@@ -403,19 +404,21 @@
     std::vector<StalePrefix> stale;
     if (!pool.options_.releasesStale_)
         return stale;
-    for (auto& [program, targets] : pool.held_) {
+    MonotonicTime oldest = now - pool.options_.idleRelease_;
+    forgetIdle(pool.queue_, oldest);
+    for (auto program = pool.held_.begin(); program != pool.held_.end();) {
         MonotonicTime newest;
-        for (const auto& [target, held] : targets)
+        for (const auto& [target, held] : program->second)
             newest = std::max(newest, held.usedAt_);
-        for (auto held = targets.begin(); held != targets.end();) {
-            bool isLeftBehind = held->second.usedAt_ < newest;
-            if (!isLeftBehind && now < held->second.usedAt_ + pool.options_.idleRelease_) {
+        for (auto held = program->second.begin(); held != program->second.end();) {
+            if (held->second.usedAt_ == newest && newest > oldest) {
                 ++held;
                 continue;
             }
-            stale.push_back({ program, held->first });
-            held = targets.erase(held);
+            stale.push_back({ program->first, held->first, held->second.epoch_ });
+            held = program->second.erase(held);
         }
+        program = program->second.empty() ? pool.held_.erase(program) : std::next(program);
     }
     return stale;
 }
@@ -435,7 +438,7 @@
 void forgetProgram(TargetPool& pool, const ProgramId& program)
 {
     pool.held_.erase(program);
-    pool.queue_.attainedMs_.erase(program);
+    pool.queue_.attained_.erase(program);
 }
 
 } // namespace fescue
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -65,6 +65,7 @@
 struct HeldTokens {
     TokenCount tokens_;
     MonotonicTime usedAt_;
+    Epoch epoch_; ///< Of the call that left them there.
 };
 
 /** Parameters of the stages. */
@@ -119,14 +120,15 @@
 struct StalePrefix {
     ProgramId program_;
     TargetId target_;
+    Epoch epoch_; ///< For the order to release it.
 };
 
 /** Takes the targets of a manifest; calls in flight at targets that are gone still end normally. */
 void setTargets(TargetPool& pool, const Manifest& manifest);
 
 /** Lets a call wait for a target. Errors: `Overloaded` when the queue is full or the expected wait too long,
- * `NoTarget` when no target that is not leaving serves it, `DeadlineExceeded`, `Quarantined`; all are true
- * "not-run" refusals for a call that has not been sent before. */
+ * `NoTarget` when no target that is not leaving serves it, `DeadlineExceeded`; these are true "not-run"
+ * refusals for a call that has not been sent before. `Quarantined` says that its content has run. */
 tl::expected<void, Problem> enqueueCall(TargetPool& pool, QueuedCall call, MonotonicTime now, Random& random);
 
 /** Takes waiting calls off the queue for as long as a target has room. */
@@ -155,7 +157,8 @@
 /** Takes the calls off the queue whose deadline has passed. */
 std::vector<DispatchId> takeExpired(TargetPool& pool, MonotonicTime now);
 
-/** Takes the prefixes that are to be released: copies left behind by a move, and those long unused. */
+/** Takes the prefixes that are to be released: copies left behind by a move, and those long unused. Forgets
+ * programs that have been idle for as long, since they may have ended at another VM. */
 std::vector<StalePrefix> takeStalePrefixes(TargetPool& pool, MonotonicTime now);
 
 /** Takes a waiting call off the queue. Returns false when it is not waiting. */
--- a/test/correctness/PoolStages.cpp
+++ b/test/correctness/PoolStages.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(longProgramIsNotStarved);
     CPPUNIT_TEST(workspacesShareByWeight);
     CPPUNIT_TEST(returningProgramFindsItsPrefix);
+    CPPUNIT_TEST(copyLeftBehindIsReleasedUnderItsEpoch);
+    CPPUNIT_TEST(idleProgramIsForgotten);
     CPPUNIT_TEST(newProgramIsRefusedWhenTheWaitIsLong);
     CPPUNIT_TEST(coldPoolTakesABurst);
     CPPUNIT_TEST(queueIsBoundedInBytes);
@@ -143,7 +145,7 @@
     void shortProgramGoesBeforeALoopingOne()
     {
         narrowTo(1);
-        chargeService(pool_.queue_, { "looping" }, {}, 500000);
+        chargeService(pool_.queue_, call("looping"), 500000, at(0));
         CHECK(enter(call("looping")).has_value());
         QueuedCall fresh = call("fresh");
         CHECK(enter(fresh).has_value());
@@ -155,7 +157,7 @@
     void longProgramIsNotStarved()
     {
         narrowTo(1);
-        chargeService(pool_.queue_, { "long" }, {}, 100000);
+        chargeService(pool_.queue_, call("long"), 100000, at(0));
         QueuedCall waiting = call("long");
         CHECK(enter(waiting).has_value());
         QueuedCall fresh = call("fresh");
@@ -194,6 +196,40 @@
         CHECK(next(6000).at(0).target_.id_ == first.target_.id_);
     }
 
+    // Runs one call of a program at a target of its own choice.
+    TargetId runOnce(QueuedCall queued, std::int64_t ms)
+    {
+        CHECK(enter(queued, ms).has_value());
+        Dispatch sent = next(ms).at(0);
+        end(sent, DispatchEnd::Answered, ms + 100);
+        return sent.target_.id_;
+    }
+
+    void copyLeftBehindIsReleasedUnderItsEpoch()
+    {
+        QueuedCall first = call("program");
+        first.epoch_ = { 4 };
+        TargetId left = runOnce(first, 0);
+        QueuedCall second = call("program");
+        second.epoch_ = { 9 };
+        second.avoid_ = { left };
+        CHECK(runOnce(second, 1000) != left);
+        auto stale = takeStalePrefixes(pool_, at(2000));
+        CHECK_EQUAL(std::size_t { 1 }, stale.size());
+        CHECK(stale[0].target_ == left);
+        CHECK(stale[0].epoch_ == Epoch { 4 });
+    }
+
+    void idleProgramIsForgotten()
+    {
+        runOnce(call("program"), 0);
+        auto idle = pool_.options_.idleRelease_.count();
+        CHECK(takeStalePrefixes(pool_, at(idle)).empty());
+        CHECK_EQUAL(std::size_t { 1 }, takeStalePrefixes(pool_, at(idle + 200)).size());
+        CHECK(pool_.held_.empty());
+        CHECK(pool_.queue_.attained_.empty());
+    }
+
     void newProgramIsRefusedWhenTheWaitIsLong()
     {
         narrowTo(1);
@@ -205,7 +241,7 @@
         CHECK(refused.error().kind_ == ProblemKind::Overloaded);
         CHECK(refused.error().run_ == RunState::NotRun);
         CHECK(refused.error().retryAfter_.has_value());
-        chargeService(pool_.queue_, { "under way" }, {}, 1);
+        chargeService(pool_.queue_, call("under way"), 1, at(0));
         CHECK(enter(call("under way")).has_value());
     }
 
