--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -10,7 +10,8 @@
 namespace {
 
     struct Traits : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t> {
-        static constexpr bool use_connection_count_limiter = true;
+        // RESTinio looks for this name.
+        static constexpr bool use_connection_count_limiter = true; // NOLINT(readability-identifier-naming)
     };
     using Server = restinio::http_server_t<Traits>;
     using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
@@ -209,6 +210,10 @@
         for (std::thread& thread : threads_)
             thread.join();
         threads_.clear();
+        // Connections that are still open count down a limiter of the server when `io_` drops their pending
+        // reads, which is after the server's turn to go. So the server, closed by now, is left in memory;
+        // a process has one or two of them.
+        static_cast<void>(server_.release());
     }
 };
 
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -100,7 +100,7 @@
               { [this](const Config& config) { configChanged(config); },
                   [this](const Members& members) { membersListed(members); } })
         , peers_(options.vm_, options.zone_,
-              { [this] { return announcement(); }, [this] { return toJson(platform_.config()).dump(); },
+              { [this] { return announcement(); }, [this] { return toJson(*platform_.config()).dump(); },
                   [this](const std::string& text) { configHandedOver(text); }, [this] { peersChanged(); } })
     {
         FrameHandlers handlers { [](const FrameLinkPtr&) {},
@@ -121,13 +121,14 @@
         work_.every(tickInterval, [this] { tick(); });
     }
 
-    // The order of ending: no more ticks that send over links, nothing new arrives, nothing is under way,
-    // then the parts go.
+    // The order of ending: nothing ticks, nothing new arrives, nothing is under way, then the parts go. What
+    // is under way ends with answers over links, which must still be there.
     ~Impl()
     {
         http_.reset();
         work_.stop();
-        frames_.reset();
+        frames_->stop();
+        peers_.stop();
         client_.reset();
     }
 
@@ -227,7 +228,7 @@
                 member.isLeaving_ = member.isLeaving_ || isDraining_;
         }
         if (withConfig)
-            frame.config_ = toJson(platform_.config()).dump();
+            frame.config_ = toJson(*platform_.config()).dump();
         return frame;
     }
 
@@ -246,7 +247,7 @@
             std::lock_guard<std::mutex> lock(linksMutex_);
             links_.insert(link);
         }
-        link->send(view(platform_.isReady() && platform_.config().version_ > frame.have_));
+        link->send(view(platform_.isReady() && platform_.config()->version_ > frame.have_));
     }
 
     void linkClosed(const FrameLinkPtr& link)
@@ -326,7 +327,7 @@
 
     void callCame(const FrameLinkPtr& link, RequestFrame frame)
     {
-        auto parsed = parseCall(frame, platform_.config().manifest_);
+        auto parsed = parseCall(frame, platform_.config()->manifest_);
         RequestId request = requests_.add(link, frame, parsed && parsed->wantsStream_);
         if (!parsed)
             return requests_.sendProblem(request, parsed.error());
@@ -357,7 +358,7 @@
                     return endProgram(
                         state, { request, frame.workspace_, frame.program_, "ended by its caller" }, context);
                 });
-        auto create = parseCreation(frame, platform_.config().manifest_);
+        auto create = parseCreation(frame, platform_.config()->manifest_);
         if (!create)
             return requests_.sendProblem(request, create.error());
         create->request_ = request;
@@ -413,6 +414,10 @@
                     for (RequestId request : reply.requests_)
                         requests_.sendOutcome(request, reply.outcome_, reply.durableCall_);
                 },
+                [&](const ReplyMoved& reply) {
+                    for (RequestId request : reply.requests_)
+                        requests_.sendMoved(request, reply.to_);
+                },
                 [](const ReplyFromLog&) { /* ShardHomes answers it from the log. */ },
                 [&](const ReplyProgram& reply) {
                     requests_.sendDocument(reply.request_, 200,
@@ -449,7 +454,7 @@
     SchedulerState state()
     {
         return { options_.vm_, options_.zone_, homes_.status(), runner_.load(), requests_.size(),
-            platform_.isReady(), isDraining_, platform_.config(), platform_.standing(),
+            platform_.isReady(), isDraining_, *platform_.config(), platform_.standing(),
             view(false).members_ };
     }
 
