--- a/src/FrameLink.cpp
+++ b/src/FrameLink.cpp
@@ -24,17 +24,18 @@
     template <typename Endpoint>
     class Link final : public FrameLink, public std::enable_shared_from_this<Link<Endpoint>> {
     public:
-        Link(typename Endpoint::connection_ptr connection, ByteCount maxBacklog)
-            : connection_(std::move(connection))
+        Link(const typename Endpoint::connection_ptr& connection, ByteCount maxBacklog)
+            : connection_(connection)
             , maxBacklog_(maxBacklog)
         {
         }
 
         bool send(const Frame& frame) override
         {
-            if (isClosed_)
+            auto connection = connection_.lock();
+            if (isClosed_ || !connection)
                 return false;
-            asio::post(*connection_->get_strand(),
+            asio::post(*connection->get_strand(),
                 [self = this->shared_from_this(), bytes = toCbor(frame)] { self->write(bytes); });
             return true;
         }
@@ -43,19 +44,23 @@
         {
             isClosed_ = true;
             std::error_code ignored;
-            connection_->terminate(ignored);
+            if (auto connection = connection_.lock())
+                connection->terminate(ignored);
         }
 
     private:
         void write(const std::string& bytes)
         {
-            bool isTooSlow
-                = connection_->get_buffered_amount() > static_cast<std::size_t>(maxBacklog_.value_);
-            if (isTooSlow || connection_->send(bytes, websocketpp::frame::opcode::binary))
+            auto connection = connection_.lock();
+            if (!connection)
+                return;
+            bool isTooSlow = connection->get_buffered_amount() > static_cast<std::size_t>(maxBacklog_.value_);
+            if (isTooSlow || connection->send(bytes, websocketpp::frame::opcode::binary))
                 close();
         }
 
-        typename Endpoint::connection_ptr connection_;
+        // Weak, since whoever keeps a link may outlive the endpoint, and no connection may.
+        std::weak_ptr<typename Endpoint::connection_type> connection_;
         ByteCount maxBacklog_;
         std::atomic<bool> isClosed_ { false };
     };
@@ -121,9 +126,11 @@
                 [this](const Handle& handle, const typename Endpoint::message_ptr& message) {
                     this->message(handle, message->get_payload());
                 });
-            endpoint_.set_socket_init_handler([](const Handle&, auto& socket) {
+            // Not in the socket's init handler: that one is called before the socket is open.
+            endpoint_.set_tcp_pre_init_handler([this](const Handle& handle) {
                 std::error_code ignored;
-                socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+                if (auto connection = endpoint_.get_con_from_hdl(handle, ignored))
+                    connection->get_raw_socket().set_option(asio::ip::tcp::no_delay(true), ignored);
             });
         }
 
--- a/src/Gateway.cpp
+++ b/src/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "Gateway.h"
 
+#include "CallerJson.h"
 #include "EventLog.h"
 #include "HttpServer.h"
 #include "Metrics.h"
@@ -9,7 +10,6 @@
 #include "WorkQueue.h"
 
 #include <atomic>
-#include <nlohmann/json.hpp>
 #include <thread>
 
 namespace fescue {
@@ -26,6 +26,7 @@
         HttpExchangePtr exchange_;
         RequestFrame frame_;
         MonotonicTime arrived_;
+        Stopwatch taken_;
 
         std::mutex mutex_;
         std::string address_; ///< Where it was sent.
@@ -71,6 +72,27 @@
         return facts;
     }
 
+    Problem tooLarge(ByteCount limit)
+    {
+        return { ProblemKind::TooLarge, RunState::NotRun,
+            "the body may have at most " + std::to_string(limit.value_)
+                + " bytes; send less, or have the operator raise --max_body_bytes",
+            std::nullopt };
+    }
+
+    Problem slowReader()
+    {
+        return { ProblemKind::TargetTruncated, RunState::Unknown,
+            "the answer was not read as fast as it came and was cut; send the same call again to get the "
+            "whole of it",
+            homeRetryAfter };
+    }
+
+    void countProblem(const Problem& problem)
+    {
+        Counter("gateway_problems_total", { "kind", std::string(nameOf(problem.kind_)) }).add();
+    }
+
     Problem brokenAnswer()
     {
         return { ProblemKind::TargetTruncated, RunState::Unknown,
@@ -104,7 +126,8 @@
         http.address_ = options.address_;
         http.port_ = options.port_;
         http.threads_ = options.threads_;
-        http.maxBody_ = options.maxBody_;
+        // Bodies up to twice the limit are read to the end, so that their callers get a problem document.
+        http.maxBody_ = { 2 * options.maxBody_.value_ };
         http_ = std::make_unique<HttpServer>(
             http, [this](const HttpRequest& request, const HttpExchangePtr& exchange) {
                 requestArrived(request, exchange);
@@ -123,12 +146,13 @@
     {
         if (answerOwn(request, exchange))
             return;
-        Counter("gateway_requests_total").add();
         if (isDraining_ || !links_.isReady()) {
             Problem problem { ProblemKind::ShuttingDown, RunState::NotRun,
                 "this gateway takes no requests at the moment; send the request to another", homeRetryAfter };
             return refuse(request, exchange, problem);
         }
+        if (static_cast<std::int64_t>(request.body_.size()) > options_.maxBody_.value_)
+            return refuse(request, exchange, tooLarge(options_.maxBody_));
         auto frame = parseHttp(request, links_.config()->manifest_);
         if (!frame)
             return refuse(request, exchange, frame.error());
@@ -136,6 +160,7 @@
         pending->exchange_ = exchange;
         pending->frame_ = std::move(*frame);
         pending->arrived_ = monotonicNow();
+        Counter("gateway_requests_total", { "operation", nameOf(pending->frame_.operation_) }).add();
         enter(pending);
         logEvent("request_received", factsOf(*pending));
         route(pending);
@@ -146,6 +171,7 @@
         logEvent("request_refused",
             { { "method", request.method_ }, { "problem", std::string(nameOf(problem.kind_)) },
                 { "run_state", std::string(nameOf(problem.run_)) } });
+        countProblem(problem);
         exchange->answer(toResponse(problem));
     }
 
@@ -157,7 +183,7 @@
         else if (request.path_ == "/readyz")
             exchange->answer({ isReady ? 200 : 503, "text/plain", isReady ? "ready\n" : "not ready\n" });
         else if (request.path_ == "/metrics")
-            exchange->answer({ 200, "text/plain; version=0.0.4", metricsText() });
+            exchange->answer({ 200, "text/plain; version=0.0.4", metricsText(gauges()) });
         else
             return false;
         return true;
@@ -177,7 +203,7 @@
     {
         std::uniform_int_distribution<std::uint32_t> anyShard(0, shardsPerZone - 1);
         ShardKey shard { options_.zone_, { anyShard(random_) } };
-        auto body = nlohmann::json::parse(frame.body_, nullptr, false);
+        auto body = parseCallerJson(frame.body_);
         if (body.is_object() && body.contains("parent") && body["parent"].is_string())
             shard = shardOf({ body["parent"].get<std::string>() }).value_or(shard);
         auto now = std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
@@ -237,9 +263,7 @@
 
     void remove(const PendingPtr& pending)
     {
-        auto taken
-            = std::chrono::duration_cast<std::chrono::microseconds>(monotonicNow() - pending->arrived_);
-        observeLatency("gateway_request_seconds", taken);
+        observeLatency("gateway_request_seconds", pending->taken_.elapsed());
         std::lock_guard<std::mutex> lock(mutex_);
         pending_.erase(pending->frame_.id_);
     }
@@ -269,6 +293,7 @@
         if (!isStream(head))
             return;
         pending->hasBegun_ = true;
+        observeLatency("gateway_first_event_seconds", pending->taken_.elapsed());
         pending->exchange_->begin({ head.status_, head.contentType_, {}, head.headers_ });
     }
 
@@ -290,7 +315,7 @@
         if (pending->exchange_->write(chunk.data_))
             return;
         lock.unlock();
-        remove(pending); // The caller is gone or too slow; the call goes on for its repeat.
+        fail(pending, slowReader()); // The call goes on for its repeat.
     }
 
     void endArrived(const EndFrame& end)
@@ -337,11 +362,11 @@
             { { "request", std::to_string(pending->frame_.id_) },
                 { "problem", std::string(nameOf(problem.kind_)) },
                 { "run_state", std::string(nameOf(problem.run_)) } });
+        countProblem(problem);
         {
             std::lock_guard<std::mutex> lock(pending->mutex_);
             if (pending->hasBegun_) {
-                pending->exchange_->write("event: error\ndata: " + toJsonText(problem) + "\n\n");
-                pending->exchange_->end();
+                pending->exchange_->abort("event: error\ndata: " + toJsonText(problem) + "\n\n");
             } else {
                 pending->exchange_->answer(toResponse(problem));
             }
@@ -394,6 +419,14 @@
         }
     }
 
+    std::vector<Gauge> gauges()
+    {
+        bool isReady = links_.isReady() && !isDraining_;
+        return { { "gateway_ready", {}, isReady ? 1.0 : 0.0 },
+            { "gateway_draining", {}, isDraining_ ? 1.0 : 0.0 },
+            { "gateway_open_requests", {}, static_cast<double>(openRequests()) } };
+    }
+
     std::size_t openRequests()
     {
         std::lock_guard<std::mutex> lock(mutex_);
