--- /dev/null
+++ b/test/failure/RollingReplacement.cpp
@@ -0,0 +1,146 @@
+// Every VM of a zone replaced, one after another, while callers go on.
+
+#include "Cluster.h"
+#include "Suite.h"
+
+#include <atomic>
+#include <csignal>
+#include <mutex>
+#include <thread>
+
+using namespace fescue::test;
+using fescue::HttpResult;
+using nlohmann::json;
+
+class RollingReplacement : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(RollingReplacement);
+    CPPUNIT_TEST(replacingEveryVmUnderLoadCutsNoRequest);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void replacingEveryVmUnderLoadCutsNoRequest();
+};
+
+REGISTER_SUITE(RollingReplacement);
+
+namespace {
+
+// Callers that run programs of calls that may run once, against whichever gateways take requests.
+struct Load {
+    Cluster& cluster_;
+    std::mutex mutex_;
+    std::vector<std::string> gateways_;
+    std::atomic<bool> isOver_ { false };
+    std::atomic<int> done_ { 0 };
+    std::mutex faultsMutex_;
+    std::vector<std::string> faults_;
+    std::vector<std::thread> threads_;
+
+    explicit Load(Cluster& cluster)
+        : cluster_(cluster)
+    {
+    }
+
+    ~Load() { stop(); }
+
+    std::string anyGateway(std::size_t turn)
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        return gateways_[turn % gateways_.size()];
+    }
+
+    // Sends until it is answered; a refusal must say that the call did not run.
+    HttpResult send(fescue::HttpClient& client, std::size_t turn, const std::string& path,
+        const std::string& body, std::vector<std::string> headers)
+    {
+        headers.push_back(std::string("Authorization: Bearer ") + callerKey);
+        for (;; ++turn) {
+            fescue::HttpCall call { "POST", anyGateway(turn) + path, headers, body };
+            call.timeout_ = fescue::Milliseconds { 30000 };
+            HttpResult result = client.perform(call);
+            if (result.status_ == 200 || isOver_)
+                return result;
+            bool isRefusal
+                = result.status_ == 503 || result.status_ == 429 || result.fate_ == HttpResult::Fate::NotSent;
+            if (!isRefusal || result.body_.find("not-run") == std::string::npos) {
+                std::lock_guard<std::mutex> lock(faultsMutex_);
+                faults_.push_back(path + " " + std::to_string(result.status_) + result.error_ + result.body_);
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+    }
+
+    void runPrograms(std::size_t caller)
+    {
+        fescue::HttpClient client;
+        while (!isOver_) {
+            HttpResult created = send(client, caller, "/v1/programs", "{}", {});
+            json document = json::parse(created.body_, nullptr, false);
+            if (!document.is_object() || !document.contains("program"))
+                continue;
+            std::string program = document["program"].get<std::string>();
+            for (int number = 1; number <= 5 && !isOver_; ++number) {
+                send(client, caller + static_cast<std::size_t>(number), "/v1/services/lease-app/invoices",
+                    "{}", { "Fescue-Program: " + program, "Fescue-Call: " + std::to_string(number) });
+                ++done_;
+            }
+        }
+    }
+
+    void start(std::size_t callers)
+    {
+        for (const EntryVm& vm : cluster_.entries_)
+            gateways_.push_back(cluster_.url(*vm.gateway_));
+        for (std::size_t caller = 0; caller < callers; ++caller)
+            threads_.emplace_back([this, caller] { runPrograms(caller); });
+    }
+
+    void stop()
+    {
+        isOver_ = true;
+        for (std::thread& thread : threads_)
+            thread.join();
+        threads_.clear();
+    }
+};
+
+} // namespace
+
+void RollingReplacement::replacingEveryVmUnderLoadCutsNoRequest()
+{
+    ClusterOptions options;
+    options.vmsPerZone_ = 3;
+    options.schedulerFlags_ = { "--drain_ms=20000" };
+    Cluster cluster(options);
+    // Each call takes a while, so that some are always under way when a VM is told to stop.
+    cluster.faults(*cluster.service_, { { "delay_ms", 100 } });
+    Load load(cluster);
+    load.start(4);
+    for (std::size_t old = 0; old < 3; ++old) {
+        int before = load.done_;
+        cluster.startVm("zone-a-new" + std::to_string(old), "zone-a");
+        EntryVm& fresh = cluster.entries_.back();
+        std::string ready = cluster.url(*fresh.gateway_) + "/readyz";
+        waitUntil("the new VM is ready", [&] {
+            return cluster.client_.perform({ "GET", ready }).status_ == 200;
+        });
+        {
+            std::lock_guard<std::mutex> lock(load.mutex_);
+            load.gateways_.erase(load.gateways_.begin());
+            load.gateways_.push_back(cluster.url(*fresh.gateway_));
+        }
+        CHECK_EQUAL(0, cluster.entries_[old].gateway_->end(SIGTERM));
+        CHECK_EQUAL(0, cluster.entries_[old].scheduler_->end(SIGTERM));
+        cluster.listVm(cluster.entries_[old], "");
+        waitUntil("the load goes on", [&] { return load.done_ >= before + 20; });
+    }
+    load.stop();
+    std::string faults;
+    for (const std::string& fault : load.faults_)
+        faults += fault + "\n";
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(faults, std::size_t { 0 }, load.faults_.size());
+    json executions = cluster.get(*cluster.service_, "/executions");
+    CHECK(executions.size() > 60);
+    for (const auto& [call, count] : executions.items())
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(call, 1, count.get<int>());
+}
