--- a/standin/VmList.cpp
+++ b/standin/VmList.cpp
@@ -55,7 +55,7 @@
         std::lock_guard<std::mutex> lock(mutex_);
         json body = json::parse(request.body_, nullptr, false);
         if (request.path_ == "/faults" && body.is_object()) {
-            isDown_[listener] = body.value("down", isDown_[listener] != 0);
+            isDown_[listener] = static_cast<char>(body.value("down", isDown_[listener] != 0));
             lag_ = Milliseconds { body.value("lag_ms", lag_.count()) };
             return { 200, "application/json", "{}", {} };
         }
