--- a/src/FrameLink.cpp
+++ b/src/FrameLink.cpp
@@ -59,7 +59,8 @@
                 close();
         }
 
-        // Weak, since whoever keeps a link may outlive the endpoint, and no connection may.
+        // The endpoint's pending operations own the connection: its socket must not outlive the endpoint,
+        // and links are kept by others for as long as they like.
         std::weak_ptr<typename Endpoint::connection_type> connection_;
         ByteCount maxBacklog_;
         std::atomic<bool> isClosed_ { false };
