--- a/test/fuzz/ConfigRetention.cpp
+++ b/test/fuzz/ConfigRetention.cpp
@@ -11,6 +11,7 @@
 class ConfigRetention : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ConfigRetention);
     CPPUNIT_TEST(lateReadersAgreeOrKnowTheirGap);
+    CPPUNIT_TEST(snapshotOfALaggingVmIsPassedOver);
     CPPUNIT_TEST(entriesOfOperatorsAreNoSnapshots);
     CPPUNIT_TEST(damagedSnapshotsAreRefused);
     CPPUNIT_TEST(oneVmOfManyWritesThePeriodsSnapshot);
@@ -18,6 +19,7 @@
 
 public:
     void lateReadersAgreeOrKnowTheirGap();
+    void snapshotOfALaggingVmIsPassedOver();
     void entriesOfOperatorsAreNoSnapshots();
     void damagedSnapshotsAreRefused();
     void oneVmOfManyWritesThePeriodsSnapshot();
@@ -105,6 +107,22 @@
     CHECK(uncovered > 50);
 }
 
+void ConfigRetention::snapshotOfALaggingVmIsPassedOver()
+{
+    Streams streams;
+    std::vector<Config> configs(1);
+    for (int value = 1; value <= 3; ++value) {
+        streams.config_.push_back(publication(0, configs.back().version_.value_, value));
+        configs.push_back(configs.back());
+        catchUp(configs.back(), streams);
+    }
+    streams.snapshots_ = { snapshotEntry(configs[2]), snapshotEntry(configs[1]) };
+    streams.aged_ = 2;
+    Config late;
+    CHECK(catchUp(late, streams));
+    CHECK(toJson(late) == toJson(configs[3]));
+}
+
 void ConfigRetention::entriesOfOperatorsAreNoSnapshots()
 {
     Config config;
