--- a/src/AdmitCall.cpp
+++ b/src/AdmitCall.cpp
@@ -123,6 +123,7 @@
         running.call_.messages_.clear();
         running.phase_ = RunningCall::Phase::AwaitsTranche;
         running.reserved_ = active.contextTokens_ + TokenCount { delta->newBytes_.value_ } + call.maxTokens_;
+        running.attempt_ = running.reserved_;
         running.head_ = delta->head_;
         running.newMessages_ = delta->newMessages_;
         running.requests_ = { call.request_ };
--- a/src/CallRunner.cpp
+++ b/src/CallRunner.cpp
@@ -18,6 +18,7 @@
     RequestTable& requests_;
     Post post_;
     OnResult onResult_;
+    Reserve reserve_;
 
     mutable std::mutex mutex_; ///< Guards the pool and the tables below.
     TargetPool pool_;
@@ -29,12 +30,13 @@
     LoadPoll poll_;
 
     Impl(const CallRunnerOptions& options, HttpClient& client, RequestTable& requests, Post post,
-        OnResult onResult)
+        OnResult onResult, Reserve reserve)
         : options_(options)
         , client_(client)
         , requests_(requests)
         , post_(std::move(post))
         , onResult_(std::move(onResult))
+        , reserve_(std::move(reserve))
         , random_(options.seed_)
     {
         pool_.zone_ = options.zone_;
@@ -172,12 +174,13 @@
             return answered;
         }
         bool canRepeat = execution->passedOn_.empty() && !execution->isCancelled_;
-        execution->spent_ += spentBy(*execution, result);
+        TokenCount spent = spentBy(*execution, result);
+        execution->spent_ += spent;
         DispatchEnd end = endOfModelCall(*execution, result);
         execution->isOverdue_ = false;
         lock.unlock();
         dispatchOver(execution->id_, { end });
-        if (canRepeat && tryAgain(execution, end))
+        if (canRepeat && isFunded(*execution, spent) && tryAgain(execution, end))
             return std::nullopt;
         auto failed = problemResult(ExecutionResult::Kind::Failed,
             execution->refusal_ ? *execution->refusal_ : failure(result, canRepeat));
@@ -208,6 +211,13 @@
         dispatchAll();
     }
 
+    bool isFunded(const Execution& execution, TokenCount spent) const
+    {
+        const ExecuteCall& execute = execution.execute_;
+        return execution.isLoose_ || spent.value_ == 0
+            || reserve_(execute.call_.program_, execute.execution_);
+    }
+
     bool tryAgain(const ExecutionPtr& execution, DispatchEnd end)
     {
         std::lock_guard<std::mutex> lock(mutex_);
@@ -340,8 +350,9 @@
 };
 
 CallRunner::CallRunner(const CallRunnerOptions& options, HttpClient& client, RequestTable& requests,
-    Post post, OnResult onResult)
-    : impl_(std::make_unique<Impl>(options, client, requests, std::move(post), std::move(onResult)))
+    Post post, OnResult onResult, Reserve reserve)
+    : impl_(std::make_unique<Impl>(
+        options, client, requests, std::move(post), std::move(onResult), std::move(reserve)))
 {
 }
 
--- a/src/CallRunner.h
+++ b/src/CallRunner.h
@@ -37,11 +37,14 @@
 class CallRunner {
 public:
     using OnResult = std::function<void(const ProgramId&, ExecutionId, const ExecutionResult&)>;
+    /** Reserves a further attempt of a model call; see `reserveAnotherAttempt`. */
+    using Reserve = std::function<bool(const ProgramId&, ExecutionId)>;
     using Post = std::function<void(std::function<void()>)>;
 
-    /** `onResult` is called on a thread that holds no lock; `post` runs a task on such a thread. */
+    /** `onResult` and `reserve` are called on a thread that holds no lock; `post` runs a task on such a
+     * thread. */
     CallRunner(const CallRunnerOptions& options, HttpClient& client, RequestTable& requests, Post post,
-        OnResult onResult);
+        OnResult onResult, Reserve reserve);
     ~CallRunner();
 
     void setManifest(const Manifest& manifest);
--- a/src/FinishCall.cpp
+++ b/src/FinishCall.cpp
@@ -114,4 +114,18 @@
     return {};
 }
 
+bool reserveAnotherAttempt(Shard& shard, const ProgramId& program, ExecutionId execution)
+{
+    auto found = shard.active_.find(program);
+    if (found == shard.active_.end() || !found->second.running_)
+        return false;
+    ActiveProgram& active = found->second;
+    RunningCall& running = *active.running_;
+    if (running.execution_ != execution || active.trancheLeft_ < running.attempt_)
+        return false;
+    active.trancheLeft_ -= running.attempt_;
+    running.reserved_ += running.attempt_;
+    return true;
+}
+
 } // namespace fescue
--- a/src/FinishCall.h
+++ b/src/FinishCall.h
@@ -18,4 +18,10 @@
 Effects callExecuted(Shard& shard, const ProgramId& program, ExecutionId execution,
     const ExecutionResult& result, const ShardContext& context);
 
+/** Reserves a further attempt of a running model call whose earlier ones may have used their reservation.
+ *
+ * Returns false when this epoch may not spend that much, or the call is not running here; it then has to end
+ * as failed. Thread safety: none; the caller holds the lock of the shard. */
+bool reserveAnotherAttempt(Shard& shard, const ProgramId& program, ExecutionId execution);
+
 } // namespace fescue
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -104,7 +104,8 @@
               [this](std::function<void()> task) { work_.post(std::move(task)); },
               [this](const ProgramId& program, ExecutionId id, const ExecutionResult& result) {
                   executed(program, id, result);
-              })
+              },
+              [this](const ProgramId& program, ExecutionId id) { return isReserved(program, id); })
         , homes_(homesOf(options, writer_), *client_,
               [this](const ShardKey& shard, const Effect& effect) { carryOut(shard, effect); })
         , keeper_({ options.zone_, options.cacheCheckInterval_ }, *client_, homes_)
@@ -466,6 +467,17 @@
         });
     }
 
+    bool isReserved(const ProgramId& program, ExecutionId id)
+    {
+        bool isReserved = false;
+        if (auto shard = shardOf(program))
+            homes_.report(*shard, [&](Shard& state, const ShardContext&) -> Effects {
+                isReserved = reserveAnotherAttempt(state, program, id);
+                return {};
+            });
+        return isReserved;
+    }
+
     void carryOut(const ShardKey& shard, const Effect& effect)
     {
         logEffect(shard, effect);
--- a/src/Shard.h
+++ b/src/Shard.h
@@ -74,7 +74,8 @@
     Call call_;
     Phase phase_ = Phase::Executing;
     ExecutionId execution_; ///< Set while it executes.
-    TokenCount reserved_;
+    TokenCount reserved_; ///< For all of its attempts.
+    TokenCount attempt_; ///< For one attempt.
     TranscriptHead head_;
     std::string newMessages_;
     std::vector<RequestId> requests_; ///< Every caller that waits for this outcome.
