--- a/bench/Capacity.cpp
+++ b/bench/Capacity.cpp
@@ -75,6 +75,7 @@
 {
     std::atomic<int> next { 0 };
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int i = 0; i < callers; ++i)
         threads.emplace_back([&] {
             while (next++ < programs)
--- a/bench/ConfigSlopes.cpp
+++ b/bench/ConfigSlopes.cpp
@@ -81,7 +81,8 @@
     });
     double dump = microsecondsOf(10, [&](int) { text = toJson(config).dump(); });
     double parse = microsecondsOf(10, [&](int) { parseConfig(json::parse(text)); });
-    double copy = microsecondsOf(10, [&](int) { Config copied = config; });
+    Config copied;
+    double copy = microsecondsOf(10, [&](int) { copied = config; });
     std::string snapshot = snapshotEntry(config);
     std::size_t view = toCbor(ViewFrame { membersOf(size.vms_), {} }).size();
     std::printf(
