Split the scheduler: moving shards and looking after them apart

ShardCare decides without I/O which shards need a look; ShardMoves holds and passes on requests whose shard belongs elsewhere. No behaviour changes.

--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -13,6 +13,8 @@
 #include "ProgramDocument.h"
 #include "RecordEvents.h"
 #include "SchedulerStatus.h"
+#include "ShardCare.h"
+#include "ShardMoves.h"
 #include "WorkQueue.h"
 
 #include <nlohmann/json.hpp>
@@ -25,7 +27,6 @@
 
     constexpr Milliseconds tickInterval { 20 };
     constexpr Milliseconds shardsInterval { 500 };
-    constexpr Milliseconds orphanPatience { 1500 }; ///< Until the peers have told what they hold.
 
     template <class... Ts> struct Overloaded : Ts... {
         using Ts::operator()...;
@@ -42,13 +43,6 @@
         return platform;
     }
 
-    // A request that waits until its shard can move.
-    struct HeldRequest {
-        RequestId request_;
-        ShardKey shard_;
-        VmId to_;
-    };
-
     ShardHomeOptions homesOf(const SchedulerOptions& options, const WriterId& writer)
     {
         ShardHomeOptions homes;
@@ -77,8 +71,6 @@
     std::mutex linksMutex_;
     std::set<FrameLinkPtr> links_;
     std::atomic<bool> isDraining_ { false };
-    std::mutex heldMutex_;
-    std::vector<HeldRequest> held_;
     std::atomic<bool> isReady_ { false }; ///< Gateways have been given the configuration.
     std::unique_ptr<HttpClient> client_ = std::make_unique<HttpClient>();
     CallRunner runner_;
@@ -86,11 +78,12 @@
     CacheKeeper keeper_;
     PlatformView platform_;
     PeerLinks peers_;
+    ShardMoves moves_;
     MonotonicTime shardsAt_;
     std::atomic<bool> mustVerify_ {
         false
     }; ///< A VM is gone: it may have held what this VM believes to hold.
-    std::map<ShardKey, MonotonicTime> orphans_; ///< Shards that this VM should own and nobody holds, since.
+    Orphans orphans_;
     std::atomic<std::uint16_t> framesPort_ { 0 }; ///< 0 until the server stands; peers are refused before.
     std::unique_ptr<FrameServer> frames_;
     std::unique_ptr<HttpServer> http_;
@@ -114,6 +107,8 @@
         , peers_(options.vm_, options.zone_,
               { [this] { return announcement(); }, [this] { return toJson(*platform_.config()).dump(); },
                   [this](const std::string& text) { configHandedOver(text); }, [this] { peersChanged(); } })
+        , moves_(options.vm_, options.zone_, homes_, peers_, requests_,
+              { [this] { return view(false).members_; }, [this] { return isDraining_.load(); } })
     {
         FrameHandlers handlers { [](const FrameLinkPtr&) {},
             [this](const FrameLinkPtr& link, Frame frame) { frameArrived(link, std::move(frame)); },
@@ -152,7 +147,7 @@
         platform_.tick();
         peers_.tick();
         lookAfterShards();
-        moveHeld();
+        moves_.tick();
         if (!isReady_ && platform_.isReady()) {
             isReady_ = true;
             broadcastView(true);
@@ -198,31 +193,24 @@
         broadcastView(false);
     }
 
-    // Two rounds: shards that two VMs believe to hold are read again, since one of them was overtaken; and
-    // programs of a shard that no VM holds are looked after without waiting for a request.
     void lookAfterShards()
     {
         auto now = monotonicNow();
         if (now < shardsAt_ || isDraining_ || !isReady_ || !platform_.standing().isInTouch_)
             return;
         shardsAt_ = now + shardsInterval;
-        bool verifiesAll = mustVerify_.exchange(false);
-        Members members = view(false).members_;
+        ShardStanding standing { options_.vm_, options_.zone_, view(false).members_ };
         for (std::uint32_t index = 0; index < shardsPerZone; ++index) {
-            ShardKey shard { options_.zone_, { index } };
-            bool isHeldElsewhere = peers_.holderOf(shard.index_).has_value();
-            if (homes_.isOwned(shard)) {
-                orphans_.erase(shard);
-                if (verifiesAll || isHeldElsewhere)
-                    homes_.verify(shard);
-                continue;
-            }
-            auto expected = expectedOwner(members, shard);
-            if (isHeldElsewhere || !expected || expected->vm_ != options_.vm_)
-                orphans_.erase(shard);
-            else if (now - orphans_.emplace(shard, now).first->second >= orphanPatience)
-                homes_.takeOver(shard);
+            if (homes_.isOwned({ options_.zone_, { index } }))
+                standing.owned_.insert({ index });
+            if (peers_.holderOf({ index }))
+                standing.heldElsewhere_.insert({ index });
         }
+        auto orders = fescue::lookAfterShards(orphans_, standing, mustVerify_.exchange(false), now);
+        for (const ShardKey& shard : orders.verify_)
+            homes_.verify(shard);
+        for (const ShardKey& shard : orders.takeOver_)
+            homes_.takeOver(shard);
     }
 
     // The platform's list lags: a VM that has just started may not be in it yet.
@@ -300,82 +288,6 @@
         }
     }
 
-    std::optional<VmId> holderElsewhere(const ShardKey& shard) const
-    {
-        return shard.zone_ == options_.zone_ ? peers_.holderOf(shard.index_) : std::nullopt;
-    }
-
-    // Whether the request was passed to the VM that the shard is expected at. A shard moves only while
-    // nothing of it is under way, unless this VM does not own it at all.
-    bool isMovedAway(const ShardKey& shard, RequestId request, bool isForced)
-    {
-        if (isForced && !isDraining_)
-            return false;
-        bool isOwned = homes_.isOwned(shard);
-        if (auto holder = isOwned || isForced ? std::nullopt : holderElsewhere(shard)) {
-            requests_.sendMoved(request, *holder);
-            return true;
-        }
-        auto expected = expectedOwner(view(false).members_, shard);
-        if (!expected)
-            return isDraining_ && refuseLast(request);
-        if (expected->vm_ == options_.vm_)
-            return false;
-        auto state = homes_.letGo(shard);
-        if (state == ShardHomes::LetGo::Settling || (state == ShardHomes::LetGo::Busy && isDraining_))
-            return hold({ request, shard, expected->vm_ });
-        if (state == ShardHomes::LetGo::Busy)
-            return false;
-        if (isOwned)
-            peers_.announceNow();
-        requests_.sendMoved(request, expected->vm_);
-        return true;
-    }
-
-    bool hold(HeldRequest held)
-    {
-        std::lock_guard<std::mutex> lock(heldMutex_);
-        held_.push_back(std::move(held));
-        return true;
-    }
-
-    // The last VM of a zone has nobody to hand its shards to. An earlier attempt of the call may have run.
-    bool refuseLast(RequestId request)
-    {
-        constexpr Milliseconds retryAfter { 1000 };
-        requests_.sendProblem(request,
-            { ProblemKind::ShuttingDown, RunState::Unknown,
-                "the last scheduler of the program's zone is shutting down; send the same call again later",
-                retryAfter });
-        return true;
-    }
-
-    void moveHeld()
-    {
-        if (isDraining_)
-            homes_.flushNow();
-        std::lock_guard<std::mutex> lock(heldMutex_);
-        std::vector<HeldRequest> later;
-        for (const HeldRequest& held : held_) {
-            if (homes_.letGo(held.shard_) == ShardHomes::LetGo::Gone)
-                requests_.sendMoved(held.request_, held.to_);
-            else
-                later.push_back(held);
-        }
-        bool hasMoved = later.size() < held_.size();
-        held_ = std::move(later);
-        if (hasMoved)
-            peers_.announceNow();
-    }
-
-    void refuseHeld()
-    {
-        std::lock_guard<std::mutex> lock(heldMutex_);
-        for (const HeldRequest& held : held_)
-            refuseLast(held.request_);
-        held_.clear();
-    }
-
     std::optional<ShardKey> placeOf(RequestId request, const RequestFrame& frame)
     {
         auto shard = shardOf(frame.program_);
@@ -385,7 +297,7 @@
                     std::nullopt });
             return std::nullopt;
         }
-        if (isMovedAway(*shard, request, frame.isForced_))
+        if (moves_.isMovedAway(*shard, request, frame.isForced_))
             return std::nullopt;
         return shard;
     }
@@ -535,7 +447,7 @@
         homes_.flushNow();
         while (monotonicNow() < deadline && !isQuiet())
             std::this_thread::sleep_for(tickInterval);
-        refuseHeld();
+        moves_.refuseHeld();
         while (monotonicNow() < deadline + tickInterval && !areLinksFlushed())
             std::this_thread::sleep_for(tickInterval);
         logEvent("drain_ended", { { "open_requests", std::to_string(requests_.size()) } });
