Answer refusals at once and say what they know of earlier attempts

Cause: an owner held `not-run` refusals of at-most-once calls until the log had confirmed its next batch, and turned them into `outcome-unknown` while the log was down. The holding was there since `not-run` claimed something of every attempt at every owner, which only the log can prove.

`not-run` now speaks of the request that it answers: not executed, and never will be. `Problem::mayHaveRunEarlier_` (`"earlier_attempts": "outcome-unknown"` in the document, absent otherwise) says that an earlier request of the same call may have run. An owner sets it in every at-most-once refusal that comes without a confirmed intent; a refusal after a confirmed intent leaves it unset. A call that is given up while it waits for its intent, one that waits when its owner is overtaken beyond a gap, one that meets a VM without ownership, and one for which a shard could not be taken over are told `not-run` with the fact, and when to come back. All of the holding is removed.

An owner that was overtaken and has not read so yet refuses a call that is in order as `call-out-of-order` from its old state. The held refusal was also a check of ownership, and was sent on to the new owner when that failed.

--- a/src/AdmitCall.cpp
+++ b/src/AdmitCall.cpp
@@ -25,6 +25,13 @@
         return refuse(call, ProblemKind::LogUnavailable, run, logDownDetail, logRetryAfter);
     }
 
+    // Nothing is known here of what the owner has run.
+    Problem notOwner()
+    {
+        return { ProblemKind::NotOwner, RunState::NotRun,
+            "this VM does not own the program's shard; send the call again", ownerRetryAfter, true };
+    }
+
     const FinishedCall* findFinished(const ActiveProgram& active, CallNumber number)
     {
         auto found = std::find_if(active.recent_.begin(), active.recent_.end(),
@@ -156,8 +163,7 @@
     Effects admit(Shard& shard, const Call& call, const ShardContext& context)
     {
         if (shard.epoch_.value_ == 0)
-            return refuse(call, ProblemKind::NotOwner, RunState::Unknown,
-                "this VM does not own the program's shard; send the call again", ownerRetryAfter);
+            return { ReplyProblem { { call.request_ }, notOwner() } };
         ActiveProgram* active = findActive(shard, call.program_, context);
         if (!active && !shard.ledger_.complete_)
             return refuse(call, ProblemKind::OutcomeUnknown, RunState::Unknown,
@@ -235,17 +241,12 @@
 Effects callArrived(Shard& shard, const Call& call, const ShardContext& context)
 {
     Effects effects = admit(shard, call, context);
-    if (call.kind_ != CallKind::AtMostOnceService || effects.size() != 1)
-        return effects;
-    auto* refusal = std::get_if<ReplyProblem>(&effects.front());
-    if (!refusal || refusal->problem_.run_ != RunState::NotRun)
-        return effects;
-    if (shard.isLogDown_) {
-        refusal->problem_.run_ = RunState::Unknown;
-        return effects;
-    }
-    shard.heldRefusals_.push_back({ call.request_, std::move(refusal->problem_), context.now_ });
-    return {};
+    for (Effect& effect : effects) {
+        auto* refusal = std::get_if<ReplyProblem>(&effect);
+        if (refusal && refusal->problem_.run_ == RunState::NotRun)
+            refusal->problem_.mayHaveRunEarlier_ |= call.kind_ == CallKind::AtMostOnceService;
+    }
+    return effects;
 }
 
 } // namespace fescue
--- a/src/AdmitCall.h
+++ b/src/AdmitCall.h
@@ -15,10 +15,9 @@
 /** Lets a call in, attaches it to the running one, answers it from what is stored, or refuses it.
  *
  * Precondition: `call.program_` belongs to this shard. Thread safety: none; the caller holds the lock of
- * the shard. A refusal is a `ReplyProblem`. For an at-most-once call its `not-run` is true of every attempt
- * at every owner: it is held until the log confirms the next batch of this epoch, and says
- * `outcome-unknown` when that does not come. For a call that may be repeated, `not-run` is true of the
- * attempts under this VM's epoch. */
+ * the shard. A refusal is a `ReplyProblem`, given at once. For an at-most-once call its `not-run` speaks of
+ * this request, and `mayHaveRunEarlier_` is set: only a confirmed intent shows that no other owner has run an
+ * earlier one. For a call that may be repeated, `not-run` is true of the attempts under this VM's epoch. */
 Effects callArrived(Shard& shard, const Call& call, const ShardContext& context);
 
 /** Answers a repeat from the batch that was read at `reply.offset_`; nothing when the log no longer has it.
--- a/src/Problem.cpp
+++ b/src/Problem.cpp
@@ -101,6 +101,8 @@
     };
     if (problem.retryAfter_)
         document["retry_after_ms"] = problem.retryAfter_->count();
+    if (problem.mayHaveRunEarlier_)
+        document["earlier_attempts"] = nameOf(RunState::Unknown);
     return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/src/Problem.h
+++ b/src/Problem.h
@@ -3,8 +3,9 @@
 /** \file
  * Problem: the typed error that a caller, an operator or another process gets.
  *
- * Every refusal is a problem document (RFC 9457). Besides the usual members it says whether the call
- * ran (`RunState`), since only then can a caller decide whether to send it again, and after what time.
+ * Every refusal is a problem document (RFC 9457). Besides the usual members it says whether the request
+ * ran (`RunState`) and whether an earlier request of the same call may have, since only then can a caller
+ * decide whether to send it again, and after what time.
  */
 
 #include "Types.h"
@@ -15,9 +16,9 @@
 
 namespace fescue {
 
-/** Whether the call that a problem speaks about was executed at a target. */
+/** Whether the request that a problem speaks about was executed at a target. */
 enum class RunState {
-    NotRun, ///< No byte of it reached a target, now or earlier.
+    NotRun, ///< No byte of this request reached a target, and none ever will; see `mayHaveRunEarlier_`.
     Unknown, ///< It may have run; it will not be run again by itself.
     Final, ///< It ran, and this is its outcome.
 };
@@ -60,6 +61,7 @@
     RunState run_ = RunState::NotRun;
     std::string detail_;
     std::optional<Milliseconds> retryAfter_;
+    bool mayHaveRunEarlier_ = false; ///< An earlier request of the same call may have run, here or elsewhere.
 };
 
 /** Stable name of a problem kind, as in `"type": "urn:fescue:call-out-of-order"`. Pure. */
--- a/src/ProgramLife.cpp
+++ b/src/ProgramLife.cpp
@@ -85,17 +85,17 @@
         record(shard, ProgramEnded { program, reason, unspent });
     }
 
-    // A call that waits for a record gives up. Without the log this VM cannot tell whether another one owns
-    // the shard by now and has run an at-most-once call on a later attempt. If its intent may still reach the
-    // log, the call stays as abandoned until the log tells, so that it can be withdrawn and is never sent.
+    // A call that waits for a record gives up. Without the log this VM cannot tell whether another one owned
+    // the shard and has run another attempt of an at-most-once call. If its intent may still reach the log,
+    // the call stays as abandoned until the log tells, so that it can be withdrawn and is never sent.
     void giveUpWaiting(ActiveProgram& active, Effects& effects)
     {
         RunningCall& running = *active.running_;
         bool isOnce = running.phase_ == RunningCall::Phase::AwaitsIntent;
-        Problem problem { ProblemKind::LogUnavailable, isOnce ? RunState::Unknown : running.ifRefused_,
+        Problem problem { ProblemKind::LogUnavailable, running.ifRefused_,
             "the log service has not confirmed the record that this call needs; it will not be sent, try "
             "again later",
-            logRetryAfter };
+            logRetryAfter, isOnce };
         effects.push_back(ReplyProblem { std::move(running.requests_), problem });
         running.requests_.clear();
         if (isOnce)
@@ -119,20 +119,6 @@
         left = {};
     }
 
-    void releaseHeld(std::vector<HeldRefusal>& held, const ShardContext& context, Effects& effects)
-    {
-        std::vector<HeldRefusal> patient;
-        for (HeldRefusal& refusal : held) {
-            if (context.now_ - refusal.since_ < context.limits_.confirmationPatience_) {
-                patient.push_back(std::move(refusal));
-                continue;
-            }
-            refusal.problem_.run_ = RunState::Unknown;
-            effects.push_back(ReplyProblem { { refusal.request_ }, std::move(refusal.problem_) });
-        }
-        held = std::move(patient);
-    }
-
     // Programs that nobody has called since this VM took the shard over are in the ledger only.
     void endUnused(Shard& shard, const ShardContext& context)
     {
@@ -258,8 +244,6 @@
 {
     Effects effects;
     constexpr Milliseconds creationPatience { 1000 };
-    releaseHeld(shard.heldRefusals_, context, effects);
-    releaseHeld(shard.inFlightRefusals_, context, effects);
     for (auto& [program, active] : shard.active_) {
         recordClosing(shard, active, context);
         if (hasWaitedTooLong(active, context))
--- a/src/Shard.h
+++ b/src/Shard.h
@@ -116,14 +116,6 @@
     MonotonicTime lastUse_;
 };
 
-/** A refusal of an at-most-once call. It waits until the log has shown that no other VM owned the shard and
- * may have run the call, and only then says that the call did not run. */
-struct HeldRefusal {
-    RequestId request_;
-    Problem problem_;
-    MonotonicTime since_;
-};
-
 /** An entry that was read before the reader knew the state that it belongs to. */
 struct GapEntry {
     LogOffset offset_;
@@ -148,8 +140,6 @@
     std::vector<RecordBody> outbox_; ///< Records for the next batches.
     ByteCount outboxBytes_;
     std::optional<Batch> inFlight_; ///< The batch that is being appended.
-    std::vector<HeldRefusal> heldRefusals_; ///< Those that the next batch proves.
-    std::vector<HeldRefusal> inFlightRefusals_; ///< Those that the batch in flight proves.
     Sequence nextSequence_ { 1 };
     std::optional<GapReader> gap_; ///< Set while the ledger waits for a snapshot.
     std::optional<LogOffset> snapshotAt_; ///< What this epoch's last snapshot covers.
--- a/src/ShardHome.cpp
+++ b/src/ShardHome.cpp
@@ -44,11 +44,11 @@
 
     Problem notTakenOver()
     {
-        return { ProblemKind::LogUnavailable, RunState::Unknown,
+        return { ProblemKind::LogUnavailable, RunState::NotRun,
             "this VM could not take the program's shard over because the log service does not answer; "
             "whether an "
             "earlier attempt of the call ran is not known here; send the same call again",
-            ownerRetryAfter };
+            ownerRetryAfter, true };
     }
 
 } // namespace
@@ -344,8 +344,7 @@
     HomePtr home = impl_->homeOf(shard);
     std::lock_guard<std::mutex> lock(home->mutex_);
     const Shard& state = home->shard_;
-    bool isQuiet = state.outbox_.empty() && !state.inFlight_ && home->waiting_.empty()
-        && state.heldRefusals_.empty() && state.inFlightRefusals_.empty();
+    bool isQuiet = state.outbox_.empty() && !state.inFlight_ && home->waiting_.empty();
     for (const auto& [program, active] : state.active_)
         isQuiet = isQuiet && !active.running_;
     return isQuiet;
@@ -415,8 +414,8 @@
         row.programs_ = shard.ledger_.programs_.size() - shard.ledger_.ended_.size();
         for (const auto& [program, active] : shard.active_)
             row.running_ += active.running_ ? 1 : 0;
-        row.unconfirmed_ = shard.outbox_.size() + shard.heldRefusals_.size()
-            + (shard.inFlight_ ? 1 + shard.inFlight_->records_.size() : 0);
+        row.unconfirmed_
+            = shard.outbox_.size() + (shard.inFlight_ ? 1 + shard.inFlight_->records_.size() : 0);
         row.isLogDown_ = shard.isLogDown_;
         rows.push_back(std::move(row));
     }
--- a/src/ShardLog.cpp
+++ b/src/ShardLog.cpp
@@ -102,11 +102,18 @@
 
     template <typename Other> Effects confirmed(Shard&, const Other&, const ShardContext&) { return {}; }
 
-    // The new owner may have run a later attempt of the same call by now, so this never says `not-run`.
-    Problem lostOwnership()
+    // The record of a creation may have reached the log.
+    Problem lostCreation()
     {
         return { ProblemKind::NotOwner, RunState::Unknown,
-            "the program's home moved to another VM; send the call again", ownerRetryAfter };
+            "the program's home moved to another VM; send the request again", ownerRetryAfter };
+    }
+
+    // The new owner may have run an attempt of the same call by now.
+    Problem lostOwnership()
+    {
+        return { ProblemKind::NotOwner, RunState::NotRun,
+            "the program's home moved to another VM; send the call again", ownerRetryAfter, true };
     }
 
     // What waits here was not executed here, so the new owner decides on it as on any repeat. Beyond a gap
@@ -122,7 +129,7 @@
     void dropActive(const ProgramId&, ActiveProgram& active, Shard& shard, Effects& effects)
     {
         if (!active.awaitsCreation_.empty())
-            effects.push_back(ReplyProblem { active.awaitsCreation_, lostOwnership() });
+            effects.push_back(ReplyProblem { active.awaitsCreation_, lostCreation() });
         if (!active.running_)
             return;
         if (active.running_->phase_ == RunningCall::Phase::Executing)
@@ -131,13 +138,6 @@
             effects.push_back(sendOn(shard, active.running_->requests_));
     }
 
-    void dropHeld(const Shard& shard, std::vector<HeldRefusal>& held, Effects& effects)
-    {
-        for (const HeldRefusal& refusal : held)
-            effects.push_back(sendOn(shard, { refusal.request_ }));
-        held.clear();
-    }
-
     bool isSameBatch(const Batch& a, const Batch& b)
     {
         return a.writer_ == b.writer_ && a.sequence_ == b.sequence_;
@@ -165,9 +165,6 @@
         for (const RecordBody& body : batch.records_) {
             std::visit([&](const auto& record) { append(effects, confirmed(shard, record, context)); }, body);
         }
-        for (HeldRefusal& refusal : shard.inFlightRefusals_)
-            effects.push_back(ReplyProblem { { refusal.request_ }, std::move(refusal.problem_) });
-        shard.inFlightRefusals_.clear();
         return effects;
     }
 
@@ -206,8 +203,6 @@
     Effects effects;
     for (auto& [program, active] : shard.active_)
         dropActive(program, active, shard, effects);
-    dropHeld(shard, shard.heldRefusals_, effects);
-    dropHeld(shard, shard.inFlightRefusals_, effects);
     shard.active_.clear();
     shard.resting_.clear();
     shard.outbox_.clear();
@@ -232,11 +227,9 @@
 {
     if (shard.inFlight_)
         return shard.inFlight_;
-    if ((shard.outbox_.empty() && shard.heldRefusals_.empty()) || shard.epoch_.value_ == 0)
+    if (shard.outbox_.empty() || shard.epoch_.value_ == 0)
         return std::nullopt;
     shard.inFlight_ = Batch { writer, shard.nextSequence_, shard.epoch_, takeRecords(shard, mostBytes) };
-    shard.inFlightRefusals_ = std::move(shard.heldRefusals_);
-    shard.heldRefusals_.clear();
     shard.nextSequence_ += Sequence { 1 };
     shard.isUrgent_ = !shard.outbox_.empty();
     return shard.inFlight_;
--- a/src/ShardLog.h
+++ b/src/ShardLog.h
@@ -15,8 +15,8 @@
 
 /** The batch to append next, or nothing when none is due. While one is in flight it is returned again.
  *
- * A batch ends with the record that reaches `mostBytes`; one without records proves that the epoch still
- * holds, for refusals that wait for this. Thread safety: none; the caller holds the lock of the shard. */
+ * A batch ends with the record that reaches `mostBytes`. Thread safety: none; the caller holds the lock of
+ * the shard. */
 std::optional<Batch> takeBatch(
     Shard& shard, const WriterId& writer, ByteCount mostBytes = ShardLimits {}.batchBytes_);
 
--- a/test/error/BadRequests.cpp
+++ b/test/error/BadRequests.cpp
@@ -43,6 +43,9 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE(shown, "urn:fescue:" + kind, document.value("type", ""));
     CPPUNIT_ASSERT_EQUAL_MESSAGE(shown, runState, document.value("run_state", ""));
     CPPUNIT_ASSERT_EQUAL_MESSAGE(shown, runState, answer.header("fescue-run-state"));
+    bool isOfItsOwner = kind == "call-out-of-order" || kind == "call-key-reused";
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        shown, std::string(isOfItsOwner ? "outcome-unknown" : ""), document.value("earlier_attempts", ""));
     CPPUNIT_ASSERT_MESSAGE(shown, !document.value("detail", "").empty());
     bool mayRepeat = document.contains("retry_after_ms");
     CPPUNIT_ASSERT_EQUAL_MESSAGE(shown, mayRepeat, !answer.header("retry-after").empty());
