Record the outcome of an at-most-once call without waiting for the flush interval

Cause: the outcome waited for the flush interval, and a kill in that time lost it. Nobody runs the call again, so its repeats got `outcome-unknown` from then on.

The outcome makes its batch urgent. outcomeOfAnAtMostOnceCallIsUrgent checks this for answered and unknown outcomes, that the next owner answers a repeat from the record, and that repeatable calls still wait. Seen red without the line: "Expression: a_.shard_.isUrgent_".

--- a/src/FinishCall.cpp
+++ b/src/FinishCall.cpp
@@ -39,6 +39,8 @@
         if (active.recent_.size() > recentCallsKept)
             active.recent_.pop_front();
         record(shard, std::move(finished));
+        // Only the log can repeat the answer of a call that is not run again.
+        shard.isUrgent_ = shard.isUrgent_ || call.kind_ == CallKind::AtMostOnceService;
     }
 
     ReplyProblem refusalOf(RunningCall& running, Problem problem)
--- a/src/Shard.h
+++ b/src/Shard.h
@@ -144,7 +144,7 @@
     std::optional<GapReader> gap_; ///< Set while the ledger waits for a snapshot.
     std::optional<LogOffset> snapshotAt_; ///< What this epoch's last snapshot covers.
     MonotonicTime snapshotTime_;
-    bool isUrgent_ = false; ///< A call waits for the next batch.
+    bool isUrgent_ = false; ///< A call waits for the next batch, or it holds what must not be lost.
     bool isLogDown_ = false; ///< The last append got no answer.
 };
 
--- a/test/correctness/ShardRefusals.cpp
+++ b/test/correctness/ShardRefusals.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(repeatableCallThatFailedIsNotToldAsNotRun);
     CPPUNIT_TEST(refusalIsGivenAtOnceAndLeavesEarlierAttemptsOpen);
     CPPUNIT_TEST(logOutageRefusesAtOnceAndTellsWhenToComeBack);
+    CPPUNIT_TEST(outcomeOfAnAtMostOnceCallIsUrgent);
     CPPUNIT_TEST(problemDocumentTellsOfEarlierAttempts);
     CPPUNIT_TEST(waitingRequestsMoveToTheNewOwner);
     CPPUNIT_TEST(everyCallerOfACallWithoutBudgetIsAnswered);
@@ -33,6 +34,7 @@
     void repeatableCallThatFailedIsNotToldAsNotRun();
     void refusalIsGivenAtOnceAndLeavesEarlierAttemptsOpen();
     void logOutageRefusesAtOnceAndTellsWhenToComeBack();
+    void outcomeOfAnAtMostOnceCallIsUrgent();
     void problemDocumentTellsOfEarlierAttempts();
     void waitingRequestsMoveToTheNewOwner();
     void everyCallerOfACallWithoutBudgetIsAnswered();
@@ -97,6 +99,29 @@
     CHECK(ShardBench::find<ExecuteCall>(bench_.flush(a_)));
 }
 
+// A kill before the next batch would lose the answer, and nobody runs the call again.
+void ShardRefusals::outcomeOfAnAtMostOnceCallIsUrgent()
+{
+    bench_.executed(a_, bench_.call(a_, "p", 1, CallKind::RepeatableService), Kind::Answered);
+    bench_.flush(a_);
+    std::uint32_t number = 2;
+    for (Kind kind : { Kind::Answered, Kind::Unknown }) {
+        bench_.call(a_, "p", number);
+        auto effects = bench_.flush(a_);
+        CHECK(!a_.shard_.isUrgent_);
+        bench_.executed(a_, effects, kind);
+        CHECK(a_.shard_.isUrgent_);
+        bench_.land(a_);
+        bench_.claim(b_);
+        auto repeat = bench_.call(b_, "p", number++);
+        CHECK_EQUAL(std::string("done"), ShardBench::need<ReplyOutcome>(repeat).outcome_.body_);
+        bench_.claim(a_);
+        bench_.read(b_);
+    }
+    bench_.executed(a_, bench_.call(a_, "p", number, CallKind::RepeatableService), Kind::Answered);
+    CHECK(!a_.shard_.isUrgent_);
+}
+
 void ShardRefusals::problemDocumentTellsOfEarlierAttempts()
 {
     Problem problem { ProblemKind::CallOutOfOrder, RunState::NotRun, "detail", std::nullopt };
--- a/test/failure/ShardRetention.cpp
+++ b/test/failure/ShardRetention.cpp
@@ -36,10 +36,10 @@
     return json::parse(page["entries"].back()["data"].get<std::string>())["records"];
 }
 
-bool holdsOutcome(Cluster& cluster, const std::string& program)
+bool holdsKind(Cluster& cluster, const std::string& program, const std::string& kind)
 {
     for (const json& record : newestRecords(cluster, program)) {
-        if (record["kind"] == "finished")
+        if (record["kind"] == kind)
             return true;
     }
     return false;
@@ -72,14 +72,16 @@
 void ShardRetention::nextOwnerBeyondTheRetentionGoesOnFromTheSnapshot()
 {
     ClusterOptions options;
-    options.logFlags_ = { "--retention=2" };
+    options.logFlags_ = { "--retention=3" };
     options.schedulerFlags_ = { "--config_snapshot_ms=200" };
     Cluster cluster(options);
     std::string program = cluster.createProgram(0);
+    waitUntil("the first snapshot is written", [&] { return holdsKind(cluster, program, "snapshot"); });
     Answer paid = cluster.serviceCall(0, program, 1, "/payouts", "{}");
     CHECK_EQUAL(200, paid.status());
-    waitUntil("the outcome is durable", [&] { return holdsOutcome(cluster, program); });
-    // The first owner wrote its snapshot before the call; its successor writes one that holds it.
+    waitUntil("the outcome is durable", [&] { return holdsKind(cluster, program, "finished"); });
+    // The log keeps the first snapshot, the intent and the outcome; the successor writes a snapshot that
+    // holds them.
     replaceVm(cluster, "zone-a-second");
     CHECK_EQUAL(paid.http_.body_, cluster.serviceCall(1, program, 1, "/payouts", "{}").http_.body_);
     waitUntil("the snapshot is written", [&] { return holdsSnapshot(cluster, program); });
