--- a/src/CallRunner.h
+++ b/src/CallRunner.h
@@ -37,11 +37,14 @@
 class CallRunner {
 public:
     using OnResult = std::function<void(const ProgramId&, ExecutionId, const ExecutionResult&)>;
+    /** Reserves a further attempt of a model call; see `reserveAnotherAttempt`. */
+    using Reserve = std::function<bool(const ProgramId&, ExecutionId)>;
     using Post = std::function<void(std::function<void()>)>;
 
-    /** `onResult` is called on a thread that holds no lock; `post` runs a task on such a thread. */
+    /** `onResult` and `reserve` are called on a thread that holds no lock; `post` runs a task on such a
+     * thread. */
     CallRunner(const CallRunnerOptions& options, HttpClient& client, RequestTable& requests, Post post,
-        OnResult onResult);
+        OnResult onResult, Reserve reserve);
     ~CallRunner();
 
     void setManifest(const Manifest& manifest);
@@ -51,8 +54,8 @@
     /** Lets a further caller see the output of a program's running call, from its start. */
     void attach(const ProgramId& program, RequestId request);
     void cancel(const ProgramId& program, ExecutionId execution);
-    /** Orders the engines to free what they hold for a program that has ended. */
-    void releaseCache(const ProgramId& program, Epoch epoch);
+    /** Forgets where a program that has ended ran. */
+    void forget(const ProgramId& program);
     /** Sends what can be sent now; to be called at a steady pace. */
     void tick();
     PoolLoad load() const;
--- a/src/FrameLink.cpp
+++ b/src/FrameLink.cpp
@@ -35,11 +35,25 @@
             auto connection = connection_.lock();
             if (isClosed_ || !connection)
                 return false;
-            asio::post(*connection->get_strand(),
-                [self = this->shared_from_this(), bytes = toCbor(frame)] { self->write(bytes); });
+            ++posted_;
+            asio::post(*connection->get_strand(), [self = this->shared_from_this(), bytes = toCbor(frame)] {
+                self->write(bytes);
+                self->countBacklog();
+                --self->posted_;
+            });
             return true;
         }
 
+        bool isFlushed() override
+        {
+            auto connection = connection_.lock();
+            if (!connection)
+                return true;
+            asio::post(
+                *connection->get_strand(), [self = this->shared_from_this()] { self->countBacklog(); });
+            return posted_ == 0 && backlog_ == 0;
+        }
+
         void close() override
         {
             isClosed_ = true;
@@ -59,11 +73,19 @@
                 close();
         }
 
+        void countBacklog()
+        {
+            auto connection = connection_.lock();
+            backlog_ = connection ? connection->get_buffered_amount() : 0;
+        }
+
         // The endpoint's pending operations own the connection: its socket must not outlive the endpoint,
         // and links are kept by others for as long as they like.
         std::weak_ptr<typename Endpoint::connection_type> connection_;
         ByteCount maxBacklog_;
         std::atomic<bool> isClosed_ { false };
+        std::atomic<std::size_t> posted_ { 0 }; ///< Frames on their way to the strand.
+        std::atomic<std::size_t> backlog_ { 0 }; ///< Bytes not yet written, as last counted.
     };
 
     // The links of one endpoint, by websocketpp's handle.
@@ -146,6 +168,7 @@
             endpoint_.stop();
             for (std::thread& thread : threads_)
                 thread.join();
+            threads_.clear();
         }
     };
 
@@ -170,7 +193,9 @@
     impl_->start(threads);
 }
 
-FrameServer::~FrameServer() { impl_->stop(); }
+FrameServer::~FrameServer() { stop(); }
+
+void FrameServer::stop() { impl_->stop(); }
 
 std::uint16_t FrameServer::port() const
 {
--- a/src/FrameLink.h
+++ b/src/FrameLink.h
@@ -22,6 +22,8 @@
     /** Queues a frame. Returns false when the link is known to be closed; a link whose backlog has grown too
      * large is closed, and `onClosed_` tells. */
     virtual bool send(const Frame& frame) = 0;
+    /** Whether all queued frames have been handed to the network. */
+    virtual bool isFlushed() = 0;
     /** Closes the link; its `onClosed_` still comes. */
     virtual void close() = 0;
 };
@@ -53,6 +55,9 @@
 
     /** The port that is bound. Safe from any thread. */
     std::uint16_t port() const;
+    /** Ends the threads; no callback comes any more, and what is sent over links goes nowhere. Safe to call
+     * twice, not from a callback. */
+    void stop();
 
 private:
     struct Impl;
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -1,6 +1,7 @@
 #include "Scheduler.h"
 
 #include "AdmitCall.h"
+#include "CacheKeeper.h"
 #include "CallRunner.h"
 #include "EventLog.h"
 #include "FinishCall.h"
@@ -12,6 +13,8 @@
 #include "ProgramDocument.h"
 #include "RecordEvents.h"
 #include "SchedulerStatus.h"
+#include "ShardCare.h"
+#include "ShardMoves.h"
 #include "WorkQueue.h"
 
 #include <nlohmann/json.hpp>
@@ -24,7 +27,6 @@
 
     constexpr Milliseconds tickInterval { 20 };
     constexpr Milliseconds shardsInterval { 500 };
-    constexpr Milliseconds orphanPatience { 1500 }; ///< Until the peers have told what they hold.
 
     template <class... Ts> struct Overloaded : Ts... {
         using Ts::operator()...;
@@ -73,13 +75,15 @@
     std::unique_ptr<HttpClient> client_ = std::make_unique<HttpClient>();
     CallRunner runner_;
     ShardHomes homes_;
+    CacheKeeper keeper_;
     PlatformView platform_;
     PeerLinks peers_;
+    ShardMoves moves_;
     MonotonicTime shardsAt_;
     std::atomic<bool> mustVerify_ {
         false
     }; ///< A VM is gone: it may have held what this VM believes to hold.
-    std::map<ShardKey, MonotonicTime> orphans_; ///< Shards that this VM should own and nobody holds, since.
+    Orphans orphans_;
     std::atomic<std::uint16_t> framesPort_ { 0 }; ///< 0 until the server stands; peers are refused before.
     std::unique_ptr<FrameServer> frames_;
     std::unique_ptr<HttpServer> http_;
@@ -93,15 +97,19 @@
               [this](std::function<void()> task) { work_.post(std::move(task)); },
               [this](const ProgramId& program, ExecutionId id, const ExecutionResult& result) {
                   executed(program, id, result);
-              })
+              },
+              [this](const ProgramId& program, ExecutionId id) { return isReserved(program, id); })
         , homes_(homesOf(options, writer_), *client_,
               [this](const ShardKey& shard, const Effect& effect) { carryOut(shard, effect); })
+        , keeper_({ options.zone_, options.cacheCheckInterval_ }, *client_, homes_)
         , platform_(platformOf(options), *client_,
               { [this](const Config& config) { configChanged(config); },
                   [this](const Members& members) { membersListed(members); } })
         , peers_(options.vm_, options.zone_,
-              { [this] { return announcement(); }, [this] { return toJson(platform_.config()).dump(); },
+              { [this] { return announcement(); }, [this] { return toJson(*platform_.config()).dump(); },
                   [this](const std::string& text) { configHandedOver(text); }, [this] { peersChanged(); } })
+        , moves_(options.vm_, options.zone_, homes_, peers_, requests_,
+              { [this] { return view(false).members_; }, [this] { return isDraining_.load(); } })
     {
         FrameHandlers handlers { [](const FrameLinkPtr&) {},
             [this](const FrameLinkPtr& link, Frame frame) { frameArrived(link, std::move(frame)); },
@@ -121,13 +129,14 @@
         work_.every(tickInterval, [this] { tick(); });
     }
 
-    // The order of ending: no more ticks that send over links, nothing new arrives, nothing is under way,
-    // then the parts go.
+    // The order of ending: nothing ticks, nothing new arrives, nothing is under way, then the parts go. What
+    // is under way ends with answers over links, which must still be there.
     ~Impl()
     {
         http_.reset();
         work_.stop();
-        frames_.reset();
+        frames_->stop();
+        peers_.stop();
         client_.reset();
     }
 
@@ -135,9 +144,11 @@
     {
         homes_.tick();
         runner_.tick();
+        keeper_.tick();
         platform_.tick();
         peers_.tick();
         lookAfterShards();
+        moves_.tick();
         if (!isReady_ && platform_.isReady()) {
             isReady_ = true;
             broadcastView(true);
@@ -147,6 +158,7 @@
     void configChanged(const Config& config)
     {
         runner_.setManifest(config.manifest_);
+        keeper_.setManifest(config.manifest_);
         broadcastView(platform_.isReady());
     }
 
@@ -182,31 +194,24 @@
         broadcastView(false);
     }
 
-    // Two rounds: shards that two VMs believe to hold are read again, since one of them was overtaken; and
-    // programs of a shard that no VM holds are looked after without waiting for a request.
     void lookAfterShards()
     {
         auto now = monotonicNow();
         if (now < shardsAt_ || isDraining_ || !isReady_ || !platform_.standing().isInTouch_)
             return;
         shardsAt_ = now + shardsInterval;
-        bool verifiesAll = mustVerify_.exchange(false);
-        Members members = view(false).members_;
+        ShardStanding standing { options_.vm_, options_.zone_, view(false).members_ };
         for (std::uint32_t index = 0; index < shardsPerZone; ++index) {
-            ShardKey shard { options_.zone_, { index } };
-            bool isHeldElsewhere = peers_.holderOf(shard.index_).has_value();
-            if (homes_.isOwned(shard)) {
-                orphans_.erase(shard);
-                if (verifiesAll || isHeldElsewhere)
-                    homes_.verify(shard);
-                continue;
-            }
-            auto expected = expectedOwner(members, shard);
-            if (isHeldElsewhere || !expected || expected->vm_ != options_.vm_)
-                orphans_.erase(shard);
-            else if (now - orphans_.emplace(shard, now).first->second >= orphanPatience)
-                homes_.takeOver(shard);
+            if (homes_.isOwned({ options_.zone_, { index } }))
+                standing.owned_.insert({ index });
+            if (peers_.holderOf({ index }))
+                standing.heldElsewhere_.insert({ index });
         }
+        auto orders = fescue::lookAfterShards(orphans_, standing, mustVerify_.exchange(false), now);
+        for (const ShardKey& shard : orders.verify_)
+            homes_.verify(shard);
+        for (const ShardKey& shard : orders.takeOver_)
+            homes_.takeOver(shard);
     }
 
     // The platform's list lags: a VM that has just started may not be in it yet.
@@ -227,7 +232,7 @@
                 member.isLeaving_ = member.isLeaving_ || isDraining_;
         }
         if (withConfig)
-            frame.config_ = toJson(platform_.config()).dump();
+            frame.config_ = toJson(*platform_.config()).dump();
         return frame;
     }
 
@@ -246,7 +251,7 @@
             std::lock_guard<std::mutex> lock(linksMutex_);
             links_.insert(link);
         }
-        link->send(view(platform_.isReady() && platform_.config().version_ > frame.have_));
+        link->send(view(platform_.isReady() && platform_.config()->version_ > frame.have_));
     }
 
     void linkClosed(const FrameLinkPtr& link)
@@ -284,32 +289,6 @@
         }
     }
 
-    std::optional<VmId> holderElsewhere(const ShardKey& shard) const
-    {
-        return shard.zone_ == options_.zone_ ? peers_.holderOf(shard.index_) : std::nullopt;
-    }
-
-    // Whether the request was passed to the VM that the shard is expected at. A shard moves only while
-    // nothing of it is under way, unless this VM does not own it at all.
-    bool isMovedAway(const ShardKey& shard, RequestId request, bool isForced)
-    {
-        if (isForced && !isDraining_)
-            return false;
-        bool isOwned = homes_.isOwned(shard);
-        if (auto holder = isOwned || isForced ? std::nullopt : holderElsewhere(shard)) {
-            requests_.sendMoved(request, *holder);
-            return true;
-        }
-        auto expected = expectedOwner(view(false).members_, shard);
-        if (!expected || expected->vm_ == options_.vm_)
-            return false;
-        if (isOwned && !homes_.isIdle(shard))
-            return false;
-        homes_.handOver(shard);
-        requests_.sendMoved(request, expected->vm_);
-        return true;
-    }
-
     std::optional<ShardKey> placeOf(RequestId request, const RequestFrame& frame)
     {
         auto shard = shardOf(frame.program_);
@@ -319,14 +298,14 @@
                     std::nullopt });
             return std::nullopt;
         }
-        if (isMovedAway(*shard, request, frame.isForced_))
+        if (moves_.isMovedAway(*shard, request, frame.isForced_))
             return std::nullopt;
         return shard;
     }
 
     void callCame(const FrameLinkPtr& link, RequestFrame frame)
     {
-        auto parsed = parseCall(frame, platform_.config().manifest_);
+        auto parsed = parseCall(frame, platform_.config()->manifest_);
         RequestId request = requests_.add(link, frame, parsed && parsed->wantsStream_);
         if (!parsed)
             return requests_.sendProblem(request, parsed.error());
@@ -357,7 +336,7 @@
                     return endProgram(
                         state, { request, frame.workspace_, frame.program_, "ended by its caller" }, context);
                 });
-        auto create = parseCreation(frame, platform_.config().manifest_);
+        auto create = parseCreation(frame, platform_.config()->manifest_);
         if (!create)
             return requests_.sendProblem(request, create.error());
         create->request_ = request;
@@ -400,35 +379,48 @@
         });
     }
 
+    bool isReserved(const ProgramId& program, ExecutionId id)
+    {
+        bool isReserved = false;
+        if (auto shard = shardOf(program))
+            homes_.report(*shard, [&](Shard& state, const ShardContext&) -> Effects {
+                isReserved = reserveAnotherAttempt(state, program, id);
+                return {};
+            });
+        return isReserved;
+    }
+
     void carryOut(const ShardKey& shard, const Effect& effect)
     {
         logEffect(shard, effect);
-        std::visit(
-            Overloaded {
-                [&](const ReplyProblem& reply) {
-                    for (RequestId request : reply.requests_)
-                        requests_.sendProblem(request, reply.problem_);
-                },
-                [&](const ReplyOutcome& reply) {
-                    for (RequestId request : reply.requests_)
-                        requests_.sendOutcome(request, reply.outcome_, reply.durableCall_);
-                },
-                [&](const ReplyMoved& reply) {
-                    for (RequestId request : reply.requests_)
-                        requests_.sendMoved(request, reply.to_);
-                },
-                [](const ReplyFromLog&) { /* ShardHomes answers it from the log. */ },
-                [&](const ReplyProgram& reply) {
-                    requests_.sendDocument(reply.request_, 200,
-                        nlohmann::json {
-                            { "program", reply.program_.value_ }, { "durable", reply.isDurable_ } }
-                            .dump());
-                },
-                [&](const AttachRequest& attach) { runner_.attach(attach.program_, attach.request_); },
-                [&](const ExecuteCall& execute) { runner_.run(execute); },
-                [&](const CancelCall& cancel) { runner_.cancel(cancel.program_, cancel.execution_); },
-                [&](const ReleaseCache& release) { runner_.releaseCache(release.program_, release.epoch_); },
-            },
+        std::visit(Overloaded {
+                       [&](const ReplyProblem& reply) {
+                           for (RequestId request : reply.requests_)
+                               requests_.sendProblem(request, reply.problem_);
+                       },
+                       [&](const ReplyOutcome& reply) {
+                           for (RequestId request : reply.requests_)
+                               requests_.sendOutcome(request, reply.outcome_, reply.durableCall_);
+                       },
+                       [&](const ReplyMoved& reply) {
+                           for (RequestId request : reply.requests_)
+                               requests_.sendMoved(request, reply.to_);
+                       },
+                       [](const ReplyFromLog&) { /* ShardHomes answers it from the log. */ },
+                       [&](const ReplyProgram& reply) {
+                           requests_.sendDocument(reply.request_, 200,
+                               nlohmann::json {
+                                   { "program", reply.program_.value_ }, { "durable", reply.isDurable_ } }
+                                   .dump());
+                       },
+                       [&](const AttachRequest& attach) { runner_.attach(attach.program_, attach.request_); },
+                       [&](const ExecuteCall& execute) { runner_.run(execute); },
+                       [&](const CancelCall& cancel) { runner_.cancel(cancel.program_, cancel.execution_); },
+                       [&](const ReleaseCache& release) {
+                           runner_.forget(release.program_);
+                           keeper_.release(release.program_, release.epoch_);
+                       },
+                   },
             effect);
     }
 
@@ -453,7 +445,7 @@
     SchedulerState state()
     {
         return { options_.vm_, options_.zone_, homes_.status(), runner_.load(), requests_.size(),
-            platform_.isReady(), isDraining_, platform_.config(), platform_.standing(),
+            platform_.isReady(), isDraining_, *platform_.config(), platform_.standing(),
             view(false).members_ };
     }
 
@@ -467,14 +459,24 @@
         homes_.flushNow();
         while (monotonicNow() < deadline && !isQuiet())
             std::this_thread::sleep_for(tickInterval);
+        moves_.refuseHeld();
+        while (monotonicNow() < deadline + tickInterval && !areLinksFlushed())
+            std::this_thread::sleep_for(tickInterval);
         logEvent("drain_ended", { { "open_requests", std::to_string(requests_.size()) } });
     }
 
+    bool areLinksFlushed()
+    {
+        std::lock_guard<std::mutex> lock(linksMutex_);
+        return std::all_of(
+            links_.begin(), links_.end(), [](const FrameLinkPtr& link) { return link->isFlushed(); });
+    }
+
     bool isQuiet()
     {
         if (requests_.size() > 0 || runner_.size() > 0)
             return false;
-        homes_.handOverAll();
+        homes_.flushNow();
         for (const ShardStatus& row : homes_.status()) {
             if (row.unconfirmed_ > 0 && !row.isLogDown_)
                 return false;
--- a/src/ShardLog.cpp
+++ b/src/ShardLog.cpp
@@ -143,14 +143,15 @@
         return a.writer_ == b.writer_ && a.sequence_ == b.sequence_;
     }
 
-    // Programs with an open intent are loaded at once, so that the time in which the earlier owner may still
-    // send counts from the claim and not from the program's next call.
+    // Programs are loaded at once: the time in which the earlier owner may still send an open intent counts
+    // from the claim and not from the program's next call, and a program that nobody uses any more is ended
+    // after its idle time by whoever owns it.
     void becomeOwner(Shard& shard, const ShardContext& context)
     {
         shard.epoch_ = shard.ledger_.epoch_;
         shard.ownedSince_ = context.now_;
         for (const auto& [program, state] : shard.ledger_.programs_) {
-            if (state.intent_ && !state.ended_)
+            if (!state.ended_)
                 findActive(shard, program, context);
         }
     }
