Read the log before deciding on what an owner does not know

Cause: an owner that was overtaken without word of the claim refused calls that were in order (409 call-out-of-order, 404 unknown-program) from its old state; seen in RollingReplacement and in AtMostOnce (refusalOfAPausedOwnerWithoutTheLogIsTrue's first refusal). Excluded: shards handed over by their owner itself. A call beyond the known history, or of an unknown program, is now decided after a read that begins after it came; while the log is down it is decided at once.

--- a/src/AdmitCall.cpp
+++ b/src/AdmitCall.cpp
@@ -250,4 +250,13 @@
     return effects;
 }
 
+bool isBeyondKnown(const Shard& shard, const ProgramId& program, CallNumber number)
+{
+    auto active = shard.active_.find(program);
+    if (active != shard.active_.end())
+        return number.value_ > active->second.lastCall_.value_ + 1;
+    auto known = shard.ledger_.programs_.find(program);
+    return known == shard.ledger_.programs_.end() || number.value_ > known->second.lastCall_.value_ + 1;
+}
+
 } // namespace fescue
--- a/src/AdmitCall.h
+++ b/src/AdmitCall.h
@@ -24,6 +24,13 @@
  * Pure. */
 Effects answerFromLog(const ReplyFromLog& reply, const std::optional<Batch>& batch);
 
+/** Whether a caller speaks of something that this owner has not seen: a program that it does not know, or a
+ * call beyond the program's next one. Then another VM may have taken the shard over, and the log is read
+ * before anything is decided.
+ *
+ * Pure; the caller holds the lock of the shard. `number` is 0 when no call is meant. */
+bool isBeyondKnown(const Shard& shard, const ProgramId& program, CallNumber number);
+
 /** Starts a waiting call whose tranche has come, or asks for the next one. Called by ShardLog. */
 Effects startWhenFunded(
     Shard& shard, const ProgramId& program, ActiveProgram& active, const ShardContext& context);
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -314,9 +314,11 @@
         if (call.program_.empty())
             return runner_.runLoose(call);
         if (auto shard = placeOf(request, frame))
-            homes_.submit(*shard, request, [call](Shard& state, const ShardContext& context) {
-                return callArrived(state, call, context);
-            });
+            homes_.submit(
+                *shard, request,
+                [call](
+                    Shard& state, const ShardContext& context) { return callArrived(state, call, context); },
+                [call](const Shard& state) { return isBeyondKnown(state, call.program_, call.number_); });
     }
 
     void programCame(const FrameLinkPtr& link, RequestFrame frame)
@@ -325,24 +327,32 @@
         auto shard = placeOf(request, frame);
         if (!shard)
             return;
+        auto isUnknown
+            = [program = frame.program_](const Shard& state) { return isBeyondKnown(state, program, {}); };
         if (frame.operation_ == Operation::ShowProgram)
             return homes_.submit(
-                *shard, request, [this, request, frame](Shard& state, const ShardContext& context) {
+                *shard, request,
+                [this, request, frame](Shard& state, const ShardContext& context) {
                     return showProgram(state, request, frame, context);
-                });
+                },
+                isUnknown);
         if (frame.operation_ == Operation::EndProgram)
             return homes_.submit(
-                *shard, request, [request, frame](Shard& state, const ShardContext& context) {
+                *shard, request,
+                [request, frame](Shard& state, const ShardContext& context) {
                     return endProgram(
                         state, { request, frame.workspace_, frame.program_, "ended by its caller" }, context);
-                });
+                },
+                isUnknown);
         auto create = parseCreation(frame, platform_.config()->manifest_);
         if (!create)
             return requests_.sendProblem(request, create.error());
         create->request_ = request;
-        homes_.submit(*shard, request, [create = *create](Shard& state, const ShardContext& context) {
-            return createProgram(state, create, context);
-        });
+        homes_.submit(
+            *shard, request,
+            [create = *create](
+                Shard& state, const ShardContext& context) { return createProgram(state, create, context); },
+            nullptr);
     }
 
     Effects showProgram(
--- a/src/ShardHome.cpp
+++ b/src/ShardHome.cpp
@@ -19,7 +19,7 @@
     constexpr Milliseconds ownerRetryAfter { 1000 };
     constexpr Milliseconds forgetAfter { 60000 };
 
-    // A request that waits until this VM owns the shard.
+    // A request that waits until this VM owns the shard, or has looked whether it still does.
     struct Waiting {
         RequestId request_;
         ShardHomes::Decision decision_;
@@ -30,6 +30,8 @@
         std::mutex mutex_;
         Shard shard_;
         std::vector<Waiting> waiting_;
+        std::vector<Waiting> doubtful_; ///< Wait for a read that has not begun.
+        std::vector<Waiting> verifying_; ///< Wait for the end of the read under way.
         std::vector<ShardHomes::Inspect> lookers_; ///< Wait for a read that has not begun.
         std::vector<ShardHomes::Inspect> readers_; ///< Wait for the end of the read under way.
         bool isBusy_ = false; ///< A log operation is under way.
@@ -145,7 +147,8 @@
             return;
         Shard& shard = home->shard_;
         bool isConcerned = shard.epoch_.value_ != 0 || home->wantsOwnership_ || shard.inFlight_;
-        if ((home->needsRead_ && isConcerned) || !home->lookers_.empty())
+        bool isAwaited = !home->lookers_.empty() || !home->doubtful_.empty();
+        if ((home->needsRead_ && isConcerned) || isAwaited)
             return read(home);
         if (shard.epoch_.value_ == 0 && home->wantsOwnership_ && !shard.inFlight_)
             takeClaim(shard, options_.writer_, options_.vm_);
@@ -192,6 +195,8 @@
         home->isBusy_ = true;
         std::move(home->lookers_.begin(), home->lookers_.end(), std::back_inserter(home->readers_));
         home->lookers_.clear();
+        std::move(home->doubtful_.begin(), home->doubtful_.end(), std::back_inserter(home->verifying_));
+        home->doubtful_.clear();
         LogOffset from { home->shard_.ledger_.readTo_.value_ + 1 };
         readLog(client_, options_.log_, streamOf(home->shard_.ledger_.shard_), from, Milliseconds { 0 },
             [this, home](const tl::expected<LogPage, LogError>& page) { pageRead(home, page); });
@@ -209,11 +214,28 @@
         for (const LogEntry& entry : page->entries_)
             foldEntry(*home, entry);
         home->needsRead_ = home->shard_.ledger_.readTo_.value_ + 1 < page->next_.value_;
-        if (!home->needsRead_)
+        if (!home->needsRead_) {
             letReadersLook(*home);
+            decideVerified(*home, home->verifying_);
+        }
         pump(home);
     }
 
+    // By what is known now; without the shard they wait for it like any other request.
+    void decideVerified(Home& home, std::vector<Waiting>& requests)
+    {
+        std::vector<Waiting> ready;
+        ready.swap(requests);
+        for (Waiting& request : ready) {
+            if (home.shard_.epoch_.value_ != 0) {
+                decide(home, request.decision_);
+                continue;
+            }
+            home.waiting_.push_back(std::move(request));
+            home.wantsOwnership_ = true;
+        }
+    }
+
     void skipGap(Home& home, LogOffset first)
     {
         bool wasOwned = home.shard_.epoch_.value_ != 0;
@@ -275,6 +297,8 @@
         home.shard_.isLogDown_ = true;
         home.retryAt_ = monotonicNow() + home.retryDelay_;
         home.retryDelay_ = std::min(2 * home.retryDelay_, longestRetry);
+        decideVerified(home, home.verifying_);
+        decideVerified(home, home.doubtful_);
     }
 
     // The ledger of a shard that another VM owns is read again when it is needed.
@@ -313,11 +337,14 @@
 
 ShardHomes::~ShardHomes() = default;
 
-void ShardHomes::submit(const ShardKey& shard, RequestId request, Decision decision)
+void ShardHomes::submit(const ShardKey& shard, RequestId request, Decision decision, const Doubt& doubt)
 {
     HomePtr home = impl_->homeOf(shard);
     std::lock_guard<std::mutex> lock(home->mutex_);
-    if (home->shard_.epoch_.value_ != 0) {
+    bool isOwned = home->shard_.epoch_.value_ != 0;
+    if (isOwned && !home->shard_.isLogDown_ && doubt && doubt(home->shard_)) {
+        home->doubtful_.push_back({ request, std::move(decision), monotonicNow() });
+    } else if (isOwned) {
         impl_->decide(*home, decision);
     } else {
         home->waiting_.push_back({ request, std::move(decision), monotonicNow() });
@@ -369,7 +396,7 @@
     Shard& state = home->shard_;
     if (state.epoch_.value_ == 0)
         return LetGo::Gone;
-    bool isWaitedFor = !home->waiting_.empty();
+    bool isWaitedFor = !home->waiting_.empty() || !home->doubtful_.empty() || !home->verifying_.empty();
     for (const auto& [program, active] : state.active_)
         isWaitedFor = isWaitedFor || active.running_;
     home->isSettling_ = home->isSettling_ && !isWaitedFor;
--- a/src/ShardHome.h
+++ b/src/ShardHome.h
@@ -53,9 +53,14 @@
     ShardHomes(const ShardHomeOptions& options, HttpClient& client, CarryOut carryOut);
     ~ShardHomes();
 
+    /** Says whether an owner should look into the log before it decides; see `isBeyondKnown`. */
+    using Doubt = std::function<bool(const Shard&)>;
+
     /** Runs the decision once this VM owns the shard, taking it over if need be. When that takes too long
-     * the request gets its final answer as a problem. */
-    void submit(const ShardKey& shard, RequestId request, Decision decision);
+     * the request gets its final answer as a problem. An owner that `doubt` holds of reads the log first, so
+     * that it does not refuse by what was true before it was overtaken; while the log is down it decides by
+     * what it knows. */
+    void submit(const ShardKey& shard, RequestId request, Decision decision, const Doubt& doubt);
 
     /** Runs the decision now, whether or not the shard is owned. */
     void report(const ShardKey& shard, const Decision& decision);
