Ask engines for their lists at a bounded rate

A VM asked each engine of its zone every 15 s and all others ten times rarer; at 1,200 engines that is more than eight lists a second. The interval now grows with the number of engines, to about 1.1 a second.

--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -5,7 +5,7 @@
 sanitizer=$1
 pattern=${2:-.}
 folder=build-${sanitizer%%,*}
-scripts/build.sh "$folder" -DFESCUE_SANITIZE="$sanitizer"
+scripts/build.sh "$folder" -DFESCUE_SANITIZE="$sanitizer" -DCMAKE_CXX_FLAGS_RELWITHDEBINFO="-O1 -g1"
 # A finding ends its process, so the test that uses the process fails.
 export TSAN_OPTIONS="halt_on_error=1 exitcode=66"
 export ASAN_OPTIONS="halt_on_error=1 exitcode=66 detect_leaks=0"
--- a/src/CacheKeeper.cpp
+++ b/src/CacheKeeper.cpp
@@ -16,6 +16,8 @@
     constexpr Milliseconds firstRetry { 200 };
     constexpr Milliseconds longestRetry { 5000 };
     constexpr int otherZonesRarer = 10;
+    // With many engines each is asked less often, so that a VM asks for one list or so a second.
+    constexpr Milliseconds shortestBetweenLists { 1000 };
     constexpr std::size_t mostOrders = 8192; // More are left to the comparison with the engines' lists.
     constexpr int statusNotFound = 404;
     constexpr int statusOldFencingToken = 412;
@@ -153,8 +155,7 @@
                 return;
             bool isOwnZone = found->second.target_.zone_ == options_.zone_;
             found->second.isListing_ = false;
-            found->second.listAt_
-                = monotonicNow() + options_.listInterval_ * (isOwnZone ? 1 : otherZonesRarer);
+            found->second.listAt_ = monotonicNow() + listInterval(isOwnZone);
         }
         if (result.fate_ != HttpResult::Fate::Answered || result.status_ != 200)
             return;
@@ -162,6 +163,15 @@
             compare(shard, programs, engine);
     }
 
+    // Precondition: the lock is held.
+    Milliseconds listInterval(bool isOwnZone) const
+    {
+        auto engines = std::count_if(engines_.begin(), engines_.end(),
+            [&](const auto& entry) { return (entry.second.target_.zone_ == options_.zone_) == isOwnZone; });
+        int factor = isOwnZone ? 1 : otherZonesRarer;
+        return std::max(options_.listInterval_ * factor, shortestBetweenLists * engines);
+    }
+
     void compare(const ShardKey& shard, const std::vector<ProgramId>& programs, const TargetId& engine)
     {
         bool hasGone = false;
--- a/src/CacheKeeper.h
+++ b/src/CacheKeeper.h
@@ -25,7 +25,7 @@
 /** What a keeper needs to know of its process. */
 struct CacheKeeperOptions {
     ZoneId zone_;
-    Milliseconds listInterval_ { 15000 }; ///< Between two lists of one engine of the own zone.
+    Milliseconds listInterval_ { 15000 }; ///< Between two lists of one engine of the own zone, at least.
 };
 
 /** Frees engine memory. All functions are safe from any thread and none waits. */
