Let a shard move only after its holder has stopped serving it

Cause: a gateway that had been sent on three times forced the next VM to claim the shard, also while its holder was alive and served it; the calls that ran there ended with 503 not-owner, outcome-unknown. A VM that had let a shard go could be forced to claim it back, since the peers' news of the move came after the request. A VM that had just started claimed shards before it had heard who holds them.

Now a request is forced only when the gateway cannot reach the VM that the request was sent on to, or after 3 s of being sent to and fro. A VM claims nothing for a request before the VMs of its zone have told what they hold or cannot be reached. A call that comes while its shard is busy is held for at most 2 s, then the leaving VM, which still owns the shard, serves it; at the end of the grace it is answered at once. A VM that leaves lets idle shards go without waiting for a request, which gives their budgets back.

PlannedStop's callers now go through a balancer that takes a gateway out once /readyz says so, as the platform's does.

--- a/src/Gateway.cpp
+++ b/src/Gateway.cpp
@@ -19,7 +19,8 @@
     constexpr Milliseconds tickInterval { 20 };
     constexpr Milliseconds retryDelay { 50 };
     constexpr Milliseconds homeRetryAfter { 1000 };
-    constexpr std::uint32_t hopsBeforeForcing = 2;
+    constexpr std::uint32_t hopsBeforeDelay = 2;
+    constexpr Milliseconds longestHandOver { 3000 }; ///< Of a shard between two live VMs.
     // After the gateway has said that it is not ready, requests still come until the balancer has noticed.
     constexpr Milliseconds balancerDelay { 1000 };
 
@@ -35,6 +36,7 @@
         bool isRouted_ = false; ///< It is on its way to a scheduler.
         std::uint32_t hops_ = 0;
         VmId movedTo_;
+        std::optional<MonotonicTime> movedSince_; ///< It has been sent on and on since then.
         MonotonicTime retryAt_;
         HeadFrame head_;
         bool hasBegun_ = false; ///< The caller has been sent the head of a stream.
@@ -235,13 +237,7 @@
     std::optional<SchedulerRoute> chooseRoute(const Pending& pending) const
     {
         auto shard = shardOf(pending.frame_.program_);
-        if (!shard)
-            return links_.anyRoute();
-        if (!pending.movedTo_.empty()) {
-            if (auto route = links_.routeTo(pending.movedTo_))
-                return route;
-        }
-        return links_.routeTo(*shard);
+        return shard ? links_.routeTo(*shard, pending.movedTo_) : links_.anyRoute();
     }
 
     void route(const PendingPtr& pending)
@@ -261,7 +257,9 @@
             pending->address_ = route->address_;
             pending->movedTo_ = {};
             frame = pending->frame_;
-            frame.isForced_ = route->isForced_ || pending->hops_ > hopsBeforeForcing;
+            bool isOverdue
+                = monotonicNow() - pending->movedSince_.value_or(monotonicNow()) >= longestHandOver;
+            frame.isForced_ = route->isForced_ || isOverdue;
         }
         Facts facts = factsOf(*pending);
         facts.emplace_back("to", (route->vm_.empty() ? options_.vm_ : route->vm_).value_);
@@ -269,12 +267,13 @@
         links_.send(route->address_, frame);
     }
 
-    void routeLater(Pending& pending)
+    static void routeLater(Pending& pending, std::optional<MonotonicTime> movedSince = std::nullopt)
     {
         pending.isRouted_ = false;
+        pending.movedSince_ = movedSince;
         ++pending.hops_;
         pending.retryAt_
-            = monotonicNow() + (pending.hops_ > hopsBeforeForcing ? retryDelay : Milliseconds { 0 });
+            = monotonicNow() + (pending.hops_ > hopsBeforeDelay ? retryDelay : Milliseconds { 0 });
     }
 
     PendingPtr find(std::uint64_t id)
@@ -372,7 +371,7 @@
             pending->movedTo_ = moved.to_;
             logEvent(
                 "request_moved", { { "request", std::to_string(moved.id_) }, { "to", moved.to_.value_ } });
-            routeLater(*pending);
+            routeLater(*pending, pending->movedSince_.value_or(monotonicNow()));
             if (monotonicNow() < pending->retryAt_)
                 return;
         }
--- a/src/PeerLinks.cpp
+++ b/src/PeerLinks.cpp
@@ -272,4 +272,10 @@
     return fescue::holderOf(impl_->table_, shard, monotonicNow());
 }
 
+bool PeerLinks::isZoneHeard() const
+{
+    std::lock_guard<std::mutex> lock(impl_->mutex_);
+    return fescue::isZoneHeard(impl_->table_, monotonicNow());
+}
+
 } // namespace fescue
--- a/src/PeerLinks.h
+++ b/src/PeerLinks.h
@@ -48,6 +48,8 @@
     Members members() const;
     /** The peer that holds a shard of the zone. */
     std::optional<VmId> holderOf(ShardIndex shard) const;
+    /** Whether every VM of the zone that is known has told what it holds, or cannot be reached. */
+    bool isZoneHeard() const;
 
 private:
     struct Impl;
--- a/src/PeerState.cpp
+++ b/src/PeerState.cpp
@@ -151,4 +151,12 @@
     return std::nullopt;
 }
 
+bool isZoneHeard(const PeerTable& table, MonotonicTime now)
+{
+    return std::all_of(table.peers_.begin(), table.peers_.end(), [&](const auto& entry) {
+        const Peer& peer = entry.second;
+        return peer.wasHeard_ || peer.isBroken_ || peer.isGone_ || !isHeard(table, peer, now);
+    });
+}
+
 } // namespace fescue
--- a/src/PeerState.h
+++ b/src/PeerState.h
@@ -73,4 +73,7 @@
 /** The peer that says it holds a shard of the zone, among those that are heard. Pure. */
 std::optional<VmId> holderOf(const PeerTable& table, ShardIndex shard, MonotonicTime now);
 
+/** Whether every VM of the zone that is known has told what it holds, or cannot be reached. Pure. */
+bool isZoneHeard(const PeerTable& table, MonotonicTime now);
+
 } // namespace fescue
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -108,7 +108,8 @@
               { [this] { return announcement(); }, [this] { return toJson(*platform_.config()).dump(); },
                   [this](const std::string& text) { configHandedOver(text); }, [this] { peersChanged(); } })
         , moves_(options.vm_, options.zone_, homes_, peers_, requests_,
-              { [this] { return view(false).members_; }, [this] { return isDraining_.load(); } })
+              { [this] { return view(false).members_; }, [this] { return isReady_.load(); },
+                  [this] { return isDraining_.load(); } })
     {
         FrameHandlers handlers { [](const FrameLinkPtr&) {},
             [this](const FrameLinkPtr& link, Frame frame) { frameArrived(link, std::move(frame)); },
@@ -288,18 +289,16 @@
         }
     }
 
-    std::optional<ShardKey> placeOf(RequestId request, const RequestFrame& frame)
+    // The decision runs here, or the request goes to the VM that its shard is at.
+    void decide(RequestId request, const RequestFrame& frame, const ShardHomes::Decision& decision)
     {
         auto shard = shardOf(frame.program_);
-        if (!shard) {
-            requests_.sendProblem(request,
+        if (!shard)
+            return requests_.sendProblem(request,
                 { ProblemKind::BadRequest, RunState::NotRun, "the program id has not the form of one of ours",
                     std::nullopt });
-            return std::nullopt;
-        }
-        if (moves_.isMovedAway(*shard, request, frame.isForced_))
-            return std::nullopt;
-        return shard;
+        moves_.direct(*shard, request, frame.isForced_,
+            [this, shard = *shard, request, decision] { homes_.submit(shard, request, decision); });
     }
 
     void callCame(const FrameLinkPtr& link, RequestFrame frame)
@@ -312,34 +311,27 @@
         call.request_ = request;
         if (call.program_.empty())
             return runner_.runLoose(call);
-        if (auto shard = placeOf(request, frame))
-            homes_.submit(*shard, request, [call](Shard& state, const ShardContext& context) {
-                return callArrived(state, call, context);
-            });
+        decide(request, frame,
+            [call](Shard& state, const ShardContext& context) { return callArrived(state, call, context); });
     }
 
     void programCame(const FrameLinkPtr& link, RequestFrame frame)
     {
         RequestId request = requests_.add(link, frame, false);
-        auto shard = placeOf(request, frame);
-        if (!shard)
-            return;
         if (frame.operation_ == Operation::ShowProgram)
-            return homes_.submit(
-                *shard, request, [this, request, frame](Shard& state, const ShardContext& context) {
-                    return showProgram(state, request, frame, context);
-                });
+            return decide(request, frame, [this, request, frame](Shard& state, const ShardContext& context) {
+                return showProgram(state, request, frame, context);
+            });
         if (frame.operation_ == Operation::EndProgram)
-            return homes_.submit(
-                *shard, request, [request, frame](Shard& state, const ShardContext& context) {
-                    return endProgram(
-                        state, { request, frame.workspace_, frame.program_, "ended by its caller" }, context);
-                });
+            return decide(request, frame, [request, frame](Shard& state, const ShardContext& context) {
+                return endProgram(
+                    state, { request, frame.workspace_, frame.program_, "ended by its caller" }, context);
+            });
         auto create = parseCreation(frame, platform_.config()->manifest_);
         if (!create)
             return requests_.sendProblem(request, create.error());
         create->request_ = request;
-        homes_.submit(*shard, request, [create = *create](Shard& state, const ShardContext& context) {
+        decide(request, frame, [create = *create](Shard& state, const ShardContext& context) {
             return createProgram(state, create, context);
         });
     }
--- a/src/SchedulerLinks.cpp
+++ b/src/SchedulerLinks.cpp
@@ -175,24 +175,19 @@
         impl_->dial(impl_->ownAddress_);
 }
 
-std::optional<SchedulerRoute> SchedulerLinks::routeTo(const ShardKey& shard) const
+std::optional<SchedulerRoute> SchedulerLinks::routeTo(const ShardKey& shard, const VmId& movedTo) const
 {
     std::lock_guard<std::mutex> lock(impl_->mutex_);
-    auto listed = expectedOwner(impl_->members_, shard);
-    auto owner = expectedOwner(impl_->reachable(), shard);
+    Members members = impl_->reachable();
+    auto named = std::find_if(members.begin(), members.end(),
+        [&movedTo](const Member& member) { return !movedTo.empty() && member.vm_ == movedTo; });
+    bool isNamed = named != members.end();
+    if (isNamed && named->isReachable_)
+        return SchedulerRoute { named->vm_, named->address_, false };
+    auto owner = expectedOwner(members, shard);
     if (!owner)
         return std::nullopt;
-    return SchedulerRoute { owner->vm_, owner->address_, listed && listed->vm_ != owner->vm_ };
-}
-
-std::optional<SchedulerRoute> SchedulerLinks::routeTo(const VmId& vm) const
-{
-    std::lock_guard<std::mutex> lock(impl_->mutex_);
-    for (const Member& member : impl_->reachable()) {
-        if (member.vm_ == vm && member.isReachable_)
-            return SchedulerRoute { member.vm_, member.address_, false };
-    }
-    return std::nullopt;
+    return SchedulerRoute { owner->vm_, owner->address_, isNamed };
 }
 
 bool SchedulerLinks::isUsable(const std::string& address) const
--- a/src/SchedulerLinks.h
+++ b/src/SchedulerLinks.h
@@ -23,7 +23,7 @@
 struct SchedulerRoute {
     VmId vm_; ///< Empty for the own scheduler while the members are not known.
     std::string address_;
-    bool isForced_ = false; ///< The expected owner is out of reach; the VM should take over.
+    bool isForced_ = false; ///< The VM that was named is out of reach; this one should take over.
 };
 
 /** Keeps links and views. All functions are safe from any thread. */
@@ -42,10 +42,11 @@
     /** Opens the link to the own scheduler again when it is gone; to be called at a steady pace. */
     void tick();
 
-    /** Where a shard's requests go; nothing when no VM of its zone is in reach. */
-    std::optional<SchedulerRoute> routeTo(const ShardKey& shard) const;
-    /** The route to a VM by name; nothing when it is unknown or out of reach. */
-    std::optional<SchedulerRoute> routeTo(const VmId& vm) const;
+    /** Where a shard's requests go; nothing when no VM of its zone is in reach.
+     *
+     * `movedTo` is the VM that another one named for the request, or empty. The route is forced only when
+     * that VM is out of reach. */
+    std::optional<SchedulerRoute> routeTo(const ShardKey& shard, const VmId& movedTo) const;
     /** Whether a scheduler at `address` may still be waited for: our own, or a member in reach. */
     bool isUsable(const std::string& address) const;
     /** Where calls go that belong to no shard. */
--- a/src/ShardMoves.cpp
+++ b/src/ShardMoves.cpp
@@ -6,15 +6,41 @@
 
 namespace {
 
-    // A request that waits until its shard can move.
+    constexpr Milliseconds longestHold { 2000 };
+    constexpr Milliseconds refusedRetryAfter { 1000 };
+
+    // A request that waits until its shard can move, or until it is known who holds it.
     struct HeldRequest {
-        RequestId request_;
         ShardKey shard_;
-        VmId to_;
+        RequestId request_;
+        bool isForced_ = false;
+        ShardMoves::Serve serve_;
+        MonotonicTime since_;
     };
 
+    // An earlier attempt of the call may have run.
+    Problem shuttingDown(const char* detail)
+    {
+        return { ProblemKind::ShuttingDown, RunState::Unknown, detail, refusedRetryAfter };
+    }
+
 } // namespace
 
+MoveStep moveStep(const MoveStanding& standing)
+{
+    if (standing.isForced_ && !standing.isDraining_)
+        return MoveStep::Serve;
+    if (!standing.isOwned_ && !standing.isForced_) {
+        if (standing.holder_)
+            return MoveStep::PassToHolder;
+        if (!standing.isZoneHeard_)
+            return MoveStep::Wait;
+    }
+    if (!standing.expected_)
+        return standing.isDraining_ ? MoveStep::Refuse : MoveStep::Serve;
+    return *standing.expected_ == standing.vm_ ? MoveStep::Serve : MoveStep::LetGo;
+}
+
 struct ShardMoves::Impl {
     VmId vm_;
     ZoneId zone_;
@@ -24,71 +50,87 @@
     ShardMoveSources sources_;
     std::mutex mutex_;
     std::vector<HeldRequest> held_;
+    bool isOver_ = false; ///< Nothing is held any more.
 
-    std::optional<VmId> holderElsewhere(const ShardKey& shard) const
+    MoveStanding standingOf(const ShardKey& shard, bool isForced) const
     {
-        return shard.zone_ == zone_ ? peers_.holderOf(shard.index_) : std::nullopt;
+        bool isOwnZone = shard.zone_ == zone_;
+        MoveStanding standing { vm_, sources_.isDraining_(), homes_.isOwned(shard), isForced };
+        standing.isZoneHeard_ = !isOwnZone || (sources_.isReady_() && peers_.isZoneHeard());
+        standing.holder_ = isOwnZone ? peers_.holderOf(shard.index_) : std::nullopt;
+        if (auto expected = expectedOwner(sources_.members_(), shard))
+            standing.expected_ = expected->vm_;
+        return standing;
     }
 
-    // A shard moves only while nothing of it is under way, unless this VM does not own it at all.
-    bool isMovedAway(const ShardKey& shard, RequestId request, bool isForced)
+    void direct(HeldRequest request)
     {
-        bool isDraining = sources_.isDraining_();
-        if (isForced && !isDraining)
-            return false;
-        bool isOwned = homes_.isOwned(shard);
-        if (auto holder = isOwned || isForced ? std::nullopt : holderElsewhere(shard)) {
-            requests_.sendMoved(request, *holder);
-            return true;
+        MoveStanding standing = standingOf(request.shard_, request.isForced_);
+        switch (moveStep(standing)) {
+        case MoveStep::Serve:
+            return request.serve_();
+        case MoveStep::PassToHolder:
+            return requests_.sendMoved(request.request_, *standing.holder_);
+        case MoveStep::LetGo:
+            return letGoFor(std::move(request), standing);
+        case MoveStep::Wait:
+            return hold(std::move(request));
+        case MoveStep::Refuse:
+            return requests_.sendProblem(request.request_,
+                shuttingDown("the last scheduler of the program's zone is shutting down; send the same call "
+                             "again later"));
         }
-        auto expected = expectedOwner(sources_.members_(), shard);
-        if (!expected)
-            return isDraining && refuseLast(request);
-        if (expected->vm_ == vm_)
-            return false;
-        auto state = homes_.letGo(shard);
-        if (state == ShardHomes::LetGo::Settling || (state == ShardHomes::LetGo::Busy && isDraining))
-            return hold({ request, shard, expected->vm_ });
-        if (state == ShardHomes::LetGo::Busy)
-            return false;
-        if (isOwned)
+    }
+
+    void letGoFor(HeldRequest request, const MoveStanding& standing)
+    {
+        auto state = homes_.letGo(request.shard_);
+        if (state == ShardHomes::LetGo::Busy && !standing.isDraining_)
+            return request.serve_();
+        if (state != ShardHomes::LetGo::Gone)
+            return hold(std::move(request));
+        // The peers are told first, so that the next VM does not send the request back.
+        if (standing.isOwned_)
             peers_.announceNow();
-        requests_.sendMoved(request, expected->vm_);
-        return true;
+        requests_.sendMoved(request.request_, *standing.expected_);
     }
 
-    bool hold(HeldRequest held)
+    void hold(HeldRequest request)
     {
-        std::lock_guard<std::mutex> lock(mutex_);
-        held_.push_back(std::move(held));
-        return true;
+        if (monotonicNow() - request.since_ >= longestHold)
+            return request.serve_();
+        {
+            std::lock_guard<std::mutex> lock(mutex_);
+            if (!isOver_)
+                return held_.push_back(std::move(request));
+        }
+        refuse(request);
     }
 
-    // The last VM of a zone has nobody to hand its shards to. An earlier attempt of the call may have run.
-    bool refuseLast(RequestId request)
+    void refuse(const HeldRequest& request)
     {
-        constexpr Milliseconds retryAfter { 1000 };
-        requests_.sendProblem(request,
-            { ProblemKind::ShuttingDown, RunState::Unknown,
-                "the last scheduler of the program's zone is shutting down; send the same call again later",
-                retryAfter });
-        return true;
+        requests_.sendProblem(request.request_,
+            shuttingDown("this scheduler is shutting down and could not hand the program's shard over in "
+                         "time; send the same call again"));
     }
 
-    void moveHeld()
+    std::vector<HeldRequest> takeHeld()
     {
-        if (sources_.isDraining_())
-            homes_.flushNow();
         std::lock_guard<std::mutex> lock(mutex_);
-        std::vector<HeldRequest> later;
-        for (const HeldRequest& held : held_) {
-            if (homes_.letGo(held.shard_) == ShardHomes::LetGo::Gone)
-                requests_.sendMoved(held.request_, held.to_);
-            else
-                later.push_back(held);
+        return std::exchange(held_, {});
+    }
+
+    // What the shard may still spend goes back to the log, so that its next owner has it.
+    void letGoIdle()
+    {
+        homes_.flushNow();
+        Members members = sources_.members_();
+        bool hasMoved = false;
+        for (std::uint32_t index = 0; index < shardsPerZone; ++index) {
+            ShardKey shard { zone_, { index } };
+            bool mayMove = homes_.isOwned(shard) && expectedOwner(members, shard);
+            hasMoved = (mayMove && homes_.letGo(shard) == ShardHomes::LetGo::Gone) || hasMoved;
         }
-        bool hasMoved = later.size() < held_.size();
-        held_ = std::move(later);
         if (hasMoved)
             peers_.announceNow();
     }
@@ -102,19 +144,27 @@
 
 ShardMoves::~ShardMoves() = default;
 
-bool ShardMoves::isMovedAway(const ShardKey& shard, RequestId request, bool isForced)
+void ShardMoves::direct(const ShardKey& shard, RequestId request, bool isForced, Serve serve)
 {
-    return impl_->isMovedAway(shard, request, isForced);
+    impl_->direct({ shard, request, isForced, std::move(serve), monotonicNow() });
 }
 
-void ShardMoves::tick() { impl_->moveHeld(); }
+void ShardMoves::tick()
+{
+    if (impl_->sources_.isDraining_())
+        impl_->letGoIdle();
+    for (HeldRequest& request : impl_->takeHeld())
+        impl_->direct(std::move(request));
+}
 
 void ShardMoves::refuseHeld()
 {
-    std::lock_guard<std::mutex> lock(impl_->mutex_);
-    for (const HeldRequest& held : impl_->held_)
-        impl_->refuseLast(held.request_);
-    impl_->held_.clear();
+    {
+        std::lock_guard<std::mutex> lock(impl_->mutex_);
+        impl_->isOver_ = true;
+    }
+    for (const HeldRequest& request : impl_->takeHeld())
+        impl_->refuse(request);
 }
 
 } // namespace fescue
--- a/test/failure/Membership.cpp
+++ b/test/failure/Membership.cpp
@@ -3,8 +3,13 @@
 #include "Cluster.h"
 #include "Suite.h"
 
+#include <atomic>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <future>
 #include <set>
+#include <unistd.h>
 
 using namespace fescue::test;
 using nlohmann::json;
@@ -13,11 +18,13 @@
     CPPUNIT_TEST_SUITE(Membership);
     CPPUNIT_TEST(programsOfARackLostAtOnceAreLookedAfter);
     CPPUNIT_TEST(leavingTargetGetsNoNewWork);
+    CPPUNIT_TEST(startingVmsTakeNoShardFromEachOther);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void programsOfARackLostAtOnceAreLookedAfter();
     void leavingTargetGetsNoNewWork();
+    void startingVmsTakeNoShardFromEachOther();
 };
 
 REGISTER_SUITE(Membership);
@@ -109,3 +116,40 @@
         callOnce();
     CHECK_EQUAL(before, callsAt(0));
 }
+
+void Membership::startingVmsTakeNoShardFromEachOther()
+{
+    ClusterOptions options;
+    options.eventsFolder_ = std::filesystem::temp_directory_path() / ("fescue-" + std::to_string(getpid()));
+    std::filesystem::create_directories(options.eventsFolder_);
+    Cluster cluster(options);
+    cluster.faults(*cluster.service_, { { "delay_ms", 50 } });
+    std::atomic<bool> isOver { false };
+    auto load = [&](std::size_t vm) {
+        for (int i = 0; i < 40 || !isOver; ++i) {
+            Answer created = cluster.call(vm, "POST", "/v1/programs", "{}");
+            if (created.status() == 200)
+                cluster.serviceCall(vm, created.json()["program"], 1, "/invoices", "{}");
+        }
+    };
+    auto first = std::async(std::launch::async, load, 0U);
+    cluster.entries_.reserve(3);
+    cluster.startVm("zone-a-new0", "zone-a");
+    cluster.startVm("zone-a-new1", "zone-a");
+    std::vector<std::future<void>> others;
+    for (std::size_t vm : { 1U, 2U, 1U, 2U })
+        others.push_back(std::async(std::launch::async, load, vm));
+    isOver = true;
+    first.get();
+    for (auto& other : others)
+        other.get();
+    // A shard that was let go is not lost: its owner knew before it was claimed.
+    std::string lost;
+    for (const EntryVm& vm : cluster.entries_) {
+        std::ifstream events(options.eventsFolder_ + "/" + vm.name_ + "-scheduler.events");
+        for (std::string line; std::getline(events, line);)
+            lost += line.find("shard_lost") == std::string::npos ? "" : line + "\n";
+    }
+    std::filesystem::remove_all(options.eventsFolder_);
+    CHECK_EQUAL(std::string(), lost);
+}
--- a/test/support/History.cpp
+++ b/test/support/History.cpp
@@ -63,8 +63,11 @@
     private:
         std::size_t anyGateway()
         {
-            auto chosen = options_.gateways_.begin();
-            std::advance(chosen, random_() % options_.gateways_.size());
+            std::set<std::size_t> open = options_.gateways_;
+            if (options_.takenOut_)
+                open.erase(*options_.takenOut_);
+            auto chosen = open.begin();
+            std::advance(chosen, random_() % open.size());
             return *chosen;
         }
 
--- a/test/support/History.h
+++ b/test/support/History.h
@@ -70,6 +70,7 @@
     std::uint64_t seed_ = 1;
     std::int64_t budget_ = 100000;
     std::set<std::size_t> gateways_ { 0 }; ///< Indexes of the VMs that callers use.
+    std::atomic<std::size_t>* takenOut_ = nullptr; ///< Index of a VM that the balancer sends nothing to.
     std::atomic<int>* done_ = nullptr; ///< Counts the answered calls, for those who inject faults.
 };
 
