Bound how long a request waits for its shard to move

Cause of the callers that waited 60 s in failure/AtMostOnce: a VM that owns a shard by a forced claim gets a request, expects the shard elsewhere, gives the tranches back (Settling) and holds the request. Seen in the event logs: call_received, batch_appended with the returned tranche, confirmed at once, then nothing for 60 s until the flush.

Excluded: the gateway had sent the request once and had its link open; the scheduler's ticks went on; no execution was under way; no entry was lost.

A settling shard appends at once; a shard stays while its log is down; a held request gets log-unavailable, run state unknown, after 3 s. While a VM drains, its grace stays the bound.

--- a/src/ShardHome.cpp
+++ b/src/ShardHome.cpp
@@ -373,9 +373,14 @@
         = !home->waiting_.empty() || !state.heldRefusals_.empty() || !state.inFlightRefusals_.empty();
     for (const auto& [program, active] : state.active_)
         isWaitedFor = isWaitedFor || active.running_;
-    home->isSettling_ = home->isSettling_ && !isWaitedFor;
-    if (isWaitedFor || !state.outbox_.empty() || state.inFlight_)
+    // Without the log nobody could take the shard over, and what its programs may spend stays here.
+    home->isSettling_ = home->isSettling_ && !isWaitedFor && !state.isLogDown_;
+    if (isWaitedFor || state.isLogDown_ || !state.outbox_.empty() || state.inFlight_) {
+        // Requests wait while it settles, so that a snapshot made meanwhile must not wait to be gathered.
+        state.isUrgent_ = state.isUrgent_ || (home->isSettling_ && !state.outbox_.empty());
+        impl_->pump(home);
         return home->isSettling_ ? LetGo::Settling : LetGo::Busy;
+    }
     prepareHandOver(state);
     home->isSettling_ = !state.outbox_.empty();
     if (home->isSettling_) {
--- a/src/ShardHome.h
+++ b/src/ShardHome.h
@@ -71,7 +71,7 @@
     void whenRead(const ShardKey& shard, Inspect look);
     /** How far a shard is on its way to another VM. */
     enum class LetGo {
-        Busy, ///< Something is under way.
+        Busy, ///< Something is under way, or the log is down.
         Settling, ///< It gives back to the log what it may still spend; it should get no new calls.
         Gone, ///< It is not owned here, or not any more.
     };
--- a/src/ShardMoves.cpp
+++ b/src/ShardMoves.cpp
@@ -6,13 +6,26 @@
 
 namespace {
 
+    constexpr Milliseconds heldPatience { 3000 }; ///< As long as a claim is waited for.
+    constexpr Milliseconds heldRetryAfter { 1000 };
+
     // A request that waits until its shard can move.
     struct HeldRequest {
         RequestId request_;
         ShardKey shard_;
         VmId to_;
+        MonotonicTime since_;
     };
 
+    // It was not decided on here, but an earlier attempt of the same call may have run.
+    Problem notMoved()
+    {
+        return { ProblemKind::LogUnavailable, RunState::Unknown,
+            "the program's shard is on its way to another VM and the log service has not confirmed that yet; "
+            "send the same call again",
+            heldRetryAfter };
+    }
+
 } // namespace
 
 struct ShardMoves::Impl {
@@ -48,7 +61,7 @@
             return false;
         auto state = homes_.letGo(shard);
         if (state == ShardHomes::LetGo::Settling || (state == ShardHomes::LetGo::Busy && isDraining))
-            return hold({ request, shard, expected->vm_ });
+            return hold({ request, shard, expected->vm_, monotonicNow() });
         if (state == ShardHomes::LetGo::Busy)
             return false;
         if (isOwned)
@@ -75,19 +88,26 @@
         return true;
     }
 
+    // While this VM drains, its grace is the bound: see `refuseHeld`.
     void moveHeld()
     {
-        if (sources_.isDraining_())
+        bool isDraining = sources_.isDraining_();
+        auto now = monotonicNow();
+        if (isDraining)
             homes_.flushNow();
         std::lock_guard<std::mutex> lock(mutex_);
         std::vector<HeldRequest> later;
+        bool hasMoved = false;
         for (const HeldRequest& held : held_) {
-            if (homes_.letGo(held.shard_) == ShardHomes::LetGo::Gone)
+            if (homes_.letGo(held.shard_) == ShardHomes::LetGo::Gone) {
                 requests_.sendMoved(held.request_, held.to_);
-            else
+                hasMoved = true;
+            } else if (!isDraining && now - held.since_ >= heldPatience) {
+                requests_.sendProblem(held.request_, notMoved());
+            } else {
                 later.push_back(held);
+            }
         }
-        bool hasMoved = later.size() < held_.size();
         held_ = std::move(later);
         if (hasMoved)
             peers_.announceNow();
--- /dev/null
+++ b/test/failure/HandOver.cpp
@@ -0,0 +1,139 @@
+// A request for a shard that is on its way to another VM gets its answer, whatever the log does.
+
+#include "History.h"
+#include "LogClient.h"
+#include "ProgramLife.h"
+#include "ShardHome.h"
+#include "Suite.h"
+
+using namespace fescue;
+using namespace fescue::test;
+using nlohmann::json;
+
+class HandOver : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(HandOver);
+    CPPUNIT_TEST(recordThatNobodyWaitsForDoesNotKeepAShard);
+    CPPUNIT_TEST(shardIsKeptWhileTheLogIsDown);
+    CPPUNIT_TEST(callForAShardThatCannotMoveIsAnswered);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void recordThatNobodyWaitsForDoesNotKeepAShard();
+    void shardIsKeptWhileTheLogIsDown();
+    void callForAShardThatCannotMoveIsAnswered();
+};
+
+REGISTER_SUITE(HandOver);
+
+namespace {
+
+// The shards of one VM, which owns one of them with a program. Its ticks are the test's.
+struct Homes {
+    Process log_ { "standin-log", { "--ports=1" }, 1 };
+    HttpClient faults_;
+    std::unique_ptr<HttpClient> client_ = std::make_unique<HttpClient>();
+    ShardKey shard_ { { "zone-a" }, { 5 } };
+    std::atomic<bool> isCreated_ { false };
+    ShardHomes homes_;
+
+    Homes()
+        : homes_(options(), *client_, [this](const ShardKey&, const Effect& effect) {
+            isCreated_ = isCreated_ || std::holds_alternative<ReplyProgram>(effect);
+        })
+    {
+        CreateProgram create { { 1 }, { "zone-a.5.1.1" }, { "lease" }, {}, { 200000 } };
+        homes_.submit(shard_, create.request_, [create](Shard& shard, const ShardContext& context) {
+            return createProgram(shard, create, context);
+        });
+        waitUntil("the program is created", [this] { return isCreated_.load(); });
+    }
+
+    ~Homes() { client_.reset(); }
+
+    std::string url() const { return "http://127.0.0.1:" + std::to_string(log_.port("http")); }
+
+    ShardHomeOptions options() const
+    {
+        ShardHomeOptions options;
+        options.vm_ = { "vm" };
+        options.writer_ = { "vm#1" };
+        options.log_.url_ = url();
+        options.flushInterval_ = std::chrono::hours(1);
+        return options;
+    }
+
+    void logIsDown(bool isDown)
+    {
+        faults_.perform({ "POST", url() + "/faults", {}, json { { "down", isDown } }.dump() });
+    }
+
+    ShardHomes::LetGo ticked()
+    {
+        homes_.tick();
+        return homes_.letGo(shard_);
+    }
+};
+
+bool hasSnapshot(Cluster& cluster, const std::string& program)
+{
+    std::string stream = streamOf(*shardOf({ program }));
+    return cluster.get(*cluster.log_, "/streams/" + stream + "?from=1").dump().find("snapshot")
+        != std::string::npos;
+}
+
+bool isAllConfirmed(Cluster& cluster, const std::vector<std::string>& programs)
+{
+    json shards = cluster.get(*cluster.entries_.front().scheduler_, "/status")["shards"];
+    return std::all_of(
+               shards.begin(), shards.end(), [](const json& shard) { return shard["unconfirmed"] == 0; })
+        && std::all_of(programs.begin(), programs.end(),
+            [&](const std::string& program) { return hasSnapshot(cluster, program); });
+}
+
+bool isInReach(Cluster& cluster, const std::string& vm)
+{
+    json members = cluster.get(*cluster.entries_.front().scheduler_, "/status")["members"];
+    return std::any_of(members.begin(), members.end(),
+        [&vm](const json& member) { return member["vm"] == vm && member["reachable"] == true; });
+}
+
+} // namespace
+
+// The first tick after a claim makes a snapshot, which is in no hurry.
+void HandOver::recordThatNobodyWaitsForDoesNotKeepAShard()
+{
+    Homes homes;
+    CHECK(homes.homes_.letGo(homes.shard_) == ShardHomes::LetGo::Settling);
+    waitUntil("the shard is let go", [&] { return homes.ticked() == ShardHomes::LetGo::Gone; });
+}
+
+// What the program may still spend stays with the owner, which goes on with it.
+void HandOver::shardIsKeptWhileTheLogIsDown()
+{
+    Homes homes;
+    homes.logIsDown(true);
+    CHECK(homes.homes_.letGo(homes.shard_) == ShardHomes::LetGo::Settling);
+    waitUntil("the owner keeps the shard", [&] { return homes.ticked() == ShardHomes::LetGo::Busy; });
+    homes.logIsDown(false);
+    waitUntil("the shard is let go", [&] { return homes.ticked() == ShardHomes::LetGo::Gone; });
+}
+
+// A new VM should own some of the programs, but their owner cannot give them up without the log.
+void HandOver::callForAShardThatCannotMoveIsAnswered()
+{
+    Cluster cluster;
+    constexpr std::size_t programsMade = 6;
+    std::vector<std::string> programs;
+    programs.reserve(programsMade);
+    for (std::size_t i = 0; i < programsMade; ++i)
+        programs.push_back(cluster.createProgram(0));
+    waitUntil("all records are confirmed", [&] { return isAllConfirmed(cluster, programs); });
+    cluster.faults(*cluster.log_, { { "down", true } });
+    cluster.startVm("zone-a-vm1", "zone-a");
+    waitUntil("the new VM is ready", [&] { return cluster.call(1, "GET", "/readyz").status() == 200; });
+    waitUntil("the owner knows the new VM", [&] { return isInReach(cluster, "zone-a-vm1"); });
+    for (const std::string& program : programs) {
+        int status = cluster.modelCall(0, program, 1, conversation({ "hello" })).status();
+        CHECK(status == 200 || status == 503);
+    }
+}
