Notice that the gateway's own scheduler answers nothing any more

Found by reading: SIGSTOP leaves a scheduler's links open, and the gateway took its own scheduler for usable as long as its link was. Others of the zone are judged by the own scheduler's view, the own one by nobody.

The gateway asks the own scheduler for its view once a second (the frame exists) and counts the silence in its own ticks, so that a pause of the gateway is not taken for one of the scheduler. After 5 s without an answer, requests without a head are sent elsewhere as after a lost link; a live slow call is never cut, since a live scheduler answers with its view.

--- a/src/SchedulerLinks.cpp
+++ b/src/SchedulerLinks.cpp
@@ -7,12 +7,20 @@
 namespace {
 
     constexpr Milliseconds avoidAfterLoss { 1000 };
+    constexpr Milliseconds askInterval { 1000 };
+    constexpr Milliseconds longestSilence { 5000 };
+    // What one tick counts at most, so that a pause of this process is not taken for one of the scheduler.
+    constexpr Milliseconds longestStep { 100 };
 
     struct LinkState {
         FrameLinkPtr link_;
         bool isOpen_ = false;
         std::vector<Frame> waiting_; ///< Frames to send once the link is open.
         MonotonicTime avoidUntil_;
+        MonotonicTime heardAt_;
+        bool isAsked_ = false; ///< For a view, which has not come yet.
+        bool isSilent_ = false; ///< It has not answered for too long.
+        MonotonicTime::duration silence_ {};
     };
 
 } // namespace
@@ -24,6 +32,7 @@
     std::map<std::string, LinkState> links_; ///< By address.
     Members members_;
     FrameLinkPtr watched_; ///< The link that views are taken from.
+    MonotonicTime tickedAt_;
     std::shared_ptr<const Config> config_ = std::make_shared<const Config>();
     std::unique_ptr<FrameDialer> dialer_;
 
@@ -37,7 +46,7 @@
         dialer_ = std::make_unique<FrameDialer>(2, FrameLimits {}, std::move(frameHandlers));
     }
 
-    // Precondition for `find`, `dial` and `avoided`: the lock is held.
+    // Precondition for all up to `opened`: the lock is held.
     LinkState* find(const FrameLinkPtr& link, std::string& address)
     {
         for (auto& [at, state] : links_) {
@@ -59,13 +68,8 @@
     bool isAvoided(const std::string& address) const
     {
         auto found = links_.find(address);
-        return found != links_.end() && monotonicNow() < found->second.avoidUntil_;
-    }
-
-    bool isOpen(const std::string& address) const
-    {
-        auto found = links_.find(address);
-        return found != links_.end() && found->second.isOpen_;
+        return found != links_.end()
+            && (found->second.isSilent_ || monotonicNow() < found->second.avoidUntil_);
     }
 
     // Views come from the own scheduler, and from another only while that one is out of reach.
@@ -79,11 +83,50 @@
     {
         watched_ = nullptr;
         for (const auto& [address, state] : links_) {
-            if (state.isOpen_)
+            if (state.isOpen_ && !state.isSilent_)
                 return watch(state.link_);
         }
     }
 
+    // A scheduler that is stopped keeps its links open. The own one is asked here; of the others the own one
+    // tells who is in reach.
+    void checkOwn()
+    {
+        auto now = monotonicNow();
+        auto passed = std::min<MonotonicTime::duration>(now - tickedAt_, longestStep);
+        tickedAt_ = now;
+        auto found = links_.find(ownAddress_);
+        if (found == links_.end() || !found->second.isOpen_)
+            return;
+        LinkState& own = found->second;
+        if (!own.isAsked_ && now - own.heardAt_ >= askInterval) {
+            own.isAsked_ = true;
+            own.silence_ = {};
+            own.link_->send(WatchFrame { config_->version_ });
+            return;
+        }
+        own.silence_ += passed;
+        if (!own.isAsked_ || own.isSilent_ || own.silence_ < longestSilence)
+            return;
+        own.isSilent_ = true;
+        logEvent("scheduler_silent", { { "address", ownAddress_ } });
+        if (watched_ == own.link_)
+            watchAnother();
+    }
+
+    void heard(const FrameLinkPtr& link)
+    {
+        auto found = links_.find(ownAddress_);
+        if (found == links_.end() || found->second.link_ != link)
+            return;
+        LinkState& own = found->second;
+        own.heardAt_ = monotonicNow();
+        own.isAsked_ = false;
+        if (own.isSilent_)
+            watched_ = link;
+        own.isSilent_ = false;
+    }
+
     void opened(const FrameLinkPtr& link)
     {
         std::lock_guard<std::mutex> lock(mutex_);
@@ -93,7 +136,7 @@
             return;
         state->isOpen_ = true;
         state->avoidUntil_ = {};
-        if (address == ownAddress_ || !isOpen(ownAddress_))
+        if (address == ownAddress_ || !watched_)
             watch(link);
         for (const Frame& frame : state->waiting_)
             link->send(frame);
@@ -128,6 +171,7 @@
         auto config = view.config_.empty() ? tl::expected<Config, ManifestError>()
                                            : parseConfig(nlohmann::json::parse(view.config_, nullptr, false));
         std::lock_guard<std::mutex> lock(mutex_);
+        heard(link);
         if (!view.members_.empty() && link == watched_)
             members_ = view.members_;
         if (config && config->version_ > config_->version_)
@@ -173,6 +217,7 @@
     std::lock_guard<std::mutex> lock(impl_->mutex_);
     if (!impl_->isAvoided(impl_->ownAddress_))
         impl_->dial(impl_->ownAddress_);
+    impl_->checkOwn();
 }
 
 std::optional<SchedulerRoute> SchedulerLinks::routeTo(const ShardKey& shard) const
@@ -198,7 +243,11 @@
 bool SchedulerLinks::isUsable(const std::string& address) const
 {
     std::lock_guard<std::mutex> lock(impl_->mutex_);
-    if (address == impl_->ownAddress_ || impl_->members_.empty())
+    if (address == impl_->ownAddress_) {
+        auto own = impl_->links_.find(address);
+        return own == impl_->links_.end() || !own->second.isSilent_;
+    }
+    if (impl_->members_.empty())
         return true;
     for (const Member& member : impl_->members_) {
         if (member.address_ == address)
--- a/src/SchedulerLinks.h
+++ b/src/SchedulerLinks.h
@@ -39,14 +39,16 @@
 
     /** Sends a frame over the link to `address`, opening it first if need be. */
     void send(const std::string& address, const Frame& frame);
-    /** Opens the link to the own scheduler again when it is gone; to be called at a steady pace. */
+    /** Opens the link to the own scheduler again when it is gone, and notices when that one answers nothing
+     * any more; to be called at a steady pace. */
     void tick();
 
     /** Where a shard's requests go; nothing when no VM of its zone is in reach. */
     std::optional<SchedulerRoute> routeTo(const ShardKey& shard) const;
     /** The route to a VM by name; nothing when it is unknown or out of reach. */
     std::optional<SchedulerRoute> routeTo(const VmId& vm) const;
-    /** Whether a scheduler at `address` may still be waited for: our own, or a member in reach. */
+    /** Whether a scheduler at `address` may still be waited for: our own unless it is silent, or a member in
+     * reach. */
     bool isUsable(const std::string& address) const;
     /** Where calls go that belong to no shard. */
     SchedulerRoute anyRoute() const;
--- /dev/null
+++ b/test/failure/StoppedScheduler.cpp
@@ -0,0 +1,47 @@
+// A scheduler that stops without closing its links keeps no caller of its gateway waiting.
+
+#include "History.h"
+#include "Suite.h"
+
+#include <csignal>
+
+using namespace fescue::test;
+
+class StoppedScheduler : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(StoppedScheduler);
+    CPPUNIT_TEST(lastOneOfItsZoneIsTold);
+    CPPUNIT_TEST(anotherOneOfItsZoneAnswers);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void lastOneOfItsZoneIsTold();
+    void anotherOneOfItsZoneAnswers();
+};
+
+REGISTER_SUITE(StoppedScheduler);
+
+void StoppedScheduler::lastOneOfItsZoneIsTold()
+{
+    Cluster cluster;
+    std::string program = cluster.createProgram(0);
+    cluster.entries_[0].scheduler_->signal(SIGSTOP);
+    Answer refused = cluster.modelCall(0, program, 1, conversation({ "hello" }));
+    CHECK_EQUAL(503, refused.status());
+    CHECK_EQUAL(std::string("home-unreachable"), problemOf(refused.http_));
+    cluster.entries_[0].scheduler_->signal(SIGCONT);
+    waitUntil("the scheduler answers again",
+        [&] { return cluster.modelCall(0, program, 1, conversation({ "hello" })).status() == 200; });
+}
+
+void StoppedScheduler::anotherOneOfItsZoneAnswers()
+{
+    ClusterOptions options;
+    options.vmsPerZone_ = 2;
+    Cluster cluster(options);
+    waitUntilSettled(cluster);
+    std::string program = cluster.createProgram(0);
+    std::size_t owner = ownerOf(cluster, program);
+    cluster.entries_[owner].scheduler_->signal(SIGSTOP);
+    CHECK_EQUAL(200, cluster.modelCall(owner, program, 1, conversation({ "hello" })).status());
+    cluster.entries_[owner].scheduler_->signal(SIGCONT);
+}
