--- a/src/Shard.h
+++ b/src/Shard.h
@@ -117,14 +117,6 @@
     MonotonicTime lastUse_;
 };
 
-/** A refusal of an at-most-once call. It waits until the log has shown that no other VM owned the shard and
- * may have run the call, and only then says that the call did not run. */
-struct HeldRefusal {
-    RequestId request_;
-    Problem problem_;
-    MonotonicTime since_;
-};
-
 /** An entry that was read before the reader knew the state that it belongs to. */
 struct GapEntry {
     LogOffset offset_;
@@ -149,13 +141,11 @@
     std::vector<RecordBody> outbox_; ///< Records for the next batches.
     ByteCount outboxBytes_;
     std::optional<Batch> inFlight_; ///< The batch that is being appended.
-    std::vector<HeldRefusal> heldRefusals_; ///< Those that the next batch proves.
-    std::vector<HeldRefusal> inFlightRefusals_; ///< Those that the batch in flight proves.
     Sequence nextSequence_ { 1 };
     std::optional<GapReader> gap_; ///< Set while the ledger waits for a snapshot.
     std::optional<LogOffset> snapshotAt_; ///< What this epoch's last snapshot covers.
     MonotonicTime snapshotTime_;
-    bool isUrgent_ = false; ///< A call waits for the next batch.
+    bool isUrgent_ = false; ///< A call waits for the next batch, or it holds what must not be lost.
     bool isLogDown_ = false; ///< The last append got no answer.
 };
 
