--- a/test/failure/HandOver.cpp
+++ b/test/failure/HandOver.cpp
@@ -42,9 +42,11 @@
         })
     {
         CreateProgram create { { 1 }, { "zone-a.5.1.1" }, { "lease" }, {}, { 200000 } };
-        homes_.submit(shard_, create.request_, [create](Shard& shard, const ShardContext& context) {
-            return createProgram(shard, create, context);
-        });
+        homes_.submit(
+            shard_, create.request_,
+            [create](
+                Shard& shard, const ShardContext& context) { return createProgram(shard, create, context); },
+            nullptr);
         waitUntil("the program is created", [this] { return isCreated_.load(); });
     }
 
