--- a/test/failure/ZoneCut.cpp
+++ b/test/failure/ZoneCut.cpp
@@ -1,6 +1,6 @@
 // One availability zone cut off from the platform's log and list while another is not.
 
-#include "Cluster.h"
+#include "History.h"
 #include "Suite.h"
 
 using namespace fescue::test;
@@ -53,6 +53,7 @@
 void ZoneCut::cutZoneServesWhatItCanAndRefusesTheRest()
 {
     Cluster cluster(twoZones());
+    waitUntilSettled(cluster);
     std::string inB = cluster.createProgram(vmOfB);
     Answer first = cluster.modelCall(vmOfB, inB, 1, conversation({ "one" }));
     CHECK_EQUAL(200, first.status());
@@ -88,6 +89,7 @@
 void ZoneCut::bothSidesAgreeAfterHealing()
 {
     Cluster cluster(twoZones());
+    waitUntilSettled(cluster);
     publishLimit(cluster, 100000);
     for (std::size_t vm = 0; vm < 4; ++vm)
         waitUntil("the first change is in force", [&] { return versionAt(cluster, vm) == 2; });
