Say not-run of a new program only while no scheduler can have seen it

Found by reading: a creation or a call without a program that had been sent once and whose link was then lost was told as not-run when no home could be reached any more.

--- a/src/Gateway.cpp
+++ b/src/Gateway.cpp
@@ -34,6 +34,7 @@
         std::mutex mutex_;
         std::string address_; ///< Where it was sent.
         bool isRouted_ = false; ///< It is on its way to a scheduler.
+        bool wasSent_ = false; ///< A scheduler may have seen it, now or earlier.
         std::uint32_t hops_ = 0;
         VmId movedTo_;
         std::optional<MonotonicTime> movedSince_; ///< It has been sent on and on since then.
@@ -52,7 +53,8 @@
     Problem homeUnreachable(const Pending& pending)
     {
         bool isNew = pending.frame_.operation_ == Operation::CreateProgram || pending.frame_.program_.empty();
-        return { ProblemKind::HomeUnreachable, isNew ? RunState::NotRun : RunState::Unknown,
+        return { ProblemKind::HomeUnreachable,
+            isNew && !pending.wasSent_ ? RunState::NotRun : RunState::Unknown,
             "no scheduler of the program's availability zone can be reached from here; send the same call "
             "again",
             homeRetryAfter };
@@ -253,6 +255,7 @@
                 return;
             }
             pending->isRouted_ = true;
+            pending->wasSent_ = true;
             renumber(pending);
             pending->address_ = route->address_;
             pending->movedTo_ = {};
