--- a/src/FinishCall.cpp
+++ b/src/FinishCall.cpp
@@ -39,6 +39,8 @@
         if (active.recent_.size() > recentCallsKept)
             active.recent_.pop_front();
         record(shard, std::move(finished));
+        // Only the log can repeat the answer of a call that is not run again.
+        shard.isUrgent_ = shard.isUrgent_ || call.kind_ == CallKind::AtMostOnceService;
     }
 
     ReplyProblem refusalOf(RunningCall& running, Problem problem)
@@ -114,4 +116,18 @@
     return {};
 }
 
+bool reserveAnotherAttempt(Shard& shard, const ProgramId& program, ExecutionId execution)
+{
+    auto found = shard.active_.find(program);
+    if (found == shard.active_.end() || !found->second.running_)
+        return false;
+    ActiveProgram& active = found->second;
+    RunningCall& running = *active.running_;
+    if (running.execution_ != execution || active.trancheLeft_ < running.attempt_)
+        return false;
+    active.trancheLeft_ -= running.attempt_;
+    running.reserved_ += running.attempt_;
+    return true;
+}
+
 } // namespace fescue
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -80,9 +80,8 @@
     PeerLinks peers_;
     ShardMoves moves_;
     MonotonicTime shardsAt_;
-    std::atomic<bool> mustVerify_ {
-        false
-    }; ///< A VM is gone: it may have held what this VM believes to hold.
+    // A VM is gone: it may have held what this VM believes to hold.
+    std::atomic<bool> mustVerify_ { false };
     Orphans orphans_;
     std::atomic<std::uint16_t> framesPort_ { 0 }; ///< 0 until the server stands; peers are refused before.
     std::unique_ptr<FrameServer> frames_;
@@ -97,7 +96,8 @@
               [this](std::function<void()> task) { work_.post(std::move(task)); },
               [this](const ProgramId& program, ExecutionId id, const ExecutionResult& result) {
                   executed(program, id, result);
-              })
+              },
+              [this](const ProgramId& program, ExecutionId id) { return isReserved(program, id); })
         , homes_(homesOf(options, writer_), *client_,
               [this](const ShardKey& shard, const Effect& effect) { carryOut(shard, effect); })
         , keeper_({ options.zone_, options.cacheCheckInterval_ }, *client_, homes_)
@@ -290,15 +290,17 @@
     }
 
     // The decision runs here, or the request goes to the VM that its shard is at.
-    void decide(RequestId request, const RequestFrame& frame, const ShardHomes::Decision& decision)
+    void decide(RequestId request, const RequestFrame& frame, const ShardHomes::Decision& decision,
+        const ShardHomes::Doubt& doubt)
     {
         auto shard = shardOf(frame.program_);
         if (!shard)
             return requests_.sendProblem(request,
                 { ProblemKind::BadRequest, RunState::NotRun, "the program id has not the form of one of ours",
                     std::nullopt });
-        moves_.direct(*shard, request, frame.isForced_,
-            [this, shard = *shard, request, decision] { homes_.submit(shard, request, decision); });
+        moves_.direct(*shard, request, frame.isForced_, [this, shard = *shard, request, decision, doubt] {
+            homes_.submit(shard, request, decision, doubt);
+        });
     }
 
     void callCame(const FrameLinkPtr& link, RequestFrame frame)
@@ -311,29 +313,41 @@
         call.request_ = request;
         if (call.program_.empty())
             return runner_.runLoose(call);
-        decide(request, frame,
-            [call](Shard& state, const ShardContext& context) { return callArrived(state, call, context); });
+        decide(
+            request, frame,
+            [call](Shard& state, const ShardContext& context) { return callArrived(state, call, context); },
+            [call](const Shard& state) { return isBeyondKnown(state, call.program_, call.number_); });
     }
 
     void programCame(const FrameLinkPtr& link, RequestFrame frame)
     {
         RequestId request = requests_.add(link, frame, false);
+        auto isUnknown
+            = [program = frame.program_](const Shard& state) { return isBeyondKnown(state, program, {}); };
         if (frame.operation_ == Operation::ShowProgram)
-            return decide(request, frame, [this, request, frame](Shard& state, const ShardContext& context) {
-                return showProgram(state, request, frame, context);
-            });
+            return decide(
+                request, frame,
+                [this, request, frame](Shard& state, const ShardContext& context) {
+                    return showProgram(state, request, frame, context);
+                },
+                isUnknown);
         if (frame.operation_ == Operation::EndProgram)
-            return decide(request, frame, [request, frame](Shard& state, const ShardContext& context) {
-                return endProgram(
-                    state, { request, frame.workspace_, frame.program_, "ended by its caller" }, context);
-            });
+            return decide(
+                request, frame,
+                [request, frame](Shard& state, const ShardContext& context) {
+                    return endProgram(
+                        state, { request, frame.workspace_, frame.program_, "ended by its caller" }, context);
+                },
+                isUnknown);
         auto create = parseCreation(frame, platform_.config()->manifest_);
         if (!create)
             return requests_.sendProblem(request, create.error());
         create->request_ = request;
-        decide(request, frame, [create = *create](Shard& state, const ShardContext& context) {
-            return createProgram(state, create, context);
-        });
+        decide(
+            request, frame,
+            [create = *create](
+                Shard& state, const ShardContext& context) { return createProgram(state, create, context); },
+            nullptr);
     }
 
     Effects showProgram(
@@ -349,15 +363,7 @@
     void listPrograms(const FrameLinkPtr& link, RequestFrame frame)
     {
         RequestId request = requests_.add(link, frame, false);
-        requests_.sendDocument(request, 200, programsText(frame.workspace_));
-    }
-
-    std::string programsText(const WorkspaceId& workspace)
-    {
-        nlohmann::json rows = nlohmann::json::array();
-        for (const ShardStatus& shard : homes_.status())
-            homes_.inspect(shard.shard_, [&](const Shard& state) { addProgramRows(state, workspace, rows); });
-        return nlohmann::json { { "programs", rows } }.dump();
+        requests_.sendDocument(request, 200, programsText(homes_, frame.workspace_));
     }
 
     void executed(const ProgramId& program, ExecutionId id, const ExecutionResult& result)
@@ -370,6 +376,17 @@
         });
     }
 
+    bool isReserved(const ProgramId& program, ExecutionId id)
+    {
+        bool isReserved = false;
+        if (auto shard = shardOf(program))
+            homes_.report(*shard, [&](Shard& state, const ShardContext&) -> Effects {
+                isReserved = reserveAnotherAttempt(state, program, id);
+                return {};
+            });
+        return isReserved;
+    }
+
     void carryOut(const ShardKey& shard, const Effect& effect)
     {
         logEffect(shard, effect);
@@ -418,7 +435,7 @@
         if (request.path_ == "/status")
             return exchange->answer({ 200, "application/json", statusText(state()) });
         if (request.path_ == "/programs")
-            return exchange->answer({ 200, "application/json", programsText({}) });
+            return exchange->answer({ 200, "application/json", programsText(homes_, {}) });
         exchange->answer({ 404, "text/plain", "use /healthz, /readyz, /metrics, /status or /programs\n" });
     }
 
--- a/src/ShardMoves.cpp
+++ b/src/ShardMoves.cpp
@@ -18,10 +18,10 @@
         MonotonicTime since_;
     };
 
-    // An earlier attempt of the call may have run.
+    // The request itself was held and is given up, but an earlier one of the same call may have run.
     Problem shuttingDown(const char* detail)
     {
-        return { ProblemKind::ShuttingDown, RunState::Unknown, detail, refusedRetryAfter };
+        return { ProblemKind::ShuttingDown, RunState::NotRun, detail, refusedRetryAfter, true };
     }
 
 } // namespace
