--- a/src/SchedulerStatus.cpp
+++ b/src/SchedulerStatus.cpp
@@ -1,5 +1,7 @@
 #include "SchedulerStatus.h"
 
+#include "ProgramDocument.h"
+
 #include <nlohmann/json.hpp>
 
 namespace fescue {
@@ -72,4 +74,12 @@
     return document.dump();
 }
 
+std::string programsText(const ShardHomes& homes, const WorkspaceId& workspace)
+{
+    nlohmann::json rows = nlohmann::json::array();
+    for (const ShardStatus& shard : homes.status())
+        homes.inspect(shard.shard_, [&](const Shard& state) { addProgramRows(state, workspace, rows); });
+    return nlohmann::json { { "programs", rows } }.dump();
+}
+
 } // namespace fescue
--- a/src/SchedulerStatus.h
+++ b/src/SchedulerStatus.h
@@ -33,4 +33,8 @@
 /** The document of `/status`, one line of JSON. Pure. */
 std::string statusText(const SchedulerState& state);
 
+/** The programs of a workspace, or of all when it is empty, that this VM has dealt with, as JSON. Safe from
+ * any thread. */
+std::string programsText(const ShardHomes& homes, const WorkspaceId& workspace);
+
 } // namespace fescue
