--- a/test/failure/SentOnce.cpp
+++ b/test/failure/SentOnce.cpp
@@ -150,7 +150,7 @@
         filler = std::make_unique<tcp::socket>(io, tcp::v4());
         filler->non_blocking(true);
         auto to = slow.local_endpoint();
-        ::connect(filler->native_handle(), to.data(), static_cast<socklen_t>(to.size()));
+        static_cast<void>(::connect(filler->native_handle(), to.data(), static_cast<socklen_t>(to.size())));
     }
     HttpCall call { "POST", urlOf(slow), {}, "{}" };
     call.isAtMostOnce_ = true;
