--- a/bench/Capacity.cpp
+++ b/bench/Capacity.cpp
@@ -91,6 +91,13 @@
     return (usageOf(process).cpuSeconds_ - before.cpuSeconds_) / seconds * 100;
 }
 
+// The claims and first snapshots of all shards are not what the load costs.
+void letStart(Cluster& cluster)
+{
+    waitUntilSettled(cluster);
+    std::this_thread::sleep_for(idleTime);
+}
+
 void measure(int programs)
 {
     Cluster cluster;
@@ -119,13 +126,6 @@
               << perCall("appended_bytes") << ' ' << perCall("read_bytes") << std::endl;
 }
 
-// The claims and first snapshots of all shards are not what the load costs.
-void letStart(Cluster& cluster)
-{
-    waitUntilSettled(cluster);
-    std::this_thread::sleep_for(idleTime);
-}
-
 struct PacedRun {
     double secondsPerCall_ = 0;
     double appendsPerSecond_ = 0;
