Say once how recent answers are kept and what Retry-After says

Three places entered a finished call into the bounded list of recent ones, and two worked out the seconds of Retry-After; keepRecent (Ledger) and retryAfterSeconds (Problem) serve them now. problemKindOf had no caller and goes.

--- a/src/FinishCall.cpp
+++ b/src/FinishCall.cpp
@@ -35,9 +35,7 @@
             finished.newMessages_ = running.newMessages_;
         }
         active.lastCall_ = call.number_;
-        active.recent_.push_back({ call.number_, call.fingerprint_, result.outcome_ });
-        if (active.recent_.size() > recentCallsKept)
-            active.recent_.pop_front();
+        keepRecent(active.recent_, { call.number_, call.fingerprint_, result.outcome_ });
         record(shard, std::move(finished));
         // Only the log can repeat the answer of a call that is not run again.
         shard.isUrgent_ = shard.isUrgent_ || call.kind_ == CallKind::AtMostOnceService;
--- a/src/Ledger.cpp
+++ b/src/Ledger.cpp
@@ -12,13 +12,6 @@
         return found == ledger.programs_.end() ? nullptr : &found->second;
     }
 
-    void keepFinished(Program& program, FinishedCall finished)
-    {
-        program.recent_.push_back(std::move(finished));
-        if (program.recent_.size() > recentCallsKept)
-            program.recent_.pop_front();
-    }
-
     void forgetOldestEnded(Ledger& ledger)
     {
         while (ledger.ended_.size() > endedProgramsKept) {
@@ -82,7 +75,7 @@
             program->contextTokens_ = finished.contextTokens_;
         }
         program->intent_.reset();
-        keepFinished(*program, { finished.call_, finished.fingerprint_, finished.outcome_ });
+        keepRecent(program->recent_, { finished.call_, finished.fingerprint_, finished.outcome_ });
     }
 
     void apply(Ledger& ledger, const ProgramEnded& ended)
@@ -134,6 +127,13 @@
 
 } // namespace
 
+void keepRecent(std::deque<FinishedCall>& recent, FinishedCall finished)
+{
+    recent.push_back(std::move(finished));
+    if (recent.size() > recentCallsKept)
+        recent.pop_front();
+}
+
 Verdict foldBatch(Ledger& ledger, LogOffset offset, const Batch& batch)
 {
     ledger.readTo_ = offset;
--- a/src/Ledger.h
+++ b/src/Ledger.h
@@ -52,6 +52,8 @@
 
 /** How many finished calls a program keeps for repeats. */
 constexpr std::size_t recentCallsKept = 4;
+/** Enters a finished call and forgets the oldest beyond `recentCallsKept`. Pure but for `recent`. */
+void keepRecent(std::deque<FinishedCall>& recent, FinishedCall finished);
 /** How many ended programs a shard remembers, oldest forgotten first. */
 constexpr std::size_t endedProgramsKept = 256;
 
--- a/src/ParseHttp.cpp
+++ b/src/ParseHttp.cpp
@@ -130,11 +130,8 @@
     HttpResponse response { httpStatusOf(problem.kind_), "application/problem+json", toJsonText(problem),
         {} };
     response.headers_.emplace_back("Fescue-Run-State", std::string(nameOf(problem.run_)));
-    if (problem.retryAfter_) {
-        constexpr std::chrono::seconds shortest { 1 };
-        auto seconds = std::max(std::chrono::ceil<std::chrono::seconds>(*problem.retryAfter_), shortest);
-        response.headers_.emplace_back("Retry-After", std::to_string(seconds.count()));
-    }
+    if (auto seconds = retryAfterSeconds(problem))
+        response.headers_.emplace_back("Retry-After", *seconds);
     return response;
 }
 
--- a/src/Problem.cpp
+++ b/src/Problem.cpp
@@ -1,5 +1,6 @@
 #include "Problem.h"
 
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 
@@ -57,15 +58,6 @@
 
 std::string_view nameOf(ProblemKind kind) { return rowOf(kind).name_; }
 
-std::optional<ProblemKind> problemKindOf(std::string_view name)
-{
-    for (const KindRow& row : kindTable) {
-        if (row.name_ == name)
-            return row.kind_;
-    }
-    return std::nullopt;
-}
-
 std::string_view nameOf(RunState state)
 {
     switch (state) {
@@ -90,6 +82,15 @@
 
 int httpStatusOf(ProblemKind kind) { return rowOf(kind).status_; }
 
+std::optional<std::string> retryAfterSeconds(const Problem& problem)
+{
+    constexpr std::chrono::seconds shortest { 1 };
+    if (!problem.retryAfter_)
+        return std::nullopt;
+    auto seconds = std::chrono::ceil<std::chrono::seconds>(*problem.retryAfter_);
+    return std::to_string(std::max(seconds, shortest).count());
+}
+
 std::string toJsonText(const Problem& problem)
 {
     nlohmann::json document = {
--- a/src/Problem.h
+++ b/src/Problem.h
@@ -67,9 +67,6 @@
 /** Stable name of a problem kind, as in `"type": "urn:fescue:call-out-of-order"`. Pure. */
 std::string_view nameOf(ProblemKind kind);
 
-/** Kind of a stable name; nothing when the name is not one of ours. Pure. */
-std::optional<ProblemKind> problemKindOf(std::string_view name);
-
 /** Name of a run state as callers see it: `not-run`, `outcome-unknown` or `final`. Pure. */
 std::string_view nameOf(RunState state);
 
@@ -79,6 +76,9 @@
 /** HTTP status that a kind is answered with. Pure. */
 int httpStatusOf(ProblemKind kind);
 
+/** Value of `Retry-After`: whole seconds, at least one; nothing when a repeat makes no sense. Pure. */
+std::optional<std::string> retryAfterSeconds(const Problem& problem);
+
 /** The problem document, one line of JSON. Pure. */
 std::string toJsonText(const Problem& problem);
 
--- a/src/RequestTable.cpp
+++ b/src/RequestTable.cpp
@@ -145,11 +145,8 @@
     }
     HeadFrame head { id, httpStatusOf(problem.kind_), "application/problem+json", {} };
     head.headers_.emplace_back("Fescue-Run-State", std::string(nameOf(problem.run_)));
-    if (problem.retryAfter_) {
-        constexpr auto second = std::chrono::seconds(1);
-        auto seconds = std::chrono::ceil<std::chrono::seconds>(*problem.retryAfter_);
-        head.headers_.emplace_back("Retry-After", std::to_string(std::max(seconds, second).count()));
-    }
+    if (auto seconds = retryAfterSeconds(problem))
+        head.headers_.emplace_back("Retry-After", *seconds);
     sendWhole(entry->link_, std::move(head), document);
 }
 
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -38,9 +38,7 @@
         Outcome outcome = unknownOutcome("the call was announced by an owner that is gone and may have run; "
                                          "ask the service about it before you start it again as a new call");
         active.lastCall_ = intent.call_;
-        active.recent_.push_back({ intent.call_, intent.fingerprint_, outcome });
-        if (active.recent_.size() > recentCallsKept)
-            active.recent_.pop_front();
+        keepRecent(active.recent_, { intent.call_, intent.fingerprint_, outcome });
         active.notBefore_
             = context.now_ + context.limits_.intentSendWindow_ + context.limits_.successorMargin_;
         active.closing_ = CallFinished { id, intent.call_, intent.fingerprint_, outcome, {}, {}, {}, {} };
