--- /dev/null
+++ b/apps/EntryMain.cpp
@@ -0,0 +1,80 @@
+// fescue-entry: the process of an entry VM on the platform; see src/EntryVm.h.
+
+#include "Documents.h"
+#include "EntryVm.h"
+#include "EventLog.h"
+#include "Settings.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <random>
+#include <sstream>
+
+DEFINE_string(
+    settings, "", "path of the platform's settings file; empty for the one that the platform names");
+DEFINE_int32(metrics_port, 0, "port for metrics on all addresses; 0 for none");
+DEFINE_int64(seed, 0, "seed of the random choices; 0 takes another one at each start");
+
+namespace {
+
+using namespace fescue;
+
+std::string settingsPath()
+{
+    if (!FLAGS_settings.empty())
+        return FLAGS_settings;
+    const char* path = std::getenv(platform::settingsVariable);
+    if (!path)
+        refuseSettings("--settings", std::string("name a file, or set ") + platform::settingsVariable);
+    return path;
+}
+
+tl::expected<VmSettings, platform::DocumentError> readSettingsFile(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return tl::make_unexpected(platform::DocumentError { path, "cannot be opened; check the path" });
+    std::ostringstream text;
+    text << file.rdbuf();
+    return platform::decodeSettings(text.str());
+}
+
+std::optional<VmSettings> reloadSettings(const std::string& path)
+{
+    auto settings = readSettingsFile(path);
+    if (settings)
+        return *settings;
+    logWarning("settings-unreadable", settings.error().field_ + ": " + settings.error().remedy_);
+    return std::nullopt;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    readSettings(
+        argc, argv, { "fescue-entry", "fescue-entry: serves callers on an entry VM of the platform." });
+    std::string path = settingsPath();
+    auto settings = readSettingsFile(path);
+    if (!settings)
+        refuseSettings(settings.error().field_, settings.error().remedy_);
+    constexpr std::int64_t largestPort = 65535;
+    auto metricsPort = requireRange("--metrics_port", FLAGS_metrics_port, 0, largestPort);
+    openEventLog({ {}, "entry", settings->vm_.value_, settings->zone_.value_, true });
+    EntryVmOptions options;
+    options.settings_ = *settings;
+    if (metricsPort > 0)
+        options.metricsAddress_ = "0.0.0.0:" + std::to_string(metricsPort);
+    options.seed_ = FLAGS_seed == 0 ? std::random_device()() : static_cast<std::uint64_t>(FLAGS_seed);
+    options.reload_ = [path] { return reloadSettings(path); };
+    try {
+        EntryVm vm(options);
+        vm.run();
+    } catch (const std::system_error& error) {
+        flushEventLog();
+        refuseSettings("listen", std::string(error.what()) + "; check the addresses in the settings file");
+    }
+    flushEventLog();
+    return 0;
+}
--- /dev/null
+++ b/src/BudgetEscrow.cpp
@@ -0,0 +1,262 @@
+#include "BudgetEscrow.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace fescue {
+
+namespace {
+
+    constexpr char keyMark = '|';
+
+    TokenCount times(TokenCount count, int factor) { return { count.value_ * factor }; }
+
+    // What the budget has left for us next to the claims of others.
+    TokenCount room(const ProgramBudget& program)
+    {
+        return std::max(TokenCount { 0 }, program.budget_ - program.othersClaimed_);
+    }
+
+    TokenCount committed(const ProgramBudget& program) { return program.spent_ + program.reserved_; }
+
+    TokenCount waitingTokens(const ProgramBudget& program)
+    {
+        TokenCount sum;
+        for (const WaitingTurn& turn : program.waiting_)
+            sum += turn.most_;
+        return sum;
+    }
+
+    bool isPredecessor(const WriterId& own, const WriterId& other)
+    {
+        std::size_t mark = own.value_.find(predecessorMark);
+        return mark != std::string::npos && other.value_.compare(0, mark + 1, own.value_, 0, mark + 1) == 0;
+    }
+
+    WriteClaim writeClaim(const BudgetEscrow& escrow, const ProgramId& id, ProgramBudget& program,
+        TokenCount claimed, bool isNeeded)
+    {
+        program.isWriting_ = true;
+        program.recorded_ = std::max(program.recorded_, claimed);
+        BudgetClaim claim { claimed, program.spent_, 0 };
+        return { id, claim, program.retention_ + escrow.options_.expiryMargin_, isNeeded };
+    }
+
+    // A claim for what is committed and waits, and some turns ahead as far as the budget reaches.
+    TokenCount nextClaim(const BudgetEscrow& escrow, const ProgramBudget& program)
+    {
+        const EscrowOptions& options = escrow.options_;
+        int ahead = program.recorded_.value_ == 0 ? options.firstTurns_ : options.moreTurns_;
+        TokenCount needed = committed(program) + waitingTokens(program);
+        TokenCount wanted = std::max(needed, committed(program) + times(program.lastMost_, ahead));
+        return std::min(wanted, room(program));
+    }
+
+    void grantWaiting(ProgramBudget& program, EscrowEffects& effects)
+    {
+        while (!program.waiting_.empty()
+            && committed(program) + program.waiting_.front().most_ <= program.usable_) {
+            program.reserved_ += program.waiting_.front().most_;
+            effects.push_back(DecideTurn { program.waiting_.front().id_, TurnDecision::Granted });
+            program.waiting_.pop_front();
+        }
+    }
+
+    // Turns under way may leave tokens over when they end, so a turn that could then fit goes on waiting.
+    bool mayFitLater(const ProgramBudget& program, TokenCount most)
+    {
+        return program.reserved_.value_ > 0 && program.spent_ + most <= room(program);
+    }
+
+    void refuseWaiting(ProgramBudget& program, EscrowEffects& effects)
+    {
+        std::deque<WaitingTurn> kept;
+        for (const WaitingTurn& turn : program.waiting_) {
+            if (mayFitLater(program, turn.most_)) {
+                kept.push_back(turn);
+                continue;
+            }
+            bool isSpent = committed(program) + program.othersSpent_ + turn.most_ > program.budget_;
+            effects.push_back(
+                DecideTurn { turn.id_, isSpent ? TurnDecision::Spent : TurnDecision::HeldElsewhere });
+        }
+        program.waiting_ = std::move(kept);
+    }
+
+    // Grants what fits; writes a claim for the rest, or refuses it when no claim could help.
+    void advance(const BudgetEscrow& escrow, const ProgramId& id, ProgramBudget& program, bool hasJustRead,
+        EscrowEffects& effects)
+    {
+        grantWaiting(program, effects);
+        if (program.isWriting_)
+            return;
+        TokenCount claim = nextClaim(escrow, program);
+        if (!program.waiting_.empty()) {
+            bool wouldHelp
+                = claim > program.usable_ && committed(program) + program.waiting_.front().most_ <= claim;
+            // Others may have returned claims since they were read last, so a read comes before each refusal.
+            if (wouldHelp || !hasJustRead)
+                effects.push_back(writeClaim(escrow, id, program, std::max(claim, program.usable_), true));
+            else
+                refuseWaiting(program, effects);
+            return;
+        }
+        bool isLow
+            = program.usable_ < committed(program) + times(program.lastMost_, escrow.options_.lowTurns_);
+        if (isLow && program.reserved_.value_ > 0 && claim > program.usable_ + program.lastMost_)
+            effects.push_back(writeClaim(escrow, id, program, claim, true));
+    }
+
+} // namespace
+
+std::string claimKey(const ProgramId& program, const WriterId& writer)
+{
+    return program.value_ + keyMark + writer.value_;
+}
+
+std::string claimValue(const BudgetClaim& claim)
+{
+    return nlohmann::json::array({ claim.claimed_.value_, claim.spent_.value_, claim.expiresAt_ }).dump();
+}
+
+std::optional<ClaimRecord> parseClaim(const std::string& key, const std::string& value)
+{
+    std::size_t mark = key.rfind(keyMark);
+    auto document = nlohmann::json::parse(value, nullptr, false);
+    constexpr std::size_t fields = 3;
+    if (mark == std::string::npos || mark == 0 || !document.is_array() || document.size() != fields)
+        return std::nullopt;
+    for (const auto& field : document) {
+        if (!field.is_number_integer())
+            return std::nullopt;
+    }
+    ClaimRecord record;
+    record.program_ = { key.substr(0, mark) };
+    record.writer_ = { key.substr(mark + 1) };
+    record.claim_ = { { document[0].get<std::int64_t>() }, { document[1].get<std::int64_t>() },
+        document[2].get<std::int64_t>() };
+    return record;
+}
+
+EscrowEffects turnArrived(BudgetEscrow& escrow, const ProgramId& id, TokenCount budget,
+    Milliseconds retention, const WaitingTurn& turn, MonotonicTime now)
+{
+    auto [found, isNew] = escrow.programs_.try_emplace(id);
+    ProgramBudget& program = found->second;
+    // The lowest budget that was ever named holds: a caller cannot raise it by naming another one.
+    program.budget_ = isNew ? budget : std::min(program.budget_, budget);
+    program.retention_ = std::max(program.retention_, retention);
+    program.lastMost_ = turn.most_;
+    program.lastUse_ = now;
+    program.waiting_.push_back(turn);
+    EscrowEffects effects;
+    advance(escrow, id, program, false, effects);
+    return effects;
+}
+
+void turnAbandoned(BudgetEscrow& escrow, const ProgramId& id, TurnId turn)
+{
+    auto found = escrow.programs_.find(id);
+    if (found == escrow.programs_.end())
+        return;
+    auto& waiting = found->second.waiting_;
+    waiting.erase(std::remove_if(waiting.begin(), waiting.end(),
+                      [turn](const WaitingTurn& entry) { return entry.id_ == turn; }),
+        waiting.end());
+}
+
+EscrowEffects turnEnded(
+    BudgetEscrow& escrow, const ProgramId& id, TokenCount most, TokenCount used, MonotonicTime now)
+{
+    EscrowEffects effects;
+    auto found = escrow.programs_.find(id);
+    if (found == escrow.programs_.end())
+        return effects;
+    ProgramBudget& program = found->second;
+    program.reserved_ -= most;
+    program.spent_ += used;
+    program.lastUse_ = now;
+    if (!program.waiting_.empty())
+        advance(escrow, id, program, false, effects);
+    return effects;
+}
+
+EscrowEffects claimWritten(BudgetEscrow& escrow, const ProgramId& id, const BudgetClaim& claim,
+    const std::vector<ClaimRecord>& others, MonotonicTime now)
+{
+    EscrowEffects effects;
+    auto found = escrow.programs_.find(id);
+    if (found == escrow.programs_.end())
+        return effects;
+    ProgramBudget& program = found->second;
+    program.isWriting_ = false;
+    program.recorded_ = claim.claimed_;
+    program.othersClaimed_ = {};
+    program.othersSpent_ = {};
+    for (const ClaimRecord& other : others) {
+        program.othersClaimed_ += other.claim_.claimed_;
+        // An earlier start of this VM cannot return anything any more.
+        bool isGone = isPredecessor(escrow.writer_, other.writer_);
+        program.othersSpent_ += isGone ? other.claim_.claimed_ : other.claim_.spent_;
+    }
+    // What was committed before another writer came is covered by the claim that it has seen.
+    program.usable_ = std::max(std::min(claim.claimed_, room(program)), committed(program));
+    program.lastUse_ = now;
+    advance(escrow, id, program, true, effects);
+    return effects;
+}
+
+EscrowEffects claimLowered(BudgetEscrow& escrow, const ProgramId& id, MonotonicTime)
+{
+    EscrowEffects effects;
+    auto found = escrow.programs_.find(id);
+    if (found == escrow.programs_.end())
+        return effects;
+    ProgramBudget& program = found->second;
+    program.isWriting_ = false;
+    program.recorded_ = program.usable_;
+    if (!program.waiting_.empty())
+        advance(escrow, id, program, false, effects);
+    return effects;
+}
+
+EscrowEffects storeUnavailable(BudgetEscrow& escrow)
+{
+    EscrowEffects effects;
+    for (auto& [id, program] : escrow.programs_) {
+        std::deque<WaitingTurn> kept;
+        for (const WaitingTurn& turn : program.waiting_) {
+            // These wait for a turn of their own program rather than for the store.
+            if (!program.isWriting_ && mayFitLater(program, turn.most_))
+                kept.push_back(turn);
+            else
+                effects.push_back(DecideTurn { turn.id_, TurnDecision::Unavailable });
+        }
+        program.waiting_ = std::move(kept);
+    }
+    return effects;
+}
+
+EscrowEffects escrowTick(BudgetEscrow& escrow, bool isDraining, MonotonicTime now)
+{
+    EscrowEffects effects;
+    const EscrowOptions& options = escrow.options_;
+    for (auto entry = escrow.programs_.begin(); entry != escrow.programs_.end();) {
+        ProgramBudget& program = entry->second;
+        bool isBusy = program.isWriting_ || program.reserved_.value_ > 0 || !program.waiting_.empty();
+        if (!isBusy && now > program.lastUse_ + program.retention_ + options.expiryMargin_) {
+            effects.push_back(DropClaim { entry->first });
+            entry = escrow.programs_.erase(entry);
+            continue;
+        }
+        bool isIdle = isDraining || now > program.lastUse_ + options.returnAfter_;
+        if (!isBusy && isIdle && program.recorded_ > program.spent_) {
+            program.usable_ = program.spent_;
+            effects.push_back(writeClaim(escrow, entry->first, program, program.spent_, false));
+        }
+        ++entry;
+    }
+    return effects;
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/CallForwarder.cpp
@@ -0,0 +1,484 @@
+#include "CallForwarder.h"
+
+#include "BootClock.h"
+#include "EventLog.h"
+#include "Headers.h"
+#include "Metrics.h"
+#include "TcpLink.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace fescue {
+
+namespace {
+
+    constexpr int badGateway = 502;
+    constexpr int unavailable = 503;
+    constexpr int gatewayTimeout = 504;
+    // Answers up to this size are held until they are whole, so that a broken one can be replaced.
+    constexpr std::size_t heldAnswerBytes = 256 * 1024;
+    // A caller that has not read this much of a stream makes us stop reading it from the target.
+    constexpr std::size_t unsentBytes = 256 * 1024;
+    // Sends of one request, whatever became of them; a bound against endless refusals.
+    constexpr std::uint32_t mostSends = 8;
+    constexpr Milliseconds retryAfterFailure { 200 };
+
+    std::string msText(Milliseconds time) { return std::to_string(time.count()); }
+
+    ContentDigest digestOf(const FrontRequest& request)
+    {
+        // Requests without a body on one path are not one request; nothing can be said of their content.
+        if (request.body_.empty())
+            return {};
+        std::uint64_t seed = XXH64(request.head_.target_.data(), request.head_.target_.size(), 0);
+        std::uint64_t digest = XXH64(request.body_.data(), request.body_.size(), seed);
+        return { digest == 0 ? 1 : digest };
+    }
+
+    // Counts the events of a stream; an event ends with a blank line.
+    struct EventCounter {
+        std::int64_t events_ = 0;
+        bool isLineEmpty_ = true;
+        bool isInEvent_ = false;
+
+        void take(std::string_view bytes)
+        {
+            for (char c : bytes) {
+                if (c == '\r')
+                    continue;
+                if (c != '\n') {
+                    isLineEmpty_ = false;
+                    isInEvent_ = true;
+                    continue;
+                }
+                if (isLineEmpty_ && isInEvent_) {
+                    ++events_;
+                    isInEvent_ = false;
+                }
+                isLineEmpty_ = true;
+            }
+        }
+        /** With an event that was begun, since its tokens may have been passed on. */
+        std::int64_t begun() const { return events_ + (isInEvent_ ? 1 : 0); }
+    };
+
+} // namespace
+
+void refuseCall(FrontReply& reply, const AttemptId& attempt, int status, const std::string& reason,
+    std::optional<Milliseconds> retryAfter)
+{
+    HttpHead head;
+    head.status_ = status;
+    head.headers_.push_back({ "Content-Type", "application/problem+json" });
+    if (retryAfter) {
+        constexpr double msPerSecond = 1000;
+        head.headers_.push_back(
+            { "Retry-After", fmt::format("{:.2f}", static_cast<double>(retryAfter->count()) / msPerSecond) });
+    }
+    bool wasNotRun = status != badGateway && status != gatewayTimeout;
+    nlohmann::json body { { "status", status }, { "detail", reason }, { "request", attempt.value_ },
+        { "run", wasNotRun ? nameOf(RunState::NotRun) : nameOf(RunState::Unknown) } };
+    reply.answer(std::move(head), body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+struct CallForwarder::Impl : std::enable_shared_from_this<CallForwarder::Impl> {
+    struct Transfer {
+        ForwardedCall call_;
+        DispatchId id_; ///< In the pool; a new one for each send.
+        TargetId target_;
+        std::shared_ptr<OutboundCall> exchange_;
+        std::set<TargetId> avoid_;
+        std::uint32_t sends_ = 0;
+        std::uint32_t runs_ = 0; ///< Sends that may have run.
+        HttpHead answer_;
+        std::string held_;
+        EventCounter events_;
+        MonotonicTime sentAt_;
+        bool isQueued_ = false;
+        bool isRefusal_ = false; ///< The target states that it has not run the request.
+        bool isBegun_ = false; ///< The caller has got the head of an answer.
+        bool isPaused_ = false;
+        bool isOver_ = false;
+        bool needsNewConnection_ = false;
+    };
+    using TransferPtr = std::shared_ptr<Transfer>;
+
+    OutboundPool outbound_;
+    TargetPool pool_;
+    Random random_;
+    std::map<TargetId, asio::ip::tcp::endpoint> addresses_;
+    std::map<DispatchId, TransferPtr> transfers_;
+    std::uint64_t lastId_ = 0;
+    Counter answered_ { "calls_total", { "outcome", "answered" } };
+    Counter refused_ { "calls_total", { "outcome", "refused" } };
+    Counter failed_ { "calls_total", { "outcome", "failed" } };
+    Counter gone_ { "calls_total", { "outcome", "caller-gone" } };
+    Counter retries_ { "call_retries_total" };
+
+    Impl(asio::io_context& io, const ZoneId& zone, std::uint64_t seed)
+        : outbound_(io)
+        , random_(seed)
+    {
+        pool_.zone_ = zone;
+        pool_.options_.releasesStale_ = false;
+    }
+
+    QueuedCall queuedCall(const Transfer& transfer) const
+    {
+        const ForwardedCall& call = transfer.call_;
+        QueuedCall queued;
+        queued.id_ = transfer.id_;
+        queued.program_ = call.tags_.program_;
+        if (call.service_.isModel_)
+            queued.model_ = { call.service_.id_.value_ };
+        else
+            queued.service_ = call.service_.id_;
+        // Shared parts of prompts are in every engine's cache soon; the last part is the session's own.
+        queued.promptTokens_
+            = call.tags_.prompt_.empty() ? call.tags_.promptTokens_ : call.tags_.prompt_.back().tokens_;
+        queued.maxTokens_ = call.tags_.maxTokens_;
+        queued.bytes_ = { static_cast<std::int64_t>(call.request_.body_.size()) };
+        queued.digest_ = digestOf(call.request_);
+        queued.arrived_ = call.request_.arrived_;
+        queued.deadline_ = call.deadline_;
+        queued.avoid_ = transfer.avoid_;
+        return queued;
+    }
+
+    void forward(ForwardedCall call)
+    {
+        auto transfer = std::make_shared<Transfer>();
+        transfer->call_ = std::move(call);
+        transfer->call_.reply_->onGone([weak = weak_from_this(), transfer] {
+            if (auto self = weak.lock())
+                self->callerGone(transfer);
+        });
+        enqueue(transfer);
+        pump();
+    }
+
+    void enqueue(const TransferPtr& transfer)
+    {
+        transfer->id_ = { ++lastId_ };
+        auto queued = enqueueCall(pool_, queuedCall(*transfer), bootNow(), random_);
+        if (!queued) {
+            const Problem& problem = queued.error();
+            if (transfer->runs_ > 0)
+                return fail(transfer, badGateway, "no other target can run it");
+            return refuse(transfer, problem.detail_, problem.retryAfter_.value_or(retryAfterFailure));
+        }
+        transfer->isQueued_ = true;
+        transfers_[transfer->id_] = transfer;
+    }
+
+    void pump()
+    {
+        for (const Dispatch& dispatch : nextDispatches(pool_, bootNow(), random_)) {
+            auto found = transfers_.find(dispatch.id_);
+            if (found != transfers_.end())
+                send(found->second, dispatch.target_);
+        }
+    }
+
+    void send(const TransferPtr& transfer, const Target& target)
+    {
+        transfer->isQueued_ = false;
+        transfer->target_ = target.id_;
+        transfer->isRefusal_ = false;
+        transfer->held_.clear();
+        transfer->sentAt_ = bootNow();
+        ++transfer->sends_;
+        const ForwardedCall& call = transfer->call_;
+        Milliseconds left = call.deadline_ - transfer->sentAt_;
+        logEvent("send",
+            { { "request", call.tags_.attempt_.value_ }, { "target", target.id_.value_ },
+                { "attempt", std::to_string(transfer->sends_) },
+                { "waited_ms", msText(transfer->sentAt_ - call.request_.arrived_) },
+                { "left_ms", msText(left) }, { "load", loadText(target.id_) } });
+        OutboundRequest request { addresses_[target.id_],
+            platform::encodeTargetRequest(call.request_.head_, left, target.id_), call.request_.body_ };
+        request.needsNewConnection_ = transfer->needsNewConnection_;
+        OutboundCallbacks callbacks;
+        callbacks.isOurs_ = [transfer](const HttpHead& head) {
+            AttemptId answers = platform::decodeAnswerTags(head).attempt_;
+            return answers.empty() || answers == transfer->call_.tags_.attempt_;
+        };
+        callbacks.onHead_ = [this, transfer](const HttpHead& head) { tookHead(transfer, head); };
+        callbacks.onBody_ = [this, transfer](std::string part) { tookBody(transfer, std::move(part)); };
+        callbacks.onEnd_ = [this, transfer](const OutboundEnd& end) { ended(transfer, end); };
+        transfer->exchange_ = outbound_.send(std::move(request), std::move(callbacks));
+    }
+
+    // Our calls at the target, and its last report with its age.
+    std::string loadText(const TargetId& target) const
+    {
+        auto found = pool_.targets_.find(target);
+        if (found == pool_.targets_.end())
+            return "unknown";
+        const TargetState& state = found->second;
+        const TargetLoad& load = state.load_;
+        std::string age = load.reportedAt_ ? msText(bootNow() - *load.reportedAt_) : "never";
+        return fmt::format("own {} window {:.1f} running {} waiting {} age_ms {}", state.inFlight_,
+            state.window_.size_, load.report_.running_, load.report_.waiting_, age);
+    }
+
+    void tookHead(const TransferPtr& transfer, const HttpHead& head)
+    {
+        AnswerTags tags = platform::decodeAnswerTags(head);
+        if (tags.load_)
+            loadReported(
+                pool_, transfer->target_, { tags.load_->running_, tags.load_->waiting_, {} }, bootNow());
+        transfer->answer_ = head;
+        transfer->isRefusal_ = tags.wasNotRun_;
+        if (tags.wasNotRun_)
+            return;
+        constexpr int firstError = 300;
+        bool isSuccess = head.status_ < firstError;
+        if (isSuccess && (!tags.isStamped_ || tags.isEncoded_)) {
+            transfer->exchange_->cancel();
+            return lost(transfer, false, "the answer is not the target's own");
+        }
+        outputSeen(pool_, transfer->id_, bootNow());
+        if (isSuccess && transfer->call_.route_.isStream_)
+            begin(transfer);
+    }
+
+    void begin(const TransferPtr& transfer)
+    {
+        transfer->isBegun_ = true;
+        transfer->call_.reply_->begin(platform::encodeCallerAnswer(transfer->answer_));
+    }
+
+    void tookBody(const TransferPtr& transfer, std::string part)
+    {
+        if (transfer->isRefusal_)
+            return;
+        if (!transfer->isBegun_) {
+            transfer->held_ += part;
+            if (transfer->held_.size() <= heldAnswerBytes)
+                return;
+            begin(transfer);
+            part = std::move(transfer->held_);
+        }
+        if (transfer->call_.route_.isStream_)
+            transfer->events_.take(part);
+        transfer->call_.reply_->write(part);
+        if (transfer->call_.reply_->unsent() > unsentBytes && !transfer->isPaused_) {
+            transfer->isPaused_ = true;
+            transfer->exchange_->pauseReading(true);
+        }
+    }
+
+    void ended(const TransferPtr& transfer, const OutboundEnd& end)
+    {
+        if (end.fate_ == OutboundEnd::Fate::NotSent) {
+            endDispatch(transfer, DispatchEnd::Unreachable);
+            return again(transfer, end.reason_);
+        }
+        if (end.fate_ == OutboundEnd::Fate::Lost)
+            return lost(transfer, end.wasReused_ && !end.hadHead_, end.reason_);
+        if (transfer->isRefusal_) {
+            endDispatch(transfer, DispatchEnd::Refused);
+            return again(transfer, "the target refused it");
+        }
+        answered(transfer);
+    }
+
+    void answered(const TransferPtr& transfer)
+    {
+        endDispatch(transfer, DispatchEnd::Answered);
+        if (transfer->isBegun_)
+            transfer->call_.reply_->end();
+        else
+            transfer->call_.reply_->answer(platform::encodeCallerAnswer(transfer->answer_), transfer->held_);
+        answered_.add();
+        observeLatency("call_seconds", bootNow() - transfer->call_.request_.arrived_);
+        finish(transfer, "answered", transfer->answer_.status_, "");
+        pump();
+    }
+
+    TokenCount generated(const Transfer& transfer) const
+    {
+        return { transfer.events_.begun() * transfer.call_.service_.tokensPerEvent_.value_ };
+    }
+
+    void endDispatch(const TransferPtr& transfer, DispatchEnd how)
+    {
+        DispatchResult result { how };
+        const CallTags& tags = transfer->call_.tags_;
+        result.prompt_ = tags.prompt_.empty() ? tags.promptTokens_ : tags.prompt_.back().tokens_;
+        result.completion_ = generated(*transfer);
+        dispatchEnded(pool_, transfer->id_, result, bootNow(), random_);
+        transfers_.erase(transfer->id_);
+    }
+
+    // The request may have run and its answer is not to be had.
+    void lost(const TransferPtr& transfer, bool wasMaybeNeverRead, const char* reason)
+    {
+        ++transfer->runs_;
+        endDispatch(transfer, DispatchEnd::BrokenOff);
+        const Route& route = transfer->call_.route_;
+        bool mayRepeat = route.repeatability_ == Repeatability::Repeatable && !transfer->isBegun_;
+        // A kept connection that ends without a byte was mostly closed before the request came.
+        if (mayRepeat && wasMaybeNeverRead && !transfer->needsNewConnection_) {
+            transfer->needsNewConnection_ = true;
+            --transfer->runs_;
+            return again(transfer, reason);
+        }
+        if (mayRepeat && transfer->runs_ < route.mostAttempts_) {
+            transfer->avoid_.insert(transfer->target_);
+            return again(transfer, reason);
+        }
+        fail(transfer, badGateway, reason);
+    }
+
+    void again(const TransferPtr& transfer, const char* reason)
+    {
+        logEvent("send-again",
+            { { "request", transfer->call_.tags_.attempt_.value_ }, { "target", transfer->target_.value_ },
+                { "reason", reason }, { "may_have_run", std::to_string(transfer->runs_) } });
+        retries_.add();
+        if (transfer->sends_ >= mostSends) {
+            if (transfer->runs_ > 0)
+                return fail(transfer, badGateway, reason);
+            return refuse(transfer, "too many targets refused it", retryAfterFailure);
+        }
+        enqueue(transfer);
+        pump();
+    }
+
+    void refuse(const TransferPtr& transfer, const std::string& reason, Milliseconds retryAfter)
+    {
+        refused_.add();
+        refuseCall(*transfer->call_.reply_, transfer->call_.tags_.attempt_, unavailable, reason, retryAfter);
+        finish(transfer, "refused", unavailable, reason);
+    }
+
+    void fail(const TransferPtr& transfer, int status, const char* reason)
+    {
+        failed_.add();
+        if (transfer->isBegun_)
+            transfer->call_.reply_->abort();
+        else
+            refuseCall(*transfer->call_.reply_, transfer->call_.tags_.attempt_, status, reason, std::nullopt);
+        finish(transfer, "failed", status, reason);
+    }
+
+    void callerGone(const TransferPtr& transfer)
+    {
+        if (transfer->isOver_)
+            return;
+        drop(transfer);
+        gone_.add();
+        finish(transfer, "caller-gone", 0, "the caller closed its connection");
+        pump();
+    }
+
+    // Takes a request off the queue or off its target.
+    void drop(const TransferPtr& transfer)
+    {
+        if (transfer->isQueued_) {
+            removeQueued(pool_, transfer->id_);
+            transfers_.erase(transfer->id_);
+            return;
+        }
+        if (transfer->exchange_)
+            transfer->exchange_->cancel();
+        endDispatch(transfer, DispatchEnd::Cancelled);
+    }
+
+    void finish(const TransferPtr& transfer, const char* outcome, int status, const std::string& reason)
+    {
+        transfer->isOver_ = true;
+        const ForwardedCall& call = transfer->call_;
+        Milliseconds total = bootNow() - call.request_.arrived_;
+        logEvent("request",
+            { { "request", call.tags_.attempt_.value_ }, { "program", call.tags_.program_.value_ },
+                { "route", call.route_.name_ }, { "service", call.service_.id_.value_ },
+                { "outcome", outcome }, { "status", std::to_string(status) }, { "reason", reason },
+                { "target", transfer->target_.value_ }, { "sends", std::to_string(transfer->sends_) },
+                { "may_have_run", std::to_string(transfer->runs_) }, { "total_ms", msText(total) },
+                { "tokens", std::to_string(generated(*transfer).value_) } });
+        if (call.onEnd_)
+            call.onEnd_(generated(*transfer));
+    }
+
+    void tick(MonotonicTime now)
+    {
+        outbound_.tick(now);
+        std::vector<TransferPtr> overdue;
+        for (const auto& [id, transfer] : transfers_) {
+            if (now >= transfer->call_.deadline_)
+                overdue.push_back(transfer);
+            else if (transfer->isPaused_ && transfer->call_.reply_->unsent() <= unsentBytes / 2) {
+                transfer->isPaused_ = false;
+                transfer->exchange_->pauseReading(false);
+            }
+        }
+        for (const TransferPtr& transfer : overdue) {
+            if (transfer->isOver_)
+                continue;
+            bool wasSent = !transfer->isQueued_;
+            drop(transfer);
+            if (wasSent || transfer->runs_ > 0)
+                fail(transfer, gatewayTimeout, "its time is over");
+            else
+                refuse(transfer, "no target had room for it in its time", retryAfterFailure);
+        }
+        pump();
+    }
+
+    void setTargets(const TargetList& list, const ServingConfig& config)
+    {
+        Manifest manifest;
+        addresses_.clear();
+        for (const auto& [id, entry] : list.entries_) {
+            auto address = parseEndpoint(entry.address_);
+            if (!address)
+                continue;
+            addresses_[id] = *address;
+            Target target;
+            target.id_ = id;
+            target.url_ = entry.address_;
+            target.zone_ = entry.zone_;
+            target.isLeaving_ = entry.isLeaving_;
+            auto service = config.services_.find(entry.service_);
+            if (service != config.services_.end() && service->second.isModel_)
+                target.models_.push_back({ entry.service_.value_ });
+            else
+                target.service_ = entry.service_;
+            manifest.targets_[id] = std::move(target);
+        }
+        fescue::setTargets(pool_, manifest);
+        pump();
+    }
+};
+
+CallForwarder::CallForwarder(asio::io_context& io, const ZoneId& zone, std::uint64_t seed)
+    : impl_(std::make_shared<Impl>(io, zone, seed))
+{
+}
+
+CallForwarder::~CallForwarder() = default;
+
+void CallForwarder::setTargets(const TargetList& list, const ServingConfig& config)
+{
+    impl_->setTargets(list, config);
+}
+
+void CallForwarder::forward(ForwardedCall call) { impl_->forward(std::move(call)); }
+
+void CallForwarder::tick(MonotonicTime now) { impl_->tick(now); }
+
+void CallForwarder::closeIdleConnections() { impl_->outbound_.closeIdle(); }
+
+std::size_t CallForwarder::underWay() const { return impl_->transfers_.size(); }
+
+std::size_t CallForwarder::waiting() const { return impl_->pool_.queue_.calls_.size(); }
+
+std::uint64_t CallForwarder::connectionsMade() const { return impl_->outbound_.connectionsMade(); }
+
+} // namespace fescue
--- a/src/EventLog.cpp
+++ b/src/EventLog.cpp
@@ -1,13 +1,18 @@
 #include "EventLog.h"
 
+#include "Metrics.h"
+
 #include <algorithm>
 #include <chrono>
+#include <fcntl.h>
 #include <fmt/format.h>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace fescue {
 
@@ -15,8 +20,42 @@
 
 namespace {
 
+    // Holds lines until standard output takes them, so that a reader who stands still never stops the
+    // process.
+    class BufferSink : public spdlog::sinks::base_sink<std::mutex> {
+    public:
+        void drain()
+        {
+            std::lock_guard<std::mutex> lock(mutex_);
+            while (!buffer_.empty()) {
+                ssize_t written = ::write(STDOUT_FILENO, buffer_.data(), buffer_.size());
+                if (written <= 0)
+                    return; // Nobody reads now; the lines are kept for the next time.
+                buffer_.erase(0, static_cast<std::size_t>(written));
+            }
+        }
+
+    protected:
+        void sink_it_(
+            const spdlog::details::log_msg& message) override // NOLINT(readability-identifier-naming)
+        {
+            if (buffer_.size() + message.payload.size() > mostBytes)
+                return dropped_.add();
+            buffer_.append(message.payload.data(), message.payload.size());
+            buffer_ += '\n';
+        }
+        void flush_() override { } // NOLINT(readability-identifier-naming)
+
+    private:
+        // Some seconds of lines under the heaviest load of one VM.
+        static constexpr std::size_t mostBytes = 512 * 1024;
+        std::string buffer_;
+        Counter dropped_ { "log_lines_dropped_total" };
+    };
+
     struct State {
         std::shared_ptr<spdlog::logger> logger_;
+        std::shared_ptr<BufferSink> buffer_;
         std::string common_; ///< Members that each line has, as JSON text.
         std::mutex mutex_; ///< Lines stand in the file in the order of their numbers and times.
         std::uint64_t lastLine_ = 0;
@@ -71,8 +110,16 @@
 
 void openEventLog(const EventLogOptions& options)
 {
-    auto logger = options.file_.empty() ? spdlog::stderr_logger_mt("events")
-                                        : spdlog::basic_logger_mt("events", options.file_);
+    std::shared_ptr<spdlog::logger> logger;
+    if (options.isBuffered_) {
+        ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+        state().buffer_ = std::make_shared<BufferSink>();
+        logger = std::make_shared<spdlog::logger>("events", state().buffer_);
+    } else if (options.file_.empty()) {
+        logger = spdlog::stderr_logger_mt("events");
+    } else {
+        logger = spdlog::basic_logger_mt("events", options.file_);
+    }
     logger->set_pattern("%v");
     // A line is in the file before what it tells has any effect elsewhere, also when the process is killed.
     logger->flush_on(spdlog::level::info);
@@ -87,6 +134,12 @@
     writeLine(spdlog::level::info, event, nullptr, facts);
 }
 
+void flushEventLog()
+{
+    if (state().buffer_)
+        state().buffer_->drain();
+}
+
 void logWarning(const char* event, const std::string& message, const Facts& facts)
 {
     writeLine(spdlog::level::warn, event, &message, facts);
--- a/src/EventLog.h
+++ b/src/EventLog.h
@@ -20,6 +20,8 @@
     std::string process_;
     std::string vm_;
     std::string zone_;
+    bool isBuffered_
+        = false; ///< To standard output by `flushEventLog`, which never waits; `file_` is unused.
 };
 
 /** A fact of an event: its name and value. */
@@ -32,6 +34,10 @@
 /** Writes one line. Safe from any thread; does nothing before `openEventLog`. */
 void logEvent(const char* event, const Facts& facts);
 
+/** Writes what a buffered log holds, as far as standard output takes it now. Lines beyond the bound of the
+ * buffer are dropped and counted in `log_lines_dropped_total`. Does nothing for other logs. */
+void flushEventLog();
+
 /** Like `logEvent`, for what an operator has to act on; the message names the remedy. */
 void logWarning(const char* event, const std::string& message, const Facts& facts = {});
 
--- /dev/null
+++ b/src/FrontServer.cpp
@@ -0,0 +1,415 @@
+#include "FrontServer.h"
+
+#include "BootClock.h"
+#include "TcpLink.h"
+
+#include <deque>
+#include <fmt/format.h>
+#include <optional>
+#include <set>
+#include <system_error>
+
+namespace fescue {
+
+namespace {
+
+    using asio::ip::tcp;
+
+    // Bytes of further requests that are read while one is served; more wait in the socket.
+    constexpr std::size_t mostPipelinedBytes = 256 * 1024;
+    // A caller may reuse a connection until the very end of its idle time; the close must not cross a
+    // request.
+    constexpr Milliseconds idleSlack { 500 };
+    // After a failed accept (no descriptors left) this passes before the next one.
+    constexpr Milliseconds acceptPause { 50 };
+
+    int statusOf(HttpFault fault)
+    {
+        switch (fault) {
+        case HttpFault::HeadTooLarge:
+            return 431;
+        case HttpFault::BodyTooLarge:
+            return 413;
+        case HttpFault::BadHead:
+        case HttpFault::BadBody:
+            break;
+        }
+        return 400;
+    }
+
+    const char* textOf(HttpFault fault)
+    {
+        switch (fault) {
+        case HttpFault::HeadTooLarge:
+            return "the head is larger than allowed; send fewer or shorter header lines";
+        case HttpFault::BodyTooLarge:
+            return "the body is larger than allowed; send a smaller one";
+        case HttpFault::BadBody:
+            return "the chunks of the body are not well-formed; send valid chunked coding";
+        case HttpFault::BadHead:
+            break;
+        }
+        return "the head is not well-formed HTTP/1.1, or its framing is ambiguous; send one length or chunks";
+    }
+
+    class Session;
+
+    struct Shared {
+        FrontHandler handler_;
+        FrontRefusal refused_;
+        FrontLimits limits_;
+        std::set<std::shared_ptr<Session>> sessions_;
+        bool isDraining_ = false;
+    };
+
+    class Reply;
+
+    // One caller's connection.
+    class Session : public std::enable_shared_from_this<Session> {
+    public:
+        Session(std::shared_ptr<TcpLink> link, std::shared_ptr<Shared> shared)
+            : link_(std::move(link))
+            , shared_(std::move(shared))
+            , reader_(HttpReader::Side::Requests, shared_->limits_.message_)
+            , lastActive_(bootNow())
+        {
+        }
+
+        void start()
+        {
+            auto self = shared_from_this();
+            link_->setCallbacks({ nullptr, [self](std::string_view data) { self->takeData(data); },
+                [self](LinkEnd) { self->ended(); } });
+            link_->start();
+        }
+
+        void tick(MonotonicTime now);
+        bool isIdle() const { return !reply_ && !reader_.hasStarted() && input_.empty(); }
+        void close(bool isAborting)
+        {
+            link_->close(isAborting);
+            forget();
+        }
+        TcpLink& link() { return *link_; }
+        bool isDraining() const { return shared_->isDraining_; }
+        void answered(bool mayContinue);
+
+    private:
+        void takeData(std::string_view data);
+        void parse();
+        void dispatch();
+        void refuse(int status, const char* reason);
+        void ended();
+        void forget() { shared_->sessions_.erase(shared_from_this()); }
+
+        std::shared_ptr<TcpLink> link_;
+        std::shared_ptr<Shared> shared_;
+        HttpReader reader_;
+        std::string input_; ///< Not parsed yet.
+        std::string body_;
+        std::shared_ptr<Reply> reply_; ///< Of the request under way.
+        MonotonicTime lastActive_;
+        std::optional<MonotonicTime> headBegan_;
+        MonotonicTime headWhole_;
+        bool hasHead_ = false;
+        bool isParsing_ = false;
+    };
+
+    class Reply final : public FrontReply {
+    public:
+        Reply(std::shared_ptr<Session> session, bool keepsAlive, bool isHead)
+            : session_(std::move(session))
+            , keepsAlive_(keepsAlive)
+            , isHead_(isHead)
+        {
+        }
+
+        void answer(HttpHead head, std::string_view body) override
+        {
+            if (!session_)
+                return;
+            bool hasNoBody = head.status_ == 204 || head.status_ == 304;
+            if (!hasNoBody && !(isHead_ && findHeader(head, "Content-Length")))
+                head.headers_.push_back({ "Content-Length", std::to_string(body.size()) });
+            addConnection(head);
+            std::string text = toText(head);
+            if (!isHead_ && !hasNoBody)
+                text.append(body);
+            session_->link().send(text);
+            finish();
+        }
+
+        void begin(HttpHead head) override
+        {
+            if (!session_)
+                return;
+            head.headers_.push_back({ "Transfer-Encoding", "chunked" });
+            addConnection(head);
+            session_->link().send(toText(head));
+        }
+
+        void write(std::string_view part) override
+        {
+            if (session_ && !part.empty())
+                session_->link().send(toChunk(part));
+        }
+
+        void end() override
+        {
+            if (!session_)
+                return;
+            session_->link().send("0\r\n\r\n");
+            finish();
+        }
+
+        void abort() override
+        {
+            if (!session_)
+                return;
+            onGone_ = nullptr;
+            auto session = std::move(session_);
+            session->close(true);
+        }
+
+        std::size_t unsent() const override { return session_ ? session_->link().queued() : 0; }
+
+        void onGone(std::function<void()> callback) override { onGone_ = std::move(callback); }
+
+        void gone()
+        {
+            session_ = nullptr;
+            auto callback = std::move(onGone_);
+            onGone_ = nullptr;
+            if (callback)
+                callback();
+        }
+
+    private:
+        void addConnection(HttpHead& head)
+        {
+            keepsAlive_ = keepsAlive_ && !session_->isDraining();
+            if (!keepsAlive_)
+                head.headers_.push_back({ "Connection", "close" });
+        }
+
+        void finish()
+        {
+            onGone_ = nullptr;
+            auto session = std::move(session_);
+            session->answered(keepsAlive_);
+        }
+
+        std::shared_ptr<Session> session_;
+        bool keepsAlive_;
+        bool isHead_;
+        std::function<void()> onGone_;
+    };
+
+    void Session::takeData(std::string_view data)
+    {
+        lastActive_ = bootNow();
+        input_.append(data);
+        if (!reply_)
+            parse();
+        else if (input_.size() > mostPipelinedBytes)
+            link_->pauseReading(true);
+    }
+
+    void Session::parse()
+    {
+        if (isParsing_)
+            return;
+        isParsing_ = true;
+        auto self = shared_from_this();
+        while (!reply_ && !input_.empty() && link_->isOpen()) {
+            if (!reader_.hasStarted())
+                reader_.setLimits(shared_->limits_.message_);
+            std::size_t used = reader_.feed(input_);
+            input_.erase(0, used);
+            if (reader_.hasStarted() && !headBegan_)
+                headBegan_ = lastActive_;
+            if (reader_.fault()) {
+                refuse(statusOf(*reader_.fault()), textOf(*reader_.fault()));
+                break;
+            }
+            if (!reader_.hasHead())
+                break;
+            if (!hasHead_) {
+                hasHead_ = true;
+                headWhole_ = lastActive_;
+                const std::string* expect = findHeader(reader_.head(), "Expect");
+                if (expect && sameName(*expect, "100-continue") && !reader_.isComplete())
+                    link_->send("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            body_ += reader_.takeBody();
+            if (!reader_.isComplete())
+                break;
+            dispatch();
+        }
+        isParsing_ = false;
+    }
+
+    void Session::dispatch()
+    {
+        FrontRequest request { reader_.head(), std::move(body_), headWhole_ };
+        body_.clear();
+        reader_.next();
+        hasHead_ = false;
+        headBegan_.reset();
+        auto reply = std::make_shared<Reply>(shared_from_this(),
+            request.head_.keepsAlive_ && request.head_.isHttp11_, request.head_.method_ == "HEAD");
+        reply_ = reply;
+        if (!request.head_.isHttp11_ || countHeader(request.head_, "Host") != 1) {
+            const char* reason = "HTTP/1.1 with one Host header is required";
+            shared_->refused_(400, reason, &request.head_);
+            HttpHead head;
+            head.status_ = 400;
+            reply->answer(head, reason);
+            return;
+        }
+        shared_->handler_(std::move(request), reply);
+    }
+
+    void Session::refuse(int status, const char* reason)
+    {
+        shared_->refused_(status, reason, reader_.hasHead() ? &reader_.head() : nullptr);
+        HttpHead head;
+        head.status_ = status;
+        head.headers_ = { { "Content-Length", std::to_string(std::string_view(reason).size()) },
+            { "Connection", "close" } };
+        link_->send(toText(head) + reason);
+        link_->finish();
+        forget();
+    }
+
+    void Session::answered(bool mayContinue)
+    {
+        reply_ = nullptr;
+        lastActive_ = bootNow();
+        if (!mayContinue) {
+            link_->finish();
+            return forget();
+        }
+        link_->pauseReading(false);
+        parse();
+    }
+
+    void Session::ended()
+    {
+        auto self = shared_from_this();
+        forget();
+        if (auto reply = std::move(reply_))
+            reply->gone();
+    }
+
+    void Session::tick(MonotonicTime now)
+    {
+        const FrontLimits& limits = shared_->limits_;
+        if (reply_)
+            return;
+        if (headBegan_ && !hasHead_ && now > *headBegan_ + limits.headTimeout_)
+            return refuse(408, "the head did not come in time; send it without pauses");
+        if (now <= lastActive_ + limits.idleTimeout_ + idleSlack)
+            return;
+        if (hasHead_)
+            return refuse(408, "the body did not come in time; send it without pauses");
+        close(false);
+    }
+
+} // namespace
+
+struct FrontServer::Impl : std::enable_shared_from_this<FrontServer::Impl> {
+    asio::io_context& io_;
+    tcp::acceptor acceptor_;
+    std::shared_ptr<Shared> shared_ = std::make_shared<Shared>();
+    std::optional<MonotonicTime> acceptAgain_;
+
+    explicit Impl(asio::io_context& io)
+        : io_(io)
+        , acceptor_(io)
+    {
+    }
+
+    void listen(const std::string& address)
+    {
+        auto endpoint = parseEndpoint(address);
+        // Port 0 takes a free one; `parseEndpoint` speaks of peers and refuses it.
+        std::size_t colon = address.rfind(':');
+        if (!endpoint && colon != std::string::npos && address.substr(colon) == ":0")
+            endpoint = tcp::endpoint(asio::ip::make_address_v4(address.substr(0, colon)), 0);
+        if (!endpoint)
+            throw std::system_error(
+                std::make_error_code(std::errc::invalid_argument), "cannot listen on " + address);
+        acceptor_.open(tcp::v4());
+        acceptor_.set_option(tcp::acceptor::reuse_address(true));
+        acceptor_.bind(*endpoint);
+        acceptor_.listen();
+        accept();
+    }
+
+    void accept()
+    {
+        acceptor_.async_accept(
+            [self = shared_from_this()](const asio::error_code& error, tcp::socket socket) {
+                if (!self->acceptor_.is_open())
+                    return;
+                if (error) {
+                    self->acceptAgain_ = bootNow() + acceptPause;
+                    return;
+                }
+                auto session = std::make_shared<Session>(TcpLink::accepted(std::move(socket)), self->shared_);
+                self->shared_->sessions_.insert(session);
+                session->start();
+                self->accept();
+            });
+    }
+};
+
+FrontServer::FrontServer(
+    asio::io_context& io, const std::string& address, FrontHandler handler, FrontRefusal refused)
+    : impl_(std::make_shared<Impl>(io))
+{
+    impl_->shared_->handler_ = std::move(handler);
+    impl_->shared_->refused_ = std::move(refused);
+    impl_->listen(address);
+}
+
+FrontServer::~FrontServer()
+{
+    asio::error_code ignored; // The process is done with the address.
+    impl_->acceptor_.close(ignored);
+    auto sessions = std::move(impl_->shared_->sessions_);
+    impl_->shared_->sessions_.clear();
+    for (const auto& session : sessions)
+        session->close(false);
+}
+
+void FrontServer::setLimits(const FrontLimits& limits) { impl_->shared_->limits_ = limits; }
+
+void FrontServer::tick(MonotonicTime now)
+{
+    if (impl_->acceptAgain_ && now >= *impl_->acceptAgain_) {
+        impl_->acceptAgain_.reset();
+        impl_->accept();
+    }
+    auto sessions = impl_->shared_->sessions_;
+    for (const auto& session : sessions)
+        session->tick(now);
+}
+
+void FrontServer::drain() { impl_->shared_->isDraining_ = true; }
+
+void FrontServer::closeIdle()
+{
+    auto sessions = impl_->shared_->sessions_;
+    for (const auto& session : sessions) {
+        if (session->isIdle())
+            session->close(false);
+    }
+}
+
+std::size_t FrontServer::connections() const { return impl_->shared_->sessions_.size(); }
+
+std::uint16_t FrontServer::port() const { return impl_->acceptor_.local_endpoint().port(); }
+
+} // namespace fescue
--- /dev/null
+++ b/src/StoreHealth.h
@@ -0,0 +1,38 @@
+#pragma once
+
+/** \file
+ * StoreHealth: whether the platform's store answers this VM, as its last calls show.
+ */
+
+#include "Types.h"
+
+#include <optional>
+
+namespace fescue {
+
+/** What the last calls showed. */
+struct StoreHealth {
+    bool isUp_ = true;
+    std::uint32_t failures_ = 0; ///< In a row.
+    MonotonicTime changedAt_;
+    std::optional<MonotonicTime> lastAnswer_;
+};
+
+/** Failures in a row after which the store counts as unreachable: one alone may be a lost connection. */
+constexpr std::uint32_t failuresUntilDown = 2;
+
+/** Takes the outcome of a call. Returns true when `isUp_` changed. */
+inline bool takeStoreOutcome(StoreHealth& health, bool isAnswered, MonotonicTime now)
+{
+    health.failures_ = isAnswered ? 0 : health.failures_ + 1;
+    if (isAnswered)
+        health.lastAnswer_ = now;
+    bool isUp = isAnswered || (health.isUp_ && health.failures_ < failuresUntilDown);
+    if (isUp == health.isUp_)
+        return false;
+    health.isUp_ = isUp;
+    health.changedAt_ = now;
+    return true;
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/TcpLink.cpp
@@ -0,0 +1,212 @@
+#include "TcpLink.h"
+
+#include <array>
+#include <asio/error.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <optional>
+#include <sys/socket.h>
+
+namespace fescue {
+
+namespace {
+
+    using asio::ip::tcp;
+    using ErrorCode = asio::error_code;
+
+    // Unacknowledged data after which a peer counts as unreachable. Shorter than the shortest deadline of
+    // callers that we know (1.2 s), so that a repeatable request still has time for another target.
+    constexpr int userTimeoutMs = 800;
+    // Queued output is compacted when this many bytes of it have been sent.
+    constexpr std::size_t compactBytes = 64 * 1024;
+
+    void setOptions(tcp::socket& socket)
+    {
+        ErrorCode ignored; // A socket without these options still works.
+        socket.set_option(tcp::no_delay(true), ignored);
+        socket.non_blocking(true, ignored);
+        ::setsockopt(
+            socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
+    }
+
+    bool wouldBlock(const ErrorCode& error)
+    {
+        return error == asio::error::would_block || error == asio::error::try_again
+            || error == asio::error::interrupted;
+    }
+
+} // namespace
+
+TcpLink::TcpLink(tcp::socket socket)
+    : socket_(std::move(socket))
+{
+}
+
+TcpLink::TcpLink(asio::io_context& io)
+    : socket_(io)
+{
+}
+
+std::shared_ptr<TcpLink> TcpLink::accepted(tcp::socket socket)
+{
+    std::shared_ptr<TcpLink> link(new TcpLink(std::move(socket)));
+    setOptions(link->socket_);
+    link->isOpen_ = true;
+    return link;
+}
+
+std::shared_ptr<TcpLink> TcpLink::make(asio::io_context& io)
+{
+    return std::shared_ptr<TcpLink>(new TcpLink(io));
+}
+
+void TcpLink::setCallbacks(Callbacks callbacks) { callbacks_ = std::move(callbacks); }
+
+void TcpLink::connect(const tcp::endpoint& peer)
+{
+    isOpen_ = true;
+    ErrorCode error;
+    socket_.open(tcp::v4(), error);
+    if (!error)
+        setOptions(socket_);
+    socket_.async_connect(peer, [self = shared_from_this()](const ErrorCode& failure) {
+        if (!self->isOpen_)
+            return;
+        if (failure)
+            return self->end(LinkEnd::NotConnected);
+        if (self->callbacks_.onConnected_)
+            self->callbacks_.onConnected_();
+        self->start();
+    });
+}
+
+void TcpLink::start()
+{
+    if (isOpen_)
+        awaitReadable();
+}
+
+void TcpLink::awaitReadable()
+{
+    if (isReading_ || isPaused_ || !isOpen_)
+        return;
+    isReading_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode& error) {
+        self->isReading_ = false;
+        if (error || !self->isOpen_)
+            return;
+        self->read();
+        self->awaitReadable();
+    });
+}
+
+void TcpLink::read()
+{
+    // One buffer serves all links, since they share a thread and each hands its bytes on at once.
+    static std::array<char, 64 * 1024> buffer;
+    ErrorCode error;
+    std::size_t size = socket_.read_some(asio::buffer(buffer), error);
+    if (wouldBlock(error))
+        return;
+    if (error)
+        return end(error == asio::error::eof ? LinkEnd::Closed : LinkEnd::Reset);
+    if (callbacks_.onData_)
+        callbacks_.onData_({ buffer.data(), size });
+}
+
+void TcpLink::send(std::string_view data)
+{
+    if (!isOpen_ || data.empty())
+        return;
+    output_.append(data);
+    if (!isWriting_)
+        flush();
+}
+
+void TcpLink::flush()
+{
+    while (queued() > 0) {
+        ErrorCode error;
+        sent_ += socket_.write_some(asio::buffer(output_.data() + sent_, queued()), error);
+        if (wouldBlock(error)) {
+            if (sent_ > compactBytes) {
+                output_.erase(0, sent_);
+                sent_ = 0;
+            }
+            return awaitWritable();
+        }
+        // The read side reports the failure; ending here would run callbacks inside of `send`.
+        if (error)
+            break;
+    }
+    output_.clear();
+    sent_ = 0;
+    if (isFinishing_)
+        close();
+}
+
+void TcpLink::awaitWritable()
+{
+    isWriting_ = true;
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const ErrorCode& error) {
+        self->isWriting_ = false;
+        if (!error && self->isOpen_)
+            self->flush();
+    });
+}
+
+void TcpLink::pauseReading(bool isPaused)
+{
+    isPaused_ = isPaused;
+    awaitReadable();
+}
+
+void TcpLink::finish()
+{
+    isFinishing_ = true;
+    if (isOpen_ && queued() == 0)
+        close();
+}
+
+void TcpLink::close(bool isAborting)
+{
+    if (!isOpen_)
+        return;
+    isOpen_ = false;
+    ErrorCode ignored; // The connection is given up either way.
+    if (isAborting)
+        socket_.set_option(tcp::socket::linger(true, 0), ignored);
+    else
+        socket_.shutdown(tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+    // The callbacks may own this link; they go once the current one has returned.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->callbacks_ = {}; });
+}
+
+void TcpLink::end(LinkEnd how)
+{
+    if (!isOpen_)
+        return;
+    auto self = shared_from_this();
+    auto onEnd = std::move(callbacks_.onEnd_);
+    close(how == LinkEnd::Reset);
+    if (onEnd)
+        onEnd(how);
+}
+
+std::optional<tcp::endpoint> parseEndpoint(const std::string& text)
+{
+    std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    std::uint16_t port = 0;
+    const char* last = text.data() + text.size();
+    auto parsed = std::from_chars(text.data() + colon + 1, last, port);
+    ErrorCode error;
+    auto address = asio::ip::make_address_v4(text.substr(0, colon), error);
+    if (error || parsed.ec != std::errc() || parsed.ptr != last || port == 0)
+        return std::nullopt;
+    return tcp::endpoint(address, port);
+}
+
+} // namespace fescue
