--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -124,6 +124,7 @@
     {
         pool_.zone_ = zone;
         pool_.options_.releasesStale_ = false;
+        pool_.options_.shared_.isEnabled_ = true;
     }
 
     QueuedCall queuedCall(const Transfer& transfer) const
@@ -445,6 +446,7 @@
             target.url_ = entry.address_;
             target.zone_ = entry.zone_;
             target.isLeaving_ = entry.isLeaving_;
+            target.slots_ = entry.slots_;
             auto service = config.services_.find(entry.service_);
             if (service != config.services_.end() && service->second.isModel_)
                 target.models_.push_back({ entry.service_.value_ });
--- a/src/Manifest.h
+++ b/src/Manifest.h
@@ -56,6 +56,7 @@
     ZoneId zone_;
     bool checksFencing_ = false; ///< It refuses orders with an old fencing number.
     bool isLeaving_ = false; ///< It gets no new work.
+    std::uint32_t slots_ = 0; ///< Calls that it runs at once; 0 when unknown.
     std::vector<ModelId> models_;
     ServiceId service_; ///< Empty for a model engine.
 };
--- /dev/null
+++ b/src/SharedTargets.cpp
@@ -0,0 +1,41 @@
+#include "SharedTargets.h"
+
+#include <algorithm>
+#include <cmath>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace fescue {
+
+double othersNow(const OthersAtTarget& others, double mean, double callMs, MonotonicTime now)
+{
+    if (others.reportedAt_ == MonotonicTime {})
+        return mean;
+    auto age = static_cast<double>((now - others.reportedAt_).count());
+    return mean + (others.calls_ - mean) * std::exp(-age / std::max(1.0, callMs));
+}
+
+bool isSaturated(const SharedTarget& target, const SharedOptions& options)
+{
+    return target.calls_ + 1 > target.slots_ + options.waitingAtTarget_;
+}
+
+double sharedCostMs(const SharedTarget& target, TokenCount ownPrompt, const SharedOptions& options)
+{
+    double slots = std::max(1U, target.slots_);
+    double callMs = target.callMs_ * target.slowness_;
+    double beyond = std::max(0.0, target.calls_ + 1 - slots);
+    double wait = beyond * callMs / slots;
+    double neighbours = std::min(target.calls_, slots) * options.neighbourShare_ * callMs;
+    double prompt = static_cast<double>(ownPrompt.value_) * options.prefillMs_;
+    double move = target.isPreferred_ ? 0 : prompt + target.callMs_ * options.moveShare_;
+    return wait + callMs + neighbours + move + (target.isOtherZone_ ? options.otherZoneMs_ : 0);
+}
+
+std::uint64_t preferenceOf(const std::string& program, const TargetId& target)
+{
+    std::uint64_t seed = XXH64(program.data(), program.size(), 0);
+    return XXH64(target.value_.data(), target.value_.size(), seed);
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/SharedTargets.h
@@ -0,0 +1,63 @@
+#pragma once
+
+/** \file
+ * SharedTargets: what a call costs at a target that many VMs use without talking to each other.
+ *
+ * A VM sees little of such a target: its own calls, and a report with each answer that is soon out of date.
+ * Calls last shorter than the reports are apart, so an old report tells less about a target than the mean of
+ * all of them: what others run there decays towards that mean. Programs prefer one target by hash, the same
+ * one on every VM, so that a program's prompts stay cached while its turns come through different VMs, and so
+ * that the VMs do not all choose the target that looked best a moment ago.
+ *
+ *     cost = wait for a place + the call, slowed by neighbours in the batch + move away from the preferred
+ * target
+ */
+
+#include "Types.h"
+
+#include <string>
+
+namespace fescue {
+
+/** Calls of other VMs at a target, as its last report showed them. */
+struct OthersAtTarget {
+    double calls_ = 0;
+    MonotonicTime reportedAt_; ///< The epoch when there was no report yet.
+};
+
+/** Parameters of the cost. */
+struct SharedOptions {
+    bool isEnabled_ = false; ///< Whether targets are shared by VMs that do not talk.
+    std::uint32_t defaultSlots_ = 8; ///< Of a target that does not say how many calls it runs at once.
+    double neighbourShare_
+        = 0.03; ///< Part of a call's time that each neighbour adds; batched engines: 2 to 4 %.
+    double prefillMs_ = 0.006; ///< For a prompt token; engines of this class read some 170 in a millisecond.
+    double otherZoneMs_ = 8; ///< Delay and price of the way to another zone.
+    double moveShare_
+        = 0.12; ///< Part of a call's time that another target must be cheaper by; some 4 neighbours.
+    double waitingAtTarget_ = 2; ///< Calls beyond its slots that may wait there, so that none stays empty.
+};
+
+/** Calls of others that are there now, in the mean. Pure. `mean` is that over all targets of the service. */
+double othersNow(const OthersAtTarget& others, double mean, double callMs, MonotonicTime now);
+
+/** A target as the cost sees it. */
+struct SharedTarget {
+    double calls_ = 0; ///< Of all VMs, as far as known.
+    std::uint32_t slots_ = 0;
+    double callMs_ = 0; ///< A whole call at a target of this service, in the mean.
+    double slowness_ = 1; ///< Time per token, relative to the mean of the service's targets.
+    bool isPreferred_ = false; ///< By the program's hash.
+    bool isOtherZone_ = false;
+};
+
+/** Whether one more call would wait there longer than is useful. Pure. */
+bool isSaturated(const SharedTarget& target, const SharedOptions& options);
+
+/** Cost of one more call with so many prompt tokens of its own. Pure. */
+double sharedCostMs(const SharedTarget& target, TokenCount ownPrompt, const SharedOptions& options);
+
+/** Score by which a program prefers targets; the highest wins. Pure. */
+std::uint64_t preferenceOf(const std::string& program, const TargetId& target);
+
+} // namespace fescue
--- a/src/TargetLoad.cpp
+++ b/src/TargetLoad.cpp
@@ -12,7 +12,10 @@
     constexpr std::int64_t fewestAnswerTokensForPace = 8;
     constexpr double leastPrefillMs = 0.005;
 
-    void blend(double& average, double sample) { average += weightOfSample * (sample - average); }
+    void blend(double& average, double sample, double weight = weightOfSample)
+    {
+        average += weight * (sample - average);
+    }
 
     double runningAt(const TargetLoad& load, double assumedRunning)
     {
@@ -65,11 +68,13 @@
     auto total = static_cast<double>(sample.total_.count());
     auto computed = static_cast<double>(sample.computed_.value_);
     ++pace.samples_;
-    blend(pace.callMs_, total);
+    // The first samples count fully: the initial values tell nothing of this target.
+    double weight = std::max(weightOfSample, 1.0 / pace.samples_);
+    blend(pace.callMs_, total, weight);
     if (!load.reportedAt_)
         blend(pace.running_, inFlight);
     if (sample.completion_.value_ >= fewestAnswerTokensForPace)
-        blend(pace.tokenMs_, (total - firstOutput) / static_cast<double>(sample.completion_.value_));
+        blend(pace.tokenMs_, (total - firstOutput) / static_cast<double>(sample.completion_.value_), weight);
     if (sample.computed_.value_ >= fewestTokensForPace)
         learnPrefill(pace, firstOutput / computed);
     double queueing = std::max(0.0, firstOutput - computed * pace.prefillMs_);
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -10,6 +10,9 @@
     constexpr Milliseconds longestBackoff { 10000 };
     constexpr Milliseconds shortestRetryAfter { 500 };
     constexpr Milliseconds longestRetryAfter { 30000 };
+    // Answers from which a target's pace counts; the moving average has left its initial value by then.
+    constexpr std::uint32_t fewestSamples = 8;
+    constexpr double unknownCallMs = 300; ///< Until a pace is known.
 
     bool serves(const Target& target, const QueuedCall& call)
     {
@@ -48,7 +51,8 @@
     bool hasRoom(const TargetPool& pool, MonotonicTime now)
     {
         return std::any_of(pool.targets_.begin(), pool.targets_.end(), [&pool, now](const auto& entry) {
-            return isOpen(pool, entry.second, now) && !isFull(entry.second);
+            return isOpen(pool, entry.second, now)
+                && (pool.options_.shared_.isEnabled_ || !isFull(entry.second));
         });
     }
 
@@ -103,8 +107,96 @@
         return candidate;
     }
 
+    // What the targets of a call have in the mean.
+    struct ServiceMeans {
+        double others_ = 0; ///< Calls of other VMs.
+        double callMs_ = 0;
+        double tokenMs_ = 0;
+    };
+
+    ServiceMeans serviceMeans(const TargetPool& pool, const QueuedCall& call)
+    {
+        ServiceMeans means;
+        double reports = 0;
+        double learned = 0;
+        for (const auto& [id, state] : pool.targets_) {
+            if (!serves(state.target_, call))
+                continue;
+            if (state.others_.reportedAt_ != MonotonicTime {}) {
+                means.others_ += state.others_.calls_;
+                reports += 1;
+            }
+            if (state.load_.pace_.samples_ >= fewestSamples) {
+                means.callMs_ += state.load_.pace_.callMs_;
+                means.tokenMs_ += state.load_.pace_.tokenMs_;
+                learned += 1;
+            }
+        }
+        means.others_ /= std::max(1.0, reports);
+        means.callMs_ = learned == 0 ? unknownCallMs : means.callMs_ / learned;
+        means.tokenMs_ /= std::max(1.0, learned);
+        return means;
+    }
+
+    SharedTarget sharedTarget(
+        const TargetPool& pool, const TargetState& state, const ServiceMeans& means, MonotonicTime now)
+    {
+        const SharedOptions& options = pool.options_.shared_;
+        const TargetPace& pace = state.load_.pace_;
+        SharedTarget target;
+        target.callMs_ = means.callMs_;
+        if (pace.samples_ >= fewestSamples && means.tokenMs_ > 0)
+            target.slowness_ = pace.tokenMs_ / means.tokenMs_;
+        target.calls_ = state.inFlight_ + othersNow(state.others_, means.others_, target.callMs_, now);
+        target.slots_ = state.target_.slots_ == 0 ? options.defaultSlots_ : state.target_.slots_;
+        target.isOtherZone_ = state.target_.zone_ != pool.zone_;
+        return target;
+    }
+
+    // The target of the own zone that this program's calls prefer on every VM.
+    TargetId preferredTarget(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
+    {
+        TargetId best;
+        std::uint64_t bestScore = 0;
+        for (const auto& [id, state] : pool.targets_) {
+            if (state.target_.zone_ != pool.zone_ || !mayRun(pool, state, call, now))
+                continue;
+            std::uint64_t score = preferenceOf(call.program_.value_, id);
+            if (best.empty() || score > bestScore) {
+                best = id;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    Choice chooseShared(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
+    {
+        ServiceMeans means = serviceMeans(pool, call);
+        bool isModelCall = !call.model_.empty() && !call.program_.empty();
+        TargetId preferred = isModelCall ? preferredTarget(pool, call, now) : TargetId {};
+        TargetId best;
+        double bestCost = 0;
+        for (const auto& [id, state] : pool.targets_) {
+            if (!mayRun(pool, state, call, now))
+                continue;
+            SharedTarget target = sharedTarget(pool, state, means, now);
+            target.isPreferred_ = id == preferred;
+            if (isSaturated(target, pool.options_.shared_))
+                continue;
+            double cost = sharedCostMs(target, call.promptTokens_, pool.options_.shared_);
+            if (best.empty() || cost < bestCost) {
+                best = id;
+                bestCost = cost;
+            }
+        }
+        return best.empty() ? Choice {} : Choice { Choice::Kind::Run, best };
+    }
+
     Choice choose(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
     {
+        if (pool.options_.shared_.isEnabled_)
+            return chooseShared(pool, call, now);
         std::vector<Candidate> candidates;
         double assumedRunning = meanRunning(pool) * pool.options_.placement_.otherZoneLoad_;
         for (const auto& [id, state] : pool.targets_) {
@@ -358,6 +450,8 @@
     if (found == pool.targets_.end())
         return;
     takeReport(found->second.load_, report, now);
+    double all = report.running_ + report.waiting_;
+    found->second.others_ = { std::max(0.0, all - found->second.inFlight_), now };
     if (report.waiting_ > report.running_ * pool.options_.waitingShare_)
         shrinkWindow(found->second.window_, now, pool.options_.window_);
 }
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -22,6 +22,7 @@
 #include "Placement.h"
 #include "Quarantine.h"
 #include "RetryBudget.h"
+#include "SharedTargets.h"
 #include "TargetLoad.h"
 
 #include <map>
@@ -41,6 +42,7 @@
     std::uint32_t inFlight_ = 0;
     AdmissionWindow window_;
     TargetLoad load_;
+    OthersAtTarget others_; ///< Used when the targets are shared with other VMs.
     MonotonicTime notBefore_; ///< No new work until then, after failures.
     std::uint32_t failures_ = 0; ///< In a row; with any, only one call at a time tries the target.
     MonotonicTime lastOutput_; ///< When any call last showed that the target is alive.
@@ -72,6 +74,7 @@
 struct PoolOptions {
     WindowLimits window_;
     PlacementOptions placement_;
+    SharedOptions shared_; ///< When enabled, it takes the place of windows and of the placement's cost.
     double waitingShare_ = 0.1; ///< Share of its batch that may wait at a target.
     std::size_t queueLimit_ = 1024;
     ByteCount queueBytes_ { 16 << 20 };
