--- a/src/BudgetEscrow.cpp
+++ b/src/BudgetEscrow.cpp
@@ -9,8 +9,6 @@
 
     constexpr char keyMark = '|';
 
-    TokenCount times(TokenCount count, int factor) { return { count.value_ * factor }; }
-
     // What the budget has left for us next to the claims of others.
     TokenCount room(const ProgramBudget& program)
     {
@@ -42,14 +40,14 @@
         return { id, claim, program.retention_ + escrow.options_.expiryMargin_, isNeeded };
     }
 
-    // A claim for what is committed and waits, and some turns ahead as far as the budget reaches.
+    // A claim for what is committed and waits, and ahead by a share of what is left then.
     TokenCount nextClaim(const BudgetEscrow& escrow, const ProgramBudget& program)
     {
-        const EscrowOptions& options = escrow.options_;
-        int ahead = program.recorded_.value_ == 0 ? options.firstTurns_ : options.moreTurns_;
         TokenCount needed = committed(program) + waitingTokens(program);
-        TokenCount wanted = std::max(needed, committed(program) + times(program.lastMost_, ahead));
-        return std::min(wanted, room(program));
+        TokenCount left = std::max(TokenCount { 0 }, room(program) - needed);
+        TokenCount ahead
+            = std::max(program.lastMost_, TokenCount { left.value_ / escrow.options_.aheadShare_ });
+        return std::min(needed + ahead, room(program));
     }
 
     void grantWaiting(ProgramBudget& program, EscrowEffects& effects)
@@ -101,9 +99,9 @@
                 refuseWaiting(program, effects);
             return;
         }
-        bool isLow
-            = program.usable_ < committed(program) + times(program.lastMost_, escrow.options_.lowTurns_);
-        if (isLow && program.reserved_.value_ > 0 && claim > program.usable_ + program.lastMost_)
+        // The next turn would have to wait for a write, so it is made now.
+        TokenCount next = committed(program) + program.lastMost_;
+        if (program.usable_ < next && program.reserved_.value_ > 0 && claim >= next)
             effects.push_back(writeClaim(escrow, id, program, claim, true));
     }
 
@@ -193,11 +191,14 @@
     program.recorded_ = claim.claimed_;
     program.othersClaimed_ = {};
     program.othersSpent_ = {};
+    program.holders_.clear();
     for (const ClaimRecord& other : others) {
         program.othersClaimed_ += other.claim_.claimed_;
         // An earlier start of this VM cannot return anything any more.
         bool isGone = isPredecessor(escrow.writer_, other.writer_);
         program.othersSpent_ += isGone ? other.claim_.claimed_ : other.claim_.spent_;
+        if (!isGone && other.claim_.claimed_ > other.claim_.spent_)
+            program.holders_.push_back(other.writer_);
     }
     // What was committed before another writer came is covered by the claim that it has seen.
     program.usable_ = std::max(std::min(claim.claimed_, room(program)), committed(program));
@@ -249,8 +250,7 @@
             entry = escrow.programs_.erase(entry);
             continue;
         }
-        bool isIdle = isDraining || now > program.lastUse_ + options.returnAfter_;
-        if (!isBusy && isIdle && program.recorded_ > program.spent_) {
+        if (isDraining && !isBusy && program.recorded_ > program.spent_) {
             program.usable_ = program.spent_;
             effects.push_back(writeClaim(escrow, entry->first, program, program.spent_, false));
         }
--- a/src/BudgetEscrow.h
+++ b/src/BudgetEscrow.h
@@ -13,8 +13,9 @@
  *                   | no
  *               WriteClaim --> written, others read --> granted, or refused
  *
- * Claims reach some turns ahead, so that most turns need no write, and are written down to what was spent
- * once the program is idle here. Without I/O: `BudgetKeeper` carries the effects out.
+ * Claims reach ahead by half of what the budget has left: most turns need no write, and when this VM is lost
+ * the other half is there for the next one. A VM that drains writes its claims down to what was spent.
+ * Without I/O: `BudgetKeeper` carries the effects out.
  */
 
 #include "Types.h"
@@ -56,8 +57,7 @@
 enum class TurnDecision {
     Granted,
     Spent, ///< The budget does not hold one more turn.
-    HeldElsewhere, ///< It would, but other VMs hold claims that they have not used; they return them when
-                   ///< idle.
+    HeldElsewhere, ///< It would, but other VMs hold claims with unused tokens; see `holders_`.
     Unavailable, ///< The store cannot be reached, and what this VM has claimed does not suffice.
 };
 
@@ -76,6 +76,7 @@
     TokenCount reserved_; ///< The most that turns under way generate.
     TokenCount othersClaimed_;
     TokenCount othersSpent_;
+    std::vector<WriterId> holders_; ///< Others whose claims have unused tokens, as their records tell.
     TokenCount lastMost_; ///< The most of the last turn, by which claims are sized.
     std::deque<WaitingTurn> waiting_;
     bool isWriting_ = false;
@@ -85,14 +86,9 @@
 
 /** Sizes and times of claims. */
 struct EscrowOptions {
-    int firstTurns_
-        = 4; ///< Turns that a first claim covers, at their most; most programs need no second one.
-    int moreTurns_ = 3; ///< Turns that a further claim adds.
-    int lowTurns_ = 1; ///< A further claim is made ahead when no more turns than this fit.
-    Milliseconds returnAfter_ { 700 }; ///< A program idle for this long has its unused claim returned.
-    Milliseconds expiryMargin_ {
-        120000
-    }; ///< Beyond the time in which a program may come back; covers clocks.
+    int aheadShare_ = 2; ///< A claim reaches ahead by this fraction of what is left: 2 for a half.
+    /** Beyond the time in which a program may come back; covers clocks that differ. */
+    Milliseconds expiryMargin_ { 120000 };
 };
 
 /** All programs of a VM. */
@@ -145,8 +141,7 @@
 /** The store cannot be reached: turns that wait for it are refused. Writes under way go on. */
 EscrowEffects storeUnavailable(BudgetEscrow& escrow);
 
-/** Returns unused claims of idle programs and drops those that cannot come back. With `isDraining`, returns
- * all that is unused. */
+/** Drops programs that cannot come back. With `isDraining`, returns what idle programs have not used. */
 EscrowEffects escrowTick(BudgetEscrow& escrow, bool isDraining, MonotonicTime now);
 
 } // namespace fescue
--- a/src/BudgetKeeper.cpp
+++ b/src/BudgetKeeper.cpp
@@ -7,7 +7,6 @@
 
 #include <chrono>
 #include <fmt/format.h>
-#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 namespace fescue {
--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -8,7 +8,6 @@
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 namespace fescue {
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -1,7 +1,6 @@
 #include "EntryVm.h"
 
 #include "BootClock.h"
-#include "BudgetKeeper.h"
 #include "CallForwarder.h"
 #include "EventLog.h"
 #include "FrontServer.h"
@@ -10,13 +9,13 @@
 #include "StoreClient.h"
 #include "StoreFollower.h"
 #include "TcpLink.h"
+#include "TurnBroker.h"
 
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <csignal>
 #include <fmt/format.h>
 #include <random>
-#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 namespace fescue {
@@ -63,9 +62,9 @@
     // A turn that waits for its budget.
     struct PendingTurn {
         ForwardedCall call_;
-        TokenCount most_;
-        bool isGone_ = false;
+        std::optional<TurnId> ask_; ///< At the broker; nothing while it is being asked.
     };
+    using PendingId = std::uint64_t;
 
     EntryVmOptions options_;
     asio::io_context io_ { 1 };
@@ -76,13 +75,14 @@
     StoreHealth health_;
     platform::StoreClient store_;
     CallForwarder forwarder_;
-    BudgetKeeper budgets_;
+    WriterId writer_;
+    TurnBroker broker_;
     StoreFollower follower_;
     FrontServer front_;
     FrontServer ready_;
     std::unique_ptr<FrontServer> metrics_;
-    std::map<TurnId, PendingTurn> turns_;
-    std::uint64_t lastTurn_ = 0;
+    std::map<PendingId, PendingTurn> turns_;
+    PendingId lastTurn_ = 0;
     MonotonicTime lastTick_;
     MonotonicTime lastRequest_;
     std::optional<MonotonicTime> drainingSince_;
@@ -95,11 +95,12 @@
         , random_(options_.seed_)
         , store_(io_, *parseEndpoint(options_.settings_.store_.address_))
         , forwarder_(io_, options_.settings_.zone_, options_.seed_)
-        , budgets_(store_, health_, writerOf(options_.settings_.vm_), options_.settings_.store_.partitions_,
-              [this](TurnId turn, TurnDecision decision) { decided(turn, decision); })
+        , writer_(writerOf(options_.settings_.vm_))
+        , broker_(io_, store_, health_, brokerOptions(options_.settings_, writer_))
         , follower_(store_, health_, intervals(options_.settings_),
               { [this](const ServingConfig& config) { takeConfig(config); },
-                  [this](const TargetList& list) { takeTargets(list); }, [](bool) {} })
+                  [this](const TargetList& list) { takeTargets(list); },
+                  [this](const std::map<VmId, Peer>& peers) { broker_.setPeers(peers); }, [](bool) {} })
         , front_(
               io_, options_.settings_.callerAddress_,
               [this](FrontRequest request, std::shared_ptr<FrontReply> reply) {
@@ -122,6 +123,11 @@
                 [](int, const char*, const HttpHead*) {});
     }
 
+    static TurnBrokerOptions brokerOptions(const VmSettings& settings, const WriterId& writer)
+    {
+        return { settings.vm_, settings.zone_, writer, settings.store_.partitions_, settings.peerAddress_ };
+    }
+
     static FollowIntervals intervals(const VmSettings& settings)
     {
         FollowIntervals intervals;
@@ -145,7 +151,7 @@
             { "calls_under_way", {}, static_cast<double>(forwarder_.underWay()) },
             { "calls_waiting", {}, static_cast<double>(forwarder_.waiting()) },
             { "turns_waiting_for_budget", {}, static_cast<double>(turns_.size()) },
-            { "programs", {}, static_cast<double>(budgets_.programs()) },
+            { "programs", {}, static_cast<double>(broker_.programs()) },
             { "targets", {}, static_cast<double>(follower_.targets().entries_.size()) },
             { "config_version", {}, static_cast<double>(config_ ? config_->version_ : 0) },
             { "config_age_seconds", {}, age ? std::chrono::duration<double>(*age).count() : -1 },
@@ -237,17 +243,18 @@
 
     void askBudget(ForwardedCall call)
     {
-        TurnId id { ++lastTurn_ };
-        ProgramId program = call.tags_.program_;
-        TokenCount budget = *call.tags_.programBudget_;
-        TokenCount most = call.tags_.maxTokens_;
-        Milliseconds retention = call.route_.programRetention_;
+        PendingId id = ++lastTurn_;
+        TurnRequest request { call.tags_.program_, *call.tags_.programBudget_, call.tags_.maxTokens_,
+            call.route_.programRetention_, call.deadline_ - bootNow() };
         call.reply_->onGone([this, id] { turnGone(id); });
-        turns_.emplace(id, PendingTurn { std::move(call), most });
-        budgets_.turnArrived(program, budget, retention, { id, most });
+        turns_.emplace(id, PendingTurn { std::move(call), std::nullopt });
+        TurnId ask = broker_.ask(request, [this, id](const TurnGrant& grant) { decided(id, grant); });
+        auto found = turns_.find(id);
+        if (found != turns_.end())
+            found->second.ask_ = ask;
     }
 
-    void turnGone(TurnId id)
+    void turnGone(PendingId id)
     {
         auto found = turns_.find(id);
         if (found == turns_.end())
@@ -255,49 +262,43 @@
         logEvent("request",
             { { "request", found->second.call_.tags_.attempt_.value_ }, { "outcome", "caller-gone" },
                 { "reason", "while it waited for its program's budget" } });
-        budgets_.turnAbandoned(found->second.call_.tags_.program_, id);
+        if (found->second.ask_)
+            broker_.abandon(*found->second.ask_);
         turns_.erase(found);
     }
 
-    void decided(TurnId id, TurnDecision decision)
+    void decided(PendingId id, const TurnGrant& grant)
     {
         auto found = turns_.find(id);
         if (found == turns_.end()) {
+            if (grant.reply_.decision_ == TurnDecision::Granted)
+                broker_.ended(grant, {});
             return;
         }
-        PendingTurn turn = std::move(found->second);
+        ForwardedCall call = std::move(found->second.call_);
         turns_.erase(found);
-        if (decision == TurnDecision::Granted)
-            return startTurn(std::move(turn));
-        budgetRefused_.add();
-        refuseTurn(turn, decision);
-    }
-
-    void startTurn(PendingTurn turn)
-    {
-        ProgramId program = turn.call_.tags_.program_;
-        turn.call_.onEnd_ = [this, program, most = turn.most_](
-                                TokenCount used) { budgets_.turnEnded(program, most, used); };
-        forwarder_.forward(std::move(turn.call_));
+        if (grant.reply_.decision_ != TurnDecision::Granted) {
+            budgetRefused_.add();
+            return refuseTurn(call, grant);
+        }
+        call.onEnd_ = [this, grant](TokenCount used) { broker_.ended(grant, used); };
+        forwarder_.forward(std::move(call));
     }
 
-    void refuseTurn(PendingTurn& turn, TurnDecision decision)
+    void refuseTurn(ForwardedCall& call, const TurnGrant& grant)
     {
-        Facts facts { { "turn_most", std::to_string(turn.most_.value_) } };
-        if (const ProgramBudget* budget = budgets_.find(turn.call_.tags_.program_)) {
-            facts.emplace_back("budget", std::to_string(budget->budget_.value_));
-            facts.emplace_back("spent", std::to_string(budget->spent_.value_));
-            facts.emplace_back("reserved", std::to_string(budget->reserved_.value_));
-            facts.emplace_back("others_claimed", std::to_string(budget->othersClaimed_.value_));
-            facts.emplace_back("others_spent", std::to_string(budget->othersSpent_.value_));
-        }
-        if (decision == TurnDecision::Spent)
-            return refuse(
-                turn.call_, budgetSpent, "the program's token budget is spent", std::nullopt, facts);
-        if (decision == TurnDecision::HeldElsewhere)
-            return refuse(turn.call_, unavailable, "other VMs hold the rest of the program's token budget",
+        const TurnReply& reply = grant.reply_;
+        Facts facts { { "turn_most", std::to_string(grant.most_.value_) },
+            { "budget", std::to_string(call.tags_.programBudget_->value_) },
+            { "home", grant.granter_.value_ }, { "spent", std::to_string(reply.spent_.value_) },
+            { "claimed", std::to_string(reply.claimed_.value_) },
+            { "others_claimed", std::to_string(reply.othersClaimed_.value_) } };
+        if (reply.decision_ == TurnDecision::Spent)
+            return refuse(call, budgetSpent, "the program's token budget is spent", std::nullopt, facts);
+        if (reply.decision_ == TurnDecision::HeldElsewhere)
+            return refuse(call, unavailable, "other VMs hold the rest of the program's token budget",
                 jittered(retryBudgetHeld), facts);
-        refuse(turn.call_, unavailable, "the platform's store, which keeps token budgets, does not answer",
+        refuse(call, unavailable, "the platform's store, which keeps token budgets, does not answer",
             jittered(retryWithoutStore), facts);
     }
 
@@ -322,7 +323,7 @@
         follower_.tick(now);
         expireTurns(now);
         forwarder_.tick(now);
-        budgets_.tick(drainingSince_.has_value(), now);
+        broker_.tick(drainingSince_.has_value(), now);
         front_.tick(now);
         ready_.tick(now);
         if (metrics_)
@@ -345,15 +346,16 @@
 
     void expireTurns(MonotonicTime now)
     {
-        std::vector<TurnId> late;
+        std::vector<PendingId> late;
         for (const auto& [id, turn] : turns_) {
             if (now >= turn.call_.deadline_)
                 late.push_back(id);
         }
-        for (TurnId id : late) {
+        for (PendingId id : late) {
             auto turn = std::move(turns_.at(id));
             turns_.erase(id);
-            budgets_.turnAbandoned(turn.call_.tags_.program_, id);
+            if (turn.ask_)
+                broker_.abandon(*turn.ask_);
             refuse(turn.call_, unavailable, "its program's budget was not known in its time",
                 jittered(retryBudgetHeld));
         }
@@ -374,6 +376,7 @@
         drainingSince_ = bootNow();
         logEvent("drain", { { "under_way", std::to_string(forwarder_.underWay()) } });
         front_.drain();
+        follower_.withdraw();
     }
 
     bool isDrained(MonotonicTime now) const
@@ -381,7 +384,7 @@
         if (now > *drainingSince_ + options_.settings_.drainGrace_ - endMargin)
             return true;
         bool isTurnedAway = now > *drainingSince_ + turnedAwayAfter && now > lastRequest_ + quietBeforeEnd;
-        return isTurnedAway && forwarder_.underWay() == 0 && turns_.empty() && budgets_.isQuiet();
+        return isTurnedAway && forwarder_.underWay() == 0 && turns_.empty() && broker_.isQuiet();
     }
 
     void end()
@@ -433,6 +436,7 @@
         { { "listen", settings.callerAddress_ }, { "store", settings.store_.address_ },
             { "memory_mb", std::to_string(settings.memoryMb_) },
             { "processor_share", fmt::format("{}", settings.processorShare_) } });
+    impl_->follower_.announce({ settings.vm_, settings.zone_, settings.peerAddress_, impl_->writer_ });
     impl_->awaitSignal();
     impl_->tick();
     impl_->io_.run();
--- a/src/Members.cpp
+++ b/src/Members.cpp
@@ -12,20 +12,21 @@
         const Member* member_;
     };
 
-    std::uint64_t scoreOf(const Member& member, const ShardKey& shard)
+    std::uint64_t scoreOf(const Member& member, const std::string& key)
     {
-        std::string text = streamOf(shard) + "@" + member.vm_.value_;
+        std::string text = key + "@" + member.vm_.value_;
         return XXH3_64bits(text.data(), text.size());
     }
 
 } // namespace
 
-std::optional<Member> expectedOwner(const Members& members, const ShardKey& shard, std::size_t rank)
+std::optional<Member> expectedMember(
+    const Members& members, const ZoneId& zone, const std::string& key, std::size_t rank)
 {
     std::vector<Scored> scored;
     for (const Member& member : members) {
-        if (member.zone_ == shard.zone_ && !member.isLeaving_ && member.isReachable_)
-            scored.push_back({ scoreOf(member, shard), &member });
+        if (member.zone_ == zone && !member.isLeaving_ && member.isReachable_)
+            scored.push_back({ scoreOf(member, key), &member });
     }
     if (rank >= scored.size())
         return std::nullopt;
@@ -35,4 +36,9 @@
     return *scored[rank].member_;
 }
 
+std::optional<Member> expectedOwner(const Members& members, const ShardKey& shard, std::size_t rank)
+{
+    return expectedMember(members, shard.zone_, streamOf(shard), rank);
+}
+
 } // namespace fescue
--- a/src/Members.h
+++ b/src/Members.h
@@ -33,9 +33,15 @@
 
 using Members = std::vector<Member>;
 
-/** The VM that a shard is expected at; nothing when its zone has no usable VM. Pure.
+/** The VM of a zone that something is expected at, by its key; nothing when the zone has no usable VM. Pure.
  *
  * VMs that are leaving or out of reach are passed over. `rank` 1 gives the next best one, and so on. */
+std::optional<Member> expectedMember(
+    const Members& members, const ZoneId& zone, const std::string& key, std::size_t rank = 0);
+
+/** The VM that a shard is expected at; nothing when its zone has no usable VM. Pure.
+ *
+ * As `expectedMember` with the shard as key. */
 std::optional<Member> expectedOwner(const Members& members, const ShardKey& shard, std::size_t rank = 0);
 
 } // namespace fescue
--- /dev/null
+++ b/src/PeerList.cpp
@@ -0,0 +1,77 @@
+#include "PeerList.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace fescue {
+
+namespace {
+
+    using nlohmann::json;
+
+    // A peer that does not answer costs each caller the time-out of the call, so it is passed over for
+    // longer.
+    constexpr Milliseconds firstPause { 1000 };
+    constexpr Milliseconds longestPause { 8000 };
+
+    bool isUsable(const PeerList& list, const VmId& vm, MonotonicTime now)
+    {
+        auto trouble = list.trouble_.find(vm);
+        return vm == list.own_ || trouble == list.trouble_.end() || now >= trouble->second.notBefore_;
+    }
+
+} // namespace
+
+std::string peerValue(const Peer& peer)
+{
+    return json::array({ peer.zone_.value_, peer.address_, peer.writer_.value_ }).dump();
+}
+
+std::optional<Peer> parsePeer(const std::string& key, const std::string& value)
+{
+    json document = json::parse(value, nullptr, false);
+    constexpr std::size_t fields = 3;
+    if (key.empty() || !document.is_array() || document.size() != fields)
+        return std::nullopt;
+    for (const json& field : document) {
+        if (!field.is_string())
+            return std::nullopt;
+    }
+    return Peer { { key }, { document[0].get<std::string>() }, document[1].get<std::string>(),
+        { document[2].get<std::string>() } };
+}
+
+void notePeerOutcome(PeerList& list, const VmId& peer, bool isAnswered, MonotonicTime now)
+{
+    if (isAnswered) {
+        list.trouble_.erase(peer);
+        return;
+    }
+    PeerTrouble& trouble = list.trouble_[peer];
+    Milliseconds pause = std::min(longestPause, firstPause * (1U << std::min(trouble.failures_, 3U)));
+    ++trouble.failures_;
+    trouble.notBefore_ = now + pause;
+}
+
+std::optional<Peer> homeOf(
+    const PeerList& list, const ZoneId& zone, const ProgramId& program, MonotonicTime now)
+{
+    Members members;
+    for (const auto& [vm, peer] : list.peers_)
+        members.push_back({ vm, peer.zone_, peer.address_, false, isUsable(list, vm, now) });
+    auto member = expectedMember(members, zone, program.value_);
+    if (!member)
+        return std::nullopt;
+    return list.peers_.at(member->vm_);
+}
+
+std::optional<Peer> peerOfWriter(const PeerList& list, const WriterId& writer, MonotonicTime now)
+{
+    for (const auto& [vm, peer] : list.peers_) {
+        if (peer.writer_ == writer && vm != list.own_ && isUsable(list, vm, now))
+            return peer;
+    }
+    return std::nullopt;
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/PeerTurns.cpp
@@ -0,0 +1,102 @@
+#include "PeerTurns.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fescue {
+
+namespace {
+
+    using nlohmann::json;
+
+    std::string toBytes(const json& document)
+    {
+        std::vector<std::uint8_t> bytes = json::to_cbor(document);
+        return { bytes.begin(), bytes.end() };
+    }
+
+    // A list of fields, each a number but for those that `isText` or `isList` names.
+    std::optional<json> fieldsOf(const std::string& bytes, std::size_t count)
+    {
+        json document = json::from_cbor(bytes, true, false);
+        if (!document.is_array() || document.size() != count)
+            return std::nullopt;
+        return document;
+    }
+
+    bool areNumbers(const json& document, std::size_t from, std::size_t to)
+    {
+        for (std::size_t i = from; i < to; ++i) {
+            if (!document[i].is_number_integer() || document[i].get<std::int64_t>() < 0)
+                return false;
+        }
+        return true;
+    }
+
+} // namespace
+
+std::string encode(const TurnRequest& message)
+{
+    return toBytes(json::array({ message.program_.value_, message.budget_.value_, message.most_.value_,
+        message.retention_.count(), message.left_.count() }));
+}
+
+std::string encode(const TurnReply& message)
+{
+    json holders = json::array();
+    for (const WriterId& holder : message.holders_)
+        holders.push_back(holder.value_);
+    return toBytes(json::array({ holders, static_cast<int>(message.decision_), message.grant_,
+        message.spent_.value_, message.claimed_.value_, message.othersClaimed_.value_ }));
+}
+
+std::string encode(const TurnEnd& message)
+{
+    return toBytes(json::array({ message.grant_, message.used_.value_ }));
+}
+
+std::optional<TurnRequest> parseTurnRequest(const std::string& bytes)
+{
+    constexpr std::size_t fields = 5;
+    auto document = fieldsOf(bytes, fields);
+    if (!document || !(*document)[0].is_string() || !areNumbers(*document, 1, fields))
+        return std::nullopt;
+    const json& list = *document;
+    return TurnRequest { { list[0].get<std::string>() }, { list[1].get<std::int64_t>() },
+        { list[2].get<std::int64_t>() }, Milliseconds { list[3].get<std::int64_t>() },
+        Milliseconds { list[4].get<std::int64_t>() } };
+}
+
+std::optional<TurnReply> parseTurnReply(const std::string& bytes)
+{
+    constexpr std::size_t fields = 6;
+    auto document = fieldsOf(bytes, fields);
+    if (!document || !(*document)[0].is_array() || !areNumbers(*document, 1, fields))
+        return std::nullopt;
+    const json& list = *document;
+    TurnReply reply;
+    for (const json& holder : list[0]) {
+        if (!holder.is_string())
+            return std::nullopt;
+        reply.holders_.push_back({ holder.get<std::string>() });
+    }
+    int decision = list[1].get<int>();
+    if (decision > static_cast<int>(TurnDecision::Unavailable))
+        return std::nullopt;
+    reply.decision_ = static_cast<TurnDecision>(decision);
+    reply.grant_ = list[2].get<std::uint64_t>();
+    reply.spent_ = { list[3].get<std::int64_t>() };
+    reply.claimed_ = { list[4].get<std::int64_t>() };
+    reply.othersClaimed_ = { list[5].get<std::int64_t>() };
+    return reply;
+}
+
+std::optional<TurnEnd> parseTurnEnd(const std::string& bytes)
+{
+    constexpr std::size_t fields = 2;
+    auto document = fieldsOf(bytes, fields);
+    if (!document || !areNumbers(*document, 0, fields))
+        return std::nullopt;
+    return TurnEnd { (*document)[0].get<std::uint64_t>(), { (*document)[1].get<std::int64_t>() } };
+}
+
+} // namespace fescue
--- a/src/SharedTargets.cpp
+++ b/src/SharedTargets.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 namespace fescue {
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -14,6 +14,9 @@
 
     constexpr Milliseconds shortestPause { 100 };
     constexpr Milliseconds longestPause { 500 };
+    constexpr Milliseconds announceTimeout { 1000 };
+    constexpr Milliseconds announcePause { 300 };
+    constexpr const char* peerTopicName = "entry-vms";
 
     // How far one topic has been read.
     struct Cursor {
@@ -51,6 +54,12 @@
     Callbacks callbacks_;
     Cursor config_ { { platform::configTopic, 0 } };
     Cursor targets_ { { platform::targetTopic, 0 } };
+    Cursor peers_ { { std::string(platform::keyedTopicPrefix) + peerTopicName, 0 } };
+    std::map<VmId, Peer> peerEntries_;
+    std::optional<Peer> own_;
+    std::optional<MonotonicTime> announceAt_; ///< When the own entry is to be written.
+    bool isWithdrawn_ = false;
+    Sequence announcements_ { 1 };
     std::uint64_t version_ = 0;
     TargetList list_;
     std::map<TargetId, TargetEntry> told_; ///< The list as the owner knows it.
@@ -66,13 +75,23 @@
     }
 
     bool isConfig(const Cursor& cursor) const { return &cursor == &config_; }
+    bool isPeers(const Cursor& cursor) const { return &cursor == &peers_; }
+
+    Milliseconds waitOf(const Cursor& cursor) const
+    {
+        if (isConfig(cursor))
+            return intervals_.configWait_;
+        return isPeers(cursor) ? intervals_.peersWait_ : Milliseconds { 0 };
+    }
 
     void tick(MonotonicTime now)
     {
-        for (Cursor* cursor : { &config_, &targets_ }) {
+        for (Cursor* cursor : { &config_, &targets_, &peers_ }) {
             if (!cursor->isBusy_ && now >= cursor->dueAt_)
                 read(*cursor);
         }
+        if (announceAt_ && now >= *announceAt_)
+            sendAnnouncement();
         if (dropMissing(list_, now))
             tellTargets();
     }
@@ -92,7 +111,7 @@
                         self->tookNewest(cursor, page);
                 });
         }
-        Milliseconds wait = isConfig(cursor) ? intervals_.configWait_ : Milliseconds { 0 };
+        Milliseconds wait = waitOf(cursor);
         store_.readFrom(cursor.partition_, *cursor.next_, wait, wait + intervals_.timeout_,
             [weak, &cursor, generation](tl::expected<platform::RecordPage, platform::StoreError> page) {
                 auto self = weak.lock();
@@ -120,6 +139,8 @@
         current(cursor);
         if (isConfig(cursor))
             takeConfig(records);
+        else if (isPeers(cursor))
+            takeAllPeers(records);
         else
             takeAllTargets(records);
     }
@@ -142,6 +163,8 @@
             current(cursor);
         if (isConfig(cursor))
             takeConfig(page->records_);
+        else if (isPeers(cursor))
+            takePeerChanges(page->records_);
         else
             takeTargetChanges(page->records_);
         if (!isAtEnd)
@@ -151,8 +174,9 @@
     void current(Cursor& cursor)
     {
         cursor.currentAt_ = bootNow();
-        cursor.dueAt_ = *cursor.currentAt_ + (isConfig(cursor) ? intervals_.configGap_ : intervals_.targets_);
-        if (!isConfig(cursor))
+        bool waitsAtStore = waitOf(cursor).count() > 0;
+        cursor.dueAt_ = *cursor.currentAt_ + (waitsAtStore ? intervals_.configGap_ : intervals_.targets_);
+        if (&cursor == &targets_)
             list_.readAt_ = cursor.currentAt_;
     }
 
@@ -240,6 +264,45 @@
         tellTargets();
     }
 
+    void takeAllPeers(const std::vector<platform::KeyedRecord>& records)
+    {
+        peerEntries_.clear();
+        takePeerChanges(records);
+    }
+
+    void takePeerChanges(const std::vector<platform::KeyedRecord>& records)
+    {
+        for (const platform::KeyedRecord& record : records) {
+            auto peer = parsePeer(record.key_, record.value_);
+            if (peer)
+                peerEntries_[peer->vm_] = *peer;
+            else
+                peerEntries_.erase({ record.key_ });
+            logEvent("peer",
+                { { "peer", record.key_ }, { "zone", peer ? peer->zone_.value_ : "" },
+                    { "address", peer ? peer->address_ : "" }, { "state", peer ? "present" : "gone" } });
+        }
+        callbacks_.onPeers_(peerEntries_);
+    }
+
+    void sendAnnouncement()
+    {
+        announceAt_.reset();
+        platform::KeyedRecord record { own_->vm_.value_, isWithdrawn_ ? std::string() : peerValue(*own_) };
+        Sequence sequence = announcements_;
+        store_.append(peers_.partition_, { record }, { own_->writer_, sequence }, announceTimeout,
+            [weak = weak_from_this(), sequence](tl::expected<std::uint64_t, platform::StoreError> offset) {
+                auto self = weak.lock();
+                if (!self)
+                    return;
+                // A withdrawal may have come meanwhile; it goes out under the next number.
+                if (offset)
+                    self->announcements_ = { sequence.value_ + 1 };
+                else if (!self->announceAt_)
+                    self->announceAt_ = bootNow() + announcePause;
+            });
+    }
+
     // Reports come all the time; only what the owner uses of them counts as a change.
     void tellTargets()
     {
@@ -274,7 +337,7 @@
 
 void StoreFollower::readAnew()
 {
-    for (Cursor* cursor : { &impl_->config_, &impl_->targets_ }) {
+    for (Cursor* cursor : { &impl_->config_, &impl_->targets_, &impl_->peers_ }) {
         Impl::startOver(*cursor);
         ++cursor->generation_;
         cursor->isBusy_ = false;
@@ -289,6 +352,20 @@
     return now - *impl_->config_.currentAt_;
 }
 
+void StoreFollower::announce(const Peer& own)
+{
+    impl_->own_ = own;
+    impl_->announceAt_ = bootNow();
+}
+
+void StoreFollower::withdraw()
+{
+    if (!impl_->own_)
+        return;
+    impl_->isWithdrawn_ = true;
+    impl_->announceAt_ = bootNow();
+}
+
 const TargetList& StoreFollower::targets() const { return impl_->list_; }
 
 } // namespace fescue
--- a/src/VmSettings.h
+++ b/src/VmSettings.h
@@ -22,6 +22,7 @@
     ZoneId zone_;
     std::string callerAddress_; ///< `ip:port` for callers.
     std::string readyAddress_; ///< `ip:port` for the platform's health checks.
+    std::string peerAddress_; ///< `ip:port` for the other entry VMs.
     StoreSettings store_;
     double processorShare_ = 1; ///< Of one core.
     std::int64_t memoryMb_ = 0;
