--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -124,6 +124,10 @@
         pool_.zone_ = zone;
         pool_.options_.releasesStale_ = false;
         pool_.options_.shared_.isEnabled_ = true;
+        // One lost answer says little about a target; a service may have only a few of them.
+        pool_.options_.failuresToBackOff_ = 3;
+        pool_.options_.longestBackOff_ = Milliseconds { 1000 };
+        pool_.options_.backsOffZones_ = false;
     }
 
     QueuedCall queuedCall(const Transfer& transfer) const
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -7,11 +7,12 @@
 namespace {
 
     constexpr Milliseconds firstBackoff { 250 };
-    constexpr Milliseconds longestBackoff { 10000 };
     constexpr Milliseconds shortestRetryAfter { 500 };
     constexpr Milliseconds longestRetryAfter { 30000 };
     // Answers from which a target's pace counts; the moving average has left its initial value by then.
     constexpr std::uint32_t fewestSamples = 8;
+    // Without reports for this long nothing is known of the others, and calls are sent to find out.
+    constexpr double reportMemoryMs = 1000;
     constexpr double unknownCallMs = 300; ///< Until a pace is known.
 
     bool serves(const Target& target, const QueuedCall& call)
@@ -43,7 +44,7 @@
         if (zone != pool.zones_.end() && now < zone->second.notBefore_)
             return false;
         return !state.target_.isLeaving_ && now >= state.notBefore_
-            && (state.failures_ == 0 || state.inFlight_ == 0);
+            && (state.failures_ < pool.options_.failuresToBackOff_ || state.inFlight_ == 0);
     }
 
     bool isFull(const TargetState& state) { return state.inFlight_ + 1 > state.window_.size_; }
@@ -114,7 +115,7 @@
         double tokenMs_ = 0;
     };
 
-    ServiceMeans serviceMeans(const TargetPool& pool, const QueuedCall& call)
+    ServiceMeans serviceMeans(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
     {
         ServiceMeans means;
         double reports = 0;
@@ -123,7 +124,7 @@
             if (!serves(state.target_, call))
                 continue;
             if (state.others_.reportedAt_ != MonotonicTime {}) {
-                means.others_ += state.others_.calls_;
+                means.others_ += othersNow(state.others_, 0, reportMemoryMs, now);
                 reports += 1;
             }
             if (state.load_.pace_.samples_ >= fewestSamples) {
@@ -172,7 +173,7 @@
 
     Choice chooseShared(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
     {
-        ServiceMeans means = serviceMeans(pool, call);
+        ServiceMeans means = serviceMeans(pool, call, now);
         bool isModelCall = !call.model_.empty() && !call.program_.empty();
         TargetId preferred = isModelCall ? preferredTarget(pool, call, now) : TargetId {};
         TargetId best;
@@ -207,12 +208,12 @@
     }
 
     // Full jitter (Brooker, "Exponential Backoff And Jitter", 2015).
-    template <typename State> void backOff(State& state, MonotonicTime now, Random& random)
+    template <typename State> void backOff(State& state, Milliseconds most, MonotonicTime now, Random& random)
     {
         constexpr std::uint32_t mostDoublings = 6;
         auto doublings = std::min(state.failures_, mostDoublings);
         ++state.failures_;
-        auto longest = std::min(firstBackoff * (1 << doublings), longestBackoff);
+        auto longest = std::min(firstBackoff * (1 << doublings), most);
         std::uniform_int_distribution<std::int64_t> jitter(longest.count() / 4, longest.count());
         state.notBefore_ = now + Milliseconds { jitter(random) };
     }
@@ -286,10 +287,12 @@
         const DispatchResult& result, MonotonicTime now)
     {
         constexpr double weight = 0.02;
-        if (ended.call_.model_.empty())
-            return;
         PaceSample sample;
         sample.total_ = now - ended.sentAt_;
+        if (ended.call_.model_.empty()) {
+            takePace(state.load_, sample, state.inFlight_);
+            return;
+        }
         sample.firstOutput_ = ended.firstOutputAt_.value_or(now) - ended.sentAt_;
         sample.computed_ = std::max(TokenCount { 0 }, result.prompt_ - result.cached_);
         sample.completion_ = result.completion_;
@@ -437,9 +440,18 @@
         recordStrike(pool.quarantine_, ended.call_.digest_, now);
     if (result.end_ == DispatchEnd::BrokenOff || result.end_ == DispatchEnd::Unreachable)
         forgetHeld(pool, ended.call_.program_, ended.target_);
-    backOff(state, now, random);
-    if (result.end_ == DispatchEnd::Unreachable && state.target_.zone_ != pool.zone_)
-        backOff(pool.zones_[state.target_.zone_], now, random);
+    if (result.end_ == DispatchEnd::Refused && pool.options_.shared_.isEnabled_)
+        return; // It is full, as its load report tells.
+    const PoolOptions& options = pool.options_;
+    bool isUnreachable = result.end_ == DispatchEnd::Unreachable;
+    if (isUnreachable || state.failures_ + 1 >= options.failuresToBackOff_)
+        backOff(state, options.longestBackOff_, now, random);
+    else
+        ++state.failures_;
+    if (isUnreachable)
+        state.failures_ = std::max(state.failures_, options.failuresToBackOff_);
+    if (isUnreachable && options.backsOffZones_ && state.target_.zone_ != pool.zone_)
+        backOff(pool.zones_[state.target_.zone_], options.longestBackOff_, now, random);
 }
 
 bool mayRetry(TargetPool& pool) { return spendRetry(pool.retries_); }
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -80,6 +80,10 @@
     ByteCount queueBytes_ { 16 << 20 };
     Milliseconds longestWaitForNew_ { 4000 }; ///< Programs without service are refused beyond this wait.
     Milliseconds longestWait_ { 60000 }; ///< All calls are refused beyond this wait.
+    std::uint32_t failuresToBackOff_
+        = 1; ///< In a row; a connection that cannot be made counts as all of them.
+    Milliseconds longestBackOff_ { 10000 };
+    bool backsOffZones_ = true; ///< Whether an unreachable target speaks for its whole zone.
     Milliseconds hungAfter_ { 10000 }; ///< A target is hung after this and thrice the expected time.
     Milliseconds idleRelease_ { 600000 }; ///< Prefixes unused for this long are released.
     bool ordersByProgram_ = true; ///< False: in order of arrival.
