--- a/src/BudgetEscrow.cpp
+++ b/src/BudgetEscrow.cpp
@@ -71,7 +71,10 @@
         std::deque<WaitingTurn> kept;
         for (const WaitingTurn& turn : program.waiting_) {
             if (mayFitLater(program, turn.most_)) {
-                kept.push_back(turn);
+                if (turn.mayWait_)
+                    kept.push_back(turn);
+                else
+                    effects.push_back(DecideTurn { turn.id_, TurnDecision::InUse });
                 continue;
             }
             bool isSpent = committed(program) + program.othersSpent_ + turn.most_ > program.budget_;
--- a/src/BudgetEscrow.h
+++ b/src/BudgetEscrow.h
@@ -56,8 +56,10 @@
 /** What becomes of a turn. */
 enum class TurnDecision {
     Granted,
+    NotAdmitted, ///< It would be the first turn of its program, and none may begin now.
     Spent, ///< The budget does not hold one more turn.
     HeldElsewhere, ///< It would, but other VMs hold claims with unused tokens; see `holders_`.
+    InUse, ///< Turns under way reserve the rest, and may leave some of it; for turns that cannot wait here.
     Unavailable, ///< The store cannot be reached, and what this VM has claimed does not suffice.
 };
 
@@ -65,6 +67,7 @@
 struct WaitingTurn {
     TurnId id_;
     TokenCount most_;
+    bool mayWait_ = true; ///< For the end of other turns of its program; else it is told `InUse`.
 };
 
 /** A program's budget as this VM knows it. */
--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -480,6 +480,11 @@
 
 void CallForwarder::closeIdleConnections() { impl_->outbound_.closeIdle(); }
 
+double CallForwarder::occupancy(const ServiceId& service) const
+{
+    return occupancyOf(impl_->pool_, { service.value_ }, bootNow());
+}
+
 std::size_t CallForwarder::underWay() const { return impl_->transfers_.size(); }
 
 std::size_t CallForwarder::waiting() const { return impl_->pool_.queue_.calls_.size(); }
--- a/src/CallForwarder.h
+++ b/src/CallForwarder.h
@@ -43,6 +43,9 @@
     void tick(MonotonicTime now);
     /** Takes all kept connections as dead: after the VM stood still. */
     void closeIdleConnections();
+    /** Share of the slots of a service's engines that are taken, as far as known; above 1 calls wait there.
+     */
+    double occupancy(const ServiceId& service) const;
     std::size_t underWay() const;
     std::size_t waiting() const;
     std::uint64_t connectionsMade() const;
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -6,6 +6,7 @@
 #include "FrontServer.h"
 #include "Headers.h"
 #include "Metrics.h"
+#include "ProgramAdmission.h"
 #include "StoreClient.h"
 #include "StoreFollower.h"
 #include "TcpLink.h"
@@ -71,6 +72,7 @@
     asio::signal_set signals_ { io_, SIGTERM, SIGINT, SIGHUP };
     asio::steady_timer timer_ { io_ };
     Random random_;
+    AdmissionOptions admission_;
     std::optional<ServingConfig> config_;
     StoreHealth health_;
     platform::StoreClient store_;
@@ -245,7 +247,10 @@
     {
         PendingId id = ++lastTurn_;
         TurnRequest request { call.tags_.program_, *call.tags_.programBudget_, call.tags_.maxTokens_,
-            call.route_.programRetention_, call.deadline_ - bootNow() };
+            call.route_.programRetention_ };
+        request.left_ = call.deadline_ - bootNow();
+        request.mayBegin_
+            = mayBegin(forwarder_.occupancy(call.service_.id_), call.route_.rank_, admission_, random_);
         call.reply_->onGone([this, id] { turnGone(id); });
         turns_.emplace(id, PendingTurn { std::move(call), std::nullopt });
         TurnId ask = broker_.ask(request, [this, id](const TurnGrant& grant) { decided(id, grant); });
@@ -293,11 +298,20 @@
             { "home", grant.granter_.value_ }, { "spent", std::to_string(reply.spent_.value_) },
             { "claimed", std::to_string(reply.claimed_.value_) },
             { "others_claimed", std::to_string(reply.othersClaimed_.value_) } };
+        if (reply.decision_ == TurnDecision::NotAdmitted) {
+            facts.emplace_back("occupancy", fmt::format("{:.2f}", forwarder_.occupancy(call.service_.id_)));
+            return refuse(call, unavailable, "the engines are nearly full and no program may begin now",
+                jittered(admission_.retryAfter_), facts);
+        }
         if (reply.decision_ == TurnDecision::Spent)
             return refuse(call, budgetSpent, "the program's token budget is spent", std::nullopt, facts);
         if (reply.decision_ == TurnDecision::HeldElsewhere)
             return refuse(call, unavailable, "other VMs hold the rest of the program's token budget",
                 jittered(retryBudgetHeld), facts);
+        if (reply.decision_ == TurnDecision::InUse)
+            return refuse(call, unavailable,
+                "other turns of the program reserve the rest of its token budget", jittered(retryBudgetHeld),
+                facts);
         refuse(call, unavailable, "the platform's store, which keeps token budgets, does not answer",
             jittered(retryWithoutStore), facts);
     }
--- a/src/PeerTurns.cpp
+++ b/src/PeerTurns.cpp
@@ -37,7 +37,7 @@
 std::string encode(const TurnRequest& message)
 {
     return toBytes(json::array({ message.program_.value_, message.budget_.value_, message.most_.value_,
-        message.retention_.count(), message.left_.count() }));
+        message.retention_.count(), message.left_.count(), message.mayBegin_ ? 1 : 0 }));
 }
 
 std::string encode(const TurnReply& message)
@@ -56,14 +56,19 @@
 
 std::optional<TurnRequest> parseTurnRequest(const std::string& bytes)
 {
-    constexpr std::size_t fields = 5;
+    constexpr std::size_t fields = 6;
     auto document = fieldsOf(bytes, fields);
     if (!document || !(*document)[0].is_string() || !areNumbers(*document, 1, fields))
         return std::nullopt;
     const json& list = *document;
-    return TurnRequest { { list[0].get<std::string>() }, { list[1].get<std::int64_t>() },
-        { list[2].get<std::int64_t>() }, Milliseconds { list[3].get<std::int64_t>() },
-        Milliseconds { list[4].get<std::int64_t>() } };
+    TurnRequest request;
+    request.program_ = { list[0].get<std::string>() };
+    request.budget_ = { list[1].get<std::int64_t>() };
+    request.most_ = { list[2].get<std::int64_t>() };
+    request.retention_ = Milliseconds { list[3].get<std::int64_t>() };
+    request.left_ = Milliseconds { list[4].get<std::int64_t>() };
+    request.mayBegin_ = list[5].get<int>() != 0;
+    return request;
 }
 
 std::optional<TurnReply> parseTurnReply(const std::string& bytes)
--- a/src/PeerTurns.h
+++ b/src/PeerTurns.h
@@ -20,6 +20,7 @@
     TokenCount budget_;
     TokenCount most_;
     Milliseconds retention_ { 0 };
+    bool mayBegin_ = true; ///< Whether it may be the first turn of its program.
     Milliseconds left_ { 0 }; ///< Until the turn has ended at the latest.
 };
 
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -454,6 +454,23 @@
         backOff(pool.zones_[state.target_.zone_], options.longestBackOff_, now, random);
 }
 
+double occupancyOf(const TargetPool& pool, const ModelId& model, MonotonicTime now)
+{
+    QueuedCall any;
+    any.model_ = model;
+    ServiceMeans means = serviceMeans(pool, any, now);
+    double calls = 0;
+    double slots = 0;
+    for (const auto& [id, state] : pool.targets_) {
+        if (!serves(state.target_, any) || !isOpen(pool, state, now))
+            continue;
+        SharedTarget target = sharedTarget(pool, state, means, now);
+        calls += target.calls_;
+        slots += target.slots_;
+    }
+    return slots == 0 ? 0 : calls / slots;
+}
+
 bool mayRetry(TargetPool& pool) { return spendRetry(pool.retries_); }
 
 void loadReported(TargetPool& pool, const TargetId& target, const LoadReport& report, MonotonicTime now)
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -151,6 +151,10 @@
 /** Whether a call may be sent to a further target now; takes it from the retry budget. */
 bool mayRetry(TargetPool& pool);
 
+/** Calls at the targets of a model, of this VM and as reported of others, by the slots of all that take work.
+ * 0 when nothing is known. For targets that are shared with other VMs. Pure. */
+double occupancyOf(const TargetPool& pool, const ModelId& model, MonotonicTime now);
+
 /** Takes a load report. */
 void loadReported(TargetPool& pool, const TargetId& target, const LoadReport& report, MonotonicTime now);
 
--- a/src/TurnBroker.cpp
+++ b/src/TurnBroker.cpp
@@ -25,6 +25,8 @@
     constexpr Milliseconds peerConnectTimeout { 150 };
     // Homes that one turn is asked at before this VM decides itself.
     constexpr int mostHomes = 2;
+    // Turns of a program end some hundred milliseconds apart.
+    constexpr Milliseconds askAgainAfter { 120 };
     // A turn of a peer that has not been reported as ended by then counts as having used all.
     constexpr Milliseconds grantMargin { 1500 };
 
@@ -40,8 +42,10 @@
         std::shared_ptr<OutboundCall> call_;
         VmId asked_; ///< The peer of `call_`.
         MonotonicTime callUntil_;
+        MonotonicTime until_; ///< The turn is of no use afterwards.
+        std::optional<MonotonicTime> askAgainAt_;
         bool mayAskHolders_ = true;
-        bool isLocal_ = false; ///< It waits for this VM's own keeper.
+        bool isForPeer_ = false;
         std::string answer_;
     };
     using AskPtr = std::shared_ptr<Ask>;
@@ -95,6 +99,7 @@
         auto entry = std::make_shared<Ask>();
         entry->request_ = request;
         entry->done_ = std::move(done);
+        entry->until_ = bootNow() + request.left_;
         asks_[id] = entry;
         askHome(id, entry);
         return id;
@@ -112,9 +117,20 @@
 
     void askHere(TurnId id, const AskPtr& entry)
     {
-        entry->isLocal_ = true;
         const TurnRequest& request = entry->request_;
-        keeper_.turnArrived(request.program_, request.budget_, request.retention_, { id, request.most_ });
+        if (!request.mayBegin_ && !hasBegun(request.program_)) {
+            TurnReply reply;
+            reply.decision_ = TurnDecision::NotAdmitted;
+            return decided(id, entry, { reply, options_.vm_, request.program_, request.most_ });
+        }
+        WaitingTurn turn { id, request.most_, !entry->isForPeer_ };
+        keeper_.turnArrived(request.program_, request.budget_, request.retention_, turn);
+    }
+
+    bool hasBegun(const ProgramId& program) const
+    {
+        const ProgramBudget* budget = keeper_.find(program);
+        return budget && (budget->spent_ + budget->reserved_ + budget->othersClaimed_).value_ > 0;
     }
 
     void askPeer(TurnId id, const AskPtr& entry, const Peer& peer)
@@ -196,7 +212,6 @@
         if (found == asks_.end())
             return;
         AskPtr entry = found->second;
-        entry->isLocal_ = false;
         TurnReply reply = replyHere(entry->request_.program_, decision);
         decided(id, entry, { reply, options_.vm_, entry->request_.program_, entry->request_.most_ });
     }
@@ -225,10 +240,24 @@
         }
         if (grant.reply_.decision_ == TurnDecision::HeldElsewhere && !entry->holders_.empty())
             return askHolders(id, entry);
+        bool isInUse = grant.reply_.decision_ == TurnDecision::InUse && !entry->isForPeer_;
+        if (isInUse && bootNow() + askAgainAfter < entry->until_) {
+            entry->askAgainAt_ = bootNow() + askAgainAfter;
+            return;
+        }
         asks_.erase(id);
         entry->done_(grant);
     }
 
+    void askAgain(TurnId id, const AskPtr& entry)
+    {
+        entry->askAgainAt_.reset();
+        entry->homesAsked_ = 0;
+        entry->mayAskHolders_ = true;
+        entry->holders_.clear();
+        askHome(id, entry);
+    }
+
     void askHolders(TurnId id, const AskPtr& entry)
     {
         while (!entry->holders_.empty()) {
@@ -295,6 +324,7 @@
         TurnId id { ++lastTurn_ };
         auto entry = std::make_shared<Ask>();
         entry->request_ = turn;
+        entry->isForPeer_ = true;
         entry->mayAskHolders_ = false; // The asking VM does that; otherwise requests could go round.
         entry->done_ = [this, turn, reply](const TurnGrant& grant) {
             TurnReply message = grant.reply_;
@@ -351,9 +381,17 @@
     void expireCalls(MonotonicTime now)
     {
         std::vector<TurnId> late;
+        std::vector<TurnId> again;
         for (const auto& [id, entry] : asks_) {
             if (entry->call_ && now >= entry->callUntil_)
                 late.push_back(id);
+            else if (entry->askAgainAt_ && now >= *entry->askAgainAt_)
+                again.push_back(id);
+        }
+        for (TurnId id : again) {
+            auto found = asks_.find(id);
+            if (found != asks_.end())
+                askAgain(id, AskPtr(found->second));
         }
         for (TurnId id : late) {
             auto found = asks_.find(id);
