--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -36,6 +36,7 @@
     constexpr Milliseconds retryWithoutStore { 600 };
     constexpr Milliseconds retryBudgetHeld { 300 };
     constexpr Milliseconds retryNotReady { 300 };
+    constexpr Milliseconds retryElsewhere { 50 }; // Another VM takes it at once.
 
     constexpr int ok = 200;
     constexpr int notFound = 404;
@@ -210,6 +211,8 @@
         call.service_ = traits == config_->services_.end() ? ServiceTraits { service } : traits->second;
         call.deadline_ = call.request_.arrived_
             + std::min(route->timeout_, call.tags_.deadline_.value_or(route->timeout_));
+        if (drainingSince_ && call.deadline_ > drainEnd())
+            return refuse(call, unavailable, "this VM stops before the request could end", retryElsewhere);
         if (route->isTurn_ && call.tags_.programBudget_ && !call.tags_.program_.empty())
             return askBudget(std::move(call));
         forwarder_.forward(std::move(call));
@@ -393,9 +396,12 @@
         follower_.withdraw();
     }
 
+    // Precondition: a drain has begun.
+    MonotonicTime drainEnd() const { return *drainingSince_ + options_.settings_.drainGrace_ - endMargin; }
+
     bool isDrained(MonotonicTime now) const
     {
-        if (now > *drainingSince_ + options_.settings_.drainGrace_ - endMargin)
+        if (now > drainEnd())
             return true;
         bool isTurnedAway = now > *drainingSince_ + turnedAwayAfter && now > lastRequest_ + quietBeforeEnd;
         return isTurnedAway && forwarder_.underWay() == 0 && turns_.empty() && broker_.isQuiet();
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -200,6 +200,12 @@
         cursor.pagesEnd_.reset();
         ++cursor.failures_;
         cursor.dueAt_ = bootNow() + std::min(longestPause, shortestPause * cursor.failures_);
+        logEvent("store-read-failed",
+            { { "topic", cursor.partition_.topic_ }, { "status", std::to_string(error.status_) },
+                { "failures", std::to_string(cursor.failures_) },
+                { "age_ms",
+                    cursor.currentAt_ ? std::to_string((bootNow() - *cursor.currentAt_).count())
+                                      : "never" } });
         if (!takeStoreOutcome(health_, false, bootNow()))
             return;
         logWarning("store-lost",
@@ -217,7 +223,8 @@
         takeStoreOutcome(health_, true, bootNow());
         bool hadFailed = cursor.failures_ > 0;
         cursor.failures_ = 0;
-        if (hadFailed)
+        // The other topics wait at the store, so their first answer may come long after its return.
+        if (hadFailed && &cursor == &targets_)
             storeReturned(list_, bootNow());
         if (!wasDown)
             return;
