Leave rotation without the store; claim at most four turns ahead

Excluded: engines (nearly none refused for load), runaways (left out of the count by their number of refusals).

--- a/src/BudgetEscrow.cpp
+++ b/src/BudgetEscrow.cpp
@@ -45,8 +45,9 @@
     {
         TokenCount needed = committed(program) + waitingTokens(program);
         TokenCount left = std::max(TokenCount { 0 }, room(program) - needed);
-        TokenCount ahead
-            = std::max(program.lastMost_, TokenCount { left.value_ / escrow.options_.aheadShare_ });
+        TokenCount share { left.value_ / escrow.options_.aheadShare_ };
+        TokenCount turns { program.lastMost_.value_ * escrow.options_.aheadTurns_ };
+        TokenCount ahead = std::clamp(share, program.lastMost_, turns);
         return std::min(needed + ahead, room(program));
     }
 
@@ -66,6 +67,13 @@
         return program.reserved_.value_ > 0 && program.spent_ + most <= room(program);
     }
 
+    // What was spent only grows, so this needs no read of what others have claimed by now.
+    bool isSpentForGood(const ProgramBudget& program)
+    {
+        return !program.waiting_.empty() && program.reserved_.value_ == 0
+            && program.spent_ + program.othersSpent_ + program.waiting_.front().most_ > program.budget_;
+    }
+
     void refuseWaiting(ProgramBudget& program, EscrowEffects& effects)
     {
         std::deque<WaitingTurn> kept;
@@ -91,6 +99,8 @@
         grantWaiting(program, effects);
         if (program.isWriting_)
             return;
+        if (isSpentForGood(program))
+            return refuseWaiting(program, effects);
         TokenCount claim = nextClaim(escrow, program);
         if (!program.waiting_.empty()) {
             bool wouldHelp
@@ -207,6 +217,9 @@
     program.usable_ = std::max(std::min(claim.claimed_, room(program)), committed(program));
     program.lastUse_ = now;
     advance(escrow, id, program, true, effects);
+    // What others leave is less than the claim: they may use the rest of it.
+    if (!program.isWriting_ && program.usable_ < program.recorded_)
+        effects.push_back(writeClaim(escrow, id, program, program.usable_, false));
     return effects;
 }
 
--- a/src/BudgetEscrow.h
+++ b/src/BudgetEscrow.h
@@ -13,9 +13,9 @@
  *                   | no
  *               WriteClaim --> written, others read --> granted, or refused
  *
- * Claims reach ahead by half of what the budget has left: most turns need no write, and when this VM is lost
- * the other half is there for the next one. A VM that drains writes its claims down to what was spent.
- * Without I/O: `BudgetKeeper` carries the effects out.
+ * Claims reach some turns ahead, by half of what the budget has left at most: most turns need no write, and
+ * when this VM is lost the rest is there for the next one. A VM that drains writes its claims down to what
+ * was spent. Without I/O: `BudgetKeeper` carries the effects out.
  */
 
 #include "Types.h"
@@ -90,6 +90,8 @@
 /** Sizes and times of claims. */
 struct EscrowOptions {
     int aheadShare_ = 2; ///< A claim reaches ahead by this fraction of what is left: 2 for a half.
+    int aheadTurns_
+        = 4; ///< And by no more turns at their most: what a VM that is lost keeps from the others.
     /** Beyond the time in which a program may come back; covers clocks that differ. */
     Milliseconds expiryMargin_ { 120000 };
 };
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -35,6 +35,8 @@
     constexpr Milliseconds endMargin { 700 };
     constexpr Milliseconds retryWithoutStore { 600 };
     constexpr Milliseconds retryBudgetHeld { 300 };
+    // Shorter outages end sooner than the platform's health checks would notice them.
+    constexpr Milliseconds notReadyWithoutStore { 700 };
     constexpr Milliseconds retryNotReady { 300 };
     constexpr Milliseconds retryElsewhere { 50 }; // Another VM takes it at once.
 
@@ -163,7 +165,13 @@
             { "target_connections_made", {}, static_cast<double>(forwarder_.connectionsMade()) } };
     }
 
-    bool isReady() const { return config_ && follower_.targets().isComplete_ && !drainingSince_; }
+    // Without the store no program can begin here. While no VM of a zone is ready, the platform sends its
+    // callers to the next zone, so a zone that is cut off from the store serves them there.
+    bool isReady() const
+    {
+        bool hasStore = health_.isUp_ || bootNow() < health_.changedAt_ + notReadyWithoutStore;
+        return config_ && follower_.targets().isComplete_ && !drainingSince_ && hasStore;
+    }
 
     void answerReady(const FrontRequest& request, FrontReply& reply) const
     {
