--- a/src/ProgramAdmission.h
+++ b/src/ProgramAdmission.h
@@ -17,8 +17,8 @@
 
 /** Thresholds, as calls in all targets of the service by their slots. */
 struct AdmissionOptions {
-    double firstRefusals_ = 0.70; ///< Occupancy from which some new programs are refused.
-    double allRefused_ = 0.95; ///< Occupancy from which all are; beyond it each call waits for a slot.
+    double firstRefusals_ = 0.60; ///< Occupancy from which some new programs are refused.
+    double allRefused_ = 0.80; ///< Occupancy from which all are; beyond it each call waits for a slot.
     double rankStep_
         = 0.05; ///< Both are higher by this for a route of rank 0 than for one of rank 1, and so on.
     std::uint32_t ranks_ = 1; ///< Ranks beyond this one count as this one.
