--- /dev/null
+++ b/standin/PlatformStore.cpp
@@ -0,0 +1,288 @@
+#include "PlatformStore.h"
+
+#include "BootClock.h"
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <charconv>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace fescue::standin {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr int lengthBytes = 4;
+    constexpr int offsetBytes = 8;
+    constexpr std::size_t pageItems = 500;
+
+    struct Record {
+        std::string key_;
+        std::string value_;
+    };
+
+    struct Partition {
+        std::uint64_t first_ = 0; ///< Offset of the oldest record that is kept.
+        std::vector<Record> records_; ///< From `first_` on.
+        std::map<std::string, std::pair<std::uint64_t, std::string>> newest_;
+        std::map<std::string, std::pair<std::uint64_t, std::uint64_t>>
+            writers_; ///< Last sequence and offset.
+        std::uint64_t end() const { return first_ + records_.size(); }
+
+        void add(const std::string& key, const std::string& value)
+        {
+            if (value.empty())
+                newest_.erase(key);
+            else
+                newest_[key] = { end(), value };
+            records_.push_back({ key, value });
+        }
+    };
+
+    std::string bigEndian(std::uint64_t number, int width)
+    {
+        std::string bytes;
+        for (int i = width - 1; i >= 0; --i)
+            bytes += static_cast<char>((number >> (i * 8)) & 0xff);
+        return bytes;
+    }
+
+    std::uint64_t numberAt(const std::string& bytes, std::size_t at, std::size_t width)
+    {
+        std::uint64_t number = 0;
+        for (std::size_t i = 0; i < width && at + i < bytes.size(); ++i)
+            number = (number << 8) | static_cast<unsigned char>(bytes[at + i]);
+        return number;
+    }
+
+    std::string toBase64(std::string bytes)
+    {
+        using namespace boost::archive::iterators;
+        using Encoder = base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
+        std::size_t padding = (3 - bytes.size() % 3) % 3;
+        std::string text(Encoder(bytes.cbegin()), Encoder(bytes.cend()));
+        return text.append(padding, '=');
+    }
+
+    std::string queryValue(const std::string& target, const std::string& name)
+    {
+        for (std::string mark : { "?" + name + "=", "&" + name + "=" }) {
+            std::size_t at = target.find(mark);
+            if (at == std::string::npos)
+                continue;
+            std::size_t from = at + mark.size();
+            return target.substr(from, target.find('&', from) - from);
+        }
+        return {};
+    }
+
+    std::uint64_t queryNumber(const std::string& target, const std::string& name)
+    {
+        std::string text = queryValue(target, name);
+        std::uint64_t number = 0;
+        std::from_chars(text.data(), text.data() + text.size(), number);
+        return number;
+    }
+
+    void answer(FrontReply& reply, int status, const std::string& body)
+    {
+        HttpHead head;
+        head.status_ = status;
+        reply.answer(std::move(head), body);
+    }
+
+} // namespace
+
+struct PlatformStore::Impl {
+    using PartitionId = std::pair<std::string, std::string>;
+
+    // A read that waits for a record.
+    struct Waiting {
+        PartitionId partition_;
+        std::uint64_t from_;
+        MonotonicTime until_;
+        std::shared_ptr<FrontReply> reply_;
+    };
+
+    StoreTrouble trouble_;
+    std::map<PartitionId, Partition> partitions_;
+    std::vector<Waiting> waiting_;
+    std::vector<std::shared_ptr<FrontReply>> unanswered_;
+    std::uint64_t appends_ = 0;
+    std::unique_ptr<FrontServer> server_;
+
+    void take(const FrontRequest& request, std::shared_ptr<FrontReply> reply)
+    {
+        if (trouble_.isSilent_) {
+            unanswered_.push_back(std::move(reply));
+            return;
+        }
+        if (trouble_.isDown_)
+            return answer(*reply, 503, "");
+        const std::string& target = request.head_.target_;
+        PartitionId id { queryValue(target, "topic"), queryValue(target, "part") };
+        if (target.rfind("/log-append", 0) == 0)
+            append(id, request, std::move(reply));
+        else if (target.rfind("/log-read", 0) == 0)
+            read(id, target, std::move(reply));
+        else if (target.rfind("/log-newest", 0) == 0)
+            readNewest(id, target, *reply);
+        else
+            answer(*reply, 404, "");
+    }
+
+    void append(const PartitionId& id, const FrontRequest& request, std::shared_ptr<FrontReply> reply)
+    {
+        Partition& partition = partitions_[id];
+        std::string writer = queryValue(request.head_.target_, "producer");
+        std::uint64_t sequence = queryNumber(request.head_.target_, "seq");
+        auto known = partition.writers_.find(writer);
+        bool isRepeat = known != partition.writers_.end() && known->second.first == sequence;
+        if (known != partition.writers_.end() && !isRepeat && sequence != known->second.first + 1)
+            return answer(*reply, 409, json { { "why", "seq" } }.dump());
+        std::uint64_t offset = isRepeat ? known->second.second : partition.end();
+        if (!isRepeat) {
+            ++appends_;
+            addRecords(partition, request.body_);
+            partition.writers_[writer] = { sequence, offset };
+        }
+        if (trouble_.losesAnswers_ > 0) {
+            --trouble_.losesAnswers_;
+            unanswered_.push_back(std::move(reply));
+        } else {
+            answer(*reply, 200, json { { "offset", offset }, { "end-offset", partition.end() } }.dump());
+        }
+        wake(id);
+    }
+
+    static void addRecords(Partition& partition, const std::string& body)
+    {
+        std::size_t at = 0;
+        while (at + lengthBytes < body.size()) {
+            std::size_t length = numberAt(body, at, lengthBytes);
+            at += lengthBytes;
+            std::size_t keyLength = numberAt(body, at, 1);
+            partition.add(
+                body.substr(at + 1, keyLength), body.substr(at + 1 + keyLength, length - 1 - keyLength));
+            at += length;
+        }
+    }
+
+    void read(const PartitionId& id, const std::string& target, std::shared_ptr<FrontReply> reply)
+    {
+        const Partition& partition = partitions_[id];
+        std::uint64_t from = queryNumber(target, "from");
+        if (from < partition.first_)
+            return answer(*reply, 410, json { { "first-offset", partition.first_ } }.dump());
+        std::uint64_t wait = queryNumber(target, "wait-ms");
+        if (from >= partition.end() && wait > 0) {
+            waiting_.push_back({ id, from, bootNow() + Milliseconds { wait }, std::move(reply) });
+            return;
+        }
+        answerRead(partition, from, *reply);
+    }
+
+    static void answerRead(const Partition& partition, std::uint64_t from, FrontReply& reply)
+    {
+        std::string body = bigEndian(partition.end(), offsetBytes) + bigEndian(partition.first_, offsetBytes);
+        for (std::uint64_t at = from; at < partition.end(); ++at) {
+            const Record& record = partition.records_[at - partition.first_];
+            body += bigEndian(1 + record.key_.size() + record.value_.size(), lengthBytes);
+            body += bigEndian(record.key_.size(), 1) + record.key_ + record.value_;
+        }
+        answer(reply, 200, body);
+    }
+
+    void readNewest(const PartitionId& id, const std::string& target, FrontReply& reply)
+    {
+        const Partition& partition = partitions_[id];
+        json items = json::array();
+        std::string after = queryValue(target, "after");
+        auto at = after.empty() ? partition.newest_.begin() : partition.newest_.upper_bound(after);
+        for (; at != partition.newest_.end() && items.size() < pageItems; ++at)
+            items.push_back({ { "key", at->first }, { "value", toBase64(at->second.second) },
+                { "offset", at->second.first } });
+        bool hasMore = at != partition.newest_.end();
+        answer(reply, 200,
+            json { { "items", items }, { "has-more", hasMore }, { "end-offset", partition.end() } }.dump());
+    }
+
+    void wake(const PartitionId& id)
+    {
+        auto waiting = std::move(waiting_);
+        waiting_.clear();
+        for (Waiting& entry : waiting) {
+            if (entry.partition_ == id)
+                answerRead(partitions_[id], entry.from_, *entry.reply_);
+            else
+                waiting_.push_back(std::move(entry));
+        }
+    }
+};
+
+PlatformStore::PlatformStore(asio::io_context& io)
+    : impl_(std::make_shared<Impl>())
+{
+    impl_->server_ = std::make_unique<FrontServer>(
+        io, "127.0.0.1:0",
+        [impl = impl_.get()](const FrontRequest& request, std::shared_ptr<FrontReply> reply) {
+            impl->take(request, std::move(reply));
+        },
+        [](int, const char*, const HttpHead*) {});
+}
+
+PlatformStore::~PlatformStore() = default;
+
+std::uint16_t PlatformStore::port() const { return impl_->server_->port(); }
+
+StoreTrouble& PlatformStore::trouble() { return impl_->trouble_; }
+
+void PlatformStore::put(const std::string& topic, const std::string& key, const std::string& value)
+{
+    Impl::PartitionId id { topic, "0" };
+    impl_->partitions_[id].add(key, value);
+    impl_->wake(id);
+}
+
+void PlatformStore::compact(const std::string& topic)
+{
+    Partition& partition = impl_->partitions_[{ topic, "0" }];
+    partition.first_ = partition.end();
+    partition.records_.clear();
+}
+
+std::map<std::string, std::string> PlatformStore::newest(const std::string& topic) const
+{
+    return newestOfAll(topic);
+}
+
+std::map<std::string, std::string> PlatformStore::newestOfAll(const std::string& topicPrefix) const
+{
+    std::map<std::string, std::string> all;
+    for (const auto& [id, partition] : impl_->partitions_) {
+        if (id.first.rfind(topicPrefix, 0) != 0)
+            continue;
+        for (const auto& [key, entry] : partition.newest_)
+            all[key] = entry.second;
+    }
+    return all;
+}
+
+std::uint64_t PlatformStore::appends() const { return impl_->appends_; }
+
+void PlatformStore::tick(MonotonicTime now)
+{
+    auto waiting = std::move(impl_->waiting_);
+    impl_->waiting_.clear();
+    for (Impl::Waiting& entry : waiting) {
+        if (now >= entry.until_)
+            Impl::answerRead(impl_->partitions_[entry.partition_], entry.from_, *entry.reply_);
+        else
+            impl_->waiting_.push_back(std::move(entry));
+    }
+    impl_->server_->tick(now);
+}
+
+} // namespace fescue::standin
--- /dev/null
+++ b/test/correctness/HttpWireReading.cpp
@@ -0,0 +1,94 @@
+#include "HttpWire.h"
+#include "Suite.h"
+
+using namespace fescue;
+
+namespace {
+
+const std::string chunked = "POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n";
+const std::string plain = "GET /x/ HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+class HttpWireReading : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(HttpWireReading);
+    CPPUNIT_TEST(pipelinedMessagesAreReadOneByOne);
+    CPPUNIT_TEST(messageReadByteByByteIsTheSame);
+    CPPUNIT_TEST(answerWithoutLengthEndsWithItsConnection);
+    CPPUNIT_TEST(answerThatEndsEarlyIsNotComplete);
+    CPPUNIT_TEST(answerToHeadHasNoBody);
+    CPPUNIT_TEST(hopByHopHeadersAreKnown);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void pipelinedMessagesAreReadOneByOne()
+    {
+        HttpReader reader(HttpReader::Side::Requests, {});
+        std::string bytes = chunked + plain;
+        std::size_t used = reader.feed(bytes);
+        CHECK_EQUAL(chunked.size(), used);
+        CHECK(reader.isComplete());
+        CHECK_EQUAL(std::string("hello world"), reader.takeBody());
+        CHECK_EQUAL(std::string("/a/b"), std::string(pathOf(reader.head())));
+        reader.next();
+        CHECK_EQUAL(plain.size(), reader.feed(std::string_view(bytes).substr(used)));
+        CHECK(reader.isComplete());
+        CHECK_EQUAL(std::string("GET"), reader.head().method_);
+    }
+
+    void messageReadByteByByteIsTheSame()
+    {
+        HttpReader reader(HttpReader::Side::Requests, {});
+        std::string body;
+        for (char byte : chunked) {
+            CHECK(!reader.isComplete());
+            CHECK_EQUAL(std::size_t { 1 }, reader.feed({ &byte, 1 }));
+            body += reader.takeBody();
+        }
+        CHECK(reader.isComplete());
+        CHECK_EQUAL(std::string("hello world"), body);
+        CHECK_EQUAL(std::string("h"), *findHeader(reader.head(), "host"));
+    }
+
+    void answerWithoutLengthEndsWithItsConnection()
+    {
+        HttpReader reader(HttpReader::Side::Responses, {});
+        reader.feed("HTTP/1.1 200 OK\r\nX: y\r\n\r\npart");
+        CHECK(reader.hasHead());
+        CHECK(!reader.isComplete());
+        CHECK(!reader.isDelimited());
+        reader.feedEnd();
+        CHECK(reader.isComplete());
+    }
+
+    void answerThatEndsEarlyIsNotComplete()
+    {
+        for (const char* head :
+            { "Content-Length: 9\r\n\r\nhalf", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n" }) {
+            HttpReader reader(HttpReader::Side::Responses, {});
+            reader.feed(std::string("HTTP/1.1 200 OK\r\n") + head);
+            reader.feedEnd();
+            CHECK(!reader.isComplete());
+        }
+    }
+
+    void answerToHeadHasNoBody()
+    {
+        HttpReader reader(HttpReader::Side::Responses, {});
+        reader.expectNoBody();
+        reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+        CHECK(reader.isComplete());
+    }
+
+    void hopByHopHeadersAreKnown()
+    {
+        HttpHead head;
+        head.headers_ = { { "Connection", "close, X-Own" }, { "x-own", "1" }, { "X-Other", "2" } };
+        CHECK(isHopByHop(head, head.headers_[0]));
+        CHECK(isHopByHop(head, head.headers_[1]));
+        CHECK(!isHopByHop(head, head.headers_[2]));
+    }
+};
+
+REGISTER_SUITE(HttpWireReading);
--- /dev/null
+++ b/test/correctness/PlatformFormats.cpp
@@ -0,0 +1,182 @@
+#include "Documents.h"
+#include "Headers.h"
+#include "Suite.h"
+
+using namespace fescue;
+
+namespace {
+
+const std::string settings = R"(
+node-name: "frontend-a-1"
+ip: "10.1.0.38"
+zone: "gr-central-a"
+listen:
+  frontend: "10.1.0.38:8149"
+  ready: "10.1.0.38:8141"
+port-range:
+  - 7380
+  - 7395
+limits:
+  cpu-quota: 0.5
+  memory-mb: 120
+heartbeat-ms: 1200
+something-new: { a: [ 1, 2 ] }
+bounds:
+  drain-ms: 2000
+  grace-s: 8
+  config-apply-ms: 2000
+  settle-ms: 1000
+platform:
+  address: "10.200.1.7:8142"
+  parts: 12
+)";
+
+std::string without(std::string text, const std::string& part, const std::string& instead = "")
+{
+    std::size_t at = text.find(part);
+    CHECK(at != std::string::npos);
+    return text.replace(at, part.size(), instead);
+}
+
+const std::string config = R"({"version":7,"news":[1],"routes":[
+ {"name":"turns","host":"Ficu95.example","path-prefix":"/pufi/","type":"streaming","timeout-ms":4000,
+  "target-latency-ms":250,"priority":0,"service":"llm","max-attempts":1,"retained":false,"retention-s":60.0,
+  "resumable":true},
+ {"name":"calls","host":"ficu95.example","path-prefix":"/","type":"non_idempotent","timeout-ms":3000,
+  "backends":[{"service":"llm","weight":90},{"service":"app","weight":10}]},
+ {"name":"reads","host":"other.example","path-prefix":"/","type":"idempotent","service":"app"},
+ {"name":"odd","host":"other.example","path-prefix":"/odd/","type":"never heard of","service":"app"}],
+ "services":[{"name":"llm","engine":{"slots":12,"tokens-per-event":22}},{"name":"app"}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}})";
+
+} // namespace
+
+class PlatformFormats : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(PlatformFormats);
+    CPPUNIT_TEST(settingsAreRead);
+    CPPUNIT_TEST(settingsFaultsNameFieldAndRemedy);
+    CPPUNIT_TEST(configurationIsRead);
+    CPPUNIT_TEST(unreadableConfigurationIsAnError);
+    CPPUNIT_TEST(foreignEntriesNameNoTarget);
+    CPPUNIT_TEST(callersCannotSetWhatTheSystemSets);
+    CPPUNIT_TEST(requestTagsAreRead);
+    CPPUNIT_TEST(answerTagsAreRead);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void settingsAreRead()
+    {
+        auto read = platform::decodeSettings(settings);
+        CHECK(read.has_value());
+        CHECK_EQUAL(std::string("frontend-a-1"), read->vm_.value_);
+        CHECK_EQUAL(std::string("10.1.0.38:7380"), read->peerAddress_);
+        CHECK_EQUAL(std::uint32_t { 12 }, read->store_.partitions_);
+        CHECK(read->drainGrace_ == Milliseconds { 8000 });
+    }
+
+    void settingsFaultsNameFieldAndRemedy()
+    {
+        auto missing = platform::decodeSettings(without(settings, "zone: \"gr-central-a\"\n"));
+        CHECK_EQUAL(std::string("zone"), missing.error().field_);
+        auto mistyped = platform::decodeSettings(without(settings, "grace-s: 8", "grace-s: [ 8 ]"));
+        CHECK_EQUAL(std::string("bounds.grace-s"), mistyped.error().field_);
+        auto address = platform::decodeSettings(without(settings, "10.1.0.38:8141", "somewhere"));
+        CHECK_EQUAL(std::string("listen.ready"), address.error().field_);
+        CHECK(address.error().remedy_.find("10.1.0.38:8149") != std::string::npos);
+        CHECK(!platform::decodeSettings("{ not yaml").has_value());
+        CHECK(!platform::decodeSettings("").has_value());
+    }
+
+    void configurationIsRead()
+    {
+        auto read = platform::decodeConfig(config);
+        CHECK(read.has_value());
+        const Route* turn = findRoute(*read, "FICU95.example:80", "/pufi/x");
+        CHECK(turn && turn->isTurn_ && turn->isStream_);
+        CHECK(turn->repeatability_ == Repeatability::Repeatable);
+        CHECK(turn->programRetention_ == Milliseconds { 60000 });
+        const Route* call = findRoute(*read, "ficu95.example", "/pufi");
+        CHECK_EQUAL(std::string("calls"), call->name_);
+        CHECK(call->repeatability_ == Repeatability::AtMostOnce);
+        CHECK(findRoute(*read, "other.example", "/odd/1")->repeatability_ == Repeatability::AtMostOnce);
+        CHECK(findRoute(*read, "nobody.example", "/") == nullptr);
+        CHECK(read->services_.at({ "llm" }).isModel_);
+        int atApp = 0;
+        constexpr int keys = 1000;
+        for (std::uint64_t key = 0; key < keys; ++key)
+            atApp += chooseService(*call, key * 7919).value_ == "app" ? 1 : 0;
+        CHECK(atApp > 60 && atApp < 140);
+    }
+
+    void unreadableConfigurationIsAnError()
+    {
+        CHECK(!platform::decodeConfig("not json").has_value());
+        CHECK(!platform::decodeConfig("[]").has_value());
+        CHECK_EQUAL(std::string("version"), platform::decodeConfig(R"({"routes":[]})").error().field_);
+        CHECK_EQUAL(std::string("routes"), platform::decodeConfig(R"({"version":1})").error().field_);
+        CHECK(!platform::decodeConfig(R"({"version":1,"routes":[{"name":"x"}]})").has_value());
+    }
+
+    void foreignEntriesNameNoTarget()
+    {
+        std::string good = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready"})";
+        CHECK(platform::decodeTarget("i-1", good).has_value());
+        CHECK(platform::decodeTarget("i-1", without(good, "ready", "draining"))->isLeaving_);
+        CHECK(!platform::decodeTarget("i-1", without(good, "ready", "dreaming")).has_value());
+        CHECK(!platform::decodeTarget("i-1", without(good, "\"10.0.0.1:80\"", "17")).has_value());
+        CHECK(!platform::decodeTarget("i-1", without(good, "10.0.0.1:80", "10.0.0.1")).has_value());
+        CHECK(!platform::decodeTarget("i-1", "\xff\xfe").has_value());
+        CHECK(!platform::decodeTarget("", good).has_value());
+    }
+
+    void callersCannotSetWhatTheSystemSets()
+    {
+        HttpHead request;
+        request.method_ = "POST";
+        request.target_ = "/a/b?c=d";
+        request.headers_ = { { "Host", "h" }, { "Fescuewinch-Request-Id", "1" }, { "fescuewinch-hold", "x" },
+            { "Kv-From", "x" }, { "Fescuewinch-Pin-Ms", "5" }, { "Fescuewinch-Kv-Backup", "x" },
+            { "Fescuewinch-Deadline-Ms", "9000" }, { "Fescuewinch-Expect-Instance", "i-9" },
+            { "Transfer-Encoding", "chunked" }, { "X-Own", "kept" } };
+        HttpHead sent = platform::encodeTargetRequest(request, Milliseconds { 700 }, { "i-1" });
+        CHECK_EQUAL(std::string("/a/b?c=d"), sent.target_);
+        CHECK(!findHeader(sent, "Fescuewinch-Hold") && !findHeader(sent, "Kv-From"));
+        CHECK(!findHeader(sent, "Fescuewinch-Pin-Ms") && !findHeader(sent, "Fescuewinch-Kv-Backup"));
+        CHECK(!findHeader(sent, "Transfer-Encoding"));
+        CHECK_EQUAL(std::size_t { 1 }, countHeader(sent, "Fescuewinch-Deadline-Ms"));
+        CHECK_EQUAL(std::string("700"), *findHeader(sent, "Fescuewinch-Deadline-Ms"));
+        CHECK_EQUAL(std::string("i-1"), *findHeader(sent, "Fescuewinch-Expect-Instance"));
+        CHECK_EQUAL(std::string("kept"), *findHeader(sent, "X-Own"));
+    }
+
+    void requestTagsAreRead()
+    {
+        HttpHead request;
+        request.headers_ = { { "fescuewinch-request-id", "9c41" }, { "Fescuewinch-Token-Count", "1840,561" },
+            { "Fescuewinch-Prefix-Hash", "5c1e:800,91bd:410,odd" }, { "Fescuewinch-Token-Budget", "4488" },
+            { "Fescuewinch-Deadline-Ms", "-5" } };
+        CallTags tags = platform::decodeCallTags(request);
+        CHECK_EQUAL(std::string("9c41"), tags.attempt_.value_);
+        CHECK_EQUAL(std::int64_t { 561 }, tags.maxTokens_.value_);
+        CHECK_EQUAL(std::size_t { 2 }, tags.prompt_.size());
+        CHECK_EQUAL(std::int64_t { 4488 }, tags.programBudget_->value_);
+        CHECK(!tags.deadline_.has_value());
+    }
+
+    void answerTagsAreRead()
+    {
+        HttpHead answer;
+        answer.status_ = 503;
+        answer.headers_ = { { "Fescuewinch-Not-Executed", "1" }, { "Fescuewinch-Instance-Load", "3,0,8" } };
+        AnswerTags tags = platform::decodeAnswerTags(answer);
+        CHECK(tags.wasNotRun_ && !tags.isStamped_);
+        CHECK_EQUAL(std::uint32_t { 8 }, tags.load_->slots_);
+        answer.headers_ = { { "Fescuewinch-Instance-Load", "3,0" } };
+        CHECK(!platform::decodeAnswerTags(answer).load_.has_value());
+        CHECK(!platform::decodeAnswerTags(answer).wasNotRun_);
+        answer.status_ = 421;
+        CHECK(platform::decodeAnswerTags(answer).wasNotRun_);
+    }
+};
+
+REGISTER_SUITE(PlatformFormats);
