--- /dev/null
+++ b/test/correctness/BudgetClaims.cpp
@@ -0,0 +1,212 @@
+#include "BudgetEscrow.h"
+#include "PeerList.h"
+#include "PeerTurns.h"
+#include "Suite.h"
+
+using namespace fescue;
+
+namespace {
+
+constexpr MonotonicTime now { Milliseconds { 100000 } };
+const ProgramId program { "p" };
+constexpr Milliseconds retention { 60000 };
+
+BudgetEscrow escrowOf(const std::string& writer)
+{
+    BudgetEscrow escrow;
+    escrow.writer_ = { writer };
+    return escrow;
+}
+
+std::vector<TurnDecision> decisionsIn(const EscrowEffects& effects)
+{
+    std::vector<TurnDecision> decisions;
+    for (const EscrowEffect& effect : effects) {
+        if (const auto* decided = std::get_if<DecideTurn>(&effect))
+            decisions.push_back(decided->decision_);
+    }
+    return decisions;
+}
+
+const WriteClaim* writeIn(const EscrowEffects& effects)
+{
+    for (const EscrowEffect& effect : effects) {
+        if (const auto* write = std::get_if<WriteClaim>(&effect))
+            return write;
+    }
+    return nullptr;
+}
+
+ClaimRecord claimOf(const std::string& writer, std::int64_t claimed, std::int64_t spent)
+{
+    return { program, { writer }, { { claimed }, { spent }, 0 } };
+}
+
+} // namespace
+
+class BudgetClaims : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(BudgetClaims);
+    CPPUNIT_TEST(firstTurnWaitsForItsClaimAndTheNextOnesDoNot);
+    CPPUNIT_TEST(claimReachesAFewTurnsAheadOnly);
+    CPPUNIT_TEST(spentBudgetIsToldWithoutAWrite);
+    CPPUNIT_TEST(tokensHeldByAnotherVmAreNotCalledSpent);
+    CPPUNIT_TEST(earlierStartOfTheSameVmCountsAsSpent);
+    CPPUNIT_TEST(turnWaitsForOneThatMayLeaveTokens);
+    CPPUNIT_TEST(turnOfAPeerIsToldThatTheRestIsInUse);
+    CPPUNIT_TEST(lostStoreRefusesAtOnceWhatItWouldHaveToWrite);
+    CPPUNIT_TEST(drainReturnsUnusedTokens);
+    CPPUNIT_TEST(claimAboveWhatOthersLeaveIsLowered);
+    CPPUNIT_TEST(foreignRecordsAreNoClaims);
+    CPPUNIT_TEST(peerMessagesSurviveTheWire);
+    CPPUNIT_TEST(deadPeerIsPassedOverAndComesBack);
+    CPPUNIT_TEST_SUITE_END();
+
+    BudgetEscrow escrow_;
+    std::uint64_t last_ = 0;
+
+    EscrowEffects arrive(std::int64_t budget, std::int64_t most, bool mayWait = true)
+    {
+        return turnArrived(escrow_, program, { budget }, retention, { { ++last_ }, { most }, mayWait }, now);
+    }
+
+    EscrowEffects confirm(const EscrowEffects& effects, const std::vector<ClaimRecord>& others = {})
+    {
+        const WriteClaim* write = writeIn(effects);
+        CHECK(write != nullptr);
+        return claimWritten(escrow_, program, write->claim_, others, now);
+    }
+
+public:
+    void setUp() override { escrow_ = escrowOf("vm-a#1"); }
+
+    void firstTurnWaitsForItsClaimAndTheNextOnesDoNot()
+    {
+        EscrowEffects first = arrive(4000, 500);
+        CHECK(decisionsIn(first).empty());
+        CHECK(decisionsIn(confirm(first)) == std::vector { TurnDecision::Granted });
+        turnEnded(escrow_, program, { 500 }, { 200 }, now);
+        CHECK(decisionsIn(arrive(4000, 500)) == std::vector { TurnDecision::Granted });
+    }
+
+    void claimReachesAFewTurnsAheadOnly()
+    {
+        EscrowEffects first = arrive(30000, 500);
+        CHECK_EQUAL(std::int64_t { 2500 }, writeIn(first)->claim_.claimed_.value_);
+    }
+
+    void spentBudgetIsToldWithoutAWrite()
+    {
+        confirm(arrive(1000, 500));
+        turnEnded(escrow_, program, { 500 }, { 500 }, now);
+        CHECK(decisionsIn(arrive(1000, 500)) == std::vector { TurnDecision::Granted });
+        turnEnded(escrow_, program, { 500 }, { 400 }, now);
+        EscrowEffects refused = arrive(1000, 500);
+        CHECK(decisionsIn(refused) == std::vector { TurnDecision::Spent });
+        CHECK(!writeIn(refused));
+    }
+
+    void tokensHeldByAnotherVmAreNotCalledSpent()
+    {
+        auto effects = confirm(arrive(1000, 500), { claimOf("vm-b#1", 800, 100) });
+        CHECK(decisionsIn(effects) == std::vector { TurnDecision::HeldElsewhere });
+        CHECK(escrow_.programs_.at(program).holders_.at(0) == WriterId { "vm-b#1" });
+    }
+
+    void earlierStartOfTheSameVmCountsAsSpent()
+    {
+        auto effects = confirm(arrive(1000, 500), { claimOf("vm-a#0", 800, 100) });
+        CHECK(decisionsIn(effects) == std::vector { TurnDecision::Spent });
+    }
+
+    void turnWaitsForOneThatMayLeaveTokens()
+    {
+        confirm(arrive(800, 500));
+        EscrowEffects second = arrive(800, 500);
+        if (writeIn(second))
+            second = confirm(second);
+        CHECK(decisionsIn(second).empty());
+        auto ended = turnEnded(escrow_, program, { 500 }, { 100 }, now);
+        if (writeIn(ended))
+            ended = confirm(ended);
+        CHECK(decisionsIn(ended) == std::vector { TurnDecision::Granted });
+    }
+
+    void turnOfAPeerIsToldThatTheRestIsInUse()
+    {
+        confirm(arrive(800, 500));
+        EscrowEffects second = arrive(800, 500, false);
+        if (writeIn(second))
+            second = confirm(second);
+        CHECK(decisionsIn(second) == std::vector { TurnDecision::InUse });
+    }
+
+    void lostStoreRefusesAtOnceWhatItWouldHaveToWrite()
+    {
+        arrive(4000, 500);
+        CHECK(decisionsIn(storeUnavailable(escrow_)) == std::vector { TurnDecision::Unavailable });
+    }
+
+    void drainReturnsUnusedTokens()
+    {
+        confirm(arrive(4000, 500));
+        CHECK(!writeIn(escrowTick(escrow_, true, now)));
+        turnEnded(escrow_, program, { 500 }, { 200 }, now);
+        CHECK(!writeIn(escrowTick(escrow_, false, now)));
+        auto effects = escrowTick(escrow_, true, now);
+        CHECK_EQUAL(std::int64_t { 200 }, writeIn(effects)->claim_.claimed_.value_);
+    }
+
+    void claimAboveWhatOthersLeaveIsLowered()
+    {
+        auto effects = confirm(arrive(1000, 200), { claimOf("vm-b#1", 700, 700) });
+        CHECK(decisionsIn(effects) == std::vector { TurnDecision::Granted });
+        CHECK_EQUAL(std::int64_t { 300 }, writeIn(effects)->claim_.claimed_.value_);
+    }
+
+    void foreignRecordsAreNoClaims()
+    {
+        auto own = parseClaim("p|vm-a#1", claimValue({ { 5 }, { 2 }, 9 }));
+        CHECK(own && own->program_ == program && own->claim_.spent_ == TokenCount { 2 });
+        CHECK(!parseClaim("p", "[1,2,3]"));
+        CHECK(!parseClaim("p|w", "[1,2]"));
+        CHECK(!parseClaim("p|w", "[1,\"2\",3]"));
+        CHECK(!parseClaim("p|w", "\xff"));
+    }
+
+    void peerMessagesSurviveTheWire()
+    {
+        TurnRequest request { program, { 4000 }, { 500 }, retention, false, Milliseconds { 900 } };
+        auto asked = parseTurnRequest(encode(request));
+        CHECK(asked && asked->budget_ == request.budget_ && !asked->mayBegin_);
+        TurnReply reply;
+        reply.decision_ = TurnDecision::HeldElsewhere;
+        reply.holders_ = { { "vm-b#1" } };
+        auto answered = parseTurnReply(encode(reply));
+        CHECK(answered && answered->holders_ == reply.holders_);
+        CHECK(parseTurnEnd(encode(TurnEnd { 7, { 9 } }))->grant_ == 7);
+        CHECK(!parseTurnRequest("garbage") && !parseTurnReply("") && !parseTurnEnd(encode(reply)));
+    }
+
+    void deadPeerIsPassedOverAndComesBack()
+    {
+        PeerList list;
+        list.own_ = { "vm-a" };
+        for (const char* vm : { "vm-a", "vm-b", "vm-c" })
+            list.peers_[{ vm }] = { { vm }, { "zone" }, "10.0.0.1:1", { std::string(vm) + "#1" } };
+        for (int i = 0; i < 50; ++i) {
+            ProgramId any { std::to_string(i) };
+            VmId home = homeOf(list, { "zone" }, any, now)->vm_;
+            if (home == list.own_)
+                continue;
+            notePeerOutcome(list, home, false, now);
+            CHECK(homeOf(list, { "zone" }, any, now)->vm_ != home);
+            CHECK(!peerOfWriter(list, list.peers_.at(home).writer_, now));
+            CHECK(homeOf(list, { "zone" }, any, now + Milliseconds { 60000 })->vm_ == home);
+            notePeerOutcome(list, home, true, now);
+            CHECK(homeOf(list, { "zone" }, any, now)->vm_ == home);
+        }
+        CHECK(!homeOf(list, { "other" }, program, now));
+    }
+};
+
+REGISTER_SUITE(BudgetClaims);
--- /dev/null
+++ b/test/correctness/StoreFollowing.cpp
@@ -0,0 +1,188 @@
+#include "BootClock.h"
+#include "PlatformStore.h"
+#include "StoreClient.h"
+#include "StoreFollower.h"
+#include "Suite.h"
+
+#include <asio/steady_timer.hpp>
+
+using namespace fescue;
+using namespace fescue::standin;
+
+namespace {
+
+std::string configOf(int version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+}
+
+std::string targetOf(const std::string& state)
+{
+    return R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":")" + state + "\"}";
+}
+
+} // namespace
+
+class StoreFollowing : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(StoreFollowing);
+    CPPUNIT_TEST(configurationAndTargetsAreFollowed);
+    CPPUNIT_TEST(olderAndUnreadableConfigurationsAreIgnored);
+    CPPUNIT_TEST(foreignTargetEntriesSpoilNothing);
+    CPPUNIT_TEST(compactedHistoryIsReadAnew);
+    CPPUNIT_TEST(removalAfterAnOutageOfTheVmListCountsAtOnce);
+    CPPUNIT_TEST(silentStoreIsNoticedAndRegained);
+    CPPUNIT_TEST(ownEntryIsWrittenAndRemoved);
+    CPPUNIT_TEST(lostAnswerOfAnAppendIsRepeatedAndDoneOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<asio::io_context> io_;
+    std::unique_ptr<PlatformStore> store_;
+    std::unique_ptr<platform::StoreClient> client_;
+    std::unique_ptr<StoreFollower> follower_;
+    StoreHealth health_;
+    std::vector<std::uint64_t> versions_;
+    std::map<VmId, Peer> peers_;
+
+    // Runs the event loop until something holds; fails the test when it does not come to hold.
+    template <typename Condition> void runUntil(const Condition& holds)
+    {
+        constexpr int mostTurns = 20000;
+        for (int turn = 0; turn < mostTurns && !holds(); ++turn) {
+            io_->run_for(std::chrono::milliseconds(1));
+            io_->restart();
+            client_->tick(bootNow());
+            follower_->tick(bootNow());
+            store_->tick(bootNow());
+        }
+        CHECK(holds());
+    }
+
+    bool knows(const std::string& target) const
+    {
+        return follower_->targets().entries_.count({ target }) > 0;
+    }
+
+public:
+    void setUp() override
+    {
+        io_ = std::make_unique<asio::io_context>(1);
+        store_ = std::make_unique<PlatformStore>(*io_);
+        health_ = {};
+        versions_.clear();
+        peers_.clear();
+        asio::ip::tcp::endpoint address(asio::ip::make_address_v4("127.0.0.1"), store_->port());
+        client_ = std::make_unique<platform::StoreClient>(*io_, address);
+        FollowIntervals intervals;
+        intervals.configWait_ = Milliseconds { 40 };
+        intervals.peersWait_ = Milliseconds { 40 };
+        intervals.targets_ = Milliseconds { 10 };
+        intervals.configGap_ = Milliseconds { 1 };
+        intervals.timeout_ = Milliseconds { 200 };
+        follower_ = std::make_unique<StoreFollower>(*client_, health_, intervals,
+            StoreFollower::Callbacks {
+                [this](const ServingConfig& config) { versions_.push_back(config.version_); },
+                [](const TargetList&) {}, [this](const std::map<VmId, Peer>& peers) { peers_ = peers; },
+                [](bool) {} });
+        store_->put(platform::configTopic, platform::configKey, configOf(3));
+        store_->put(platform::targetTopic, "i-1", targetOf("ready"));
+    }
+
+    void tearDown() override
+    {
+        follower_.reset();
+        client_.reset();
+        store_.reset();
+        io_.reset();
+    }
+
+    void configurationAndTargetsAreFollowed()
+    {
+        runUntil([this] { return !versions_.empty() && knows("i-1"); });
+        store_->put(platform::configTopic, platform::configKey, configOf(9));
+        store_->put(platform::targetTopic, "i-1", targetOf("draining"));
+        runUntil([this] { return versions_.back() == 9; });
+        runUntil([this] { return follower_->targets().entries_.at({ "i-1" }).isLeaving_; });
+        store_->put(platform::targetTopic, "i-1", "");
+        runUntil([this] { return !knows("i-1"); });
+    }
+
+    void olderAndUnreadableConfigurationsAreIgnored()
+    {
+        runUntil([this] { return !versions_.empty(); });
+        store_->put(platform::configTopic, platform::configKey, configOf(2));
+        store_->put(platform::configTopic, platform::configKey, "{ broken");
+        store_->put(platform::configTopic, "other", configOf(50));
+        store_->put(platform::configTopic, platform::configKey, configOf(4));
+        runUntil([this] { return versions_.back() == 4; });
+        CHECK_EQUAL(std::size_t { 2 }, versions_.size());
+    }
+
+    void foreignTargetEntriesSpoilNothing()
+    {
+        store_->put(platform::targetTopic, "i-2", "\xff\xfe");
+        store_->put(platform::targetTopic, "i-3", targetOf("unheard of"));
+        store_->put(platform::targetTopic, "i-4", targetOf("ready"));
+        runUntil([this] { return knows("i-1") && knows("i-4"); });
+        CHECK(!knows("i-2") && !knows("i-3"));
+    }
+
+    void compactedHistoryIsReadAnew()
+    {
+        runUntil([this] { return !versions_.empty() && knows("i-1"); });
+        store_->trouble().isDown_ = true;
+        store_->put(platform::configTopic, platform::configKey, configOf(7));
+        store_->put(platform::targetTopic, "i-5", targetOf("ready"));
+        store_->compact(platform::configTopic);
+        store_->compact(platform::targetTopic);
+        store_->trouble().isDown_ = false;
+        runUntil([this] { return versions_.back() == 7 && knows("i-5"); });
+    }
+
+    // The list of VMs is read with a long wait, so its first answer comes late; seen as DRAIN in a hunted
+    // day.
+    void removalAfterAnOutageOfTheVmListCountsAtOnce()
+    {
+        runUntil([this] { return knows("i-1"); });
+        store_->trouble().isDown_ = true;
+        runUntil([this] { return !health_.isUp_; });
+        store_->trouble().isDown_ = false;
+        runUntil([this] { return health_.isUp_; });
+        auto back = bootNow();
+        runUntil([back] { return bootNow() > back + entriesReturnWithin; });
+        store_->put(std::string(platform::keyedTopicPrefix) + "entry-vms", "vm-z", "");
+        store_->put(platform::targetTopic, "i-1", "");
+        auto removed = bootNow();
+        runUntil([this] { return !knows("i-1"); });
+        CHECK(bootNow() < removed + entriesReturnWithin);
+    }
+
+    void silentStoreIsNoticedAndRegained()
+    {
+        runUntil([this] { return knows("i-1"); });
+        store_->trouble().isSilent_ = true;
+        runUntil([this] { return !health_.isUp_; });
+        CHECK(knows("i-1"));
+        store_->trouble().isSilent_ = false;
+        runUntil([this] { return health_.isUp_; });
+    }
+
+    void ownEntryIsWrittenAndRemoved()
+    {
+        follower_->announce({ { "vm-a" }, { "z" }, "127.0.0.1:7380", { "vm-a#1" } });
+        runUntil([this] { return peers_.count({ "vm-a" }) > 0; });
+        follower_->withdraw();
+        runUntil([this] { return peers_.empty(); });
+    }
+
+    void lostAnswerOfAnAppendIsRepeatedAndDoneOnce()
+    {
+        store_->trouble().losesAnswers_ = 1;
+        follower_->announce({ { "vm-a" }, { "z" }, "127.0.0.1:7380", { "vm-a#1" } });
+        runUntil([this] { return peers_.count({ "vm-a" }) > 0; });
+        follower_->withdraw();
+        runUntil([this] { return peers_.empty(); });
+        CHECK_EQUAL(std::uint64_t { 2 }, store_->appends());
+    }
+};
+
+REGISTER_SUITE(StoreFollowing);
