--- a/apps/EntryMain.cpp
+++ b/apps/EntryMain.cpp
@@ -5,6 +5,7 @@
 #include "EventLog.h"
 #include "Settings.h"
 
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <gflags/gflags.h>
@@ -61,6 +62,8 @@
         refuseSettings(settings.error().field_, settings.error().remedy_);
     constexpr std::int64_t largestPort = 65535;
     auto metricsPort = requireRange("--metrics_port", FLAGS_metrics_port, 0, largestPort);
+    // A reader of the log that ends must not end this process.
+    std::signal(SIGPIPE, SIG_IGN);
     openEventLog({ {}, "entry", settings->vm_.value_, settings->zone_.value_, true });
     EntryVmOptions options;
     options.settings_ = *settings;
--- a/test/support/RawConnection.cpp
+++ b/test/support/RawConnection.cpp
@@ -1,4 +1,5 @@
 #include "RawConnection.h"
+#include <cerrno>
 
 #include <array>
 #include <netinet/in.h>
@@ -20,8 +21,10 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0)
+    if (connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+        close(socket_);
         throw std::runtime_error("no connection to port " + std::to_string(port));
+    }
 }
 
 RawConnection::~RawConnection() { close(socket_); }
@@ -44,6 +47,8 @@
     std::array<char, 65536> buffer {};
     while (mark.empty() || text.find(mark) == std::string::npos) {
         ssize_t size = recv(socket_, buffer.data(), buffer.size(), 0);
+        if (size < 0 && errno == ECONNRESET)
+            return text;
         if (size < 0)
             throw std::runtime_error("the server neither answers nor closes");
         if (size == 0)
--- a/test/support/RawConnection.h
+++ b/test/support/RawConnection.h
@@ -19,7 +19,8 @@
 
     /** Sends as much as the server takes; returns false when it has closed. */
     bool send(const std::string& bytes);
-    /** Reads until `mark` has come or the server closes; returns everything read by this call. */
+    /** Reads until `mark` has come or the server closes or resets the connection; returns everything read by
+     * this call. */
     std::string readTo(const std::string& mark);
     /** Reads until the server closes. */
     std::string readAll() { return readTo({}); }
