--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -1,5 +1,7 @@
 #include "TargetPool.h"
 
+#include "TargetChoice.h"
+
 #include <algorithm>
 
 namespace fescue {
@@ -9,44 +11,15 @@
     constexpr Milliseconds firstBackoff { 250 };
     constexpr Milliseconds shortestRetryAfter { 500 };
     constexpr Milliseconds longestRetryAfter { 30000 };
-    // Answers from which a target's pace counts; the moving average has left its initial value by then.
-    constexpr std::uint32_t fewestSamples = 8;
-    // Without reports for this long nothing is known of the others, and calls are sent to find out.
-    constexpr double reportMemoryMs = 1000;
-    constexpr double unknownCallMs = 300; ///< Until a pace is known.
-
-    bool serves(const Target& target, const QueuedCall& call)
-    {
-        if (!call.service_.empty())
-            return target.service_ == call.service_;
-        return std::find(target.models_.begin(), target.models_.end(), call.model_) != target.models_.end();
-    }
 
     bool isServedByAny(const TargetPool& pool, const QueuedCall& call)
     {
         return std::any_of(pool.targets_.begin(), pool.targets_.end(), [&call](const auto& entry) {
-            return !entry.second.target_.isLeaving_ && serves(entry.second.target_, call)
+            return !entry.second.target_.isLeaving_ && servesCall(entry.second.target_, call)
                 && !call.avoid_.count(entry.first);
         });
     }
 
-    bool hasSuspect(const TargetPool& pool, const TargetId& target, MonotonicTime now)
-    {
-        return std::any_of(pool.running_.begin(), pool.running_.end(), [&](const auto& entry) {
-            return entry.second.target_ == target
-                && isSuspect(pool.quarantine_, entry.second.call_.digest_, now);
-        });
-    }
-
-    bool isOpen(const TargetPool& pool, const TargetState& state, MonotonicTime now)
-    {
-        auto zone = pool.zones_.find(state.target_.zone_);
-        if (zone != pool.zones_.end() && now < zone->second.notBefore_)
-            return false;
-        return !state.target_.isLeaving_ && now >= state.notBefore_
-            && (state.failures_ < pool.options_.failuresToBackOff_ || state.inFlight_ == 0);
-    }
-
     bool isFull(const TargetState& state) { return state.inFlight_ + 1 > state.window_.size_; }
 
     bool hasRoom(const TargetPool& pool, MonotonicTime now)
@@ -57,156 +30,6 @@
         });
     }
 
-    bool mayRun(const TargetPool& pool, const TargetState& state, const QueuedCall& call, MonotonicTime now)
-    {
-        if (!isOpen(pool, state, now) || !serves(state.target_, call) || call.avoid_.count(state.target_.id_))
-            return false;
-        return !isSuspect(pool.quarantine_, call.digest_, now) || !hasSuspect(pool, state.target_.id_, now);
-    }
-
-    TokenCount uncachedAt(const TargetPool& pool, const QueuedCall& call, const TargetId& target)
-    {
-        auto program = pool.held_.find(call.program_);
-        if (program == pool.held_.end())
-            return call.promptTokens_;
-        auto held = program->second.find(target);
-        if (held == program->second.end())
-            return call.promptTokens_;
-        return std::max(TokenCount { 0 }, call.promptTokens_ - held->second.tokens_);
-    }
-
-    // Other zones do not report to this VM, so they are taken to be as busy as its own.
-    double meanRunning(const TargetPool& pool)
-    {
-        double running = 0;
-        double reporting = 0;
-        for (const auto& [id, state] : pool.targets_) {
-            if (!state.load_.reportedAt_)
-                continue;
-            running += state.load_.report_.running_;
-            reporting += 1;
-        }
-        return reporting == 0 ? 0 : running / reporting;
-    }
-
-    Candidate candidateOf(
-        const TargetPool& pool, const TargetState& state, const QueuedCall& call, double assumedRunning)
-    {
-        Candidate candidate { state.target_.id_ };
-        TokenCount uncached = uncachedAt(pool, call, state.target_.id_);
-        double answer = std::min(pool.answerTokens_, static_cast<double>(call.maxTokens_.value_));
-        candidate.costMs_ = costMs(
-            state.load_, uncached, answer, std::max(assumedRunning, static_cast<double>(state.inFlight_)));
-        bool holdsPrefix = uncached + uncached < call.promptTokens_;
-        if (!holdsPrefix)
-            candidate.costMs_ *= 1 + pool.options_.placement_.moveMargin_;
-        if (state.target_.zone_ != pool.zone_)
-            candidate.costMs_ += pool.options_.placement_.otherZoneMs_;
-        candidate.isFull_ = isFull(state);
-        if (candidate.isFull_)
-            candidate.costMs_ += state.load_.pace_.callMs_ / std::max(1U, state.inFlight_);
-        return candidate;
-    }
-
-    // What the targets of a call have in the mean.
-    struct ServiceMeans {
-        double others_ = 0; ///< Calls of other VMs.
-        double callMs_ = 0;
-        double tokenMs_ = 0;
-    };
-
-    ServiceMeans serviceMeans(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
-    {
-        ServiceMeans means;
-        double reports = 0;
-        double learned = 0;
-        for (const auto& [id, state] : pool.targets_) {
-            if (!serves(state.target_, call))
-                continue;
-            if (state.others_.reportedAt_ != MonotonicTime {}) {
-                means.others_ += othersNow(state.others_, 0, reportMemoryMs, now);
-                reports += 1;
-            }
-            if (state.load_.pace_.samples_ >= fewestSamples) {
-                means.callMs_ += state.load_.pace_.callMs_;
-                means.tokenMs_ += state.load_.pace_.tokenMs_;
-                learned += 1;
-            }
-        }
-        means.others_ /= std::max(1.0, reports);
-        means.callMs_ = learned == 0 ? unknownCallMs : means.callMs_ / learned;
-        means.tokenMs_ /= std::max(1.0, learned);
-        return means;
-    }
-
-    SharedTarget sharedTarget(
-        const TargetPool& pool, const TargetState& state, const ServiceMeans& means, MonotonicTime now)
-    {
-        const SharedOptions& options = pool.options_.shared_;
-        const TargetPace& pace = state.load_.pace_;
-        SharedTarget target;
-        target.callMs_ = means.callMs_;
-        if (pace.samples_ >= fewestSamples && means.tokenMs_ > 0)
-            target.slowness_ = pace.tokenMs_ / means.tokenMs_;
-        target.calls_ = state.inFlight_ + othersNow(state.others_, means.others_, target.callMs_, now);
-        target.slots_ = state.target_.slots_ == 0 ? options.defaultSlots_ : state.target_.slots_;
-        target.isOtherZone_ = state.target_.zone_ != pool.zone_;
-        return target;
-    }
-
-    // The target of the own zone that this program's calls prefer on every VM.
-    TargetId preferredTarget(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
-    {
-        TargetId best;
-        std::uint64_t bestScore = 0;
-        for (const auto& [id, state] : pool.targets_) {
-            if (state.target_.zone_ != pool.zone_ || !mayRun(pool, state, call, now))
-                continue;
-            std::uint64_t score = preferenceOf(call.program_.value_, id);
-            if (best.empty() || score > bestScore) {
-                best = id;
-                bestScore = score;
-            }
-        }
-        return best;
-    }
-
-    Choice chooseShared(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
-    {
-        ServiceMeans means = serviceMeans(pool, call, now);
-        bool isModelCall = !call.model_.empty() && !call.program_.empty();
-        TargetId preferred = isModelCall ? preferredTarget(pool, call, now) : TargetId {};
-        TargetId best;
-        double bestCost = 0;
-        for (const auto& [id, state] : pool.targets_) {
-            if (!mayRun(pool, state, call, now))
-                continue;
-            SharedTarget target = sharedTarget(pool, state, means, now);
-            target.isPreferred_ = id == preferred;
-            if (isSaturated(target, pool.options_.shared_))
-                continue;
-            double cost = sharedCostMs(target, call.promptTokens_, pool.options_.shared_);
-            if (best.empty() || cost < bestCost) {
-                best = id;
-                bestCost = cost;
-            }
-        }
-        return best.empty() ? Choice {} : Choice { Choice::Kind::Run, best };
-    }
-
-    Choice choose(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
-    {
-        if (pool.options_.shared_.isEnabled_)
-            return chooseShared(pool, call, now);
-        std::vector<Candidate> candidates;
-        double assumedRunning = meanRunning(pool) * pool.options_.placement_.otherZoneLoad_;
-        for (const auto& [id, state] : pool.targets_) {
-            if (mayRun(pool, state, call, now))
-                candidates.push_back(candidateOf(pool, state, call, assumedRunning));
-        }
-        return chooseTarget(candidates, pool.options_.placement_);
-    }
-
     // Full jitter (Brooker, "Exponential Backoff And Jitter", 2015).
     template <typename State> void backOff(State& state, Milliseconds most, MonotonicTime now, Random& random)
     {
@@ -232,7 +55,7 @@
         double endsPerMs = 0;
         double freePlaces = 0;
         for (const auto& [id, state] : pool.targets_) {
-            if (!isOpen(pool, state, now) || !serves(state.target_, call))
+            if (!isOpen(pool, state, now) || !servesCall(state.target_, call))
                 continue;
             endsPerMs += state.window_.size_ / std::max(1.0, state.load_.pace_.callMs_);
             freePlaces += std::max(0.0, state.window_.size_ - state.inFlight_);
@@ -380,7 +203,7 @@
         orderCalls(pool.queue_, now);
     auto& calls = pool.queue_.calls_;
     for (auto call = calls.begin(); call != calls.end();) {
-        Choice choice = choose(pool, *call, now);
+        Choice choice = chooseFor(pool, *call, now);
         if (choice.kind_ != Choice::Kind::Run) {
             ++call;
             continue;
@@ -454,23 +277,6 @@
         backOff(pool.zones_[state.target_.zone_], options.longestBackOff_, now, random);
 }
 
-double occupancyOf(const TargetPool& pool, const ModelId& model, MonotonicTime now)
-{
-    QueuedCall any;
-    any.model_ = model;
-    ServiceMeans means = serviceMeans(pool, any, now);
-    double calls = 0;
-    double slots = 0;
-    for (const auto& [id, state] : pool.targets_) {
-        if (!serves(state.target_, any) || !isOpen(pool, state, now))
-            continue;
-        SharedTarget target = sharedTarget(pool, state, means, now);
-        calls += target.calls_;
-        slots += target.slots_;
-    }
-    return slots == 0 ? 0 : calls / slots;
-}
-
 bool mayRetry(TargetPool& pool) { return spendRetry(pool.retries_); }
 
 void loadReported(TargetPool& pool, const TargetId& target, const LoadReport& report, MonotonicTime now)
