--- a/src/BudgetKeeper.cpp
+++ b/src/BudgetKeeper.cpp
@@ -247,13 +247,9 @@
         // A refused sequence number or lost history is an answer of a store that works.
         bool isAnswered = !error || error->failure_ == platform::StoreFailure::OutOfSequence
             || error->failure_ == platform::StoreFailure::HistoryGone;
-        if (takeStoreOutcome(health_, isAnswered, bootNow()) && !health_.isUp_) {
-            logWarning("store-lost",
-                "the platform's store does not answer; programs go on with the tokens that this VM holds, "
-                "new ones are refused; check the store and the path to it",
-                { { "seen_by", "budget" }, { "status", std::to_string(error ? error->status_ : 0) } });
+        int status = error ? error->status_ : 0;
+        if (noteStoreOutcome(health_, isAnswered, "budget", status, bootNow()) && !health_.isUp_)
             refuseWaiting();
-        }
     }
 
     void tick(bool isDraining, MonotonicTime now)
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -206,30 +206,17 @@
                 { "age_ms",
                     cursor.currentAt_ ? std::to_string((bootNow() - *cursor.currentAt_).count())
                                       : "never" } });
-        if (!takeStoreOutcome(health_, false, bootNow()))
-            return;
-        logWarning("store-lost",
-            "the platform's store does not answer; known configuration and targets stay in use; check the "
-            "store "
-            "and the path to it",
-            { { "seen_by", cursor.partition_.topic_ }, { "status", std::to_string(error.status_) } });
-        callbacks_.onStore_(false);
+        noteStoreOutcome(health_, false, cursor.partition_.topic_, error.status_, bootNow());
     }
 
     void answered(Cursor& cursor)
     {
-        bool wasDown = !health_.isUp_;
-        Milliseconds lostFor = bootNow() - health_.changedAt_;
-        takeStoreOutcome(health_, true, bootNow());
+        noteStoreOutcome(health_, true, cursor.partition_.topic_, 0, bootNow());
         bool hadFailed = cursor.failures_ > 0;
         cursor.failures_ = 0;
         // The other topics wait at the store, so their first answer may come long after its return.
         if (hadFailed && &cursor == &targets_)
             storeReturned(list_, bootNow());
-        if (!wasDown)
-            return;
-        logEvent("store-regained", { { "lost_ms", std::to_string(lostFor.count()) } });
-        callbacks_.onStore_(true);
     }
 
     void takeConfig(const std::vector<platform::KeyedRecord>& records)
--- a/src/StoreFollower.h
+++ b/src/StoreFollower.h
@@ -38,7 +38,6 @@
         std::function<void(const ServingConfig&)> onConfig_; ///< Of each newer version.
         std::function<void(const TargetList&)> onTargets_; ///< When usable targets have changed.
         std::function<void(const std::map<VmId, Peer>&)> onPeers_;
-        std::function<void(bool isUp)> onStore_; ///< When the store was lost or regained.
     };
 
     /** Precondition: `store` and `health` outlive the follower. */
--- a/src/StoreHealth.h
+++ b/src/StoreHealth.h
@@ -7,6 +7,7 @@
 #include "Types.h"
 
 #include <optional>
+#include <string>
 
 namespace fescue {
 
@@ -35,4 +36,9 @@
     return true;
 }
 
+/** As `takeStoreOutcome`, with a log line when the store was lost or regained. `seenBy` names the topic or
+ * part that made the call, `status` is that of its answer, 0 without one. Not safe from several threads. */
+bool noteStoreOutcome(
+    StoreHealth& health, bool isAnswered, const std::string& seenBy, int status, MonotonicTime now);
+
 } // namespace fescue
--- a/src/TargetChoice.cpp
+++ b/src/TargetChoice.cpp
@@ -19,6 +19,7 @@
                 && isSuspect(pool.quarantine_, entry.second.call_.digest_, now);
         });
     }
+
     bool isFull(const TargetState& state) { return state.inFlight_ + 1 > state.window_.size_; }
 
     bool mayRun(const TargetPool& pool, const TargetState& state, const QueuedCall& call, MonotonicTime now)
@@ -28,6 +29,7 @@
             return false;
         return !isSuspect(pool.quarantine_, call.digest_, now) || !hasSuspect(pool, state.target_.id_, now);
     }
+
     // Other zones do not report to this VM, so they are taken to be as busy as its own.
     double meanRunning(const TargetPool& pool)
     {
--- a/standin/PlatformStore.cpp
+++ b/standin/PlatformStore.cpp
@@ -68,7 +68,8 @@
 
     std::string queryValue(const std::string& target, const std::string& name)
     {
-        for (std::string mark : { "?" + name + "=", "&" + name + "=" }) {
+        for (const char* start : { "?", "&" }) {
+            std::string mark = start + name + "=";
             std::size_t at = target.find(mark);
             if (at == std::string::npos)
                 continue;
--- a/test/correctness/BudgetClaims.cpp
+++ b/test/correctness/BudgetClaims.cpp
@@ -72,7 +72,8 @@
     EscrowEffects confirm(const EscrowEffects& effects, const std::vector<ClaimRecord>& others = {})
     {
         const WriteClaim* write = writeIn(effects);
-        CHECK(write != nullptr);
+        if (!write)
+            CPPUNIT_FAIL("no claim is written");
         return claimWritten(escrow_, program, write->claim_, others, now);
     }
 
--- a/test/correctness/PlatformFormats.cpp
+++ b/test/correctness/PlatformFormats.cpp
@@ -92,10 +92,14 @@
         auto read = platform::decodeConfig(config);
         CHECK(read.has_value());
         const Route* turn = findRoute(*read, "FICU95.example:80", "/pufi/x");
-        CHECK(turn && turn->isTurn_ && turn->isStream_);
+        if (!turn)
+            CPPUNIT_FAIL("no route");
+        CHECK(turn->isTurn_ && turn->isStream_);
         CHECK(turn->repeatability_ == Repeatability::Repeatable);
         CHECK(turn->programRetention_ == Milliseconds { 60000 });
         const Route* call = findRoute(*read, "ficu95.example", "/pufi");
+        if (!call)
+            CPPUNIT_FAIL("no route");
         CHECK_EQUAL(std::string("calls"), call->name_);
         CHECK(call->repeatability_ == Repeatability::AtMostOnce);
         CHECK(findRoute(*read, "other.example", "/odd/1")->repeatability_ == Repeatability::AtMostOnce);
