--- a/src/PeerList.cpp
+++ b/src/PeerList.cpp
@@ -16,8 +16,10 @@
 
     bool isUsable(const PeerList& list, const VmId& vm, MonotonicTime now)
     {
+        if (vm == list.own_)
+            return list.hasStore_;
         auto trouble = list.trouble_.find(vm);
-        return vm == list.own_ || trouble == list.trouble_.end() || now >= trouble->second.notBefore_;
+        return trouble == list.trouble_.end() || now >= trouble->second.notBefore_;
     }
 
 } // namespace
--- a/src/PeerList.h
+++ b/src/PeerList.h
@@ -30,6 +30,7 @@
 /** The known peers, this VM included. */
 struct PeerList {
     VmId own_;
+    bool hasStore_ = true; ///< Whether this VM reaches the store; without it another one is to be asked.
     std::map<VmId, Peer> peers_;
     std::map<VmId, PeerTrouble> trouble_;
 };
--- a/src/TurnBroker.cpp
+++ b/src/TurnBroker.cpp
@@ -24,7 +24,7 @@
     constexpr Milliseconds peerTimeout { 300 };
     constexpr Milliseconds peerConnectTimeout { 150 };
     // Homes that one turn is asked at before this VM decides itself.
-    constexpr int mostHomes = 2;
+    constexpr int mostHomes = 3;
     // Turns of a program end some hundred milliseconds apart.
     constexpr Milliseconds askAgainAfter { 120 };
     // A turn of a peer that has not been reported as ended by then counts as having used all.
@@ -189,23 +189,18 @@
 
     void tookReply(TurnId id, const AskPtr& entry)
     {
-        notePeerOutcome(peers_, entry->asked_, true, bootNow());
         auto reply = parseTurnReply(entry->answer_);
         if (!reply)
             return peerFailed(id, entry, "its reply cannot be read");
-        // A home that drains or has lost the store says so; this VM may fare better.
-        if (reply->decision_ == TurnDecision::Unavailable)
-            return askNextAfterUnavailable(id, entry);
+        notePeerOutcome(peers_, entry->asked_, true, bootNow());
+        // A home that drains or has lost the store says so; another one may fare better.
+        if (reply->decision_ == TurnDecision::Unavailable) {
+            notePeerOutcome(peers_, entry->asked_, false, bootNow());
+            return askNext(id, entry);
+        }
         decided(id, entry, { *reply, entry->asked_, entry->request_.program_, entry->request_.most_ });
     }
 
-    void askNextAfterUnavailable(TurnId id, const AskPtr& entry)
-    {
-        if (!entry->mayAskHolders_)
-            return askHolders(id, entry);
-        askHere(id, entry);
-    }
-
     void decidedHere(TurnId id, TurnDecision decision)
     {
         auto found = asks_.find(id);
@@ -361,6 +356,7 @@
     void tick(bool isDraining, MonotonicTime now)
     {
         isDraining_ = isDraining;
+        peers_.hasStore_ = health_.isUp_;
         outbound_.tick(now);
         if (server_)
             server_->tick(now);
--- a/test/correctness/BudgetClaims.cpp
+++ b/test/correctness/BudgetClaims.cpp
@@ -207,6 +207,9 @@
             CHECK(homeOf(list, { "zone" }, any, now)->vm_ == home);
         }
         CHECK(!homeOf(list, { "other" }, program, now));
+        list.hasStore_ = false;
+        for (int i = 0; i < 50; ++i)
+            CHECK(homeOf(list, { "zone" }, { std::to_string(i) }, now)->vm_ != list.own_);
     }
 };
 
