--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -41,5 +41,6 @@
 is_memory_free() { ! curl -sS "$(http engine-a)/v1/cache" "$(http engine-b)/v1/cache" | grep -q '"key"'; }
 await "the engines hold nothing" is_memory_free
 say "memory held at the engines: $(curl -sS "$(http engine-a)/v1/cache") $(curl -sS "$(http engine-b)/v1/cache")"
-say "time line"
-show_time_line
+say "time line of the program"
+show_time_line >"$out/timeline"
+grep -F "$program" "$out/timeline"
--- a/src/OutboundPool.cpp
+++ b/src/OutboundPool.cpp
@@ -31,10 +31,6 @@
         return Milliseconds { seconds * msPerSecond };
     }
 
-} // namespace
-
-namespace {
-
     class Channel;
 
     struct Idle {
--- a/src/PeerTurns.cpp
+++ b/src/PeerTurns.cpp
@@ -14,7 +14,7 @@
         return { bytes.begin(), bytes.end() };
     }
 
-    // A list of fields, each a number but for those that `isText` or `isList` names.
+    // The message as a list of so many fields.
     std::optional<json> fieldsOf(const std::string& bytes, std::size_t count)
     {
         json document = json::from_cbor(bytes, true, false);
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -176,8 +176,6 @@
         cursor.currentAt_ = bootNow();
         bool waitsAtStore = waitOf(cursor).count() > 0;
         cursor.dueAt_ = *cursor.currentAt_ + (waitsAtStore ? intervals_.configGap_ : intervals_.targets_);
-        if (&cursor == &targets_)
-            list_.readAt_ = cursor.currentAt_;
     }
 
     static void startOver(Cursor& cursor)
--- a/src/StoreHealth.h
+++ b/src/StoreHealth.h
@@ -6,7 +6,6 @@
 
 #include "Types.h"
 
-#include <optional>
 #include <string>
 
 namespace fescue {
@@ -16,7 +15,6 @@
     bool isUp_ = true;
     std::uint32_t failures_ = 0; ///< In a row.
     MonotonicTime changedAt_;
-    std::optional<MonotonicTime> lastAnswer_;
 };
 
 /** Failures in a row after which the store counts as unreachable: one alone may be a lost connection. */
@@ -26,8 +24,6 @@
 inline bool takeStoreOutcome(StoreHealth& health, bool isAnswered, MonotonicTime now)
 {
     health.failures_ = isAnswered ? 0 : health.failures_ + 1;
-    if (isAnswered)
-        health.lastAnswer_ = now;
     bool isUp = isAnswered || (health.isUp_ && health.failures_ < failuresUntilDown);
     if (isUp == health.isUp_)
         return false;
--- a/src/TargetList.h
+++ b/src/TargetList.h
@@ -34,7 +34,6 @@
     std::map<TargetId, MonotonicTime> missingSince_; ///< Removed right after an outage, kept for a while.
     std::optional<MonotonicTime> backSince_; ///< When the store answered again after an outage.
     bool isComplete_ = false; ///< The whole list has been read once.
-    std::optional<MonotonicTime> readAt_; ///< When the list was last known to be current.
 };
 
 /** Time after the store's return in which lapsed entries of living targets come back; as the platform states.
--- a/src/VmSettings.h
+++ b/src/VmSettings.h
@@ -29,10 +29,6 @@
     Milliseconds drainGrace_ { 8000 }; ///< From SIGTERM until the process is killed.
     Milliseconds configApply_ { 2000 }; ///< Time in which an acknowledged configuration must be in force.
     Milliseconds targetDrain_ { 2000 }; ///< Time in which a leaving target must stop to get work.
-    Milliseconds heartbeat_ { 1000 }; ///< Between two reports of a target.
-    Milliseconds budgetSettle_ {
-        1000
-    }; ///< Time in which a finished turn's unused tokens must be free again.
 };
 
 } // namespace fescue
