--- a/test/correctness/StoreFollowing.cpp
+++ b/test/correctness/StoreFollowing.cpp
@@ -137,8 +137,7 @@
         runUntil([this] { return versions_.back() == 7 && knows("i-5"); });
     }
 
-    // The list of VMs is read with a long wait, so its first answer comes late; seen as DRAIN in a hunted
-    // day.
+    // The list of VMs is read with a long wait, so its first answer comes long after the store's return.
     void removalAfterAnOutageOfTheVmListCountsAtOnce()
     {
         runUntil([this] { return knows("i-1"); });
