--- a/src/SharedTargets.cpp
+++ b/src/SharedTargets.cpp
@@ -27,8 +27,8 @@
     double wait = beyond * callMs / slots;
     double neighbours = std::min(target.calls_, slots) * options.neighbourShare_ * callMs;
     double prompt = static_cast<double>(ownPrompt.value_) * options.prefillMs_;
-    return wait + callMs + neighbours + (target.isPreferred_ ? 0 : prompt)
-        + (target.isOtherZone_ ? options.otherZoneMs_ : 0);
+    double move = target.isPreferred_ ? 0 : prompt + target.callMs_ * options.moveShare_;
+    return wait + callMs + neighbours + move + (target.isOtherZone_ ? options.otherZoneMs_ : 0);
 }
 
 std::uint64_t preferenceOf(const std::string& program, const TargetId& target)
--- a/src/SharedTargets.h
+++ b/src/SharedTargets.h
@@ -33,6 +33,9 @@
         = 0.03; ///< Part of a call's time that each neighbour adds; batched engines: 2 to 4 %.
     double prefillMs_ = 0.006; ///< For a prompt token; engines of this class read some 170 in a millisecond.
     double otherZoneMs_ = 8; ///< Delay and price of the way to another zone.
+    /** Part of a call's time by which another target must be cheaper than the preferred one: what the prompts
+     * cached there save the whole batch. */
+    double moveShare_ = 0.12;
     double waitingAtTarget_ = 2; ///< Calls beyond its slots that may wait there, so that none stays empty.
 };
 
