Work out a call's own prompt tokens in one place

CallForwarder chose between the last part of a prompt and the whole count twice, when a call is queued and when its dispatch ends.

--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -37,6 +37,12 @@
         return { digest == 0 ? 1 : digest };
     }
 
+    // Shared parts of prompts are in every engine's cache soon; the last part is the session's own.
+    TokenCount ownPromptTokens(const CallTags& tags)
+    {
+        return tags.prompt_.empty() ? tags.promptTokens_ : tags.prompt_.back().tokens_;
+    }
+
     // Counts the events of a stream; an event ends with a blank line.
     struct EventCounter {
         std::int64_t events_ = 0;
@@ -140,9 +146,7 @@
             queued.model_ = { call.service_.id_.value_ };
         else
             queued.service_ = call.service_.id_;
-        // Shared parts of prompts are in every engine's cache soon; the last part is the session's own.
-        queued.promptTokens_
-            = call.tags_.prompt_.empty() ? call.tags_.promptTokens_ : call.tags_.prompt_.back().tokens_;
+        queued.promptTokens_ = ownPromptTokens(call.tags_);
         queued.maxTokens_ = call.tags_.maxTokens_;
         queued.bytes_ = { static_cast<std::int64_t>(call.request_.body_.size()) };
         queued.digest_ = digestOf(call.request_);
@@ -312,8 +316,7 @@
     void endDispatch(const TransferPtr& transfer, DispatchEnd how)
     {
         DispatchResult result { how };
-        const CallTags& tags = transfer->call_.tags_;
-        result.prompt_ = tags.prompt_.empty() ? tags.promptTokens_ : tags.prompt_.back().tokens_;
+        result.prompt_ = ownPromptTokens(transfer->call_.tags_);
         result.completion_ = generated(*transfer);
         dispatchEnded(pool_, transfer->id_, result, bootNow(), random_);
         transfers_.erase(transfer->id_);
