Let each aged entry be read before the next one in ConfigHandover

Cause: the log of this test retains three entries and five were appended at once. Shown by stopping the scheduler with SIGSTOP during the appends: 3 of 3 runs failed with the message on record; one of four runs beside load failed by itself. The check is as strict as before; only the appends wait for the reader now.

--- a/test/failure/ConfigHandover.cpp
+++ b/test/failure/ConfigHandover.cpp
@@ -35,6 +35,11 @@
     return statusOf(cluster, vm)["config"].value("version", std::uint64_t { 0 });
 }
 
+std::uint64_t readTo(Cluster& cluster, std::size_t vm)
+{
+    return statusOf(cluster, vm)["config"].value("read_to", std::uint64_t { 0 });
+}
+
 bool isReady(Cluster& cluster, std::size_t vm)
 {
     return cluster.client_.perform({ "GET", cluster.url(*cluster.entries_[vm].gateway_) + "/readyz" }).status_
@@ -46,11 +51,15 @@
     cluster.publish({ { "models/agent-llm", { { "context_limit", limit } } } });
 }
 
-// Entries that nobody accepts, so that what was accepted ages out.
+// Entries that nobody accepts, so that what was accepted ages out. The first VM reads each of them before the
+// next one comes: a VM that falls behind by more than the log retains has a gap of its own.
 void ageOut(Cluster& cluster)
 {
-    for (int i = 0; i < 5; ++i)
+    for (int i = 0; i < 5; ++i) {
+        std::uint64_t before = readTo(cluster, 0);
         cluster.client_.perform({ "POST", cluster.url(*cluster.log_) + "/streams/config", {}, "{}" });
+        waitUntil("the entry is read", [&] { return readTo(cluster, 0) > before; });
+    }
 }
 
 } // namespace
