Rename the VM's entry in the store to PeerEntry

PeerList.h and PeerState.h both had a struct fescue::Peer with other members. Programs that link both (the test programs do) share one instance of the map functions of either, which is undefined. Found by reading.

--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -105,7 +105,7 @@
         , follower_(store_, health_, intervals(options_.settings_),
               { [this](const ServingConfig& config) { takeConfig(config); },
                   [this](const TargetList& list) { takeTargets(list); },
-                  [this](const std::map<VmId, Peer>& peers) { broker_.setPeers(peers); } })
+                  [this](const std::map<VmId, PeerEntry>& peers) { broker_.setPeers(peers); } })
         , front_(
               io_, options_.settings_.callerAddress_,
               [this](FrontRequest request, std::shared_ptr<FrontReply> reply) {
--- a/src/PeerList.cpp
+++ b/src/PeerList.cpp
@@ -24,12 +24,12 @@
 
 } // namespace
 
-std::string peerValue(const Peer& peer)
+std::string peerValue(const PeerEntry& peer)
 {
     return json::array({ peer.zone_.value_, peer.address_, peer.writer_.value_ }).dump();
 }
 
-std::optional<Peer> parsePeer(const std::string& key, const std::string& value)
+std::optional<PeerEntry> parsePeer(const std::string& key, const std::string& value)
 {
     json document = json::parse(value, nullptr, false);
     constexpr std::size_t fields = 3;
@@ -39,7 +39,7 @@
         if (!field.is_string())
             return std::nullopt;
     }
-    return Peer { { key }, { document[0].get<std::string>() }, document[1].get<std::string>(),
+    return PeerEntry { { key }, { document[0].get<std::string>() }, document[1].get<std::string>(),
         { document[2].get<std::string>() } };
 }
 
@@ -55,7 +55,7 @@
     trouble.notBefore_ = now + pause;
 }
 
-std::optional<Peer> homeOf(
+std::optional<PeerEntry> homeOf(
     const PeerList& list, const ZoneId& zone, const ProgramId& program, MonotonicTime now)
 {
     Members members;
@@ -67,7 +67,7 @@
     return list.peers_.at(member->vm_);
 }
 
-std::optional<Peer> peerOfWriter(const PeerList& list, const WriterId& writer, MonotonicTime now)
+std::optional<PeerEntry> peerOfWriter(const PeerList& list, const WriterId& writer, MonotonicTime now)
 {
     for (const auto& [vm, peer] : list.peers_) {
         if (peer.writer_ == writer && vm != list.own_ && isUsable(list, vm, now))
--- a/src/PeerList.h
+++ b/src/PeerList.h
@@ -14,7 +14,7 @@
 namespace fescue {
 
 /** A VM as it announces itself. */
-struct Peer {
+struct PeerEntry {
     VmId vm_;
     ZoneId zone_;
     std::string address_; ///< `ip:port` for other VMs.
@@ -31,24 +31,24 @@
 struct PeerList {
     VmId own_;
     bool hasStore_ = true; ///< Whether this VM reaches the store; without it another one is to be asked.
-    std::map<VmId, Peer> peers_;
+    std::map<VmId, PeerEntry> peers_;
     std::map<VmId, PeerTrouble> trouble_;
 };
 
 /** Value of a VM's entry in the store. Pure. */
-std::string peerValue(const Peer& peer);
+std::string peerValue(const PeerEntry& peer);
 /** Reads an entry; nothing when it is none. Pure. */
-std::optional<Peer> parsePeer(const std::string& key, const std::string& value);
+std::optional<PeerEntry> parsePeer(const std::string& key, const std::string& value);
 
 /** Takes the outcome of a call to a peer. */
 void notePeerOutcome(PeerList& list, const VmId& peer, bool isAnswered, MonotonicTime now);
 
 /** The VM of a zone that is expected to keep a program's budget, this one included; nothing when none is
  * known. Pure. */
-std::optional<Peer> homeOf(
+std::optional<PeerEntry> homeOf(
     const PeerList& list, const ZoneId& zone, const ProgramId& program, MonotonicTime now);
 
 /** The peer whose present process writes under this id, if it can be asked now. Pure. */
-std::optional<Peer> peerOfWriter(const PeerList& list, const WriterId& writer, MonotonicTime now);
+std::optional<PeerEntry> peerOfWriter(const PeerList& list, const WriterId& writer, MonotonicTime now);
 
 } // namespace fescue
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -55,8 +55,8 @@
     Cursor config_ { { platform::configTopic, 0 } };
     Cursor targets_ { { platform::targetTopic, 0 } };
     Cursor peers_ { { std::string(platform::keyedTopicPrefix) + peerTopicName, 0 } };
-    std::map<VmId, Peer> peerEntries_;
-    std::optional<Peer> own_;
+    std::map<VmId, PeerEntry> peerEntries_;
+    std::optional<PeerEntry> own_;
     std::optional<MonotonicTime> announceAt_; ///< When the own entry is to be written.
     bool isWithdrawn_ = false;
     Sequence announcements_ { 1 };
@@ -344,7 +344,7 @@
     return now - *impl_->config_.currentAt_;
 }
 
-void StoreFollower::announce(const Peer& own)
+void StoreFollower::announce(const PeerEntry& own)
 {
     impl_->own_ = own;
     impl_->announceAt_ = bootNow();
--- a/src/StoreFollower.h
+++ b/src/StoreFollower.h
@@ -37,7 +37,7 @@
     struct Callbacks {
         std::function<void(const ServingConfig&)> onConfig_; ///< Of each newer version.
         std::function<void(const TargetList&)> onTargets_; ///< When usable targets have changed.
-        std::function<void(const std::map<VmId, Peer>&)> onPeers_;
+        std::function<void(const std::map<VmId, PeerEntry>&)> onPeers_;
     };
 
     /** Precondition: `store` and `health` outlive the follower. */
@@ -53,7 +53,7 @@
     std::optional<Milliseconds> configAge(MonotonicTime now) const;
     const TargetList& targets() const;
     /** Writes this VM's own entry, or removes it; repeated until the store has taken it. */
-    void announce(const Peer& own);
+    void announce(const PeerEntry& own);
     void withdraw();
 
 private:
--- a/src/TurnBroker.cpp
+++ b/src/TurnBroker.cpp
@@ -133,7 +133,7 @@
         return budget && (budget->spent_ + budget->reserved_ + budget->othersClaimed_).value_ > 0;
     }
 
-    void askPeer(TurnId id, const AskPtr& entry, const Peer& peer)
+    void askPeer(TurnId id, const AskPtr& entry, const PeerEntry& peer)
     {
         peerAsks_.add();
         entry->asked_ = peer.vm_;
@@ -160,7 +160,7 @@
     }
 
     std::shared_ptr<OutboundCall> send(
-        const Peer& peer, HttpHead head, std::string body, OutboundCallbacks callbacks)
+        const PeerEntry& peer, HttpHead head, std::string body, OutboundCallbacks callbacks)
     {
         auto address = parseEndpoint(peer.address_);
         if (!address)
@@ -418,7 +418,7 @@
 
 void TurnBroker::ended(const TurnGrant& grant, TokenCount used) { impl_->ended(grant, used); }
 
-void TurnBroker::setPeers(const std::map<VmId, Peer>& peers) { impl_->peers_.peers_ = peers; }
+void TurnBroker::setPeers(const std::map<VmId, PeerEntry>& peers) { impl_->peers_.peers_ = peers; }
 
 void TurnBroker::tick(bool isDraining, MonotonicTime now) { impl_->tick(isDraining, now); }
 
--- a/src/TurnBroker.h
+++ b/src/TurnBroker.h
@@ -55,7 +55,7 @@
     void abandon(TurnId turn);
     /** A granted turn has ended. */
     void ended(const TurnGrant& grant, TokenCount used);
-    void setPeers(const std::map<VmId, Peer>& peers);
+    void setPeers(const std::map<VmId, PeerEntry>& peers);
     /** To be called at a steady pace. */
     void tick(bool isDraining, MonotonicTime now);
     /** Whether nothing of a budget is on its way to the store. */
--- a/test/correctness/StoreFollowing.cpp
+++ b/test/correctness/StoreFollowing.cpp
@@ -41,7 +41,7 @@
     std::unique_ptr<StoreFollower> follower_;
     StoreHealth health_;
     std::vector<std::uint64_t> versions_;
-    std::map<VmId, Peer> peers_;
+    std::map<VmId, PeerEntry> peers_;
 
     // Runs the event loop until something holds; fails the test when it does not come to hold.
     template <typename Condition> void runUntil(const Condition& holds)
@@ -81,7 +81,7 @@
         follower_ = std::make_unique<StoreFollower>(*client_, health_, intervals,
             StoreFollower::Callbacks {
                 [this](const ServingConfig& config) { versions_.push_back(config.version_); },
-                [](const TargetList&) {}, [this](const std::map<VmId, Peer>& peers) { peers_ = peers; } });
+                [](const TargetList&) {}, [this](const std::map<VmId, PeerEntry>& peers) { peers_ = peers; } });
         store_->put(platform::configTopic, platform::configKey, configOf(3));
         store_->put(platform::targetTopic, "i-1", targetOf("ready"));
     }
