Pace a VM's calls to the store; drop claims that nobody waits for

Each of up to 384 lanes of a VM repeated a refused write every 150 ms, so the repeats alone kept the store at its limit until the power was cut 35 s later: 2,291,504 store calls, 58,370 "store lost" lines with status 429, new programs refused all the while. Excluded: the reads that follow the store (2,031 failures in all), claims over partitions (none was over its bandwidth). Now a VM has a rate, halved by a refusal and raised by a served call, and one call at a time finds out whether the store is back. A claim that was never taken and that no turn waits for is dropped; one that may have been taken is repeated unchanged. A turn that would wait half a second for the pace is refused at once. 429 is no sign of a lost store.

--- a/src/BudgetEscrow.cpp
+++ b/src/BudgetEscrow.cpp
@@ -92,6 +92,19 @@
         program.waiting_ = std::move(kept);
     }
 
+    void refuseUnavailable(ProgramBudget& program, EscrowEffects& effects)
+    {
+        std::deque<WaitingTurn> kept;
+        for (const WaitingTurn& turn : program.waiting_) {
+            // These wait for a turn of their own program rather than for the store.
+            if (!program.isWriting_ && mayFitLater(program, turn.most_))
+                kept.push_back(turn);
+            else
+                effects.push_back(DecideTurn { turn.id_, TurnDecision::Unavailable });
+        }
+        program.waiting_ = std::move(kept);
+    }
+
     // Grants what fits; writes a claim for the rest, or refuses it when no claim could help.
     void advance(const BudgetEscrow& escrow, const ProgramId& id, ProgramBudget& program, bool hasJustRead,
         EscrowEffects& effects)
@@ -237,20 +250,34 @@
     return effects;
 }
 
+void claimDropped(BudgetEscrow& escrow, const ProgramId& id)
+{
+    auto found = escrow.programs_.find(id);
+    if (found == escrow.programs_.end())
+        return;
+    ProgramBudget& program = found->second;
+    program.isWriting_ = false;
+    // Between two writes the record is what may be used.
+    program.recorded_ = program.usable_;
+    bool isUnused = program.recorded_.value_ == 0 && committed(program).value_ == 0;
+    if (isUnused && program.waiting_.empty())
+        escrow.programs_.erase(found);
+}
+
 EscrowEffects storeUnavailable(BudgetEscrow& escrow)
 {
     EscrowEffects effects;
-    for (auto& [id, program] : escrow.programs_) {
-        std::deque<WaitingTurn> kept;
-        for (const WaitingTurn& turn : program.waiting_) {
-            // These wait for a turn of their own program rather than for the store.
-            if (!program.isWriting_ && mayFitLater(program, turn.most_))
-                kept.push_back(turn);
-            else
-                effects.push_back(DecideTurn { turn.id_, TurnDecision::Unavailable });
-        }
-        program.waiting_ = std::move(kept);
-    }
+    for (auto& [id, program] : escrow.programs_)
+        refuseUnavailable(program, effects);
+    return effects;
+}
+
+EscrowEffects storeUnavailable(BudgetEscrow& escrow, const ProgramId& id)
+{
+    EscrowEffects effects;
+    auto found = escrow.programs_.find(id);
+    if (found != escrow.programs_.end())
+        refuseUnavailable(found->second, effects);
     return effects;
 }
 
--- a/src/BudgetEscrow.h
+++ b/src/BudgetEscrow.h
@@ -143,8 +143,15 @@
 /** A claim that no turn needed stands in the store; others were not read. */
 EscrowEffects claimLowered(BudgetEscrow& escrow, const ProgramId& program, MonotonicTime now);
 
+/** A claim was not written and never will be.
+ *
+ * Precondition: the store has certainly not taken it, and no turn waits for it. */
+void claimDropped(BudgetEscrow& escrow, const ProgramId& program);
+
 /** The store cannot be reached: turns that wait for it are refused. Writes under way go on. */
 EscrowEffects storeUnavailable(BudgetEscrow& escrow);
+/** As above, for the turns of one program. */
+EscrowEffects storeUnavailable(BudgetEscrow& escrow, const ProgramId& program);
 
 /** Drops programs that cannot come back. With `isDraining`, returns what idle programs have not used. */
 EscrowEffects escrowTick(BudgetEscrow& escrow, bool isDraining, MonotonicTime now);
--- a/src/BudgetKeeper.cpp
+++ b/src/BudgetKeeper.cpp
@@ -4,8 +4,11 @@
 #include "EventLog.h"
 #include "Metrics.h"
 #include "StoreClient.h"
+#include "StorePace.h"
 
+#include <algorithm>
 #include <chrono>
+#include <deque>
 #include <fmt/format.h>
 #include <xxhash.h>
 
@@ -18,7 +21,16 @@
     // A store that is slow, but answers in this time, still serves; longer waits cost callers their
     // deadlines.
     constexpr Milliseconds callTimeout { 800 };
-    constexpr Milliseconds retryPause { 150 };
+    // Pauses of the pace after which turns that wait for a claim are refused: together about half a second,
+    // in which a caller is better off at another VM.
+    constexpr std::uint32_t pausesUntilRefused = 3;
+    constexpr int tooManyCalls = 429;
+    // A claim of a program under way for which no turn waits is not worth a call after this; until then it
+    // may be for the program's next turn.
+    constexpr Milliseconds claimStaleAfter { 300 };
+    // A turn that would wait longer for the pace is refused at once, and served sooner by another VM.
+    constexpr double longestClaimWaitSeconds = 0.5;
+    constexpr double callsPerClaim = 2; // A write and a read.
     // Records of writers that are gone are dropped this long after the program's return became impossible.
     constexpr std::int64_t foreignExpirySeconds = 300;
 
@@ -34,6 +46,7 @@
         BudgetClaim claim_;
         bool isNeeded_ = false;
         bool isDrop_ = false;
+        MonotonicTime since_; ///< When it was entered.
     };
 
     // Writes to one partition, one call after another.
@@ -45,9 +58,10 @@
         std::vector<platform::KeyedRecord> records_; ///< Of the call under way; repeated unchanged.
         std::vector<ClaimRecord> read_;
         Sequence next_ { 1 };
-        bool isBusy_ = false;
+        bool isBusy_ = false; ///< From the first call of a write to the end of its read.
+        bool wantsCall_ = false; ///< Its next call waits for the pace.
+        bool mayBeDone_ = false; ///< A try without an answer may have been taken, or be taken later.
         bool isWritten_ = false; ///< Only the read is left to do.
-        std::optional<MonotonicTime> retryAt_;
     };
 
 } // namespace
@@ -59,14 +73,21 @@
     OnDecision decide_;
     BudgetEscrow escrow_;
     std::map<platform::StorePartition, Lane> lanes_;
+    std::deque<platform::StorePartition> urgent_; ///< Lanes that want a call and have turns waiting.
+    std::deque<platform::StorePartition> idle_; ///< Other lanes that want a call.
+    StorePace pace_;
+    Random random_;
     Counter writes_ { "budget_writes_total" };
     Counter reads_ { "budget_reads_total" };
+    Counter tooMany_ { "budget_calls_over_rate_total" };
 
-    Impl(platform::StoreClient& store, StoreHealth& health, std::uint32_t partitions, OnDecision decide)
+    Impl(platform::StoreClient& store, StoreHealth& health, const WriterId& writer, std::uint32_t partitions,
+        OnDecision decide)
         : store_(store)
         , health_(health)
         , partitions_(partitions)
         , decide_(std::move(decide))
+        , random_(XXH64(writer.value_.data(), writer.value_.size(), 0))
     {
     }
 
@@ -85,15 +106,17 @@
             else if (const auto* write = std::get_if<WriteClaim>(&effect))
                 enter(*write);
             else if (const auto* drop = std::get_if<DropClaim>(&effect))
-                enter({ drop->program_, {}, false, true });
+                enter({ drop->program_, {}, false, true, bootNow() });
         }
         if (!health_.isUp_)
             refuseWaiting();
     }
 
-    void refuseWaiting()
+    void refuseWaiting() { tell(storeUnavailable(escrow_)); }
+
+    void tell(const EscrowEffects& effects)
     {
-        for (const EscrowEffect& effect : storeUnavailable(escrow_)) {
+        for (const EscrowEffect& effect : effects) {
             if (const auto* decided = std::get_if<DecideTurn>(&effect))
                 decide_(decided->turn_, decided->decision_);
         }
@@ -104,22 +127,105 @@
         constexpr std::int64_t msPerSecond = 1000;
         BudgetClaim claim = effect.claim_;
         claim.expiresAt_ = wallSeconds() + effect.keepFor_.count() / msPerSecond + 1;
-        enter({ effect.program_, claim, effect.isNeeded_, false });
+        enter({ effect.program_, claim, effect.isNeeded_, false, bootNow() });
     }
 
     void enter(Write write)
     {
         auto partition = partitionOf(write.program_);
         Lane& lane = lanes_[partition];
+        bool isNeeded = write.isNeeded_;
         lane.pending_.push_back(std::move(write));
-        if (!lane.isBusy_)
-            append(partition, lane);
+        // A lane whose call still waits sends this write with it, and sooner when a turn needs it.
+        if (!lane.isBusy_ || (isNeeded && lane.wantsCall_))
+            want(partition, lane);
     }
 
-    void append(const platform::StorePartition& partition, Lane& lane)
+    // Enters a lane for its next call.
+    void want(const platform::StorePartition& partition, Lane& lane)
     {
         lane.isBusy_ = true;
-        lane.isWritten_ = false;
+        lane.wantsCall_ = true;
+        bool isUrgent = isNeeded(lane.underWay_) || isNeeded(lane.pending_);
+        (isUrgent ? urgent_ : idle_).push_back(partition);
+        pump();
+    }
+
+    static bool isNeeded(const std::vector<Write>& writes)
+    {
+        return std::any_of(writes.begin(), writes.end(), [](const Write& write) { return write.isNeeded_; });
+    }
+
+    // Makes the calls that the pace allows.
+    void pump()
+    {
+        while (mayCallStore(pace_, bootNow()) && !(urgent_.empty() && idle_.empty())) {
+            auto& queue = urgent_.empty() ? idle_ : urgent_;
+            platform::StorePartition partition = queue.front();
+            queue.pop_front();
+            Lane& lane = lanes_[partition];
+            if (!lane.wantsCall_)
+                continue; // It stood in both queues.
+            lane.wantsCall_ = false;
+            dropStale(lane);
+            if (lane.pending_.empty() && lane.underWay_.empty()) {
+                lane.isBusy_ = false;
+                continue;
+            }
+            callNext(partition, lane);
+        }
+    }
+
+    // Drops claims that were never sent and that no turn waits for any more.
+    void dropStale(Lane& lane)
+    {
+        MonotonicTime oldest = bootNow() - claimStaleAfter;
+        auto isStale = [this, oldest](const Write& write) {
+            const ProgramBudget* budget = find(write.program_);
+            if (!write.isNeeded_ || !budget || !budget->waiting_.empty())
+                return false;
+            bool hasBegun = (budget->usable_ + budget->reserved_).value_ > 0;
+            return !hasBegun || write.since_ < oldest;
+        };
+        auto stale = std::stable_partition(
+            lane.pending_.begin(), lane.pending_.end(), [&](const Write& write) { return !isStale(write); });
+        for (auto write = stale; write != lane.pending_.end(); ++write)
+            claimDropped(escrow_, write->program_);
+        lane.pending_.erase(stale, lane.pending_.end());
+    }
+
+    const ProgramBudget* find(const ProgramId& program) const
+    {
+        auto found = escrow_.programs_.find(program);
+        return found == escrow_.programs_.end() ? nullptr : &found->second;
+    }
+
+    // Whether claims wait for the pace for longer than a turn should.
+    bool isBehind() const
+    {
+        return static_cast<double>(urgent_.size()) * callsPerClaim
+            > pace_.rate_.value_ * longestClaimWaitSeconds;
+    }
+
+    void turnArrived(
+        const ProgramId& program, TokenCount budget, Milliseconds retention, const WaitingTurn& turn)
+    {
+        carryOut(fescue::turnArrived(escrow_, program, budget, retention, turn, bootNow()));
+        if (isBehind())
+            tell(storeUnavailable(escrow_, program));
+    }
+
+    void callNext(const platform::StorePartition& partition, Lane& lane)
+    {
+        if (lane.isWritten_)
+            return sendRead(partition, {});
+        if (lane.underWay_.empty())
+            return append(partition, lane);
+        sendAppend(partition, lane); // A repeat, unchanged.
+    }
+
+    void append(const platform::StorePartition& partition, Lane& lane)
+    {
         lane.underWay_ = std::move(lane.pending_);
         lane.pending_.clear();
         lane.records_.clear();
@@ -135,6 +241,7 @@
     void sendAppend(const platform::StorePartition& partition, Lane& lane)
     {
         writes_.add();
+        storeCallBegan(pace_, bootNow());
         store_.append(partition, lane.records_, { escrow_.writer_, lane.next_ }, callTimeout,
             [weak = weak_from_this(), partition](tl::expected<std::uint64_t, platform::StoreError> offset) {
                 if (auto self = weak.lock())
@@ -154,22 +261,33 @@
                     { { "topic", partition.topic_ }, { "sequence", std::to_string(lane.next_.value_) } });
                 lane.next_.value_ += 1;
             }
-            lane.retryAt_ = bootNow() + retryPause;
-            return;
+            bool didNothing = offset.error().failure_ == platform::StoreFailure::Refused;
+            lane.mayBeDone_ = lane.mayBeDone_ || !didNothing;
+            if (!lane.mayBeDone_)
+                takeBack(lane);
+            return want(partition, lane);
         }
         lane.next_.value_ += 1;
-        lane.isWritten_ = true;
+        lane.mayBeDone_ = false;
         lane.read_.clear();
-        bool needsRead = std::any_of(
-            lane.underWay_.begin(), lane.underWay_.end(), [](const Write& write) { return write.isNeeded_; });
-        if (needsRead)
+        lane.isWritten_ = isNeeded(lane.underWay_);
+        if (lane.isWritten_)
             return sendRead(partition, {});
         finish(partition, lane, false);
     }
 
+    // No try was taken, so the next one may hold other records under the same number.
+    static void takeBack(Lane& lane)
+    {
+        lane.pending_.insert(lane.pending_.begin(), std::make_move_iterator(lane.underWay_.begin()),
+            std::make_move_iterator(lane.underWay_.end()));
+        lane.underWay_.clear();
+    }
+
     void sendRead(const platform::StorePartition& partition, const std::string& after)
     {
         reads_.add();
+        storeCallBegan(pace_, bootNow());
         store_.readNewest(partition, after, callTimeout,
             [weak = weak_from_this(), partition](
                 tl::expected<platform::NewestPage, platform::StoreError> page) {
@@ -185,8 +303,7 @@
         noteOutcome(page ? nullptr : &page.error());
         if (!page) {
             lane.read_.clear();
-            lane.retryAt_ = bootNow() + retryPause;
-            return;
+            return want(partition, lane);
         }
         std::int64_t now = wallSeconds();
         for (const platform::KeyedRecord& record : page->records_) {
@@ -209,6 +326,7 @@
         auto read = std::move(lane.read_);
         lane.underWay_.clear();
         lane.read_.clear();
+        lane.isWritten_ = false;
         for (const Write& write : writes) {
             if (write.isDrop_)
                 continue;
@@ -226,7 +344,8 @@
         }
         lane.isBusy_ = false;
         if (!lane.pending_.empty())
-            append(partition, lane);
+            return want(partition, lane);
+        pump();
     }
 
     void logClaim(const Write& write, const std::vector<ClaimRecord>& others) const
@@ -248,23 +367,25 @@
         bool isAnswered = !error || error->failure_ == platform::StoreFailure::OutOfSequence
             || error->failure_ == platform::StoreFailure::HistoryGone;
         int status = error ? error->status_ : 0;
+        auto failed = status == tooManyCalls ? StoreCallEnd::OverRate : StoreCallEnd::Failed;
+        storeCallEnded(pace_, error ? failed : StoreCallEnd::Served, bootNow(), random_);
+        // The store works and has too many calls; whether it turns this VM away altogether, reads will tell.
+        if (status == tooManyCalls) {
+            tooMany_.add();
+            logEvent("store-over-rate",
+                { { "calls_per_s", fmt::format("{:.0f}", pace_.rate_.value_) },
+                    { "pauses", std::to_string(pace_.failures_) } });
+            return;
+        }
         if (noteStoreOutcome(health_, isAnswered, "budget", status, bootNow()) && !health_.isUp_)
             refuseWaiting();
     }
 
     void tick(bool isDraining, MonotonicTime now)
     {
-        if (!health_.isUp_)
+        if (!health_.isUp_ || pace_.failures_ >= pausesUntilRefused)
             refuseWaiting();
-        for (auto& [partition, lane] : lanes_) {
-            if (!lane.retryAt_ || now < *lane.retryAt_)
-                continue;
-            lane.retryAt_.reset();
-            if (lane.isWritten_)
-                sendRead(partition, {});
-            else
-                sendAppend(partition, lane);
-        }
+        pump();
         if (health_.isUp_)
             carryOut(escrowTick(escrow_, isDraining, now));
     }
@@ -272,7 +393,7 @@
 
 BudgetKeeper::BudgetKeeper(platform::StoreClient& store, StoreHealth& health, WriterId writer,
     std::uint32_t partitions, OnDecision decide)
-    : impl_(std::make_shared<Impl>(store, health, partitions, std::move(decide)))
+    : impl_(std::make_shared<Impl>(store, health, writer, partitions, std::move(decide)))
 {
     impl_->escrow_.writer_ = std::move(writer);
 }
@@ -282,7 +403,7 @@
 void BudgetKeeper::turnArrived(
     const ProgramId& program, TokenCount budget, Milliseconds retention, const WaitingTurn& turn)
 {
-    impl_->carryOut(fescue::turnArrived(impl_->escrow_, program, budget, retention, turn, bootNow()));
+    impl_->turnArrived(program, budget, retention, turn);
 }
 
 void BudgetKeeper::turnAbandoned(const ProgramId& program, TurnId turn)
@@ -305,10 +426,17 @@
 
 std::size_t BudgetKeeper::programs() const { return impl_->escrow_.programs_.size(); }
 
-const ProgramBudget* BudgetKeeper::find(const ProgramId& program) const
+std::string BudgetKeeper::describe(const ProgramId& program) const
 {
-    auto found = impl_->escrow_.programs_.find(program);
-    return found == impl_->escrow_.programs_.end() ? nullptr : &found->second;
+    const ProgramBudget* budget = find(program);
+    if (!budget)
+        return "nothing";
+    if (!budget->isWriting_)
+        return "other turns of the program";
+    return fmt::format("a claim, {} calls of the store under way, {:.0f} a second allowed, {} lanes wait",
+        impl_->pace_.underWay_, impl_->pace_.rate_.value_, impl_->urgent_.size() + impl_->idle_.size());
 }
 
+const ProgramBudget* BudgetKeeper::find(const ProgramId& program) const { return impl_->find(program); }
+
 } // namespace fescue
--- a/src/BudgetKeeper.h
+++ b/src/BudgetKeeper.h
@@ -40,6 +40,8 @@
     /** Whether no write is under way or waits. */
     bool isQuiet() const;
     std::size_t programs() const;
+    /** What the waiting turns of a program wait for, for logs. */
+    std::string describe(const ProgramId& program) const;
     const ProgramBudget* find(const ProgramId& program) const;
 
 private:
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -275,9 +275,13 @@
         auto found = turns_.find(id);
         if (found == turns_.end())
             return;
+        const CallTags& tags = found->second.call_.tags_;
         logEvent("request",
-            { { "request", found->second.call_.tags_.attempt_.value_ }, { "outcome", "caller-gone" },
-                { "reason", "while it waited for its program's budget" } });
+            { { "request", tags.attempt_.value_ }, { "program", tags.program_.value_ },
+                { "outcome", "caller-gone" }, { "reason", "while it waited for its program's budget" },
+                { "waited_for", found->second.ask_ ? broker_.describe(*found->second.ask_) : "" },
+                { "waited_ms",
+                    std::to_string((bootNow() - found->second.call_.request_.arrived_).count()) } });
         if (found->second.ask_)
             broker_.abandon(*found->second.ask_);
         turns_.erase(found);
--- a/src/TurnBroker.cpp
+++ b/src/TurnBroker.cpp
@@ -282,6 +282,19 @@
         entry->done_({ reply, options_.vm_, entry->request_.program_, entry->request_.most_ });
     }
 
+    std::string describe(TurnId id) const
+    {
+        auto found = asks_.find(id);
+        if (found == asks_.end())
+            return {};
+        const Ask& entry = *found->second;
+        if (entry.call_)
+            return "the home " + entry.asked_.value_;
+        if (entry.askAgainAt_)
+            return "other turns of the program";
+        return keeper_.describe(entry.request_.program_);
+    }
+
     void abandon(TurnId id)
     {
         auto found = asks_.find(id);
@@ -446,6 +459,8 @@
     return impl_->ask(request, std::move(done));
 }
 
+std::string TurnBroker::describe(TurnId turn) const { return impl_->describe(turn); }
+
 void TurnBroker::abandon(TurnId turn) { impl_->abandon(turn); }
 
 void TurnBroker::ended(const TurnGrant& grant, TokenCount used, const TargetId& target)
--- a/src/TurnBroker.h
+++ b/src/TurnBroker.h
@@ -51,6 +51,8 @@
 
     /** Asks for tokens. `done` comes at most once, perhaps before this returns. */
     TurnId ask(const TurnRequest& request, OnGrant done);
+    /** What a turn that still waits is waiting for, for logs. */
+    std::string describe(TurnId turn) const;
     /** The caller of a turn that still waits is gone. */
     void abandon(TurnId turn);
     /** A granted turn has ended; `target` is where it ran, empty when it was sent nowhere. */
--- a/standin/PlatformStore.cpp
+++ b/standin/PlatformStore.cpp
@@ -121,7 +121,7 @@
             return;
         }
         if (trouble_.isDown_)
-            return answer(*reply, 503, "");
+            return answer(*reply, trouble_.downStatus_, "");
         const std::string& target = request.head_.target_;
         PartitionId id { queryValue(target, "topic"), queryValue(target, "part") };
         if (target.rfind("/log-append", 0) == 0)
--- a/standin/PlatformStore.h
+++ b/standin/PlatformStore.h
@@ -20,7 +20,8 @@
 
 /** What goes wrong now. */
 struct StoreTrouble {
-    bool isDown_ = false; ///< Answers 503, and does nothing.
+    bool isDown_ = false; ///< Answers `downStatus_`, and does nothing.
+    int downStatus_ = 503; ///< 429 for a store that has too many calls.
     bool isSilent_ = false; ///< Answers nothing, and does nothing.
     int losesAnswers_ = 0; ///< So many appends are done and not answered.
 };
--- /dev/null
+++ b/test/correctness/StorePacing.cpp
@@ -0,0 +1,178 @@
+#include "StorePace.h"
+#include "Suite.h"
+
+#include <array>
+#include <optional>
+
+using namespace fescue;
+
+namespace {
+
+constexpr std::size_t vmCount = 82;
+constexpr std::uint32_t callsPerSecond = 1500; // Of the store, for all VMs together.
+constexpr std::int64_t callMs = 4;
+constexpr std::int64_t outageEndsMs = 5000;
+
+MonotonicTime at(std::int64_t ms) { return MonotonicTime(Milliseconds { 100000 + ms }); }
+
+/** A store with one limit for all, and VMs that have a backlog when it returns. Each VM also gets 5 new calls
+ * a second, which is 27 percent of what the store serves. */
+class RateLimitedStore {
+public:
+    struct Seen {
+        std::uint64_t served_ = 0;
+        std::uint64_t refused_ = 0;
+        std::optional<std::int64_t> emptyAt_; ///< When the backlog was gone.
+    };
+
+    explicit RateLimitedStore(std::size_t backlog)
+    {
+        for (Vm& vm : vms_)
+            vm.waiting_ = backlog;
+    }
+
+    Seen play(std::int64_t forMs)
+    {
+        Seen seen;
+        for (std::int64_t now = 0; now < forMs; ++now) {
+            credit_ = std::min(credit_ + callsPerSecond / 1000.0, callsPerSecond * 0.1);
+            std::size_t waiting = 0;
+            for (Vm& vm : vms_) {
+                advance(vm, now, seen);
+                waiting += vm.waiting_;
+            }
+            if (now > outageEndsMs && waiting < vmCount && !seen.emptyAt_)
+                seen.emptyAt_ = now;
+        }
+        return seen;
+    }
+
+private:
+    struct Vm {
+        StorePace pace_;
+        std::size_t waiting_ = 0;
+        std::vector<std::int64_t> ends_;
+    };
+
+    void advance(Vm& vm, std::int64_t now, Seen& seen)
+    {
+        constexpr std::int64_t newCallEveryMs = 200;
+        if (now % newCallEveryMs == 0)
+            ++vm.waiting_;
+        std::vector<std::int64_t> open;
+        for (std::int64_t end : vm.ends_) {
+            if (end > now) {
+                open.push_back(end);
+                continue;
+            }
+            bool isServed = now >= outageEndsMs && credit_ >= 1;
+            credit_ -= isServed ? 1 : 0;
+            vm.waiting_ += isServed ? 0 : 1;
+            ++(isServed ? seen.served_ : seen.refused_);
+            auto failure = now < outageEndsMs ? StoreCallEnd::Failed : StoreCallEnd::OverRate;
+            storeCallEnded(vm.pace_, isServed ? StoreCallEnd::Served : failure, at(now), random_);
+        }
+        vm.ends_ = std::move(open);
+        while (vm.waiting_ > 0 && mayCallStore(vm.pace_, at(now))) {
+            --vm.waiting_;
+            storeCallBegan(vm.pace_, at(now));
+            vm.ends_.push_back(now + callMs);
+        }
+    }
+
+    std::array<Vm, vmCount> vms_;
+    double credit_ = 0;
+    Random random_ { 3 };
+};
+
+} // namespace
+
+class StorePacing : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(StorePacing);
+    CPPUNIT_TEST(refusalPausesAllCallsOfTheVm);
+    CPPUNIT_TEST(callsThatFailTogetherCountOnce);
+    CPPUNIT_TEST(servedCallOpensItAgain);
+    CPPUNIT_TEST(outageLeavesTheRate);
+    CPPUNIT_TEST(manyVmsRecoverTogetherFromAnOutage);
+    CPPUNIT_TEST_SUITE_END();
+
+    StorePace pace_;
+    Random random_ { 1 };
+
+    void fail(std::int64_t ms)
+    {
+        storeCallBegan(pace_, at(0));
+        storeCallEnded(pace_, StoreCallEnd::OverRate, at(ms), random_);
+    }
+
+public:
+    void setUp() override { pace_ = {}; }
+
+    void refusalPausesAllCallsOfTheVm()
+    {
+        CHECK(mayCallStore(pace_, at(0)));
+        fail(0);
+        CHECK(!mayCallStore(pace_, at(49)));
+        CHECK(mayCallStore(pace_, at(100)));
+        std::int64_t now = 0;
+        for (int i = 0; i < 10; ++i) {
+            now += pace_.options_.longestPause_.count();
+            CHECK(mayCallStore(pace_, at(now)));
+            fail(now);
+        }
+        CHECK(!mayCallStore(pace_, at(now + pace_.options_.longestPause_.count() / 2 - 1)));
+    }
+
+    void callsThatFailTogetherCountOnce()
+    {
+        double rate = pace_.rate_.value_;
+        for (int i = 0; i < 8; ++i)
+            storeCallBegan(pace_, at(0));
+        for (int i = 0; i < 8; ++i)
+            storeCallEnded(pace_, StoreCallEnd::OverRate, at(i), random_);
+        CHECK_EQUAL(std::uint32_t { 1 }, pace_.failures_);
+        CHECK_EQUAL(std::uint32_t { 0 }, pace_.underWay_);
+        CHECK_EQUAL(rate / 2, pace_.rate_.value_);
+    }
+
+    void servedCallOpensItAgain()
+    {
+        fail(0);
+        storeCallBegan(pace_, at(100));
+        // While it is not known whether the store serves again, one call finds out.
+        CHECK(!mayCallStore(pace_, at(100)));
+        storeCallEnded(pace_, StoreCallEnd::Served, at(104), random_);
+        storeCallBegan(pace_, at(104));
+        CHECK(mayCallStore(pace_, at(104)));
+        for (int i = 0; i < 1000; ++i) {
+            storeCallBegan(pace_, at(200));
+            storeCallEnded(pace_, StoreCallEnd::Served, at(200), random_);
+        }
+        CHECK_EQUAL(pace_.options_.highest_.value_, pace_.rate_.value_);
+    }
+
+    void outageLeavesTheRate()
+    {
+        double rate = pace_.rate_.value_;
+        storeCallBegan(pace_, at(0));
+        storeCallEnded(pace_, StoreCallEnd::Failed, at(0), random_);
+        CHECK_EQUAL(rate, pace_.rate_.value_);
+        CHECK(!mayCallStore(pace_, at(1)));
+    }
+
+    // After an outage of five seconds every VM has many claims to write, and all of them come at once.
+    void manyVmsRecoverTogetherFromAnOutage()
+    {
+        auto seen = RateLimitedStore(60).play(20000);
+        CHECK(seen.emptyAt_.has_value());
+        // The backlog and the new calls are some 8,200 calls, 5.5 s of the store's rate.
+        constexpr std::int64_t twiceTheLeastMs = 11000;
+        CPPUNIT_ASSERT_MESSAGE(
+            std::to_string(*seen.emptyAt_), *seen.emptyAt_ < outageEndsMs + twiceTheLeastMs);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(seen.refused_) + " refused, " + std::to_string(seen.served_)
+                + " served, empty at " + std::to_string(*seen.emptyAt_),
+            seen.refused_ < seen.served_ / 2);
+    }
+};
+
+REGISTER_SUITE(StorePacing);
--- a/test/fuzz/BudgetFuzz.cpp
+++ b/test/fuzz/BudgetFuzz.cpp
@@ -56,6 +56,7 @@
     void turnsAreGrantedAndSpentIsTrueWithoutCrashes()
     {
         std::uint32_t granted = 0;
+        std::uint32_t dropped = 0;
         constexpr std::uint64_t seeds = 500;
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
             EscrowWorld world(seed, {});
@@ -64,8 +65,10 @@
                 CHECK_EQUAL(std::uint32_t { 0 }, world.wronglySpent());
             }
             granted += world.granted();
+            dropped += world.dropped();
         }
         CHECK(granted > seeds);
+        CHECK(dropped > 0);
     }
 };
 
--- a/test/support/EscrowWorld.cpp
+++ b/test/support/EscrowWorld.cpp
@@ -28,7 +28,7 @@
 
 void EscrowWorld::step()
 {
-    constexpr std::size_t sides = 20;
+    constexpr std::size_t sides = 21;
     std::size_t side = pick(sides);
     if (side < 6)
         arrive();
@@ -38,6 +38,8 @@
         advanceOperation();
     else if (side == 18)
         crash();
+    else if (side == 19)
+        dropOperation();
     else
         isStoreUp_ = !isStoreUp_;
 }
@@ -99,6 +101,22 @@
     carryOut(writer, effects);
 }
 
+// A writer's last claim, if it was not sent yet and no turn waits for it.
+void EscrowWorld::dropOperation()
+{
+    if (operations_.empty())
+        return;
+    auto operation = std::next(operations_.begin(), static_cast<std::ptrdiff_t>(pick(operations_.size())));
+    BudgetEscrow& writer = writers_[operation->writer_];
+    auto program = writer.programs_.find(program_);
+    if (operation->isWritten_ || !operation->write_.isNeeded_ || program == writer.programs_.end()
+        || !program->second.waiting_.empty())
+        return;
+    ++dropped_;
+    operations_.erase(operation);
+    claimDropped(writer, program_);
+}
+
 std::vector<ClaimRecord> EscrowWorld::othersOf(std::size_t writer) const
 {
     std::vector<ClaimRecord> others;
--- a/test/support/EscrowWorld.h
+++ b/test/support/EscrowWorld.h
@@ -35,6 +35,7 @@
     TokenCount handed() const { return handed_; }
     std::uint32_t granted() const { return granted_; }
     std::uint32_t crashes() const { return crashes_; }
+    std::uint32_t dropped() const { return dropped_; }
     /** Turns that were told that the budget is spent although it held one more. */
     std::uint32_t wronglySpent() const { return wronglySpent_; }
 
@@ -53,6 +54,7 @@
     void arrive();
     void endTurn();
     void advanceOperation();
+    void dropOperation();
     void crash();
     void carryOut(std::size_t writer, const EscrowEffects& effects);
     std::vector<ClaimRecord> othersOf(std::size_t writer) const;
@@ -72,6 +74,7 @@
     std::uint64_t lastStart_ = 0;
     std::uint32_t granted_ = 0;
     std::uint32_t crashes_ = 0;
+    std::uint32_t dropped_ = 0; ///< Claims that were never written.
     std::uint32_t wronglySpent_ = 0;
     bool isStoreUp_ = true;
 };
