--- a/test/correctness/StorePacing.cpp
+++ b/test/correctness/StorePacing.cpp
@@ -25,7 +25,9 @@
         std::optional<std::int64_t> emptyAt_; ///< When the backlog was gone.
     };
 
-    explicit RateLimitedStore(std::size_t backlog)
+    /** Without a pace each refused call is repeated 150 ms later. */
+    RateLimitedStore(std::size_t backlog, bool isPaced)
+        : isPaced_(isPaced)
     {
         for (Vm& vm : vms_)
             vm.waiting_ = backlog;
@@ -38,7 +40,7 @@
             credit_ = std::min(credit_ + callsPerSecond / 1000.0, callsPerSecond * 0.1);
             std::size_t waiting = 0;
             for (Vm& vm : vms_) {
-                advance(vm, now, seen);
+                isPaced_ ? advance(vm, now, seen) : advanceUnpaced(vm, now, seen);
                 waiting += vm.waiting_;
             }
             if (now > outageEndsMs && waiting < vmCount && !seen.emptyAt_)
@@ -65,8 +67,7 @@
                 open.push_back(end);
                 continue;
             }
-            bool isServed = now >= outageEndsMs && credit_ >= 1;
-            credit_ -= isServed ? 1 : 0;
+            bool isServed = now >= outageEndsMs && serve();
             vm.waiting_ += isServed ? 0 : 1;
             ++(isServed ? seen.served_ : seen.refused_);
             auto failure = now < outageEndsMs ? StoreCallEnd::Failed : StoreCallEnd::OverRate;
@@ -80,6 +81,36 @@
         }
     }
 
+    void advanceUnpaced(Vm& vm, std::int64_t now, Seen& seen)
+    {
+        constexpr std::int64_t newCallEveryMs = 200;
+        constexpr std::int64_t repeatAfterMs = 150;
+        if (now % newCallEveryMs == 0)
+            ++vm.waiting_;
+        for (; vm.waiting_ > vm.ends_.size();)
+            vm.ends_.push_back(now + callMs);
+        std::vector<std::int64_t> open;
+        for (std::int64_t end : vm.ends_) {
+            bool isServed = end <= now && now >= outageEndsMs && serve();
+            if (isServed) {
+                ++seen.served_;
+                --vm.waiting_;
+                continue;
+            }
+            seen.refused_ += end <= now ? 1 : 0;
+            open.push_back(end <= now ? now + repeatAfterMs : end);
+        }
+        vm.ends_ = std::move(open);
+    }
+
+    bool serve()
+    {
+        bool isServed = credit_ >= 1;
+        credit_ -= isServed ? 1 : 0;
+        return isServed;
+    }
+
+    bool isPaced_;
     std::array<Vm, vmCount> vms_;
     double credit_ = 0;
     Random random_ { 3 };
@@ -163,7 +194,7 @@
     // After an outage of five seconds every VM has many claims to write, and all of them come at once.
     void manyVmsRecoverTogetherFromAnOutage()
     {
-        auto seen = RateLimitedStore(60).play(20000);
+        auto seen = RateLimitedStore(60, true).play(20000);
         CHECK(seen.emptyAt_.has_value());
         // The backlog and the new calls are some 8,200 calls, 5.5 s of the store's rate.
         constexpr std::int64_t twiceTheLeastMs = 11000;
@@ -172,6 +203,8 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(seen.refused_) + " refused, " + std::to_string(seen.served_)
                 + " served, empty at " + std::to_string(*seen.emptyAt_),
             seen.refused_ < seen.served_ / 2);
+        auto unpaced = RateLimitedStore(60, false).play(20000);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(unpaced.refused_), unpaced.refused_ > 4 * seen.refused_);
     }
 };
 
