Count each send that may have run against a route's attempts

Cause: a repeatable request whose kept connection ended without a byte was sent again without counting, so a target that loses answers could make it run on one more target than the route allows. Such a loss now counts, and the next send takes a new connection. Test: F EntryVmPath, three sends before, two after.

--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -330,14 +330,13 @@
         endDispatch(transfer, DispatchEnd::BrokenOff);
         const Route& route = transfer->call_.route_;
         bool mayRepeat = route.repeatability_ == Repeatability::Repeatable && !transfer->isBegun_;
-        // A kept connection that ends without a byte was mostly closed before the request came.
-        if (mayRepeat && wasMaybeNeverRead && !transfer->needsNewConnection_) {
-            transfer->needsNewConnection_ = true;
-            --transfer->runs_;
-            return again(transfer, reason);
-        }
         if (mayRepeat && transfer->runs_ < route.mostAttempts_) {
-            transfer->avoid_.insert(transfer->target_);
+            // A kept connection that ends without a byte was mostly closed before the request came, which
+            // says nothing of its target.
+            if (wasMaybeNeverRead && !transfer->needsNewConnection_)
+                transfer->needsNewConnection_ = true;
+            else
+                transfer->avoid_.insert(transfer->target_);
             return again(transfer, reason);
         }
         fail(transfer, badGateway, reason);
--- a/test/failure/EntryVmPath.cpp
+++ b/test/failure/EntryVmPath.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(unknownRouteIsNotFound);
     CPPUNIT_TEST(lostAnswerOfAnAtMostOnceCallIsNotSentAgain);
     CPPUNIT_TEST(lostAnswerOfARepeatableCallComesFromAnotherTarget);
+    CPPUNIT_TEST(repeatableCallIsSentNoMoreOftenThanItsRouteAllows);
     CPPUNIT_TEST(refusedCallIsToldWhenToComeBack);
     CPPUNIT_TEST(answerForAnotherRequestIsReadPast);
     CPPUNIT_TEST(lateExtraAnswerReachesNobody);
@@ -127,6 +128,22 @@
         CHECK_EQUAL(2, sent.load());
     }
 
+    void repeatableCallIsSentNoMoreOftenThanItsRouteAllows()
+    {
+        std::atomic<bool> loses { false };
+        auto script = [&loses](const HttpHead& head, const std::string& body) {
+            return loses ? loseAnswer(head, body) : answerWhole(head, body);
+        };
+        EntryWorld world({ script, script });
+        // Connections to both targets are kept, and the next request ends each of them without an answer.
+        for (int i = 0; i < 8; ++i)
+            CHECK_EQUAL(200, statusOf(world.ask("GET", "/read/1", requestId)));
+        int before = world.target(0).requests() + world.target(1).requests();
+        loses = true;
+        CHECK_EQUAL(502, statusOf(world.ask("GET", "/read/1", requestId)));
+        CHECK_EQUAL(before + 2, world.target(0).requests() + world.target(1).requests());
+    }
+
     void refusedCallIsToldWhenToComeBack()
     {
         EntryWorld world({ refuse, refuse });
