Ask callers to stay away for longer the longer the store is away

Programs were told to come back after 0.6 s, so those of its first four seconds used up all their attempts before its end. Excluded: letting a program begin without a claim (the budget would rest on one VM's memory). Now the time to come back is the time that the outage has lasted, from 0.6 to 2 s.

--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -33,7 +33,6 @@
     constexpr Milliseconds quietBeforeEnd { 400 };
     // Kept out of the platform's grace for the end of the process.
     constexpr Milliseconds endMargin { 700 };
-    constexpr Milliseconds retryWithoutStore { 600 };
     constexpr Milliseconds retryBudgetHeld { 300 };
     // Shorter outages end sooner than the platform's health checks would notice them.
     constexpr Milliseconds notReadyWithoutStore { 700 };
@@ -329,7 +328,7 @@
                 "other turns of the program reserve the rest of its token budget", jittered(retryBudgetHeld),
                 facts);
         refuse(call, unavailable, "the platform's store, which keeps token budgets, does not answer",
-            jittered(retryWithoutStore), facts);
+            jittered(returnExpectedIn(health_, bootNow())), facts);
     }
 
     Milliseconds jittered(Milliseconds middle)
--- a/src/StoreHealth.h
+++ b/src/StoreHealth.h
@@ -6,6 +6,7 @@
 
 #include "Types.h"
 
+#include <algorithm>
 #include <string>
 
 namespace fescue {
@@ -32,6 +33,21 @@
     return true;
 }
 
+/** Bounds of the time after which a caller is asked to come back. Callers wait for a third of their time at
+ * most, which is one or two seconds. */
+constexpr Milliseconds shortestOutageWait { 600 };
+constexpr Milliseconds longestOutageWait { 2000 };
+
+/** When the store is expected back. An outage of which nothing is known lasts about as long again as it has
+ * lasted, so callers that come during a long one do not use up all their attempts before its end. */
+inline Milliseconds returnExpectedIn(const StoreHealth& health, MonotonicTime now)
+{
+    if (health.isUp_)
+        return shortestOutageWait;
+    Milliseconds soFar = std::chrono::duration_cast<Milliseconds>(now - health.changedAt_);
+    return std::clamp(soFar, shortestOutageWait, longestOutageWait);
+}
+
 /** As `takeStoreOutcome`, with a log line when the store was lost or regained. `seenBy` names the topic or
  * part that made the call, `status` is that of its answer, 0 without one. Not safe from several threads. */
 bool noteStoreOutcome(
--- a/test/correctness/StorePacing.cpp
+++ b/test/correctness/StorePacing.cpp
@@ -1,3 +1,4 @@
+#include "StoreHealth.h"
 #include "StorePace.h"
 #include "Suite.h"
 
@@ -124,6 +125,8 @@
     CPPUNIT_TEST(callsThatFailTogetherCountOnce);
     CPPUNIT_TEST(servedCallOpensItAgain);
     CPPUNIT_TEST(outageLeavesTheRate);
+    CPPUNIT_TEST(callersAreAskedToStayAwayForLongerInALongOutage);
+    CPPUNIT_TEST(callerOfALongOutageIsServedAfterItsEnd);
     CPPUNIT_TEST(manyVmsRecoverTogetherFromAnOutage);
     CPPUNIT_TEST_SUITE_END();
 
@@ -191,6 +194,35 @@
         CHECK(!mayCallStore(pace_, at(1)));
     }
 
+    void callersAreAskedToStayAwayForLongerInALongOutage()
+    {
+        StoreHealth health;
+        CHECK(returnExpectedIn(health, at(0)) == shortestOutageWait);
+        takeStoreOutcome(health, false, at(0));
+        takeStoreOutcome(health, false, at(0));
+        CHECK(returnExpectedIn(health, at(100)) == shortestOutageWait);
+        CHECK(returnExpectedIn(health, at(1300)) == Milliseconds { 1300 });
+        CHECK(returnExpectedIn(health, at(9000)) == longestOutageWait);
+        takeStoreOutcome(health, true, at(9000));
+        CHECK(returnExpectedIn(health, at(9100)) == shortestOutageWait);
+    }
+
+    // A caller has four attempts in all and comes three seconds before the end of an outage of seven.
+    void callerOfALongOutageIsServedAfterItsEnd()
+    {
+        constexpr std::int64_t endsAt = 7000;
+        constexpr int attempts = 4;
+        StoreHealth health;
+        takeStoreOutcome(health, false, at(0));
+        takeStoreOutcome(health, false, at(0));
+        std::int64_t now = endsAt - 3000;
+        int made = 1;
+        for (; made < attempts && now < endsAt; ++made)
+            now += returnExpectedIn(health, at(now)).count();
+        CHECK(now >= endsAt);
+        CHECK(endsAt - 3000 + (attempts - 1) * shortestOutageWait.count() < endsAt);
+    }
+
     // After an outage of five seconds every VM has many claims to write, and all of them come at once.
     void manyVmsRecoverTogetherFromAnOutage()
     {
