Add a soak: random faults from outside on real entry VMs

Three entry VMs as processes before a stand-in store and four targets, each behind a loopback proxy. A seed draws a series of overlapping faults: kill, pause, stop, reload; cuts one way, silence, delay, reset; a store that is down, silent, over its rate or loses answers; targets that refuse, break off and leave; new configurations. A ledger compares what callers were told with what targets ran: runs at most once, truth of "not run", whole bodies, budgets, answers in time, stops within the grace, no lost answer in planned work, service after the faults.

--- /dev/null
+++ b/test/soak/SoakParts.cpp
@@ -0,0 +1,271 @@
+#include "SoakParts.h"
+
+#include "BootClock.h"
+#include "FreePort.h"
+
+#include <asio/steady_timer.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <fstream>
+
+namespace fescue::test {
+
+namespace {
+
+    using asio::ip::tcp;
+
+    constexpr Milliseconds stopsWithin { 7000 }; // The grace of the settings, and a busy machine.
+    constexpr Milliseconds restartAfter { 100 };
+
+    SoakKind kindOf(const std::string& path)
+    {
+        if (path.rfind("/turn/", 0) == 0)
+            return SoakKind::Turn;
+        return path.rfind("/call/", 0) == 0 ? SoakKind::Call : SoakKind::Read;
+    }
+
+    HttpHead answerHead(int status, const std::string& request)
+    {
+        HttpHead head;
+        head.status_ = status;
+        head.headers_ = { { "Fescuewinch-Request-Id", request }, { "Fescuewinch-Instance-Load", "1,0,8" } };
+        return head;
+    }
+
+    // Calls something after a time; it keeps itself alive until then.
+    void after(asio::io_context& io, Milliseconds time, std::function<void()> act)
+    {
+        auto timer = std::make_shared<asio::steady_timer>(io, time);
+        timer->async_wait([timer, act = std::move(act)](const asio::error_code&) { act(); });
+    }
+
+    // Sends the events of a stream one after another; `events` of them, and the end when that is all.
+    struct EventSender : std::enable_shared_from_this<EventSender> {
+        asio::io_context& io_;
+        std::shared_ptr<FrontReply> reply_;
+        std::string body_;
+        bool breaksOff_;
+
+        EventSender(asio::io_context& io, std::shared_ptr<FrontReply> reply, std::string body, bool breaksOff)
+            : io_(io)
+            , reply_(std::move(reply))
+            , body_(std::move(body))
+            , breaksOff_(breaksOff)
+        {
+        }
+
+        void next()
+        {
+            constexpr Milliseconds gap { 8 };
+            std::size_t end = body_.find("\n\n");
+            if (end == std::string::npos)
+                return reply_->end();
+            std::string event = body_.substr(0, end + 2);
+            body_.erase(0, end + 2);
+            if (breaksOff_ && body_.empty()) {
+                reply_->write(event.substr(0, event.size() / 2));
+                return reply_->abort();
+            }
+            reply_->write(event);
+            after(io_, gap, [self = shared_from_this()] { self->next(); });
+        }
+    };
+
+} // namespace
+
+std::string soakConfig(std::uint64_t version, bool isOther)
+{
+    return fmt::format(R"({{"version":{0},"routes":[
+{{"name":"turns","host":"h.example","path-prefix":"/turn/","type":"streaming","timeout-ms":{1},"service":"llm",
+ "max-attempts":1,"retained":false,"retention-s":60.0,"priority":{2}}},
+{{"name":"reads","host":"h.example","path-prefix":"/read/","type":"idempotent","timeout-ms":{1},"service":"app",
+ "max-attempts":2}},
+{{"name":"calls","host":"h.example","path-prefix":"/call/","type":"non_idempotent","timeout-ms":{1},"service":"app",
+ "max-attempts":2}}],
+"services":[{{"name":"llm","engine":{{"slots":12,"tokens-per-event":{3}}}}},{{"name":"app"}}],
+"limits":{{"max-header-bytes":8192,"max-body-bytes":65536,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}})",
+        version, isOther ? 2000 : soakRouteTime.count(), isOther ? 1 : 0, soakTokensPerEvent);
+}
+
+OutboundRequest soakRequest(int port, SoakKind kind, const std::string& headers)
+{
+    OutboundRequest request;
+    request.peer_ = { asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port) };
+    request.head_.method_ = kind == SoakKind::Read ? "GET" : "POST";
+    request.head_.target_
+        = kind == SoakKind::Turn ? "/turn/x" : (kind == SoakKind::Call ? "/call/x" : "/read/x");
+    request.head_.headers_.push_back({ "Host", "h.example" });
+    std::istringstream lines(headers);
+    for (std::string line; std::getline(lines, line);)
+        request.head_.headers_.push_back(
+            { line.substr(0, line.find(": ")), line.substr(line.find(": ") + 2) });
+    if (kind != SoakKind::Read)
+        request.body_ = "content of " + headers.substr(0, headers.find('\n'));
+    request.connectTimeout_ = Milliseconds { 1000 };
+    return request;
+}
+
+SoakTarget::SoakTarget(asio::io_context& io, std::string id, SoakLedger& ledger, std::uint64_t seed)
+    : io_(io)
+    , id_(std::move(id))
+    , ledger_(ledger)
+    , random_(seed)
+    , server_(std::make_unique<FrontServer>(
+          io, "127.0.0.1:0",
+          [this](const FrontRequest& request, const std::shared_ptr<FrontReply>& reply) {
+              take(request, reply);
+          },
+          [this](int, const char* reason, const HttpHead*) {
+              ledger_.broken_.push_back(fmt::format("{} was sent no request: {}", id_, reason));
+          }))
+    , proxy_(std::make_unique<SoakProxy>(io, server_->port()))
+{
+}
+
+std::string SoakTarget::entry(const std::string& state) const
+{
+    // Even targets are engines, odd ones serve calls.
+    bool isEngine = (id_.back() - '0') % 2 == 0;
+    return fmt::format(R"({{"service":"{}","address":"127.0.0.1:{}","zone":"za","slots":12,"state":"{}"}})",
+        isEngine ? "llm" : "app", proxy_->port(), state);
+}
+
+void SoakTarget::tick(MonotonicTime now) { server_->tick(now); }
+
+void SoakTarget::take(const FrontRequest& request, const std::shared_ptr<FrontReply>& reply)
+{
+    constexpr std::size_t percent = 100;
+    const std::string* id = findHeader(request.head_, "Fescuewinch-Request-Id");
+    const std::string* expected = findHeader(request.head_, "Fescuewinch-Expect-Instance");
+    std::string name = id ? *id : "a request without an id";
+    std::size_t dice = std::uniform_int_distribution<std::size_t>(0, percent - 1)(random_);
+    bool isOther = expected && *expected != id_;
+    constexpr std::size_t refusals = 5;
+    if (isOther || (isFaulty_ && dice < refusals)) {
+        HttpHead head = answerHead(isOther ? 421 : 503, name);
+        head.headers_.push_back({ "Fescuewinch-Not-Executed", "1" });
+        return reply->answer(std::move(head), {});
+    }
+    soakRan(ledger_, name, id_);
+    lastRun_ = bootNow();
+    constexpr std::size_t losses = 8;
+    if (isFaulty_ && dice < losses)
+        return reply->abort();
+    Milliseconds work { static_cast<std::int64_t>(3 + dice / 2) };
+    auto isGone = std::make_shared<bool>(false);
+    reply->onGone([isGone] { *isGone = true; });
+    after(io_, work, [this, name, kind = kindOf(request.head_.target_), reply, isGone] {
+        if (!*isGone)
+            run(name, kind, reply);
+    });
+}
+
+void SoakTarget::run(const std::string& request, SoakKind kind, const std::shared_ptr<FrontReply>& reply)
+{
+    constexpr std::size_t oneIn = 30;
+    HttpHead head = answerHead(200, request);
+    head.headers_.push_back({ "Fescuewinch-Response-Stamp", "stamp-of-" + id_ });
+    if (kind != SoakKind::Turn)
+        return reply->answer(std::move(head), soakBody(request, kind));
+    reply->begin(std::move(head));
+    bool breaksOff = isFaulty_ && random_() % oneIn == 0;
+    std::make_shared<EventSender>(io_, reply, soakBody(request, kind), breaksOff)->next();
+}
+
+SoakVm::SoakVm(asio::io_context& io, std::uint16_t storePort, std::string name, const std::string& zone,
+    const std::string& folder)
+    : name_(std::move(name))
+    , callerPort_(freePort(io))
+    , storeProxy_(std::make_unique<SoakProxy>(io, storePort))
+    , settingsFile_(folder + "/" + name_ + ".yaml")
+    , logFile_(folder + "/" + name_ + ".log")
+{
+    std::ofstream(settingsFile_) << fmt::format(
+        "node-name: {}\nip: 127.0.0.1\nzone: {}\nport-range: [ {}, 0 ]\nheartbeat-ms: 1000\n"
+        "listen: {{ frontend: '127.0.0.1:{}', ready: '127.0.0.1:{}' }}\n"
+        "limits: {{ cpu-quota: 1, memory-mb: 100 }}\n"
+        "bounds: {{ drain-ms: 2000, grace-s: 6, config-apply-ms: 2000, settle-ms: 1000 }}\n"
+        "platform: {{ address: '127.0.0.1:{}', parts: 2 }}\n",
+        name_, zone, freePort(io), callerPort_, freePort(io), storeProxy_->port());
+}
+
+SoakVm::~SoakVm()
+{
+    if (process_ && process_->isRunning())
+        process_->end(SIGKILL);
+}
+
+void SoakVm::start()
+{
+    startAt_.reset();
+    process_ = std::make_unique<Process>(
+        "fescue-entry", std::vector<std::string> { "--settings=" + settingsFile_ }, 0, logFile_);
+}
+
+void SoakVm::kill(Milliseconds downFor)
+{
+    if (!process_->isRunning())
+        return;
+    process_->end(SIGKILL);
+    wakeAt_.reset();
+    stoppedAt_.reset();
+    startAt_ = bootNow() + downFor;
+}
+
+void SoakVm::pause(Milliseconds time)
+{
+    if (!process_->isRunning())
+        return;
+    process_->signal(SIGSTOP);
+    wakeAt_ = bootNow() + time;
+}
+
+void SoakVm::stop()
+{
+    if (!process_->isRunning() || stoppedAt_)
+        return;
+    process_->signal(SIGTERM);
+    stoppedAt_ = bootNow();
+}
+
+void SoakVm::reload()
+{
+    if (process_->isRunning())
+        process_->signal(SIGHUP);
+}
+
+void SoakVm::heal()
+{
+    if (wakeAt_)
+        wakeAt_ = bootNow();
+    if (startAt_)
+        startAt_ = bootNow();
+}
+
+SoakVm::Event SoakVm::tick(MonotonicTime now)
+{
+    if (startAt_ || wakeAt_ || stoppedAt_)
+        disturbedAt_ = now;
+    if (wakeAt_ && now >= *wakeAt_) {
+        wakeAt_.reset();
+        process_->signal(SIGCONT);
+        if (stoppedAt_)
+            stoppedAt_ = now; // Its grace goes on when it runs again.
+    }
+    if (stoppedAt_ && process_->hasEnded()) {
+        stoppedAt_.reset();
+        startAt_ = now + restartAfter;
+    }
+    if (!startAt_ && process_->hasEnded()) {
+        startAt_ = now + restartAfter;
+        return Event::EndedByItself;
+    }
+    if (startAt_ && now >= *startAt_)
+        start();
+    if (!stoppedAt_ || wakeAt_ || now < *stoppedAt_ + stopsWithin)
+        return Event::None;
+    kill(restartAfter);
+    return Event::StoppedLate;
+}
+
+} // namespace fescue::test
--- a/test/support/EntryWorld.cpp
+++ b/test/support/EntryWorld.cpp
@@ -1,6 +1,7 @@
 #include "EntryWorld.h"
 
 #include "BootClock.h"
+#include "FreePort.h"
 
 #include <asio/post.hpp>
 #include <chrono>
@@ -28,13 +29,6 @@
 "services":[{"name":"llm","engine":{"slots":12,"tokens-per-event":100}},{"name":"app"}],
 "limits":{"max-header-bytes":8192,"max-body-bytes":65536,"header-timeout-ms":3000,"idle-timeout-ms":15000}})";
 
-    // Free a moment ago; nothing else on this machine asks for a certain port of this range.
-    int freePort(asio::io_context& io)
-    {
-        tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-        return acceptor.local_endpoint().port();
-    }
-
     std::string targetEntry(const std::string& service, int port)
     {
         return fmt::format(
--- a/test/support/Process.cpp
+++ b/test/support/Process.cpp
@@ -18,7 +18,8 @@
         int output_ = -1;
     };
 
-    Child startChild(const std::string& program, const std::vector<std::string>& arguments, bool withErrors)
+    Child startChild(const std::string& program, const std::vector<std::string>& arguments, bool withErrors,
+        const std::string& outputFile = {})
     {
         std::string path = std::string(FESCUE_PROGRAMS) + "/" + program;
         std::vector<char*> words { path.data() };
@@ -36,7 +37,8 @@
             prctl(PR_SET_PDEATHSIG, SIGKILL);
             if (getppid() != parent)
                 _exit(127);
-            dup2(ends[1], STDOUT_FILENO);
+            int file = outputFile.empty() ? -1 : open(outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+            dup2(file >= 0 ? file : ends[1], STDOUT_FILENO);
             if (withErrors)
                 dup2(ends[1], STDERR_FILENO);
             execv(path.c_str(), words.data());
@@ -57,9 +59,10 @@
 
 } // namespace
 
-Process::Process(const std::string& program, const std::vector<std::string>& arguments, std::size_t ports)
+Process::Process(const std::string& program, const std::vector<std::string>& arguments, std::size_t ports,
+    const std::string& outputFile)
 {
-    Child child = startChild(program, arguments, false);
+    Child child = startChild(program, arguments, false, outputFile);
     id_ = child.id_;
     readPorts(child.output_, ports);
     close(child.output_);
@@ -93,6 +96,15 @@
 
 void Process::signal(int number) const { kill(id_, number); }
 
+bool Process::hasEnded()
+{
+    int status = 0;
+    if (id_ == 0 || waitpid(id_, &status, WNOHANG) != id_)
+        return id_ == 0;
+    id_ = 0;
+    return true;
+}
+
 int Process::end(int number)
 {
     kill(id_, number);
--- a/test/support/Process.h
+++ b/test/support/Process.h
@@ -15,8 +15,10 @@
 class Process {
 public:
     /** Starts `program` of the build folder and waits until it has printed `ports` ports. Throws
-     * `std::runtime_error` when it ends before that. */
-    Process(const std::string& program, const std::vector<std::string>& arguments, std::size_t ports);
+     * `std::runtime_error` when it ends before that. With `outputFile`, its output is appended there instead;
+     * `ports` is 0 then. */
+    Process(const std::string& program, const std::vector<std::string>& arguments, std::size_t ports,
+        const std::string& outputFile = {});
     ~Process();
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
@@ -27,6 +29,8 @@
     void signal(int number) const;
     /** Sends a signal and waits for the end; returns the exit status, or -signal. */
     int end(int number);
+    /** Takes the exit status of a process that has ended by itself or after `signal`; false while it runs. */
+    bool hasEnded();
     bool isRunning() const { return id_ > 0; }
     pid_t id() const { return id_; }
 
