Wait for the store as long as its answers take; let homes answer before their claim is written

Now time-outs follow the answers (mean and deviation, doubled after a time-out), a store that has answered within 0.6 s is not lost, turns that wait are refused after 0.7 s without a served call, and a home tells a peer after 150 ms to ask again.

Tests: C StorePacing (lost answers, a slow store).

--- a/src/BudgetEscrow.h
+++ b/src/BudgetEscrow.h
@@ -60,6 +60,7 @@
     Spent, ///< The budget does not hold one more turn.
     HeldElsewhere, ///< It would, but other VMs hold claims with unused tokens; see `holders_`.
     InUse, ///< Turns under way reserve the rest, and may leave some of it; for turns that cannot wait here.
+    Writing, ///< Its claim is on its way to the store; for turns of other VMs, which ask again.
     Unavailable, ///< The store cannot be reached, and what this VM has claimed does not suffice.
 };
 
--- a/src/BudgetKeeper.cpp
+++ b/src/BudgetKeeper.cpp
@@ -18,12 +18,6 @@
 
     // Topics over which programs are spread; with the partitions of each one, a partition holds few programs.
     constexpr std::uint64_t topicCount = 32;
-    // A store that is slow, but answers in this time, still serves; longer waits cost callers their
-    // deadlines.
-    constexpr Milliseconds callTimeout { 800 };
-    // Pauses of the pace after which turns that wait for a claim are refused: together about half a second,
-    // in which a caller is better off at another VM.
-    constexpr std::uint32_t pausesUntilRefused = 3;
     constexpr int tooManyCalls = 429;
     // A claim of a program under way for which no turn waits is not worth a call after this; until then it
     // may be for the program's next turn.
@@ -242,10 +236,14 @@
     {
         writes_.add();
         storeCallBegan(pace_, bootNow());
-        store_.append(partition, lane.records_, { escrow_.writer_, lane.next_ }, callTimeout,
-            [weak = weak_from_this(), partition](tl::expected<std::uint64_t, platform::StoreError> offset) {
-                if (auto self = weak.lock())
-                    self->appended(partition, offset);
+        store_.append(partition, lane.records_, { escrow_.writer_, lane.next_ }, storeTimeout(pace_),
+            [weak = weak_from_this(), partition, began = bootNow()](
+                tl::expected<std::uint64_t, platform::StoreError> offset) {
+                auto self = weak.lock();
+                if (!self)
+                    return;
+                self->noteTime(began, offset ? nullptr : &offset.error());
+                self->appended(partition, offset);
             });
     }
 
@@ -288,14 +286,24 @@
     {
         reads_.add();
         storeCallBegan(pace_, bootNow());
-        store_.readNewest(partition, after, callTimeout,
-            [weak = weak_from_this(), partition](
+        store_.readNewest(partition, after, storeTimeout(pace_),
+            [weak = weak_from_this(), partition, began = bootNow()](
                 tl::expected<platform::NewestPage, platform::StoreError> page) {
-                if (auto self = weak.lock())
-                    self->readPage(partition, page);
+                auto self = weak.lock();
+                if (!self)
+                    return;
+                self->noteTime(began, page ? nullptr : &page.error());
+                self->readPage(partition, page);
             });
     }
 
+    // Refusals come sooner than answers and tell nothing of their time.
+    void noteTime(MonotonicTime began, const platform::StoreError* error)
+    {
+        if (!error)
+            storeAnswered(pace_, bootNow() - began);
+    }
+
     void readPage(const platform::StorePartition& partition,
         const tl::expected<platform::NewestPage, platform::StoreError>& page)
     {
@@ -361,14 +369,21 @@
                 { "others_claimed", std::to_string(claimed.value_) } });
     }
 
+    static StoreCallEnd endOf(const platform::StoreError& error)
+    {
+        if (error.status_ == tooManyCalls)
+            return StoreCallEnd::OverRate;
+        bool hasAnswer = error.failure_ != platform::StoreFailure::NoAnswer || error.status_ != 0;
+        return hasAnswer ? StoreCallEnd::Refused : StoreCallEnd::TimedOut;
+    }
+
     void noteOutcome(const platform::StoreError* error)
     {
         // A refused sequence number or lost history is an answer of a store that works.
         bool isAnswered = !error || error->failure_ == platform::StoreFailure::OutOfSequence
             || error->failure_ == platform::StoreFailure::HistoryGone;
         int status = error ? error->status_ : 0;
-        auto failed = status == tooManyCalls ? StoreCallEnd::OverRate : StoreCallEnd::Failed;
-        storeCallEnded(pace_, error ? failed : StoreCallEnd::Served, bootNow(), random_);
+        storeCallEnded(pace_, error ? endOf(*error) : StoreCallEnd::Served, bootNow(), random_);
         // The store works and has too many calls; whether it turns this VM away altogether, reads will tell.
         if (status == tooManyCalls) {
             tooMany_.add();
@@ -383,7 +398,7 @@
 
     void tick(bool isDraining, MonotonicTime now)
     {
-        if (!health_.isUp_ || pace_.failures_ >= pausesUntilRefused)
+        if (!health_.isUp_ || isStoreFailing(pace_, now))
             refuseWaiting();
         pump();
         if (health_.isUp_)
--- a/src/StoreHealth.h
+++ b/src/StoreHealth.h
@@ -16,16 +16,22 @@
     bool isUp_ = true;
     std::uint32_t failures_ = 0; ///< In a row.
     MonotonicTime changedAt_;
+    MonotonicTime answeredAt_; ///< Of the last answer.
 };
 
 /** Failures in a row after which the store counts as unreachable: one alone may be a lost connection. */
 constexpr std::uint32_t failuresUntilDown = 2;
+/** A store that has answered other calls so lately is not unreachable, though it may lose some answers. */
+constexpr Milliseconds answeredLately { 600 };
 
 /** Takes the outcome of a call. Returns true when `isUp_` changed. */
 inline bool takeStoreOutcome(StoreHealth& health, bool isAnswered, MonotonicTime now)
 {
     health.failures_ = isAnswered ? 0 : health.failures_ + 1;
-    bool isUp = isAnswered || (health.isUp_ && health.failures_ < failuresUntilDown);
+    if (isAnswered)
+        health.answeredAt_ = now;
+    bool hasFailed = health.failures_ >= failuresUntilDown && now >= health.answeredAt_ + answeredLately;
+    bool isUp = isAnswered || (health.isUp_ && !hasFailed);
     if (isUp == health.isUp_)
         return false;
     health.isUp_ = isUp;
--- a/src/StorePace.cpp
+++ b/src/StorePace.cpp
@@ -1,6 +1,7 @@
 #include "StorePace.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fescue {
 
@@ -48,6 +49,34 @@
     pace.savedAt_ = now;
 }
 
+Milliseconds storeTimeout(const StorePace& pace)
+{
+    constexpr double deviations = 4;
+    constexpr std::uint32_t mostDoublings = 3;
+    constexpr double least = 2; // Times that hardly vary leave no room otherwise.
+    double usualMs = std::max(least * pace.answerMs_, pace.answerMs_ + deviations * pace.deviationMs_);
+    Milliseconds usual { static_cast<std::int64_t>(usualMs) };
+    Milliseconds timeout
+        = std::max(usual, pace.options_.shortestTimeout_) * (1U << std::min(pace.timeouts_, mostDoublings));
+    return std::min(timeout, pace.options_.longestTimeout_);
+}
+
+void storeAnswered(StorePace& pace, Milliseconds took)
+{
+    constexpr double weight = 0.125; // Jacobson's gains.
+    constexpr double deviationWeight = 0.25;
+    double error = static_cast<double>(took.count()) - pace.answerMs_;
+    // A store that has become slower is waited for at once.
+    pace.answerMs_ += error > 0 ? error : weight * error;
+    pace.deviationMs_ += deviationWeight * (std::abs(error) - pace.deviationMs_);
+    pace.timeouts_ = 0;
+}
+
+bool isStoreFailing(const StorePace& pace, MonotonicTime now)
+{
+    return pace.failures_ > 0 && now >= pace.failingSince_ + pace.options_.failingAfter_;
+}
+
 void storeCallEnded(StorePace& pace, StoreCallEnd how, MonotonicTime now, Random& random)
 {
     --pace.underWay_;
@@ -57,9 +86,16 @@
     }
     if (now < pace.notBefore_)
         return;
+    if (pace.failures_ == 0)
+        pace.failingSince_ = now;
     constexpr double half = 0.5;
     if (how == StoreCallEnd::OverRate)
         setRate(pace, pace.rate_.value_ * half, now);
+    if (how == StoreCallEnd::TimedOut) {
+        ++pace.failures_; // The time-out was a pause already.
+        ++pace.timeouts_;
+        return;
+    }
     pause(pace, now, random);
 }
 
--- a/src/StorePace.h
+++ b/src/StorePace.h
@@ -8,6 +8,9 @@
  * outage is over. So a VM has a rate of its own, which a refusal halves and each served call raises (additive
  * increase, multiplicative decrease; Chiu and Jain, 1989). While the store does not serve at all, one call at
  * a time finds out whether it is back, after longer and longer pauses with jitter.
+ *
+ * How long an answer is awaited follows from the answers as well (smoothed time and its deviation; Jacobson,
+ * 1988): a call whose answer was lost is repeated soon, and a store that has become slow is waited for.
  */
 
 #include "ProgramId.h"
@@ -27,6 +30,10 @@
     std::uint32_t mostUnderWay_ = 32; ///< At 4 ms a call more than the highest rate needs.
     Milliseconds firstPause_ { 100 }; ///< As long as some 25 calls of a healthy store.
     Milliseconds longestPause_ { 1600 }; ///< Bounds how late a VM notices the store's return.
+    /** Time-outs of a store that has become fifty times slower reach its answers within this time. */
+    Milliseconds failingAfter_ { 700 };
+    Milliseconds shortestTimeout_ { 120 }; ///< Above the pauses of a busy VM or network.
+    Milliseconds longestTimeout_ { 800 }; ///< Longer waits cost callers their deadlines.
 };
 
 /** The pace of one VM. */
@@ -36,15 +43,20 @@
     double saved_ = 8; ///< Calls that may begin at once.
     MonotonicTime savedAt_; ///< When `saved_` held.
     std::uint32_t underWay_ = 0;
-    std::uint32_t failures_ = 0; ///< Pauses in a row without a served call between them.
+    std::uint32_t failures_ = 0; ///< In a row, without a served call between them.
+    MonotonicTime failingSince_; ///< Of the first of them.
     MonotonicTime notBefore_; ///< No call begins earlier.
+    double answerMs_ = 100; ///< Smoothed time of an answer.
+    double deviationMs_ = 50; ///< Its mean deviation.
+    std::uint32_t timeouts_ = 0; ///< In a row, without an answer between them.
 };
 
 /** How a call ended. */
 enum class StoreCallEnd {
     Served,
     OverRate, ///< The store has too many calls.
-    Failed, ///< It is down, slow or out of reach.
+    Refused, ///< It is down, or turns this VM away.
+    TimedOut, ///< No answer in time.
 };
 
 /** Whether a call may begin. Pure. Thread safety of all functions: none; they belong to the event loop. */
@@ -53,6 +65,15 @@
 /** Notes that a call begins. */
 void storeCallBegan(StorePace& pace, MonotonicTime now);
 
+/** Whether no call has been served for so long that those which wait should not wait on. Pure. */
+bool isStoreFailing(const StorePace& pace, MonotonicTime now);
+
+/** How long to wait for the answer of a call that begins now. Pure. */
+Milliseconds storeTimeout(const StorePace& pace);
+
+/** Notes how long an answer took. */
+void storeAnswered(StorePace& pace, Milliseconds took);
+
 /** Notes that a call has ended. Of calls that fail during one pause only the first one counts. */
 void storeCallEnded(StorePace& pace, StoreCallEnd how, MonotonicTime now, Random& random);
 
--- a/src/TurnBroker.cpp
+++ b/src/TurnBroker.cpp
@@ -19,8 +19,9 @@
     constexpr int ok = 200;
     constexpr int badRequest = 400;
     constexpr int unavailable = 503;
-    // A home that is reached answers at once, or after two calls of the store; a VM that is gone costs a turn
-    // this.
+    // A home answers in this time, if only that it is still writing; a VM that is gone costs a turn the
+    // time-out.
+    constexpr Milliseconds homeAnswersWithin { 150 };
     constexpr Milliseconds peerTimeout { 300 };
     constexpr Milliseconds peerConnectTimeout { 150 };
     // Homes that one turn is asked at before this VM decides itself.
@@ -48,6 +49,7 @@
         std::optional<MonotonicTime> askAgainAt_;
         bool mayAskHolders_ = true;
         bool isForPeer_ = false;
+        MonotonicTime answerBy_; ///< A peer is told by then.
         std::string answer_;
     };
     using AskPtr = std::shared_ptr<Ask>;
@@ -248,6 +250,10 @@
         }
         if (grant.reply_.decision_ == TurnDecision::HeldElsewhere && !entry->holders_.empty())
             return askHolders(id, entry);
+        if (grant.reply_.decision_ == TurnDecision::Writing && !entry->isForPeer_) {
+            entry->askAgainAt_ = bootNow();
+            return;
+        }
         bool isInUse = grant.reply_.decision_ == TurnDecision::InUse && !entry->isForPeer_;
         if (isInUse && bootNow() + askAgainAfter < entry->until_) {
             entry->askAgainAt_ = bootNow() + askAgainAfter;
@@ -348,6 +354,7 @@
         auto entry = std::make_shared<Ask>();
         entry->request_ = turn;
         entry->isForPeer_ = true;
+        entry->answerBy_ = bootNow() + homeAnswersWithin;
         entry->mayAskHolders_ = false; // The asking VM does that; otherwise requests could go round.
         entry->done_ = [this, turn, reply](const TurnGrant& grant) {
             TurnReply message = grant.reply_;
@@ -390,6 +397,15 @@
             last = now > last->second.at_ + targetMemory ? lastTargets_.erase(last) : std::next(last);
     }
 
+    // The claim goes on, so that the peer's next question finds it written.
+    void tellWriting(TurnId id)
+    {
+        AskPtr entry = asks_.at(id);
+        asks_.erase(id);
+        keeper_.turnAbandoned(entry->request_.program_, id);
+        entry->done_({ replyHere(entry->request_.program_, TurnDecision::Writing), options_.vm_, {}, {} });
+    }
+
     static void answer(FrontReply& reply, int status, const std::string& body)
     {
         HttpHead head;
@@ -423,12 +439,17 @@
     {
         std::vector<TurnId> late;
         std::vector<TurnId> again;
+        std::vector<TurnId> writing;
         for (const auto& [id, entry] : asks_) {
             if (entry->call_ && now >= entry->callUntil_)
                 late.push_back(id);
             else if (entry->askAgainAt_ && now >= *entry->askAgainAt_)
                 again.push_back(id);
+            else if (entry->isForPeer_ && now >= entry->answerBy_)
+                writing.push_back(id);
         }
+        for (TurnId id : writing)
+            tellWriting(id);
         for (TurnId id : again) {
             auto found = asks_.find(id);
             if (found != asks_.end())
--- a/test/correctness/StorePacing.cpp
+++ b/test/correctness/StorePacing.cpp
@@ -71,7 +71,7 @@
             bool isServed = now >= outageEndsMs && serve();
             vm.waiting_ += isServed ? 0 : 1;
             ++(isServed ? seen.served_ : seen.refused_);
-            auto failure = now < outageEndsMs ? StoreCallEnd::Failed : StoreCallEnd::OverRate;
+            auto failure = now < outageEndsMs ? StoreCallEnd::Refused : StoreCallEnd::OverRate;
             storeCallEnded(vm.pace_, isServed ? StoreCallEnd::Served : failure, at(now), random_);
         }
         vm.ends_ = std::move(open);
@@ -127,6 +127,8 @@
     CPPUNIT_TEST(outageLeavesTheRate);
     CPPUNIT_TEST(callersAreAskedToStayAwayForLongerInALongOutage);
     CPPUNIT_TEST(callerOfALongOutageIsServedAfterItsEnd);
+    CPPUNIT_TEST(lostAnswersAreRepeatedSoon);
+    CPPUNIT_TEST(slowStoreIsWaitedFor);
     CPPUNIT_TEST(manyVmsRecoverTogetherFromAnOutage);
     CPPUNIT_TEST_SUITE_END();
 
@@ -189,7 +191,7 @@
     {
         double rate = pace_.rate_.value_;
         storeCallBegan(pace_, at(0));
-        storeCallEnded(pace_, StoreCallEnd::Failed, at(0), random_);
+        storeCallEnded(pace_, StoreCallEnd::Refused, at(0), random_);
         CHECK_EQUAL(rate, pace_.rate_.value_);
         CHECK(!mayCallStore(pace_, at(1)));
     }
@@ -223,6 +225,46 @@
         CHECK(endsAt - 3000 + (attempts - 1) * shortestOutageWait.count() < endsAt);
     }
 
+    // Half of the answers are lost: a call is repeated soon, and the store does not count as failing.
+    void lostAnswersAreRepeatedSoon()
+    {
+        std::int64_t now = 0;
+        for (int i = 0; i < 40; ++i) {
+            storeCallBegan(pace_, at(now));
+            storeAnswered(pace_, Milliseconds { 4 });
+            storeCallEnded(pace_, StoreCallEnd::Served, at(now += 4), random_);
+        }
+        CHECK(storeTimeout(pace_) == pace_.options_.shortestTimeout_);
+        for (int i = 0; i < 20; ++i) {
+            storeCallBegan(pace_, at(now));
+            storeCallEnded(pace_, StoreCallEnd::TimedOut, at(now += storeTimeout(pace_).count()), random_);
+            CHECK(mayCallStore(pace_, at(now)));
+            CHECK(!isStoreFailing(pace_, at(now)));
+            storeCallBegan(pace_, at(now));
+            storeAnswered(pace_, Milliseconds { 4 });
+            storeCallEnded(pace_, StoreCallEnd::Served, at(now += 4), random_);
+        }
+    }
+
+    // The store becomes sixty times slower from one call to the next.
+    void slowStoreIsWaitedFor()
+    {
+        constexpr std::int64_t slowMs = 240;
+        for (int i = 0; i < 40; ++i)
+            storeAnswered(pace_, Milliseconds { 4 });
+        std::int64_t now = 0;
+        for (int tries = 0; storeTimeout(pace_).count() < slowMs; ++tries) {
+            CHECK(tries < 4);
+            storeCallBegan(pace_, at(now));
+            storeCallEnded(pace_, StoreCallEnd::TimedOut, at(now += storeTimeout(pace_).count()), random_);
+        }
+        CHECK(!isStoreFailing(pace_, at(now + slowMs)));
+        for (int i = 0; i < 50; ++i) {
+            storeAnswered(pace_, Milliseconds { slowMs + i % 40 });
+            CHECK(storeTimeout(pace_).count() > slowMs + 40);
+        }
+    }
+
     // After an outage of five seconds every VM has many claims to write, and all of them come at once.
     void manyVmsRecoverTogetherFromAnOutage()
     {
