--- a/test/support/FreePort.cpp
+++ b/test/support/FreePort.cpp
@@ -1,8 +1,8 @@
 #include "FreePort.h"
 
 #include <asio/ip/tcp.hpp>
-#include <random>
 #include <stdexcept>
+#include <unistd.h>
 
 namespace fescue::test {
 
@@ -11,10 +11,14 @@
     using asio::ip::tcp;
     constexpr int first = 15000;
     constexpr int last = 32000; // Linux takes ports for outgoing connections from 32768 on.
-    constexpr int mostTries = 200;
-    static std::mt19937 random { std::random_device {}() };
-    for (int i = 0; i < mostTries; ++i) {
-        int port = std::uniform_int_distribution<int>(first, last)(random);
+    // Test processes that run side by side have neighbouring ids, and so ports of their own to choose from: a
+    // port that was found free is bound only later, by another process.
+    constexpr int portsOfAProcess = 128;
+    constexpr int blocks = (last - first) / portsOfAProcess;
+    static int next = 0;
+    int block = first + ::getpid() % blocks * portsOfAProcess;
+    for (int tries = 0; tries < portsOfAProcess; ++tries) {
+        int port = block + next++ % portsOfAProcess;
         tcp::acceptor acceptor(io);
         asio::error_code error;
         acceptor.open(tcp::v4());
