--- a/src/BudgetEscrow.cpp
+++ b/src/BudgetEscrow.cpp
@@ -236,7 +236,7 @@
     return effects;
 }
 
-EscrowEffects claimLowered(BudgetEscrow& escrow, const ProgramId& id, MonotonicTime)
+EscrowEffects claimLowered(BudgetEscrow& escrow, const ProgramId& id)
 {
     EscrowEffects effects;
     auto found = escrow.programs_.find(id);
--- a/src/BudgetEscrow.h
+++ b/src/BudgetEscrow.h
@@ -142,7 +142,7 @@
     const std::vector<ClaimRecord>& others, MonotonicTime now);
 
 /** A claim that no turn needed stands in the store; others were not read. */
-EscrowEffects claimLowered(BudgetEscrow& escrow, const ProgramId& program, MonotonicTime now);
+EscrowEffects claimLowered(BudgetEscrow& escrow, const ProgramId& program);
 
 /** A claim was not written and never will be.
  *
--- a/src/BudgetKeeper.cpp
+++ b/src/BudgetKeeper.cpp
@@ -339,7 +339,7 @@
             if (write.isDrop_)
                 continue;
             if (!wasRead || !write.isNeeded_) {
-                carryOut(claimLowered(escrow_, write.program_, bootNow()));
+                carryOut(claimLowered(escrow_, write.program_));
                 continue;
             }
             std::vector<ClaimRecord> others;
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "HttpClient.h"
 
+#include "LowerCase.h"
+
 #include <atomic>
 #include <condition_variable>
 #include <curl/curl.h>
@@ -36,13 +38,6 @@
         }
     };
 
-    std::string lowerCase(std::string text)
-    {
-        for (char& c : text)
-            c = static_cast<char>(c >= 'A' && c <= 'Z' ? c - 'A' + 'a' : c);
-        return text;
-    }
-
     std::size_t takeHeader(char* data, std::size_t size, std::size_t count, void* user)
     {
         auto& headers = static_cast<Transfer*>(user)->result_.headers_;
@@ -53,7 +48,7 @@
         auto begin = line.find_first_not_of(' ', colon + 1);
         auto end = line.find_last_not_of("\r\n ");
         bool hasValue = begin != std::string::npos && end != std::string::npos && end >= begin;
-        headers[lowerCase(line.substr(0, colon))]
+        headers[toLowerCase(line.substr(0, colon))]
             = hasValue ? line.substr(begin, end - begin + 1) : std::string();
         return size * count;
     }
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "HttpServer.h"
 
+#include "LowerCase.h"
+
 #include <atomic>
 #include <mutex>
 #include <restinio/all.hpp>
@@ -117,13 +119,6 @@
         std::shared_ptr<Backlog> backlog_ = std::make_shared<Backlog>();
     };
 
-    std::string lowerCase(std::string text)
-    {
-        for (char& c : text)
-            c = static_cast<char>(c >= 'A' && c <= 'Z' ? c - 'A' + 'a' : c);
-        return text;
-    }
-
     HttpRequest toRequest(const restinio::request_t& from)
     {
         HttpRequest request;
@@ -131,7 +126,7 @@
         request.path_ = std::string(from.header().path());
         request.query_ = std::string(from.header().query());
         from.header().for_each_field([&request](const auto& field) {
-            request.headers_[lowerCase(std::string(field.name()))] = std::string(field.value());
+            request.headers_[toLowerCase(std::string(field.name()))] = std::string(field.value());
         });
         request.body_ = from.body();
         return request;
--- a/src/ServingConfig.cpp
+++ b/src/ServingConfig.cpp
@@ -1,18 +1,14 @@
 #include "ServingConfig.h"
 
+#include "LowerCase.h"
+
 #include <algorithm>
 
 namespace fescue {
 
 namespace {
 
-    std::string hostWithoutPort(std::string_view host)
-    {
-        std::string name(host.substr(0, host.find(':')));
-        for (char& c : name)
-            c = static_cast<char>(c >= 'A' && c <= 'Z' ? c - 'A' + 'a' : c);
-        return name;
-    }
+    std::string hostWithoutPort(std::string_view host) { return toLowerCase(host.substr(0, host.find(':'))); }
 
     bool startsWith(std::string_view text, std::string_view prefix)
     {
--- a/test/support/EscrowWorld.cpp
+++ b/test/support/EscrowWorld.cpp
@@ -97,7 +97,7 @@
     operations_.erase(next);
     EscrowEffects effects = done.write_.isNeeded_
         ? claimWritten(writers_[writer], program_, done.write_.claim_, othersOf(writer), now)
-        : claimLowered(writers_[writer], program_, now);
+        : claimLowered(writers_[writer], program_);
     carryOut(writer, effects);
 }
 
