--- /dev/null
+++ b/test/correctness/HomeAnswers.cpp
@@ -0,0 +1,142 @@
+// A program's home and a VM that asks it, before a store in trouble.
+
+#include "BootClock.h"
+#include "FreePort.h"
+#include "PlatformStore.h"
+#include "StoreClient.h"
+#include "Suite.h"
+#include "TurnBroker.h"
+
+#include <fmt/format.h>
+
+using namespace fescue;
+using namespace fescue::standin;
+
+namespace {
+
+constexpr Milliseconds retention { 60000 };
+
+TurnRequest turnOf(const std::string& program)
+{
+    TurnRequest request { { program }, { 4000 }, { 500 }, retention };
+    request.left_ = Milliseconds { 5000 };
+    return request;
+}
+
+} // namespace
+
+class HomeAnswers : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(HomeAnswers);
+    CPPUNIT_TEST(turnWaitsForAHomeThatWaitsForTheStore);
+    CPPUNIT_TEST(homeTellsWhereTheLastTurnRan);
+    CPPUNIT_TEST_SUITE_END();
+
+    // An entry VM without its callers.
+    struct Vm {
+        VmId id_;
+        StoreHealth health_;
+        std::unique_ptr<platform::StoreClient> store_;
+        std::unique_ptr<TurnBroker> broker_;
+    };
+
+    std::unique_ptr<asio::io_context> io_;
+    std::unique_ptr<PlatformStore> store_;
+    std::map<VmId, Vm> vms_;
+    std::map<VmId, PeerEntry> peers_;
+
+    template <typename Condition> void runUntil(const Condition& holds)
+    {
+        constexpr int mostTurns = 20000;
+        for (int turn = 0; turn < mostTurns && !holds(); ++turn) {
+            io_->run_for(std::chrono::milliseconds(1));
+            io_->restart();
+            store_->tick(bootNow());
+            for (auto& [id, vm] : vms_) {
+                vm.store_->tick(bootNow());
+                vm.broker_->tick(false, bootNow());
+            }
+        }
+        CHECK(holds());
+    }
+
+    void addVm(const std::string& name)
+    {
+        Vm& vm = vms_[{ name }];
+        vm.id_ = { name };
+        asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(), store_->port());
+        vm.store_ = std::make_unique<platform::StoreClient>(*io_, address);
+        TurnBrokerOptions options { { name }, { "z" }, { name + "#1" }, 1,
+            fmt::format("127.0.0.1:{}", fescue::test::freePort(*io_)) };
+        vm.broker_ = std::make_unique<TurnBroker>(*io_, *vm.store_, vm.health_, options);
+        peers_[vm.id_] = { vm.id_, { "z" }, options.address_, options.writer_ };
+    }
+
+    // A program whose home is not the VM that it comes through.
+    std::string programOf(const VmId& home) const
+    {
+        PeerList list;
+        list.own_ = home;
+        list.peers_ = peers_;
+        for (int i = 0;; ++i) {
+            ProgramId program { "program-" + std::to_string(i) };
+            if (homeOf(list, { "z" }, program, bootNow())->vm_ == home)
+                return program.value_;
+        }
+    }
+
+    TurnGrant askThroughOther(const std::string& program, const std::function<void()>& meanwhile = nullptr)
+    {
+        std::optional<TurnGrant> grant;
+        vms_.at({ "vm-b" }).broker_->ask(turnOf(program), [&](const TurnGrant& granted) { grant = granted; });
+        if (meanwhile)
+            meanwhile();
+        runUntil([&] { return grant.has_value(); });
+        return *grant;
+    }
+
+public:
+    void setUp() override
+    {
+        io_ = std::make_unique<asio::io_context>(1);
+        store_ = std::make_unique<PlatformStore>(*io_);
+        addVm("vm-a");
+        addVm("vm-b");
+        for (auto& [id, vm] : vms_)
+            vm.broker_->setPeers(peers_);
+    }
+
+    void tearDown() override
+    {
+        vms_.clear();
+        peers_.clear();
+        store_.reset();
+        io_.reset();
+    }
+
+    // Each VM that took the decision over would claim a part of the budget for itself.
+    void turnWaitsForAHomeThatWaitsForTheStore()
+    {
+        std::string program = programOf({ "vm-a" });
+        store_->trouble().losesAnswers_ = 1;
+        TurnGrant grant = askThroughOther(program);
+        CHECK(grant.reply_.decision_ == TurnDecision::Granted);
+        CHECK(grant.granter_ == VmId { "vm-a" });
+        auto claims = store_->newestOfAll("keyed.budget-");
+        CHECK_EQUAL(std::size_t { 1 }, claims.size());
+        CHECK_EQUAL(claimKey({ program }, { "vm-a#1" }), claims.begin()->first);
+    }
+
+    void homeTellsWhereTheLastTurnRan()
+    {
+        std::string program = programOf({ "vm-a" });
+        TurnGrant first = askThroughOther(program);
+        CHECK(first.reply_.lastTarget_.empty());
+        vms_.at({ "vm-b" }).broker_->ended(first, { 100 }, { "engine-7" });
+        TargetId last;
+        for (int i = 0; i < 20 && last.empty(); ++i)
+            last = askThroughOther(program).reply_.lastTarget_;
+        CHECK(last == TargetId { "engine-7" });
+    }
+};
+
+REGISTER_SUITE(HomeAnswers);
