--- a/test/correctness/StoreFollowing.cpp
+++ b/test/correctness/StoreFollowing.cpp
@@ -81,7 +81,8 @@
         follower_ = std::make_unique<StoreFollower>(*client_, health_, intervals,
             StoreFollower::Callbacks {
                 [this](const ServingConfig& config) { versions_.push_back(config.version_); },
-                [](const TargetList&) {}, [this](const std::map<VmId, PeerEntry>& peers) { peers_ = peers; } });
+                [](const TargetList&) {},
+                [this](const std::map<VmId, PeerEntry>& peers) { peers_ = peers; } });
         store_->put(platform::configTopic, platform::configKey, configOf(3));
         store_->put(platform::targetTopic, "i-1", targetOf("ready"));
     }
--- a/test/support/Process.cpp
+++ b/test/support/Process.cpp
@@ -37,7 +37,8 @@
             prctl(PR_SET_PDEATHSIG, SIGKILL);
             if (getppid() != parent)
                 _exit(127);
-            int file = outputFile.empty() ? -1 : open(outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+            int file
+                = outputFile.empty() ? -1 : open(outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(file >= 0 ? file : ends[1], STDOUT_FILENO);
             if (withErrors)
                 dup2(ends[1], STDERR_FILENO);
