--- a/test/soak/SoakWorld.cpp
+++ b/test/soak/SoakWorld.cpp
@@ -19,7 +19,6 @@
     constexpr Milliseconds recoverWithin { 6000 };
     constexpr Milliseconds measuredFor { 2000 };
     constexpr Milliseconds answersAfter { 6000 }; // Longer than any route's time.
-    constexpr Milliseconds stopGrace { 6000 };
     constexpr Milliseconds answerSlack { 1000 }; // Beyond a route's time, on a busy machine.
     constexpr Milliseconds lossSlack { 200 };
     constexpr Milliseconds targetDrain { 2000 };
@@ -44,7 +43,6 @@
             : options_(options)
             , random_(options.seed_)
             , store_(io_)
-            , timer_(io_)
         {
             for (std::size_t i = 0; i < targetCount; ++i)
                 addTarget();
@@ -343,7 +341,6 @@
         std::mt19937_64 random_;
         asio::io_context io_ { 1 };
         standin::PlatformStore store_;
-        asio::steady_timer timer_;
         SoakLedger ledger_;
         SoakReport report_;
         std::vector<std::unique_ptr<SoakTarget>> targets_;
