Log the content of requests and each recorded crash

An operator who follows one request over several VMs needs a name for its content that is the same in all attempts: the digest by which crashes are counted. It tells whether VMs count apart, and which crashes are not counted at all.

--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -37,6 +37,8 @@
         return { digest == 0 ? 1 : digest };
     }
 
+    std::string textOf(ContentDigest digest) { return fmt::format("{:016x}", digest.value_); }
+
     // Shared prompt parts are soon cached by every engine; only the last part is specific to the session.
     TokenCount ownPromptTokens(const CallTags& tags)
     {
@@ -92,6 +94,7 @@
 struct CallForwarder::Impl : std::enable_shared_from_this<CallForwarder::Impl> {
     struct Transfer {
         ForwardedCall call_;
+        ContentDigest digest_;
         DispatchId id_; ///< In the pool; a new id for each send.
         TargetId target_;
         std::shared_ptr<OutboundCall> exchange_;
@@ -122,6 +125,7 @@
     Counter failed_ { "calls_total", { "outcome", "failed" } };
     Counter gone_ { "calls_total", { "outcome", "caller-gone" } };
     Counter retries_ { "call_retries_total" };
+    Counter crashes_ { "target_crashes_total" };
 
     Impl(asio::io_context& io, const ZoneId& zone, std::uint64_t seed)
         : outbound_(io)
@@ -149,7 +153,7 @@
         queued.promptTokens_ = ownPromptTokens(call.tags_);
         queued.maxTokens_ = call.tags_.maxTokens_;
         queued.bytes_ = { static_cast<std::int64_t>(call.request_.body_.size()) };
-        queued.digest_ = digestOf(call.request_);
+        queued.digest_ = transfer.digest_;
         queued.arrived_ = call.request_.arrived_;
         queued.deadline_ = call.deadline_;
         queued.cachingTarget_ = call.cachingTarget_;
@@ -161,6 +165,7 @@
     {
         auto transfer = std::make_shared<Transfer>();
         transfer->call_ = std::move(call);
+        transfer->digest_ = digestOf(transfer->call_.request_);
         transfer->call_.reply_->onDisconnect([weak = weak_from_this(), transfer] {
             if (auto self = weak.lock())
                 self->handleCallerDisconnect(transfer);
@@ -203,8 +208,8 @@
         const ForwardedCall& call = transfer->call_;
         Milliseconds remaining = call.deadline_ - transfer->sentAt_;
         logEvent("send",
-            { { "request", call.tags_.attempt_.value_ }, { "target", target.id_.value_ },
-                { "attempt", std::to_string(transfer->sends_) },
+            { { "request", call.tags_.attempt_.value_ }, { "content", textOf(transfer->digest_) },
+                { "target", target.id_.value_ }, { "attempt", std::to_string(transfer->sends_) },
                 { "waited_ms", msText(transfer->sentAt_ - call.request_.arrived_) },
                 { "left_ms", msText(remaining) }, { "load", describeLoad(target.id_) } });
         OutboundRequest request { addresses_[target.id_],
@@ -330,6 +335,11 @@
     {
         ++transfer->possibleRuns_;
         endDispatch(transfer, DispatchOutcome::ConnectionLost);
+        crashes_.add();
+        logEvent("crash-recorded",
+            { { "request", transfer->call_.tags_.attempt_.value_ }, { "content", textOf(transfer->digest_) },
+                { "target", transfer->target_.value_ }, { "reason", reason },
+                { "crashes", std::to_string(crashCount(pool_.quarantine_, transfer->digest_, bootNow())) } });
         const Route& route = transfer->call_.route_;
         bool canRetry = route.repeatability_ == Repeatability::Repeatable && !transfer->hasAnswerStarted_;
         if (canRetry && transfer->possibleRuns_ < route.maxAttempts_) {
@@ -405,9 +415,10 @@
         const ForwardedCall& call = transfer->call_;
         Milliseconds total = bootNow() - call.request_.arrived_;
         logEvent("request",
-            { { "request", call.tags_.attempt_.value_ }, { "program", call.tags_.program_.value_ },
-                { "route", call.route_.name_ }, { "service", call.service_.id_.value_ },
-                { "outcome", outcome }, { "status", std::to_string(status) }, { "reason", reason },
+            { { "request", call.tags_.attempt_.value_ }, { "content", textOf(transfer->digest_) },
+                { "program", call.tags_.program_.value_ }, { "route", call.route_.name_ },
+                { "service", call.service_.id_.value_ }, { "outcome", outcome },
+                { "status", std::to_string(status) }, { "reason", reason },
                 { "target", transfer->target_.value_ }, { "sends", std::to_string(transfer->sends_) },
                 { "may_have_run", std::to_string(transfer->possibleRuns_) }, { "total_ms", msText(total) },
                 { "tokens", std::to_string(generated(*transfer).value_) } });
--- a/src/Quarantine.cpp
+++ b/src/Quarantine.cpp
@@ -6,14 +6,6 @@
 
 namespace {
 
-    std::uint32_t crashesOf(const Quarantine& quarantine, ContentDigest digest, MonotonicTime now)
-    {
-        auto found = quarantine.crashes_.find(digest);
-        bool isValid
-            = found != quarantine.crashes_.end() && found->second.last_ + quarantine.crashExpiry_ > now;
-        return isValid ? found->second.count_ : 0;
-    }
-
     void evictOldestIfFull(Quarantine& quarantine)
     {
         if (quarantine.crashes_.size() < quarantine.maxDigests_)
@@ -24,14 +16,21 @@
 
 } // namespace
 
+std::uint32_t crashCount(const Quarantine& quarantine, ContentDigest digest, MonotonicTime now)
+{
+    auto found = quarantine.crashes_.find(digest);
+    bool isValid = found != quarantine.crashes_.end() && found->second.last_ + quarantine.crashExpiry_ > now;
+    return isValid ? found->second.count_ : 0;
+}
+
 bool isSuspect(const Quarantine& quarantine, ContentDigest digest, MonotonicTime now)
 {
-    return crashesOf(quarantine, digest, now) > 0;
+    return crashCount(quarantine, digest, now) > 0;
 }
 
 bool isQuarantined(const Quarantine& quarantine, ContentDigest digest, MonotonicTime now)
 {
-    return crashesOf(quarantine, digest, now) >= crashesToQuarantine;
+    return crashCount(quarantine, digest, now) >= crashesToQuarantine;
 }
 
 void recordCrash(Quarantine& quarantine, ContentDigest digest, MonotonicTime now)
--- a/src/Quarantine.h
+++ b/src/Quarantine.h
@@ -31,6 +31,9 @@
 /** Number of targets that a request may crash before it is refused. */
 constexpr std::uint32_t crashesToQuarantine = 2;
 
+/** Number of unexpired crashes of a digest. Pure. */
+std::uint32_t crashCount(const Quarantine& quarantine, ContentDigest digest, MonotonicTime now);
+
 /** Whether a digest has an unexpired crash. Pure. */
 bool isSuspect(const Quarantine& quarantine, ContentDigest digest, MonotonicTime now);
 
