Reproduce the crashing request: it goes on to more targets after its third crash

Six entry VMs over a stand-in store, and targets that crash when they run a request. Test processes no longer inherit the sockets of the test, which kept a crashed target's port open.

--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <future>
+#include <numeric>
 #include <stdexcept>
 #include <unistd.h>
 
@@ -29,19 +30,36 @@
 "services":[{"name":"llm","engine":{"slots":12,"tokens-per-event":100}},{"name":"app"}],
 "limits":{"max-header-bytes":8192,"max-body-bytes":65536,"header-timeout-ms":3000,"idle-timeout-ms":15000}})";
 
-    std::string targetEntry(const std::string& service, int port)
+    // The settings name this heartbeat interval; entries lapse after three of them.
+    constexpr Milliseconds heartbeatInterval { 300 };
+    // Longer than three heartbeats, so that the entry of a crashed target is gone before it is back.
+    constexpr Milliseconds downtime { 1500 };
+    constexpr Milliseconds entryLapse { 3 * heartbeatInterval };
+
+    std::string targetEntry(
+        const std::string& service, int port, const std::string& startName, std::uint64_t heartbeat)
     {
         return fmt::format(
-            R"({{"service":"{}","address":"127.0.0.1:{}","zone":"z","slots":12,"state":"ready"}})", service,
-            port);
+            R"({{"service":"{}","address":"127.0.0.1:{}","zone":"z","slots":12,"state":"ready","seq":{},"born":{}}})",
+            service, port, heartbeat, 1000 + startName.size());
     }
 
 } // namespace
 
 ScriptedTarget::ScriptedTarget(asio::io_context& io, Script script)
-    : acceptor_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    : acceptor_(io)
     , script_(std::move(script))
+    , port_(static_cast<std::uint16_t>(findFreePort(io)))
+{
+    listen();
+}
+
+void ScriptedTarget::listen()
 {
+    acceptor_.open(tcp::v4());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(tcp::endpoint(asio::ip::address_v4::loopback(), port_));
+    acceptor_.listen();
     accept();
 }
 
@@ -51,15 +69,24 @@
         if (error)
             return;
         auto link = TcpLink::accepted(std::move(socket));
+        links_.push_back(link);
         auto reader = std::make_shared<HttpReader>(HttpReader::Side::Requests, HttpLimits {});
         auto onData = [this, link, reader](std::string_view data) {
             while (!data.empty()) {
                 data.remove_prefix(reader->feed(data));
                 if (!reader->isComplete())
                     return;
+                if (isForOtherStart(reader->head())) {
+                    reader->takeBody();
+                    reader->next();
+                    link->send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+                    continue;
+                }
                 ++requests_;
                 TargetAction action = script_(reader->head(), reader->takeBody());
                 reader->next();
+                if (action.crashes_)
+                    return crash();
                 link->send(action.bytes_);
                 if (action.closesConnection_)
                     return link->closeAfterFlush();
@@ -71,6 +98,41 @@
     });
 }
 
+bool ScriptedTarget::isForOtherStart(const HttpHead& head) const
+{
+    const std::string* expected = findHeader(head, "Fescuewinch-Expect-Instance");
+    if (!expected)
+        return false;
+    std::size_t dot = expected->find('.');
+    return (dot == std::string::npos ? std::string() : expected->substr(dot)) != startName_;
+}
+
+void ScriptedTarget::resetConnections()
+{
+    for (const auto& weak : links_) {
+        if (auto link = weak.lock())
+            link->close(true);
+    }
+    links_.clear();
+}
+
+void ScriptedTarget::crash()
+{
+    ++crashes_;
+    acceptor_.close();
+    resetConnections();
+    startName_ = fmt::format(".{}", crashes_.load());
+    crashedAt_ = bootNow();
+}
+
+bool ScriptedTarget::restartIfDue(MonotonicTime now)
+{
+    if (isRunning() || now < crashedAt_ + downtime)
+        return false;
+    listen();
+    return true;
+}
+
 std::string stampedResponse(const HttpHead& request, const std::string& body)
 {
     const std::string* id = findHeader(request, "Fescuewinch-Request-Id");
@@ -88,35 +150,29 @@
         id ? *id : "");
 }
 
-EntryVmHarness::EntryVmHarness(std::vector<ScriptedTarget::Script> scripts, bool hasConfig)
+EntryVmHarness::EntryVmHarness(std::vector<ScriptedTarget::Script> scripts, bool hasConfig, std::size_t vms)
     : store_(std::make_unique<standin::PlatformStore>(io_))
-    , callerPort_(findFreePort(io_))
-    , readyPort_(findFreePort(io_))
 {
     for (auto& script : scripts)
         targets_.push_back(std::make_unique<ScriptedTarget>(io_, std::move(script)));
     if (hasConfig)
         publish();
-    settingsFile_ = fmt::format("/tmp/fescue-entry-test-{}-{}.yaml", ::getpid(), callerPort_);
-    std::ofstream(settingsFile_) << fmt::format(
-        "node-name: vm-a\nip: 127.0.0.1\nzone: z\nport-range: [ {}, 0 ]\nheartbeat-ms: 1000\n"
-        "listen: {{ frontend: '127.0.0.1:{}', ready: '127.0.0.1:{}' }}\n"
-        "limits: {{ cpu-quota: 1, memory-mb: 100 }}\n"
-        "bounds: {{ drain-ms: 2000, grace-s: 6, config-apply-ms: 2000, settle-ms: 1000 }}\n"
-        "platform: {{ address: '127.0.0.1:{}', parts: 2 }}\n",
-        findFreePort(io_), callerPort_, readyPort_, store_->port());
-    thread_ = std::thread([this] {
+    for (std::size_t i = 0; i < vms; ++i)
+        vms_.push_back(makeVm());
+    thread_ = std::thread([this, hasConfig] {
         while (!isStopped_) {
             io_.run_for(std::chrono::milliseconds(2));
             io_.restart();
             store_->tick(bootNow());
+            if (hasConfig)
+                tickTargets(bootNow());
         }
     });
     try {
-        process_ = std::make_unique<Process>(
-            "fescue-entry", std::vector<std::string> { "--settings=" + settingsFile_ }, 0);
-        if (hasConfig)
-            waitUntil("the VM is ready", [this] { return readinessStatus() == 200; });
+        for (Vm& vm : vms_)
+            startProcess(vm);
+        for (std::size_t i = 0; hasConfig && i < vms; ++i)
+            waitUntil("the VM is ready", [this, i] { return readinessStatus(i) == 200; });
     } catch (const std::exception&) {
         stop();
         throw;
@@ -125,21 +181,87 @@
 
 EntryVmHarness::~EntryVmHarness() { stop(); }
 
+EntryVmHarness::Vm EntryVmHarness::makeVm()
+{
+    Vm vm;
+    vm.callerPort_ = findFreePort(io_);
+    vm.readyPort_ = findFreePort(io_);
+    vm.settingsFile_ = fmt::format("/tmp/fescue-entry-test-{}-{}.yaml", ::getpid(), vm.callerPort_);
+    std::ofstream(vm.settingsFile_) << fmt::format(
+        "node-name: vm-{}\nip: 127.0.0.1\nzone: z\nport-range: [ {}, 0 ]\nheartbeat-ms: {}\n"
+        "listen: {{ frontend: '127.0.0.1:{}', ready: '127.0.0.1:{}' }}\n"
+        "limits: {{ cpu-quota: 1, memory-mb: 100 }}\n"
+        "bounds: {{ drain-ms: 2000, grace-s: 6, config-apply-ms: 2000, settle-ms: 1000 }}\n"
+        "platform: {{ address: '127.0.0.1:{}', parts: 2 }}\n",
+        static_cast<char>('a' + vms_.size()), findFreePort(io_), heartbeatInterval.count(), vm.callerPort_,
+        vm.readyPort_, store_->port());
+    return vm;
+}
+
+void EntryVmHarness::startProcess(Vm& vm)
+{
+    vm.process_ = std::make_unique<Process>(
+        "fescue-entry", std::vector<std::string> { "--settings=" + vm.settingsFile_ }, 0);
+}
+
+void EntryVmHarness::addVm()
+{
+    vms_.push_back(makeVm());
+    startProcess(vms_.back());
+    waitUntil("the VM is ready", [this] { return readinessStatus(vms_.size() - 1) == 200; });
+}
+
+void EntryVmHarness::restartVm(std::size_t vm)
+{
+    vms_[vm].process_->signalAndWait(SIGKILL);
+    startProcess(vms_[vm]);
+    waitUntil("the VM is ready again", [this, vm] { return readinessStatus(vm) == 200; });
+}
+
 void EntryVmHarness::stop()
 {
-    if (process_ && process_->isRunning())
-        process_->signalAndWait(SIGKILL);
+    for (Vm& vm : vms_) {
+        if (vm.process_ && vm.process_->isRunning())
+            vm.process_->signalAndWait(SIGKILL);
+    }
     isStopped_ = true;
     thread_.join();
-    std::remove(settingsFile_.c_str());
+    for (const Vm& vm : vms_)
+        std::remove(vm.settingsFile_.c_str());
 }
 
 void EntryVmHarness::publish()
 {
     store_->put("keyed.op", "config", config);
+    publishedStarts_.resize(targets_.size());
+    for (std::size_t i = 0; i < targets_.size(); ++i)
+        publishTarget(i, "", true);
+}
+
+void EntryVmHarness::publishTarget(std::size_t index, const std::string& startName, bool isPresent)
+{
+    for (const char* service : { "app", "llm" })
+        store_->put("keyed.servers", fmt::format("i-{}-{}{}", service, index, startName),
+            isPresent ? targetEntry(service, targets_[index]->port(), startName, heartbeats_) : "");
+}
+
+// Running targets report themselves; the entry of a crashed one lapses, and it comes back under a new id.
+void EntryVmHarness::tickTargets(MonotonicTime now)
+{
+    bool isHeartbeatDue = now >= nextHeartbeat_;
+    if (isHeartbeatDue) {
+        nextHeartbeat_ = now + heartbeatInterval;
+        ++heartbeats_;
+    }
     for (std::size_t i = 0; i < targets_.size(); ++i) {
-        store_->put("keyed.servers", fmt::format("i-app-{}", i), targetEntry("app", targets_[i]->port()));
-        store_->put("keyed.servers", fmt::format("i-llm-{}", i), targetEntry("llm", targets_[i]->port()));
+        ScriptedTarget& target = *targets_[i];
+        bool isRestarted = target.restartIfDue(now);
+        if (publishedStarts_[i] != target.startName() && now >= target.crashedAt() + entryLapse) {
+            publishTarget(i, publishedStarts_[i], false);
+            publishedStarts_[i] = target.startName();
+        }
+        if (target.isRunning() && (isHeartbeatDue || isRestarted))
+            publishTarget(i, target.startName(), true);
     }
 }
 
@@ -156,17 +278,35 @@
 std::string EntryVmHarness::request(const std::string& method, const std::string& path,
     const std::string& headers, const std::string& body) const
 {
-    RawConnection connection(callerPort_);
+    return requestAt(0, method, path, headers, body);
+}
+
+std::string EntryVmHarness::requestAt(std::size_t vm, const std::string& method, const std::string& path,
+    const std::string& headers, const std::string& body) const
+{
+    RawConnection connection(port(vm));
     connection.send(fmt::format("{} {} HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n{}{}\r\n{}",
         method, path, headers,
         body.empty() ? std::string() : fmt::format("Content-Length: {}\r\n", body.size()), body));
     return connection.readAll();
 }
 
-int EntryVmHarness::readinessStatus() const
+int EntryVmHarness::targetRequests() const
+{
+    return std::accumulate(targets_.begin(), targets_.end(), 0,
+        [](int sum, const auto& target) { return sum + target->requests(); });
+}
+
+int EntryVmHarness::targetCrashes() const
+{
+    return std::accumulate(targets_.begin(), targets_.end(), 0,
+        [](int sum, const auto& target) { return sum + target->crashes(); });
+}
+
+int EntryVmHarness::readinessStatus(std::size_t vm) const
 {
     try {
-        RawConnection connection(readyPort_);
+        RawConnection connection(vms_[vm].readyPort_);
         connection.send("GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
         return statusOf(connection.readAll());
     } catch (const std::runtime_error&) {
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * EntryVmHarness: runs one entry VM as a process, against a stand-in for the platform's store and scripted
+ * EntryVmHarness: runs entry VMs as processes, against a stand-in for the platform's store and scripted
  * targets.
  */
 
@@ -21,26 +21,46 @@
 struct TargetAction {
     std::string bytes_; ///< Sent unchanged.
     bool closesConnection_ = false; ///< After the bytes have been sent.
+    bool crashes_ = false; ///< Resets all connections, and refuses new ones until the target is back.
 };
 
-/** A target that responds with scripted bytes. Counts requests and closed connections. */
+/** A target that responds with scripted bytes. Counts requests and closed connections.
+ *
+ * Each start has a new id; requests for another id are refused with 421, and do not count. */
 class ScriptedTarget {
 public:
     using Script = std::function<TargetAction(const HttpHead&, const std::string& body)>;
 
     ScriptedTarget(asio::io_context& io, Script script);
-    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    std::uint16_t port() const { return port_; }
     int requests() const { return requests_; }
     /** Connections that the other side has closed. */
     int closedConnections() const { return closedConnections_; }
+    int crashes() const { return crashes_; }
+    /** Resets all connections; the target goes on. */
+    void resetConnections();
+    /** Name of the current start; empty for the first one. */
+    const std::string& startName() const { return startName_; }
+    bool isRunning() const { return acceptor_.is_open(); }
+    MonotonicTime crashedAt() const { return crashedAt_; }
+    /** Starts a crashed target again once its downtime is over. Returns whether it did. */
+    bool restartIfDue(MonotonicTime now);
 
 private:
+    void listen();
     void accept();
+    void crash();
+    bool isForOtherStart(const HttpHead& head) const;
 
     asio::ip::tcp::acceptor acceptor_;
     Script script_;
+    std::uint16_t port_ = 0;
+    std::string startName_;
+    std::vector<std::weak_ptr<TcpLink>> links_;
+    MonotonicTime crashedAt_;
     std::atomic<int> requests_ { 0 };
     std::atomic<int> closedConnections_ { 0 };
+    std::atomic<int> crashes_ { 0 };
 };
 
 /** A complete response of a target, with its response stamp. */
@@ -48,37 +68,61 @@
 /** The response of a target that has refused to run the request. */
 std::string targetRefusal(const HttpHead& request);
 
-/** The running entry VM and its environment. Must be used on the test's thread. */
+/** The running entry VMs and their environment. Must be used on the test's thread. */
 class EntryVmHarness {
 public:
-    explicit EntryVmHarness(std::vector<ScriptedTarget::Script> scripts, bool hasConfig = true);
+    explicit EntryVmHarness(
+        std::vector<ScriptedTarget::Script> scripts, bool hasConfig = true, std::size_t vms = 1);
     ~EntryVmHarness();
 
     /** Runs `action` on the thread of the stand-ins and waits for it. */
     void runOnStore(const std::function<void(standin::PlatformStore&)>& action);
     ScriptedTarget& target(std::size_t index) { return *targets_[index]; }
-    Process& process() { return *process_; }
-    int port() const { return callerPort_; }
-    /** Sends a request with `Connection: close` and reads until the connection ends. */
+    /** Starts one more VM and waits until it is ready. */
+    void addVm();
+    /** Kills a VM, and starts it again. */
+    void restartVm(std::size_t vm);
+    std::size_t vmCount() const { return vms_.size(); }
+    Process& process(std::size_t vm = 0) { return *vms_[vm].process_; }
+    int port(std::size_t vm = 0) const { return vms_[vm].callerPort_; }
+    /** Sends a request to the first VM with `Connection: close` and reads until the connection ends. */
     std::string request(const std::string& method, const std::string& path, const std::string& headers = "",
         const std::string& body = "") const;
+    /** The same at any VM. */
+    std::string requestAt(std::size_t vm, const std::string& method, const std::string& path,
+        const std::string& headers = "", const std::string& body = "") const;
+    /** Runs of requests at all targets. */
+    int targetRequests() const;
+    /** Crashes of all targets. */
+    int targetCrashes() const;
     /** Status of the response to /readyz; 0 when the VM does not accept connections. */
-    int readinessStatus() const;
+    int readinessStatus(std::size_t vm = 0) const;
     void waitUntil(const std::string& what, const std::function<bool()>& condition) const;
 
 private:
+    struct Vm {
+        std::string settingsFile_;
+        int callerPort_ = 0;
+        int readyPort_ = 0;
+        std::unique_ptr<Process> process_;
+    };
+
     void publish();
+    void publishTarget(std::size_t index, const std::string& startName, bool isPresent);
+    void tickTargets(MonotonicTime now);
+    Vm makeVm();
+    void startProcess(Vm& vm);
     void stop();
 
     asio::io_context io_ { 1 };
     std::unique_ptr<standin::PlatformStore> store_;
     std::vector<std::unique_ptr<ScriptedTarget>> targets_;
+    std::vector<std::string> publishedStarts_; ///< Start of each target that is in the store.
+    std::uint64_t heartbeats_ = 0;
+    MonotonicTime nextHeartbeat_;
     std::atomic<bool> isStopped_ { false };
     std::thread thread_;
-    std::string settingsFile_;
-    int callerPort_ = 0;
-    int readyPort_ = 0;
-    std::unique_ptr<Process> process_;
+    std::vector<Vm> vms_;
 };
 
 /** Status of an HTTP response; 0 when the text is not one. */
--- a/test/support/Process.cpp
+++ b/test/support/Process.cpp
@@ -42,6 +42,8 @@
             dup2(file >= 0 ? file : pipeEnds[1], STDOUT_FILENO);
             if (capturesStderr)
                 dup2(pipeEnds[1], STDERR_FILENO);
+            // An inherited listener would keep its port open after the test has closed it.
+            close_range(STDERR_FILENO + 1, ~0U, 0);
             execv(path.c_str(), argv.data());
             _exit(127);
         }
