Count crashes of requests without a body

Callers saw GETs that crash their targets go on without end: a request without a body had no digest, so no crash of it was counted. Its content is its method, host and path with query, which the digest now covers for all requests.

Before: CrashingRequests::requestWithoutBodyThatCrashedThreeTargetsIsRefusedByAllVms fails, each try reaches targets; after: it passes with two VMs, which stop at two crashes each. The other cases of the suite fail as before. The counting of events and the digest move to files of their own.

--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -1,14 +1,15 @@
 #include "CallForwarder.h"
 
 #include "BootClock.h"
+#include "EventCounter.h"
 #include "EventLog.h"
 #include "Headers.h"
 #include "Metrics.h"
+#include "RequestDigest.h"
 #include "TcpLink.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#include <xxhash.h>
 
 namespace fescue {
 
@@ -27,51 +28,12 @@
 
     std::string msText(Milliseconds time) { return std::to_string(time.count()); }
 
-    ContentDigest digestOf(const FrontRequest& request)
-    {
-        // Requests without a body have no content to compare, so they are not identified with each other.
-        if (request.body_.empty())
-            return {};
-        std::uint64_t seed = XXH64(request.head_.target_.data(), request.head_.target_.size(), 0);
-        std::uint64_t digest = XXH64(request.body_.data(), request.body_.size(), seed);
-        return { digest == 0 ? 1 : digest };
-    }
-
-    std::string textOf(ContentDigest digest) { return fmt::format("{:016x}", digest.value_); }
-
     // Shared prompt parts are soon cached by every engine; only the last part is specific to the session.
     TokenCount ownPromptTokens(const CallTags& tags)
     {
         return tags.prompt_.empty() ? tags.promptTokens_ : tags.prompt_.back().tokens_;
     }
 
-    // Counts the events of a stream; a blank line terminates an event.
-    struct EventCounter {
-        std::int64_t events_ = 0;
-        bool isLineEmpty_ = true;
-        bool isInEvent_ = false;
-
-        void feed(std::string_view bytes)
-        {
-            for (char c : bytes) {
-                if (c == '\r')
-                    continue;
-                if (c != '\n') {
-                    isLineEmpty_ = false;
-                    isInEvent_ = true;
-                    continue;
-                }
-                if (isLineEmpty_ && isInEvent_) {
-                    ++events_;
-                    isInEvent_ = false;
-                }
-                isLineEmpty_ = true;
-            }
-        }
-        /** Includes an incomplete event, since its tokens may have been forwarded. */
-        std::int64_t startedEvents() const { return events_ + (isInEvent_ ? 1 : 0); }
-    };
-
 } // namespace
 
 void refuseCall(FrontReply& reply, const AttemptId& attempt, int status, const std::string& reason,
@@ -165,7 +127,7 @@
     {
         auto transfer = std::make_shared<Transfer>();
         transfer->call_ = std::move(call);
-        transfer->digest_ = digestOf(transfer->call_.request_);
+        transfer->digest_ = digestOf(transfer->call_.request_.head_, transfer->call_.request_.body_);
         transfer->call_.reply_->onDisconnect([weak = weak_from_this(), transfer] {
             if (auto self = weak.lock())
                 self->handleCallerDisconnect(transfer);
