Count crashes over all VMs, and only those of targets that have ended

Callers saw: a request that had crashed three targets was sent to more of them. Cause: each VM counted by itself, so ten VMs sent it to two targets each, and VMs that started again counted from zero (class: a decision that must hold for the system was made on the state of one process). A sum of the old counts would have refused the innocent, since every lost connection was a crash, whether the network had reset it, the answer was malformed, or a call had only run beside the crashing one.

- CrashWatch: a connection's end counts only if no older connection to the target is left, and is withdrawn when the same process sends another heartbeat.
- CrashTracker and CrashRecords: each VM writes the crashes that it has seen to the topic that all VMs follow already, under a key of its own and the digest, and repeats the write until the store confirms it.
Records outlive their process.
A complete answer deletes them for all.
- Quarantine: a crash seen by several VMs counts once, and is attributed to one digest, that with the most crashes.
- Requests that wait for a slot are refused as soon as their content is quarantined; error answers no longer clear it.

--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -1,20 +1,20 @@
 #include "CallForwarder.h"
 
 #include "BootClock.h"
+#include "CrashTracker.h"
 #include "EventCounter.h"
 #include "EventLog.h"
 #include "Headers.h"
 #include "Metrics.h"
+#include "RefuseCall.h"
 #include "RequestDigest.h"
 #include "TcpLink.h"
 
-#include <fmt/format.h>
-#include <nlohmann/json.hpp>
-
 namespace fescue {
 
 namespace {
 
+    constexpr int firstError = 300; ///< Statuses below it are successes.
     constexpr int badGateway = 502;
     constexpr int unavailable = 503;
     constexpr int gatewayTimeout = 504;
@@ -25,6 +25,10 @@
     // Maximum sends of one request, whatever their outcome; bounds repeated refusals.
     constexpr std::uint32_t maxSends = 8;
     constexpr Milliseconds retryAfterFailure { 200 };
+    // Crashes expire after minutes; the content is refused until then.
+    constexpr Milliseconds retryAfterQuarantine { 30000 };
+    // Calls of many VMs run beside each other at a shared target, so two crashes of one call may be chance.
+    constexpr std::uint32_t sharedCrashesToQuarantine = 3;
 
     std::string msText(Milliseconds time) { return std::to_string(time.count()); }
 
@@ -36,29 +40,13 @@
 
 } // namespace
 
-void refuseCall(FrontReply& reply, const AttemptId& attempt, int status, const std::string& reason,
-    std::optional<Milliseconds> retryAfter)
-{
-    HttpHead head;
-    head.status_ = status;
-    head.headers_.push_back({ "Content-Type", "application/problem+json" });
-    if (retryAfter) {
-        constexpr double msPerSecond = 1000;
-        head.headers_.push_back(
-            { "Retry-After", fmt::format("{:.2f}", static_cast<double>(retryAfter->count()) / msPerSecond) });
-    }
-    bool wasNotRun = status != badGateway && status != gatewayTimeout;
-    nlohmann::json body { { "status", status }, { "detail", reason }, { "request", attempt.value_ },
-        { "run", wasNotRun ? nameOf(RunState::NotRun) : nameOf(RunState::Unknown) } };
-    reply.answer(std::move(head), body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
-}
-
 struct CallForwarder::Impl : std::enable_shared_from_this<CallForwarder::Impl> {
     struct Transfer {
         ForwardedCall call_;
         ContentDigest digest_;
         DispatchId id_; ///< In the pool; a new id for each send.
         TargetId target_;
+        Milliseconds targetStartedAt_ { 0 };
         std::shared_ptr<OutboundCall> exchange_;
         std::set<TargetId> avoid_;
         std::uint32_t sends_ = 0;
@@ -79,7 +67,12 @@
     OutboundPool outbound_;
     TargetPool pool_;
     Random random_;
-    std::map<TargetId, asio::ip::tcp::endpoint> addresses_;
+    CrashTracker crashTracker_;
+    struct KnownTarget {
+        asio::ip::tcp::endpoint address_;
+        Milliseconds startedAt_ { 0 };
+    };
+    std::map<TargetId, KnownTarget> knownTargets_;
     std::map<DispatchId, TransferPtr> transfers_;
     std::uint64_t lastId_ = 0;
     Counter answered_ { "calls_total", { "outcome", "answered" } };
@@ -87,12 +80,15 @@
     Counter failed_ { "calls_total", { "outcome", "failed" } };
     Counter gone_ { "calls_total", { "outcome", "caller-gone" } };
     Counter retries_ { "call_retries_total" };
-    Counter crashes_ { "target_crashes_total" };
 
-    Impl(asio::io_context& io, const ZoneId& zone, std::uint64_t seed)
+    Impl(asio::io_context& io, platform::StoreClient& store, const ZoneId& zone, const WriterId& writer,
+        std::uint64_t seed)
         : outbound_(io)
         , random_(seed)
+        , crashTracker_(pool_.quarantine_, store, writer)
     {
+        pool_.options_.tracksCrashes_ = false;
+        pool_.quarantine_.threshold_ = sharedCrashesToQuarantine;
         pool_.zone_ = zone;
         pool_.options_.releasesStalePrefixes_ = false;
         pool_.options_.shared_.isEnabled_ = true;
@@ -142,6 +138,8 @@
         auto queued = enqueueCall(pool_, queuedCall(*transfer), bootNow(), random_);
         if (!queued) {
             const Problem& problem = queued.error();
+            if (problem.kind_ == ProblemKind::Quarantined)
+                return refuseQuarantined(transfer);
             if (transfer->possibleRuns_ > 0)
                 return fail(transfer, badGateway, "no other target can run the request");
             return refuse(transfer, problem.detail_, problem.retryAfter_.value_or(retryAfterFailure));
@@ -150,6 +148,29 @@
         transfers_[transfer->id_] = transfer;
     }
 
+    // The statement that it has not run covers this attempt only.
+    void refuseQuarantined(const TransferPtr& transfer)
+    {
+        constexpr const char* reason = "each target that ran this request crashed; change its content";
+        if (transfer->possibleRuns_ > 0)
+            return fail(transfer, badGateway, reason);
+        refuse(transfer, reason, retryAfterQuarantine);
+    }
+
+    // Refuses calls that were queued before their content was quarantined.
+    void refuseQueuedQuarantined()
+    {
+        std::vector<TransferPtr> refused;
+        for (const auto& [id, transfer] : transfers_) {
+            if (transfer->isQueued_ && isQuarantined(pool_.quarantine_, transfer->digest_, bootNow()))
+                refused.push_back(transfer);
+        }
+        for (const TransferPtr& transfer : refused) {
+            cancelTransfer(transfer);
+            refuseQuarantined(transfer);
+        }
+    }
+
     void dispatchAll()
     {
         for (const Dispatch& dispatch : nextDispatches(pool_, bootNow(), random_)) {
@@ -162,7 +183,9 @@
     void send(const TransferPtr& transfer, const Target& target)
     {
         transfer->isQueued_ = false;
+        const KnownTarget& known = knownTargets_[target.id_];
         transfer->target_ = target.id_;
+        transfer->targetStartedAt_ = known.startedAt_;
         transfer->isRefusal_ = false;
         transfer->buffered_.clear();
         transfer->sentAt_ = bootNow();
@@ -173,8 +196,9 @@
             { { "request", call.tags_.attempt_.value_ }, { "content", textOf(transfer->digest_) },
                 { "target", target.id_.value_ }, { "attempt", std::to_string(transfer->sends_) },
                 { "waited_ms", msText(transfer->sentAt_ - call.request_.arrived_) },
-                { "left_ms", msText(remaining) }, { "load", describeLoad(target.id_) } });
-        OutboundRequest request { addresses_[target.id_],
+                { "left_ms", msText(remaining) },
+                { "load", describeLoad(pool_, target.id_, transfer->sentAt_) } });
+        OutboundRequest request { known.address_,
             platform::encodeTargetRequest(call.request_.head_, remaining, target.id_), call.request_.body_ };
         request.needsNewConnection_ = transfer->needsNewConnection_;
         OutboundCallbacks callbacks;
@@ -188,19 +212,6 @@
         transfer->exchange_ = outbound_.send(std::move(request), std::move(callbacks));
     }
 
-    // This VM's calls at the target, and the target's last report with its age.
-    std::string describeLoad(const TargetId& target) const
-    {
-        auto found = pool_.targets_.find(target);
-        if (found == pool_.targets_.end())
-            return "unknown";
-        const TargetState& state = found->second;
-        const TargetLoad& load = state.load_;
-        std::string age = load.reportedAt_ ? msText(bootNow() - *load.reportedAt_) : "never";
-        return fmt::format("own {} window {:.1f} running {} waiting {} age_ms {}", state.inFlight_,
-            state.window_.size_, load.report_.running_, load.report_.waiting_, age);
-    }
-
     void handleHead(const TransferPtr& transfer, const HttpHead& head)
     {
         AnswerTags tags = platform::decodeAnswerTags(head);
@@ -211,7 +222,6 @@
         transfer->isRefusal_ = tags.wasNotRun_;
         if (tags.wasNotRun_)
             return;
-        constexpr int firstError = 300;
         bool isSuccess = head.status_ < firstError;
         if (isSuccess && (!tags.isStamped_ || tags.isEncoded_)) {
             transfer->exchange_->cancel();
@@ -255,6 +265,9 @@
             endDispatch(transfer, DispatchOutcome::Unreachable);
             return retry(transfer, end.reason_);
         }
+        if (end.wasConnectionLost_)
+            crashTracker_.onConnectionEnded(
+                { transfer->digest_, transfer->target_, transfer->targetStartedAt_, bootNow() });
         if (end.outcome_ == OutboundResult::Outcome::Unknown)
             return handleLostAnswer(transfer, end.wasReused_ && !end.hadHead_, end.reason_);
         if (transfer->isRefusal_) {
@@ -266,6 +279,8 @@
 
     void handleAnswer(const TransferPtr& transfer)
     {
+        if (transfer->answer_.status_ < firstError)
+            crashTracker_.onCompleted(transfer->digest_);
         endDispatch(transfer, DispatchOutcome::Answered);
         if (transfer->hasAnswerStarted_)
             transfer->call_.reply_->end();
@@ -297,11 +312,6 @@
     {
         ++transfer->possibleRuns_;
         endDispatch(transfer, DispatchOutcome::ConnectionLost);
-        crashes_.add();
-        logEvent("crash-recorded",
-            { { "request", transfer->call_.tags_.attempt_.value_ }, { "content", textOf(transfer->digest_) },
-                { "target", transfer->target_.value_ }, { "reason", reason },
-                { "crashes", std::to_string(crashCount(pool_.quarantine_, transfer->digest_, bootNow())) } });
         const Route& route = transfer->call_.route_;
         bool canRetry = route.repeatability_ == Repeatability::Repeatable && !transfer->hasAnswerStarted_;
         if (canRetry && transfer->possibleRuns_ < route.maxAttempts_) {
@@ -388,9 +398,18 @@
             call.onEnd_(generated(*transfer), transfer->target_);
     }
 
-    void tick(MonotonicTime now)
+    void tick(const TargetList& list, MonotonicTime now)
     {
         outbound_.tick(now);
+        crashTracker_.tick(
+            list,
+            [this](const EndedConnection& ended) {
+                auto known = knownTargets_.find(ended.target_);
+                return known != knownTargets_.end()
+                    && outbound_.hasOpenConnectionFromBefore(known->second.address_, ended.at_);
+            },
+            now);
+        refuseQueuedQuarantined();
         std::vector<TransferPtr> overdue;
         for (const auto& [id, transfer] : transfers_) {
             if (now >= transfer->call_.deadline_)
@@ -416,12 +435,12 @@
     void setTargets(const TargetList& list, const ServingConfig& config)
     {
         Manifest manifest;
-        addresses_.clear();
+        knownTargets_.clear();
         for (const auto& [id, entry] : list.entries_) {
             auto address = parseEndpoint(entry.address_);
             if (!address)
                 continue;
-            addresses_[id] = *address;
+            knownTargets_[id] = { *address, entry.startedAt_ };
             Target target;
             target.id_ = id;
             target.url_ = entry.address_;
@@ -440,8 +459,9 @@
     }
 };
 
-CallForwarder::CallForwarder(asio::io_context& io, const ZoneId& zone, std::uint64_t seed)
-    : impl_(std::make_shared<Impl>(io, zone, seed))
+CallForwarder::CallForwarder(asio::io_context& io, platform::StoreClient& store, const ZoneId& zone,
+    const WriterId& writer, std::uint64_t seed)
+    : impl_(std::make_shared<Impl>(io, store, zone, writer, seed))
 {
 }
 
@@ -454,7 +474,12 @@
 
 void CallForwarder::forward(ForwardedCall call) { impl_->forward(std::move(call)); }
 
-void CallForwarder::tick(MonotonicTime now) { impl_->tick(now); }
+void CallForwarder::applyCrashRecords(const std::vector<platform::KeyedRecord>& records, bool isComplete)
+{
+    impl_->crashTracker_.applyRecords(records, isComplete);
+}
+
+void CallForwarder::tick(const TargetList& list, MonotonicTime now) { impl_->tick(list, now); }
 
 void CallForwarder::closeIdleConnections() { impl_->outbound_.closeIdle(); }
 
--- a/src/CallForwarder.h
+++ b/src/CallForwarder.h
@@ -19,6 +19,11 @@
 #include <functional>
 #include <memory>
 
+namespace fescue::platform {
+class StoreClient;
+struct KeyedRecord;
+}
+
 namespace fescue {
 
 /** An admitted request. */
@@ -38,13 +43,17 @@
 /** Forwards requests. Confined to the thread of the event loop. */
 class CallForwarder {
 public:
-    CallForwarder(asio::io_context& io, const ZoneId& zone, std::uint64_t seed);
+    /** Precondition: `store` outlives the forwarder. */
+    CallForwarder(asio::io_context& io, platform::StoreClient& store, const ZoneId& zone,
+        const WriterId& writer, std::uint64_t seed);
     ~CallForwarder();
 
     void setTargets(const TargetList& list, const ServingConfig& config);
     void forward(ForwardedCall call);
+    /** Applies other VMs' records of requests that crash targets; see `StoreFollower::Callbacks`. */
+    void applyCrashRecords(const std::vector<platform::KeyedRecord>& records, bool isComplete);
     /** Fails requests past their deadline and dispatches queued ones. To be called periodically. */
-    void tick(MonotonicTime now);
+    void tick(const TargetList& list, MonotonicTime now);
     /** Closes all idle connections: after a pause of the VM their peers may have closed them. */
     void closeIdleConnections();
     /** Calls at a service's engines divided by their slots, as far as known; above 1, calls wait for a slot.
@@ -60,9 +69,4 @@
     std::shared_ptr<Impl> impl_;
 };
 
-/** Answers a request that ends here with a problem document, and a `Retry-After` header if `retryAfter` is
- * set. All statuses but 502 and 504, such as 503, state that the request has not run. */
-void refuseCall(FrontReply& reply, const AttemptId& attempt, int status, const std::string& reason,
-    std::optional<Milliseconds> retryAfter);
-
 } // namespace fescue
--- /dev/null
+++ b/src/CrashTracker.h
@@ -0,0 +1,50 @@
+#pragma once
+
+/** \file
+ * CrashTracker: records which requests were running when targets crashed, and exchanges the records with the
+ * other entry VMs through the platform's store.
+ *
+ *     connection ended --> CrashWatch --> Quarantine --> store --> Quarantine of the other VMs
+ *
+ * Without the store, records are kept and written once it is back. A request that gets a complete answer is
+ * cleared on all VMs.
+ */
+
+#include "CrashWatch.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace fescue::platform {
+class StoreClient;
+struct KeyedRecord;
+}
+
+namespace fescue {
+
+/** Tracks crashes. Not thread-safe; to be used on the thread of the event loop only. */
+class CrashTracker {
+public:
+    /** Whether a connection to the target from before the given one ended is still open. */
+    using HasOlderConnection = std::function<bool(const EndedConnection&)>;
+
+    /** Precondition: `quarantine` and `store` outlive the tracker. */
+    CrashTracker(Quarantine& quarantine, platform::StoreClient& store, const WriterId& writer);
+    ~CrashTracker();
+
+    /** Watches a target whose connection ended while it ran a request. */
+    void onConnectionEnded(const EndedConnection& ended);
+    /** Clears a request after a complete and successful answer. */
+    void onCompleted(ContentDigest digest);
+    /** Applies changed records of the store, or all of its records if `isComplete`. */
+    void applyRecords(const std::vector<platform::KeyedRecord>& records, bool isComplete);
+    /** Judges ended connections and writes records; to be called at regular intervals. */
+    void tick(const TargetList& targets, const HasOlderConnection& hasOlderConnection, MonotonicTime now);
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+} // namespace fescue
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -7,6 +7,7 @@
 #include "Headers.h"
 #include "Metrics.h"
 #include "ProgramAdmission.h"
+#include "RefuseCall.h"
 #include "StoreClient.h"
 #include "StoreFollower.h"
 #include "TcpLink.h"
@@ -79,8 +80,8 @@
     std::optional<ServingConfig> config_;
     StoreHealth health_;
     platform::StoreClient store_;
-    CallForwarder forwarder_;
     WriterId writer_;
+    CallForwarder forwarder_;
     TurnBroker broker_;
     StoreFollower follower_;
     FrontServer callerServer_;
@@ -99,13 +100,14 @@
         : options_(std::move(options))
         , random_(options_.seed_)
         , store_(io_, *parseEndpoint(options_.settings_.store_.address_))
-        , forwarder_(io_, options_.settings_.zone_, options_.seed_)
         , writer_(makeWriterId(options_.settings_.vm_))
+        , forwarder_(io_, store_, options_.settings_.zone_, writer_, options_.seed_)
         , broker_(io_, store_, health_, brokerOptions(options_.settings_, writer_))
         , follower_(store_, health_, followIntervals(options_.settings_),
               { [this](const ServingConfig& config) { applyConfig(config); },
                   [this](const TargetList& list) { applyTargets(list); },
-                  [this](const std::map<VmId, PeerEntry>& peers) { broker_.setPeers(peers); } })
+                  [this](const std::map<VmId, PeerEntry>& peers) { broker_.setPeers(peers); },
+                  [this](const auto& records, bool isAll) { forwarder_.applyCrashRecords(records, isAll); } })
         , callerServer_(
               io_, options_.settings_.callerAddress_,
               [this](FrontRequest request, std::shared_ptr<FrontReply> reply) {
@@ -366,7 +368,7 @@
         store_.tick(now);
         follower_.tick(now);
         expireTurns(now);
-        forwarder_.tick(now);
+        forwarder_.tick(follower_.targets(), now);
         broker_.tick(drainStartedAt_.has_value(), now);
         callerServer_.tick(now);
         readinessServer_.tick(now);
--- a/src/OutboundPool.cpp
+++ b/src/OutboundPool.cpp
@@ -43,6 +43,7 @@
         OutboundLimits limits_;
         std::map<tcp::endpoint, std::vector<IdleConnection>> idle_; ///< Most recently used at the back.
         std::set<std::shared_ptr<Connection>> connecting_;
+        std::map<tcp::endpoint, std::vector<std::weak_ptr<Connection>>> established_;
         std::uint64_t connectionsMade_ = 0;
     };
 
@@ -102,6 +103,8 @@
 
         void close() { link_->close(); }
         bool isUsable() const { return link_->isOpen() && !isBusy_; }
+        bool isOpen() const { return link_->isOpen(); }
+        MonotonicTime connectedAt() const { return connectedAt_; }
 
     private:
         static std::string serialize(OutboundRequest& request)
@@ -116,6 +119,8 @@
         {
             state_->connecting_.erase(shared_from_this());
             isConnected_ = true;
+            connectedAt_ = bootNow();
+            state_->established_[peer_].push_back(weak_from_this());
             if (isBusy_)
                 sendRequest();
         }
@@ -193,7 +198,7 @@
             else
                 link_->close();
             if (callbacks.onEnd_)
-                callbacks.onEnd_({ OutboundResult::Outcome::Answered, wasReused, true, "" });
+                callbacks.onEnd_({ OutboundResult::Outcome::Answered, wasReused, true, false, "" });
         }
 
         void returnToPool(Milliseconds idleTimeout)
@@ -236,8 +241,8 @@
                 if (reader_.isComplete())
                     return completeMessage(false);
             }
-            fail(how == CloseReason::ConnectFailed ? "connection failed"
-                                                   : "connection closed before the end of the response");
+            wasLost_ = how != CloseReason::ConnectFailed;
+            fail(wasLost_ ? "connection closed before the end of the response" : "connection failed");
         }
 
         void fail(const char* reason)
@@ -255,7 +260,7 @@
             auto callbacks = std::move(callbacks_);
             callbacks_ = {};
             if (callbacks.onEnd_)
-                callbacks.onEnd_({ outcome, isReused_, hasHead_, reason });
+                callbacks.onEnd_({ outcome, isReused_, hasHead_, wasLost_, reason });
         }
 
         std::shared_ptr<PoolState> state_;
@@ -265,14 +270,30 @@
         OutboundCallbacks callbacks_;
         std::string request_;
         MonotonicTime connectDeadline_;
+        MonotonicTime connectedAt_;
         bool isConnected_ = false;
         bool isBusy_ = false;
         bool isReused_ = false;
         bool wasSent_ = false;
+        bool wasLost_ = false;
         bool hasHead_ = false;
         bool isForOtherRequest_ = false;
     };
 
+    void removeClosed(std::map<tcp::endpoint, std::vector<std::weak_ptr<Connection>>>& established)
+    {
+        for (auto peer = established.begin(); peer != established.end();) {
+            auto& connections = peer->second;
+            connections.erase(std::remove_if(connections.begin(), connections.end(),
+                                  [](const auto& entry) {
+                                      auto connection = entry.lock();
+                                      return !connection || !connection->isOpen();
+                                  }),
+                connections.end());
+            peer = connections.empty() ? established.erase(peer) : std::next(peer);
+        }
+    }
+
     class Call final : public OutboundCall {
     public:
         explicit Call(std::shared_ptr<Connection> connection)
@@ -299,7 +320,7 @@
 
 struct OutboundPool::Impl : PoolState {
     Impl(asio::io_context& io, const OutboundLimits& limits)
-        : PoolState { io, limits, {}, {}, 0 }
+        : PoolState { io, limits, {}, {}, {}, 0 }
     {
     }
 };
@@ -348,6 +369,7 @@
     auto connecting = impl_->connecting_;
     for (const auto& connection : connecting)
         connection->tick(now);
+    removeClosed(impl_->established_);
     for (auto peer = impl_->idle_.begin(); peer != impl_->idle_.end();) {
         auto& idle = peer->second;
         for (IdleConnection& entry : idle) {
@@ -361,6 +383,17 @@
     }
 }
 
+bool OutboundPool::hasOpenConnectionFromBefore(const tcp::endpoint& peer, MonotonicTime time) const
+{
+    auto found = impl_->established_.find(peer);
+    if (found == impl_->established_.end())
+        return false;
+    return std::any_of(found->second.begin(), found->second.end(), [time](const auto& entry) {
+        auto connection = entry.lock();
+        return connection && connection->isOpen() && connection->connectedAt() < time;
+    });
+}
+
 void OutboundPool::closeIdle()
 {
     for (auto& [peer, idle] : impl_->idle_) {
--- a/src/OutboundPool.h
+++ b/src/OutboundPool.h
@@ -37,6 +37,7 @@
     Outcome outcome_ = Outcome::Unknown;
     bool wasReused_ = false; ///< The connection had carried earlier requests.
     bool hadHead_ = false; ///< The head of the response was received.
+    bool wasConnectionLost_ = false; ///< The peer or the network ended the connection.
     const char* reason_ = "";
 };
 
@@ -79,6 +80,9 @@
     void tick(MonotonicTime now);
     /** Closes all idle connections: after a pause of the VM their peers may have closed them unnoticed. */
     void closeIdle();
+    /** Whether a connection that was established before `time` is still open. A process that has ended has no
+     * such connection. */
+    bool hasOpenConnectionFromBefore(const asio::ip::tcp::endpoint& peer, MonotonicTime time) const;
     /** Number of connections opened since the start. */
     std::uint64_t connectionsMade() const;
 
--- a/src/Quarantine.cpp
+++ b/src/Quarantine.cpp
@@ -6,46 +6,150 @@
 
 namespace {
 
+    std::set<CrashId> allCrashes(const CrashRecord& record)
+    {
+        std::set<CrashId> all;
+        for (const auto& [writer, crashes] : record.crashes_)
+            all.insert(crashes.begin(), crashes.end());
+        return all;
+    }
+
+    bool isExpired(const Quarantine& quarantine, const CrashRecord& record, MonotonicTime now)
+    {
+        return record.last_ + quarantine.crashExpiry_ <= now;
+    }
+
+    // Attributes each crash to one digest. Greedy: a digest that crashes its targets takes part in each of
+    // its crashes, so it has at least as many as any digest that ran beside it by chance.
+    void attributeCrashes(Quarantine& quarantine)
+    {
+        std::map<ContentDigest, std::set<CrashId>> unattributed;
+        for (const auto& [digest, record] : quarantine.records_) {
+            std::set<CrashId> crashes = allCrashes(record);
+            if (crashes.size() >= quarantine.threshold_)
+                unattributed[digest] = std::move(crashes);
+        }
+        quarantine.quarantined_.clear();
+        while (!unattributed.empty()) {
+            auto worst = std::max_element(unattributed.begin(), unattributed.end(),
+                [](const auto& a, const auto& b) { return a.second.size() < b.second.size(); });
+            if (worst->second.size() < quarantine.threshold_)
+                return;
+            quarantine.quarantined_.insert(worst->first);
+            std::set<CrashId> attributed = std::move(worst->second);
+            unattributed.erase(worst);
+            for (auto& [digest, crashes] : unattributed) {
+                for (const CrashId& crash : attributed)
+                    crashes.erase(crash);
+            }
+        }
+    }
+
+    void eraseRecord(Quarantine& quarantine, ContentDigest digest)
+    {
+        quarantine.records_.erase(digest);
+        if (quarantine.quarantined_.count(digest))
+            attributeCrashes(quarantine);
+    }
+
     void evictOldestIfFull(Quarantine& quarantine)
     {
-        if (quarantine.crashes_.size() < quarantine.maxDigests_)
+        auto& records = quarantine.records_;
+        if (records.size() < quarantine.maxDigests_)
             return;
-        quarantine.crashes_.erase(std::min_element(quarantine.crashes_.begin(), quarantine.crashes_.end(),
-            [](const auto& a, const auto& b) { return a.second.last_ < b.second.last_; }));
+        auto oldest = std::min_element(records.begin(), records.end(),
+            [](const auto& a, const auto& b) { return a.second.last_ < b.second.last_; });
+        eraseRecord(quarantine, oldest->first);
+    }
+
+    CrashRecord& recordOf(Quarantine& quarantine, ContentDigest digest, MonotonicTime now)
+    {
+        auto found = quarantine.records_.find(digest);
+        if (found != quarantine.records_.end() && isExpired(quarantine, found->second, now))
+            eraseRecord(quarantine, digest);
+        if (!quarantine.records_.count(digest))
+            evictOldestIfFull(quarantine);
+        return quarantine.records_[digest];
+    }
+
+    // Digests below the threshold do not affect the attribution.
+    void updateAttribution(Quarantine& quarantine, ContentDigest digest)
+    {
+        auto found = quarantine.records_.find(digest);
+        bool isOverThreshold
+            = found != quarantine.records_.end() && allCrashes(found->second).size() >= quarantine.threshold_;
+        if (isOverThreshold || quarantine.quarantined_.count(digest))
+            attributeCrashes(quarantine);
     }
 
 } // namespace
 
 std::uint32_t crashCount(const Quarantine& quarantine, ContentDigest digest, MonotonicTime now)
 {
-    auto found = quarantine.crashes_.find(digest);
-    bool isValid = found != quarantine.crashes_.end() && found->second.last_ + quarantine.crashExpiry_ > now;
-    return isValid ? found->second.count_ : 0;
+    auto found = quarantine.records_.find(digest);
+    if (found == quarantine.records_.end() || isExpired(quarantine, found->second, now))
+        return 0;
+    return static_cast<std::uint32_t>(allCrashes(found->second).size());
 }
 
 bool isSuspect(const Quarantine& quarantine, ContentDigest digest, MonotonicTime now)
 {
-    return crashCount(quarantine, digest, now) > 0;
+    auto found = quarantine.records_.find(digest);
+    return found != quarantine.records_.end() && !isExpired(quarantine, found->second, now);
 }
 
 bool isQuarantined(const Quarantine& quarantine, ContentDigest digest, MonotonicTime now)
 {
-    return crashCount(quarantine, digest, now) >= crashesToQuarantine;
+    return quarantine.quarantined_.count(digest) > 0 && isSuspect(quarantine, digest, now);
 }
 
 void recordCrash(Quarantine& quarantine, ContentDigest digest, MonotonicTime now)
+{
+    recordCrash(quarantine, digest, { "unshared " + std::to_string(++quarantine.unsharedCrashes_) }, now);
+}
+
+void recordCrash(Quarantine& quarantine, ContentDigest digest, const CrashId& crash, MonotonicTime now)
 {
     if (digest.value_ == 0)
         return;
-    if (!quarantine.crashes_.count(digest))
-        evictOldestIfFull(quarantine);
-    CrashRecord& record = quarantine.crashes_[digest];
-    if (record.last_ + quarantine.crashExpiry_ <= now)
-        record.count_ = 0;
-    ++record.count_;
+    CrashRecord& record = recordOf(quarantine, digest, now);
+    record.crashes_[quarantine.own_].insert(crash);
+    record.last_ = now;
+    updateAttribution(quarantine, digest);
+}
+
+void withdrawCrash(Quarantine& quarantine, ContentDigest digest, const CrashId& crash)
+{
+    auto found = quarantine.records_.find(digest);
+    if (found == quarantine.records_.end())
+        return;
+    auto own = found->second.crashes_.find(quarantine.own_);
+    if (own == found->second.crashes_.end())
+        return;
+    own->second.erase(crash);
+    if (own->second.empty())
+        found->second.crashes_.erase(own);
+    if (found->second.crashes_.empty())
+        return eraseRecord(quarantine, digest);
+    updateAttribution(quarantine, digest);
+}
+
+void replaceCrashes(Quarantine& quarantine, ContentDigest digest, const WriterId& recordedBy,
+    std::set<CrashId> crashes, MonotonicTime now)
+{
+    if (crashes.empty() && !quarantine.records_.count(digest))
+        return;
+    CrashRecord& record = recordOf(quarantine, digest, now);
+    if (crashes.empty())
+        record.crashes_.erase(recordedBy);
+    else
+        record.crashes_[recordedBy] = std::move(crashes);
+    if (record.crashes_.empty())
+        return eraseRecord(quarantine, digest);
     record.last_ = now;
+    updateAttribution(quarantine, digest);
 }
 
-void clearCrashes(Quarantine& quarantine, ContentDigest digest) { quarantine.crashes_.erase(digest); }
+void clearCrashes(Quarantine& quarantine, ContentDigest digest) { eraseRecord(quarantine, digest); }
 
 } // namespace fescue
--- /dev/null
+++ b/src/RefuseCall.h
@@ -0,0 +1,20 @@
+#pragma once
+
+/** \file
+ * RefuseCall: the answer to a request that ends at the entry VM.
+ */
+
+#include "CallTags.h"
+#include "FrontServer.h"
+
+#include <optional>
+#include <string>
+
+namespace fescue {
+
+/** Answers a request that ends here with a problem document, and a `Retry-After` header if `retryAfter` is
+ * set. All statuses but 502 and 504, such as 503, state that the request has not run. */
+void refuseCall(FrontReply& reply, const AttemptId& attempt, int status, const std::string& reason,
+    std::optional<Milliseconds> retryAfter);
+
+} // namespace fescue
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -1,6 +1,7 @@
 #include "StoreFollower.h"
 
 #include "BootClock.h"
+#include "CrashRecords.h"
 #include "Documents.h"
 #include "EventLog.h"
 #include "Metrics.h"
@@ -16,7 +17,7 @@
     constexpr Milliseconds maxRetryDelay { 500 };
     constexpr Milliseconds announceTimeout { 1000 };
     constexpr Milliseconds announceRetryDelay { 300 };
-    constexpr const char* peerTopicName = "entry-vms";
+    constexpr const char* vmTopicName = "entry-vms";
 
     // The read position in one topic.
     struct Cursor {
@@ -34,7 +35,7 @@
     bool isSameTarget(const TargetEntry& a, const TargetEntry& b)
     {
         return a.service_ == b.service_ && a.address_ == b.address_ && a.zone_ == b.zone_
-            && a.slots_ == b.slots_ && a.isLeaving_ == b.isLeaving_;
+            && a.slots_ == b.slots_ && a.isLeaving_ == b.isLeaving_ && a.startedAt_ == b.startedAt_;
     }
 
     bool isSameList(const std::map<TargetId, TargetEntry>& a, const std::map<TargetId, TargetEntry>& b)
@@ -54,7 +55,7 @@
     Callbacks callbacks_;
     Cursor config_ { { platform::configTopic, 0 } };
     Cursor targets_ { { platform::targetTopic, 0 } };
-    Cursor peers_ { { std::string(platform::keyedTopicPrefix) + peerTopicName, 0 } };
+    Cursor peers_ { StoreFollower::vmPartition() };
     std::map<VmId, PeerEntry> peerEntries_;
     std::optional<PeerEntry> own_;
     std::optional<MonotonicTime> announceAt_; ///< When to write the own entry.
@@ -165,7 +166,7 @@
         if (isConfig(cursor))
             applyConfig(page->records_);
         else if (isPeers(cursor))
-            applyPeerChanges(page->records_);
+            applyVmRecords(page->records_, false);
         else
             applyTargetChanges(page->records_);
         if (!isAtEnd)
@@ -175,6 +176,8 @@
     void markCurrent(Cursor& cursor)
     {
         cursor.currentAsOf_ = bootNow();
+        if (&cursor == &targets_)
+            targetList_.readAt_ = *cursor.currentAsOf_;
         bool isLongPoll = pollWaitOf(cursor).count() > 0;
         cursor.dueAt_
             = *cursor.currentAsOf_ + (isLongPoll ? intervals_.minPollInterval_ : intervals_.targetInterval_);
@@ -262,12 +265,18 @@
     void applyAllPeers(const std::vector<platform::KeyedRecord>& records)
     {
         peerEntries_.clear();
-        applyPeerChanges(records);
+        applyVmRecords(records, true);
     }
 
-    void applyPeerChanges(const std::vector<platform::KeyedRecord>& records)
+    // The topic holds the VMs' entries and the crashes that they have recorded.
+    void applyVmRecords(const std::vector<platform::KeyedRecord>& records, bool isComplete)
     {
+        std::vector<platform::KeyedRecord> crashes;
         for (const platform::KeyedRecord& record : records) {
+            if (isCrashRecord(record.key_)) {
+                crashes.push_back(record);
+                continue;
+            }
             auto peer = parsePeer(record.key_, record.value_);
             if (peer)
                 peerEntries_[peer->vm_] = *peer;
@@ -278,6 +287,8 @@
                     { "address", peer ? peer->address_ : "" }, { "state", peer ? "present" : "gone" } });
         }
         callbacks_.onPeers_(peerEntries_);
+        if (isComplete || !crashes.empty())
+            callbacks_.onCrashRecords_(crashes, isComplete);
     }
 
     void sendAnnouncement()
@@ -361,6 +372,11 @@
     impl_->announceAt_ = bootNow();
 }
 
+platform::StorePartition StoreFollower::vmPartition()
+{
+    return { std::string(platform::keyedTopicPrefix) + vmTopicName, 0 };
+}
+
 const TargetList& StoreFollower::targets() const { return impl_->targetList_; }
 
 } // namespace fescue
--- a/src/StoreFollower.h
+++ b/src/StoreFollower.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * StoreFollower: follows the configuration, the targets and the other VMs in the platform's store.
+ * StoreFollower: follows the configuration, the targets and the records of other VMs in the platform's store.
  *
  * The configuration rarely changes, so reads long-poll for its next record. Targets report continuously, so
  * their topic is polled at intervals instead. Each read has a timeout, since a connection can stall without
@@ -18,6 +18,8 @@
 
 namespace fescue::platform {
 class StoreClient;
+struct KeyedRecord;
+struct StorePartition;
 }
 
 namespace fescue {
@@ -38,6 +40,8 @@
         std::function<void(const ServingConfig&)> onConfig_; ///< Called for each newer version.
         std::function<void(const TargetList&)> onTargets_; ///< Called when the usable targets have changed.
         std::function<void(const std::map<VmId, PeerEntry>&)> onPeers_;
+        /** Called with changed records of crashes, or with all that exist if `isComplete`. */
+        std::function<void(const std::vector<platform::KeyedRecord>&, bool isComplete)> onCrashRecords_;
     };
 
     /** Precondition: `store` and `health` outlive the follower. */
@@ -52,6 +56,8 @@
     /** Returns the time since the configuration was last known to be current; nothing if it never was. */
     std::optional<Milliseconds> configAge(MonotonicTime now) const;
     const TargetList& targets() const;
+    /** The partition with the records that entry VMs write for each other. Pure. */
+    static platform::StorePartition vmPartition();
     /** Writes this VM's own entry; retried until the store has applied it. */
     void announce(const PeerEntry& own);
     /** Removes the own entry; retried in the same way. */
--- a/src/TargetList.h
+++ b/src/TargetList.h
@@ -25,6 +25,8 @@
     ZoneId zone_;
     std::uint32_t slots_ = 0;
     bool isLeaving_ = false;
+    Milliseconds startedAt_ { 0 }; ///< Start of its process since the Unix epoch; 0 when unknown.
+    std::uint64_t heartbeat_ = 0; ///< Grows with each report of its process.
 };
 
 /** The announced targets. */
@@ -34,6 +36,7 @@
     std::map<TargetId, MonotonicTime> missingSince_;
     std::optional<MonotonicTime> reconnectedAt_; ///< When the store last recovered from an outage.
     bool isComplete_ = false; ///< The full list has been read at least once.
+    MonotonicTime readAt_; ///< When the store was last read to the end.
 };
 
 /** Time after a recovery of the store within which expired entries of live targets reappear, as documented by
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -3,6 +3,7 @@
 #include "TargetChoice.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace fescue {
 
@@ -132,7 +133,8 @@
         if (!ended.call_.program_.empty() && result.prompt_.value_ > 0)
             pool.cachedPrefixes_[ended.call_.program_][ended.target_]
                 = { result.prompt_ + result.completion_, now, ended.call_.epoch_ };
-        clearCrashes(pool.quarantine_, ended.call_.digest_);
+        if (pool.options_.tracksCrashes_)
+            clearCrashes(pool.quarantine_, ended.call_.digest_);
     }
 
     void forgetCachedPrefix(TargetPool& pool, const ProgramId& program, const TargetId& target)
@@ -263,7 +265,7 @@
     }
     if (result.outcome_ == DispatchOutcome::Cancelled)
         return;
-    if (result.outcome_ == DispatchOutcome::ConnectionLost)
+    if (result.outcome_ == DispatchOutcome::ConnectionLost && pool.options_.tracksCrashes_)
         recordCrash(pool.quarantine_, ended.call_.digest_, now);
     if (result.outcome_ == DispatchOutcome::ConnectionLost || result.outcome_ == DispatchOutcome::Unreachable)
         forgetCachedPrefix(pool, ended.call_.program_, ended.target_);
@@ -295,6 +297,18 @@
         shrinkWindow(found->second.window_, now, pool.options_.window_);
 }
 
+std::string describeLoad(const TargetPool& pool, const TargetId& target, MonotonicTime now)
+{
+    auto found = pool.targets_.find(target);
+    if (found == pool.targets_.end())
+        return "unknown";
+    const TargetState& state = found->second;
+    const TargetLoad& load = state.load_;
+    std::string age = load.reportedAt_ ? std::to_string((now - *load.reportedAt_).count()) : "never";
+    return fmt::format("own {} window {:.1f} running {} waiting {} age_ms {}", state.inFlight_,
+        state.window_.size_, load.report_.running_, load.report_.waiting_, age);
+}
+
 void recordEviction(TargetPool& pool, const ProgramId& program, const TargetId& target, MonotonicTime now)
 {
     constexpr Milliseconds maxEventLag { 5000 };
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -93,6 +93,9 @@
     Milliseconds prefixIdleTimeout_ { 600000 }; ///< Prefixes unused for this long are released.
     bool ordersByProgram_ = true; ///< If false, calls are dispatched in order of arrival.
     bool releasesStalePrefixes_ = true;
+    /** Whether each lost connection counts as a crash and each answer clears its call. If false, the owner of
+     * the pool maintains `quarantine_`. */
+    bool tracksCrashes_ = true;
 };
 
 /** All targets and queued calls of a VM. */
@@ -164,6 +167,9 @@
 /** Records a load report. */
 void recordLoadReport(TargetPool& pool, const TargetId& target, const LoadReport& report, MonotonicTime now);
 
+/** Describes this VM's calls at a target and the target's last report with its age, for logs. Pure. */
+std::string describeLoad(const TargetPool& pool, const TargetId& target, MonotonicTime now);
+
 /** Records a cache eviction: the target no longer has the program's prefix. Events may arrive after the
  * prefix was cached again, so an event is ignored if the prefix was used recently. */
 void recordEviction(TargetPool& pool, const ProgramId& program, const TargetId& target, MonotonicTime now);
--- a/test/correctness/PlatformFormats.cpp
+++ b/test/correctness/PlatformFormats.cpp
@@ -131,6 +131,10 @@
         CHECK(!platform::decodeTarget("i-1", replaced(good, "10.0.0.1:80", "10.0.0.1")).has_value());
         CHECK(!platform::decodeTarget("i-1", "\xff\xfe").has_value());
         CHECK(!platform::decodeTarget("", good).has_value());
+        std::string reported = replaced(good, "\"slots\":6", "\"slots\":6,\"seq\":4,\"born\":1790000000123");
+        CHECK_EQUAL(std::uint64_t { 4 }, platform::decodeTarget("i-1", reported)->heartbeat_);
+        CHECK(platform::decodeTarget("i-1", reported)->startedAt_ == Milliseconds { 1790000000123 });
+        CHECK(platform::decodeTarget("i-1", good)->startedAt_ == Milliseconds { 0 });
     }
 
     void callersCannotSetHeadersOfTheSystem()
--- a/test/correctness/StoreFollowing.cpp
+++ b/test/correctness/StoreFollowing.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(unresponsiveStoreIsDetectedAndRecovers);
     CPPUNIT_TEST(ownEntryIsWrittenAndRemoved);
     CPPUNIT_TEST(appendWithALostAnswerIsRetriedAndAppliedOnce);
+    CPPUNIT_TEST(recordsOfCrashesArePassedOnAndNameNoVm);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<asio::io_context> io_;
@@ -42,6 +43,7 @@
     StoreHealth health_;
     std::vector<std::uint64_t> versions_;
     std::map<VmId, PeerEntry> peers_;
+    std::map<std::string, std::string> crashes_;
 
     // Runs the event loop until the condition holds; fails the test if it never does.
     template <typename Condition> void runUntil(const Condition& holds)
@@ -70,6 +72,7 @@
         health_ = {};
         versions_.clear();
         peers_.clear();
+        crashes_.clear();
         asio::ip::tcp::endpoint address(asio::ip::make_address_v4("127.0.0.1"), store_->port());
         client_ = std::make_unique<platform::StoreClient>(*io_, address);
         FollowIntervals intervals;
@@ -81,8 +84,13 @@
         follower_ = std::make_unique<StoreFollower>(*client_, health_, intervals,
             StoreFollower::Callbacks {
                 [this](const ServingConfig& config) { versions_.push_back(config.version_); },
-                [](const TargetList&) {},
-                [this](const std::map<VmId, PeerEntry>& peers) { peers_ = peers; } });
+                [](const TargetList&) {}, [this](const std::map<VmId, PeerEntry>& peers) { peers_ = peers; },
+                [this](const std::vector<platform::KeyedRecord>& records, bool isComplete) {
+                    if (isComplete)
+                        crashes_.clear();
+                    for (const platform::KeyedRecord& record : records)
+                        crashes_[record.key_] = record.value_;
+                } });
         store_->put(platform::configTopic, platform::configKey, configOf(3));
         store_->put(platform::targetTopic, "i-1", targetOf("ready"));
     }
@@ -183,6 +191,22 @@
         runUntil([this] { return peers_.empty(); });
         CHECK_EQUAL(std::uint64_t { 2 }, store_->appends());
     }
+
+    void recordsOfCrashesArePassedOnAndNameNoVm();
 };
 
+void StoreFollowing::recordsOfCrashesArePassedOnAndNameNoVm()
+{
+    const std::string key = "crash:00000000000012ab:vm-b#1";
+    const std::string topic = StoreFollower::vmPartition().topic_;
+    store_->put(topic, "vm-b", R"(["z","127.0.0.1:7","vm-b#1"])");
+    store_->put(topic, key, R"([5,["t@1"]])");
+    runUntil([&] { return peers_.count({ "vm-b" }) == 1 && crashes_.count(key) == 1; });
+    CHECK_EQUAL(std::size_t { 1 }, peers_.size());
+    store_->put(topic, key, "");
+    runUntil([&] { return crashes_.at(key).empty(); });
+    follower_->resync();
+    runUntil([&] { return crashes_.empty(); });
+}
+
 REGISTER_SUITE(StoreFollowing);
--- a/test/failure/CrashingRequests.cpp
+++ b/test/failure/CrashingRequests.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST(startedAndRestartedVmsRefuseTheRequest);
     CPPUNIT_TEST(crashesSeenWithoutTheStoreAreKnownToAllVmsOnceItIsBack);
     CPPUNIT_TEST(requestWhoseConnectionsAreResetIsServed);
+    CPPUNIT_TEST(brokenOffAnswerOfATargetWithOtherConnectionsIsNoCrash);
     CPPUNIT_TEST(requestThatRanBesideTheCrashingOneIsServed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -161,6 +162,25 @@
         CHECK_EQUAL(200, caller.tryOnce());
     }
 
+    // Guards against records of crashes, and store calls for them, whenever a target breaks off an answer.
+    void brokenOffAnswerOfATargetWithOtherConnectionsIsNoCrash()
+    {
+        auto script = [](const HttpHead&, const std::string& body) {
+            return body == "held" ? TargetAction {} : TargetAction { "", true };
+        };
+        EntryVmHarness vms({ script }, true, 1);
+        RawConnection held(vms.port());
+        held.send("POST /read/1 HTTP/1.1\r\nHost: h.example\r\n" + headers + "Content-Length: 4\r\n\r\nheld");
+        vms.waitUntil("the held request runs", [&] { return vms.targetRequests() == 1; });
+        CHECK_EQUAL(502, statusOf(vms.requestAt(0, "POST", "/call/1", headers, "broken off")));
+        wait(Milliseconds { 500 });
+        std::map<std::string, std::string> records;
+        vms.runOnStore(
+            [&](standin::PlatformStore& store) { records = store.newestOfAll("keyed.entry-vms"); });
+        CHECK_EQUAL(std::size_t { 1 }, records.size());
+        CHECK_EQUAL(std::string("vm-a"), records.begin()->first);
+    }
+
     // Guards against refusing a request for the crashes of another one.
     void requestThatRanBesideTheCrashingOneIsServed()
     {
