Answer the end of a program only once the log has confirmed it

Trace (event files of a failing run): zone-a-vm0, the successor of a paused VM, answered DELETE at 4.362 s with the end still in its outbox; at 4.363 s the woken vm1 claimed the shard; vm0 lost it and dropped its outbox, with the end in it. No process knew of the end any more, so none released the memory. Class: a decision is acknowledged before it is durable, and its only copy belongs to an owner that can be replaced at any time.

Now the answer waits for the confirmation of the record, which is flushed at once. When the shard is lost before, the request moves to the new owner, which ends the program. While the log is down the answer is immediate and says durable: false, as for a creation. shard_lost says how many records were dropped.

ShardRefusals::abandonedCallDoesNotBlockTheEndOfItsProgram expected the answer before the log has the end; it now checks that the end is not refused and is answered as durable after the flush. FESCUE_TEST_EVENTS keeps the event files of tests.

--- a/src/ProgramLifecycle.cpp
+++ b/src/ProgramLifecycle.cpp
@@ -50,6 +50,14 @@
         active.creationWaiters_.clear();
     }
 
+    // The end is not confirmed: the caller may have to repeat it once the log is back.
+    void replyToEndWaiters(ActiveProgram& active, const ProgramId& program, Effects& effects)
+    {
+        for (RequestId request : active.endWaiters_)
+            effects.push_back(ReplyProgram { request, program, false });
+        active.endWaiters_.clear();
+    }
+
     bool hasAtMostOnceCallInFlight(const ActiveProgram& active)
     {
         return active.running_ && !active.running_->isAbandoned_
@@ -220,11 +228,19 @@
     if (hasAtMostOnceCallInFlight(*active))
         return refuse(end.request_, ProblemKind::CallOutOfOrder, RunState::NotRun,
             "an at-most-once call is in flight; end the program after its answer");
-    Effects effects { ReplyProgram { end.request_, end.program_, active->isDurable_ } };
-    if (active->hasEnded_)
-        return effects;
-    cancelRunningCall(*active, end.program_, effects);
-    markEnded(shard, *active, end.program_, end.reason_);
+    auto recorded = shard.ledger_.programs_.find(end.program_);
+    if (recorded != shard.ledger_.programs_.end() && recorded->second.hasEnded_)
+        return { ReplyProgram { end.request_, end.program_, true } };
+    Effects effects;
+    if (!active->hasEnded_) {
+        cancelRunningCall(*active, end.program_, effects);
+        markEnded(shard, *active, end.program_, end.reason_);
+    }
+    // An end that is answered before it is confirmed would be lost when another VM takes over the shard.
+    active->endWaiters_.push_back(end.request_);
+    shard.isFlushRequested_ = true;
+    if (shard.isLogDown_)
+        replyToEndWaiters(*active, end.program_, effects);
     return effects;
 }
 
@@ -251,6 +267,8 @@
             expireWaitingCall(active, effects);
         if (context.now_ - active.createdAt_ >= creationReplyTimeout)
             replyToCreationWaiters(active, program, effects);
+        if (shard.isLogDown_)
+            replyToEndWaiters(active, program, effects);
         bool isIdle = !active.running_ && !active.hasEnded_ && !active.deferredOutcome_
             && context.now_ - active.lastUsedAt_ >= context.limits_.programIdleTimeout_;
         if (isIdle)
--- a/src/ProgramLifecycle.h
+++ b/src/ProgramLifecycle.h
@@ -33,7 +33,9 @@
  * is too small, `UnknownProgram` if the parent is not the caller's. */
 Effects createProgram(Shard& shard, const CreateProgram& create, const ShardContext& context);
 
-/** Ends a program: cancels its running call and records the end. Idempotent.
+/** Ends a program: cancels its running call and records the end. Idempotent. The answer is sent once the end
+ * is confirmed; while the log is down it is sent immediately and says that the end is not durable. If another
+ * VM takes over the shard before, the request moves there.
  *
  * Thread safety: none; the caller holds the lock of the shard. Errors: `CallOutOfOrder` while an at-most-once
  * call is in flight, `UnknownProgram`. */
@@ -46,8 +48,8 @@
  * shard. */
 void returnUnspentTranches(Shard& shard);
 
-/** Answers calls and creations that have waited too long for the log, ends and evicts idle programs, and
- * writes snapshots that are due. Thread safety: none; the caller holds the lock of the shard. */
+/** Answers calls, creations and ends that have waited too long for the log, ends and evicts idle programs,
+ * and writes snapshots that are due. Thread safety: none; the caller holds the lock of the shard. */
 Effects tickShard(Shard& shard, const ShardContext& context);
 
 } // namespace fescue
--- a/src/Shard.h
+++ b/src/Shard.h
@@ -110,6 +110,7 @@
     std::optional<CallFinished> deferredOutcome_;
     bool isDurable_ = false; ///< Its creation is confirmed.
     bool hasEnded_ = false;
+    std::vector<RequestId> endWaiters_; ///< Requests to answer once the end is confirmed.
     std::string endReason_;
 };
 
--- a/src/ShardLog.cpp
+++ b/src/ShardLog.cpp
@@ -95,9 +95,14 @@
             = found == shard.active_.end() ? nullptr : activeOf(shard, found->second.parent_);
         if (parent)
             parent->ungranted_ += ended.returnedToParent_;
+        Effects effects { ReleaseCache { ended.program_, shard.epoch_ } };
+        if (found != shard.active_.end()) {
+            for (RequestId request : found->second.endWaiters_)
+                effects.push_back(ReplyProgram { request, ended.program_, true });
+        }
         shard.active_.erase(ended.program_);
         shard.evicted_.erase(ended.program_);
-        return { ReleaseCache { ended.program_, shard.epoch_ } };
+        return effects;
     }
 
     template <typename Other> Effects onConfirmed(Shard&, const Other&, const ShardContext&) { return {}; }
@@ -130,6 +135,8 @@
     {
         if (!active.creationWaiters_.empty())
             effects.push_back(ReplyProblem { active.creationWaiters_, creationInterrupted() });
+        if (!active.endWaiters_.empty())
+            effects.push_back(forwardRequests(shard, active.endWaiters_));
         if (!active.running_)
             return;
         if (active.running_->phase_ == RunningCall::Phase::Executing)
--- a/src/ShardManager.cpp
+++ b/src/ShardManager.cpp
@@ -273,6 +273,7 @@
     void applyBatchAt(ManagedShard& managed, LogOffset offset, const Batch& batch)
     {
         Epoch before = managed.shard_.epoch_;
+        std::size_t unwritten = managed.shard_.outbox_.size();
         bool isConfirmed = batch.writer_ == options_.writer_ && batch.epoch_ == before;
         logBatchRead(managed.shard_.ledger_.shard_, offset, batch, isConfirmed && before.value_ != 0);
         handleEffects(managed, applyLogEntry(managed.shard_, offset, batch, context()));
@@ -282,7 +283,8 @@
         bool isOwned = managed.shard_.epoch_.value_ != 0;
         logEvent(isOwned ? "shard_owned" : "shard_lost",
             { { "shard", streamOf(ledger.shard_) }, { "epoch", std::to_string(ledger.epoch_.value_) },
-                { "offset", std::to_string(offset.value_) }, { "owner", ledger.owner_.value_ } });
+                { "offset", std::to_string(offset.value_) }, { "owner", ledger.owner_.value_ },
+                { "records_dropped", std::to_string(isOwned ? 0 : unwritten) } });
         managed.wantsOwnership_ = !isOwned && !managed.waiting_.empty();
         if (isOwned)
             runWaiting(managed);
--- a/test/correctness/ShardRefusals.cpp
+++ b/test/correctness/ShardRefusals.cpp
@@ -232,8 +232,11 @@
     bench_.call(a_, "p", 1);
     bench_.now_ += bench_.limits_.confirmationTimeout_;
     tickShard(a_.shard_, bench_.context());
-    CHECK(ShardBench::find<ReplyProgram>(bench_.end(a_, "p")));
-    CHECK(!ShardBench::find<ExecuteCall>(bench_.flush(a_)));
+    // The only problem is that of the abandoned call, whose caller already has an answer.
+    CHECK(ShardBench::require<ReplyProblem>(bench_.end(a_, "p")).requests_.empty());
+    auto confirmed = bench_.flush(a_);
+    CHECK(ShardBench::require<ReplyProgram>(confirmed).isDurable_);
+    CHECK(!ShardBench::find<ExecuteCall>(confirmed));
     CHECK(a_.shard_.ledger_.programs_.at({ "p" }).hasEnded_);
 }
 
--- a/test/correctness/ShardTakeOver.cpp
+++ b/test/correctness/ShardTakeOver.cpp
@@ -16,6 +16,9 @@
     CPPUNIT_TEST(ownerWhoseNextEntriesExpiredLosesOwnership);
     CPPUNIT_TEST(snapshotsAreWrittenByCountAndByTime);
     CPPUNIT_TEST(evictedShardIsReadAgain);
+    CPPUNIT_TEST(endIsAnsweredOnceItIsConfirmed);
+    CPPUNIT_TEST(unconfirmedEndIsPassedOnToTheNextOwner);
+    CPPUNIT_TEST(endDuringALogOutageIsNotDurable);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -33,6 +36,9 @@
     void ownerWhoseNextEntriesExpiredLosesOwnership();
     void snapshotsAreWrittenByCountAndByTime();
     void evictedShardIsReadAgain();
+    void endIsAnsweredOnceItIsConfirmed();
+    void unconfirmedEndIsPassedOnToTheNextOwner();
+    void endDuringALogOutageIsNotDurable();
 
 private:
     std::size_t snapshots() const
@@ -175,3 +181,36 @@
     bench_.claim(a_);
     CHECK(a_.shard_.epoch_.value_ != 0);
 }
+
+void ShardTakeOver::endIsAnsweredOnceItIsConfirmed()
+{
+    CHECK(bench_.end(a_, "p").empty());
+    auto confirmed = bench_.flush(a_);
+    CHECK(ShardBench::require<ReplyProgram>(confirmed).isDurable_);
+    CHECK(ShardBench::find<ReleaseCache>(confirmed));
+    CHECK(ShardBench::require<ReplyProgram>(bench_.end(a_, "p")).isDurable_);
+}
+
+// Guards against an end that is answered and then lost: no VM releases the program's cache on the engines.
+void ShardTakeOver::unconfirmedEndIsPassedOnToTheNextOwner()
+{
+    CHECK(!ShardBench::find<ReplyProgram>(bench_.end(a_, "p")));
+    bench_.claim(b_);
+    auto lost = bench_.read(a_);
+    CHECK(!ShardBench::find<ReplyProgram>(lost));
+    CHECK(ShardBench::require<ReplyMoved>(lost).to_ == VmId { "b" });
+    bench_.end(b_, "p");
+    auto confirmed = bench_.flush(b_);
+    CHECK(ShardBench::require<ReplyProgram>(confirmed).isDurable_);
+    CHECK(ShardBench::require<ReleaseCache>(confirmed).program_ == ProgramId { "p" });
+}
+
+void ShardTakeOver::endDuringALogOutageIsNotDurable()
+{
+    bench_.end(a_, "p");
+    a_.shard_.isLogDown_ = true;
+    CHECK(!ShardBench::require<ReplyProgram>(tickShard(a_.shard_, bench_.context())).isDurable_);
+    CHECK(!ShardBench::require<ReplyProgram>(bench_.end(a_, "p")).isDurable_);
+    a_.shard_.isLogDown_ = false;
+    CHECK(ShardBench::find<ReleaseCache>(bench_.flush(a_)));
+}
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -4,8 +4,11 @@
 #include "Digest.h"
 
 #include <algorithm>
+#include <cstdlib>
+#include <filesystem>
 #include <stdexcept>
 #include <thread>
+#include <unistd.h>
 
 namespace fescue::test {
 
@@ -30,6 +33,19 @@
         return flags;
     }
 
+    // Each cluster gets a folder of its own below the one that the environment names.
+    std::string eventsFolderFromEnvironment()
+    {
+        const char* parent = std::getenv("FESCUE_TEST_EVENTS");
+        if (!parent)
+            return {};
+        static int clusters = 0;
+        std::string folder
+            = std::string(parent) + "/" + std::to_string(getpid()) + "-" + std::to_string(++clusters);
+        std::filesystem::create_directories(folder);
+        return folder;
+    }
+
     std::string localUrl(int port) { return "http://127.0.0.1:" + std::to_string(port); }
 
 } // namespace
@@ -66,6 +82,8 @@
     , vms_(std::make_unique<Process>("standin-vms", withPorts({}, options), portCountOf(options)))
     , service_(std::make_unique<Process>("standin-service", std::vector<std::string> {}, 1))
 {
+    if (options_.eventsFolder_.empty())
+        options_.eventsFolder_ = eventsFolderFromEnvironment();
     for (std::size_t i = 0; i < options.zones_.size() * options.enginesPerZone_; ++i)
         engines_.push_back(std::make_unique<Process>("standin-engine", options.engineFlags_, 1));
     json published { { "author", "test" }, { "sections", manifest() } };
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -34,7 +34,9 @@
     std::vector<std::string> engineFlags_;
     std::vector<std::string> logFlags_;
     bool canPartitionZones_ = false; ///< Gives each zone its own platform ports, see `setZonePartitioned`.
-    std::string eventsFolder_; ///< Directory for the daemons' event logs; empty disables them.
+    /** Directory for the daemons' event logs; if empty, a new one below that of the environment variable
+     * FESCUE_TEST_EVENTS, or none. */
+    std::string eventsFolder_;
 };
 
 /** A response as the caller sees it. */
--- a/test/support/ShardSimulator.h
+++ b/test/support/ShardSimulator.h
@@ -141,6 +141,7 @@
     std::vector<Batch> delayedBatches_;
     std::vector<Client> clients_;
     std::map<RequestId, Call> calls_;
+    std::map<RequestId, EndProgram> ends_;
     std::set<RequestId> unanswered_; ///< Requests that no owner has answered.
     std::map<RequestId, Problem> delayedRefusals_; ///< Refusals delayed by `DelaysRefusals`.
     std::map<std::string, nlohmann::json> histories_; ///< Histories by the body of their last answer.
--- a/test/support/ShardSimulatorCallers.cpp
+++ b/test/support/ShardSimulatorCallers.cpp
@@ -94,6 +94,7 @@
     if (!client || owner.shard_.epoch_.value_ == 0)
         return;
     EndProgram end { nextRequest(), workspace, client->program_, "ended" };
+    ends_[end.request_] = end;
     oracle_.requested(end.request_, {});
     handleEffects(owner, endProgram(owner.shard_, end, context()));
 }
@@ -186,7 +187,10 @@
                 oracle_.answered(request, RunState::Unknown);
                 continue;
             }
-            handleEffects(owner, admitCall(owner.shard_, calls_[request], context()));
+            auto end = ends_.find(request);
+            handleEffects(owner,
+                end != ends_.end() ? endProgram(owner.shard_, end->second, context())
+                                   : admitCall(owner.shard_, calls_[request], context()));
         }
     }
 }
