Isolate only suspects that are one crash short of the threshold

With records of all VMs, a target that ends makes up to a dozen calls suspects on each VM, and suspects never share a target. Only those whose next crash would refuse them need that. For a threshold of two nothing changes.

--- a/src/Quarantine.cpp
+++ b/src/Quarantine.cpp
@@ -94,13 +94,12 @@
 
 bool isSuspect(const Quarantine& quarantine, ContentDigest digest, MonotonicTime now)
 {
-    auto found = quarantine.records_.find(digest);
-    return found != quarantine.records_.end() && !isExpired(quarantine, found->second, now);
+    return crashCount(quarantine, digest, now) + 1 >= quarantine.threshold_;
 }
 
 bool isQuarantined(const Quarantine& quarantine, ContentDigest digest, MonotonicTime now)
 {
-    return quarantine.quarantined_.count(digest) > 0 && isSuspect(quarantine, digest, now);
+    return quarantine.quarantined_.count(digest) > 0 && crashCount(quarantine, digest, now) > 0;
 }
 
 void recordCrash(Quarantine& quarantine, ContentDigest digest, MonotonicTime now)
--- a/src/Quarantine.h
+++ b/src/Quarantine.h
@@ -3,10 +3,11 @@
 /** \file
  * Quarantine: refuses requests that crash the targets that run them.
  *
- * When a target crashes, the crash is recorded for the content digest of each call that ran there, and these
- * calls become suspects. At a threshold of crashes the digest is quarantined, whatever its idempotency key; a
- * complete answer clears it. When a target crashes for another reason, it is recorded in the same way.
- * Suspects never share a target, so the next crash usually has one suspect only.
+ * When a target crashes, the crash is recorded for the content digest of each call that ran there. At a
+ * threshold of crashes the digest is quarantined, whatever its idempotency key; a complete answer clears it.
+ * When a target crashes for another reason, it is recorded in the same way. Calls that are one crash short of
+ * the threshold are suspects. Suspects never share a target, so that the next crash usually quarantines only
+ * one of them.
  *
  * VMs that share targets exchange their records. Then the crashes of a digest are the union of what all of
  * them have recorded, and each crash is attributed to one digest: that with the most crashes is quarantined
@@ -46,7 +47,7 @@
 /** Number of unexpired crashes of a digest. Pure. */
 std::uint32_t crashCount(const Quarantine& quarantine, ContentDigest digest, MonotonicTime now);
 
-/** Whether a digest has an unexpired crash. Pure. */
+/** Whether one more crash would reach the threshold, or has. Pure. */
 bool isSuspect(const Quarantine& quarantine, ContentDigest digest, MonotonicTime now);
 
 /** Whether calls with this digest are refused. Pure. */
