Do not hold content that also completes responsible for crashes

Content that many callers request, such as a GET without parameters, runs at each target that ends. When many targets ended at once, three of them were enough to refuse it everywhere, and since it was never sent again, nothing cleared it. A request that crashes its targets never gets a complete answer, so each VM remembers complete answers for 30 s, records no crash for such content, and deletes the records that other VMs write for it.

CrashingRequests::popularRequestIsServedAfterManyTargetsEndAtOnce fails before (503 instead of 200) and passes now.

--- a/src/CrashTracker.cpp
+++ b/src/CrashTracker.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <deque>
 
 namespace fescue {
 
@@ -22,6 +23,9 @@
     constexpr std::size_t maxPendingRecords = 8192;
     constexpr std::size_t maxWatched = 4096;
     constexpr Milliseconds cleanupInterval { 60000 };
+    // A request that crashes its targets never gets a complete answer, so a recent one clears its content.
+    constexpr Milliseconds completionMemory { 30000 };
+    constexpr std::size_t maxCompletions = 8192;
 
     Milliseconds timeOfDay()
     {
@@ -35,6 +39,8 @@
     platform::StoreClient& store_;
     WriterId producer_; ///< Sequence numbers of this process's own entry are counted apart.
     std::vector<EndedConnection> watched_;
+    std::map<ContentDigest, MonotonicTime> completedAt_; ///< Within `completionMemory`.
+    std::deque<std::pair<MonotonicTime, ContentDigest>> completions_; ///< Oldest first.
     std::map<std::string, std::string> pending_; ///< Records to write, by key.
     std::vector<platform::KeyedRecord> unconfirmed_; ///< Repeated unchanged until the store confirms them.
     std::map<std::string, Milliseconds> stored_; ///< Keys in the store and when their writer wrote them.
@@ -73,6 +79,8 @@
             ProcessState state = judgeProcess(ended, hasOlder, targets, now);
             if (state == ProcessState::Unknown)
                 return false;
+            if (hasCompleted(ended.digest_, now))
+                return true;
             if (state == ProcessState::Running && ended.isRecorded_)
                 withdraw(ended);
             if (state != ProcessState::Running && !ended.isRecorded_)
@@ -82,6 +90,25 @@
         watched_.erase(std::remove_if(watched_.begin(), watched_.end(), isDecided), watched_.end());
     }
 
+    bool hasCompleted(ContentDigest digest, MonotonicTime now) const
+    {
+        auto found = completedAt_.find(digest);
+        return found != completedAt_.end() && now < found->second + completionMemory;
+    }
+
+    void rememberCompletion(ContentDigest digest, MonotonicTime now)
+    {
+        completedAt_[digest] = now;
+        completions_.emplace_back(now, digest);
+        while (completions_.size() > maxCompletions || completions_.front().first + completionMemory < now) {
+            auto [at, oldest] = completions_.front();
+            completions_.pop_front();
+            auto known = completedAt_.find(oldest);
+            if (known != completedAt_.end() && known->second == at)
+                completedAt_.erase(known);
+        }
+    }
+
     void record(EndedConnection& ended, MonotonicTime now)
     {
         ended.isRecorded_ = true;
@@ -106,14 +133,21 @@
 
     void onCompleted(ContentDigest digest)
     {
+        rememberCompletion(digest, bootNow());
         watched_.erase(std::remove_if(watched_.begin(), watched_.end(),
                            [digest](const EndedConnection& ended) { return ended.digest_ == digest; }),
             watched_.end());
+        clear(digest);
+    }
+
+    void clear(ContentDigest digest)
+    {
         auto found = quarantine_.records_.find(digest);
         if (found == quarantine_.records_.end())
             return;
         logEvent("crashes-cleared",
-            { { "content", textOf(digest) }, { "reason", "the request got a complete answer" } });
+            { { "content", textOf(digest) },
+                { "reason", "a request with this content got a complete answer" } });
         for (const auto& [writer, crashes] : found->second.crashes_)
             write(crashRecordKey(digest, writer), "");
         clearCrashes(quarantine_, digest);
@@ -183,6 +217,8 @@
             { { "content", textOf(stored->digest_) }, { "writer", stored->writer_.value_ },
                 { "recorded", std::to_string(stored->crashes_.size()) },
                 { "crashes", std::to_string(crashCount(quarantine_, stored->digest_, now)) } });
+        if (hasCompleted(stored->digest_, now))
+            clear(stored->digest_);
     }
 
     bool isUnconfirmed(const std::string& key) const
--- a/src/CrashTracker.h
+++ b/src/CrashTracker.h
@@ -6,8 +6,9 @@
  *
  *     connection ended --> CrashWatch --> Quarantine --> store --> Quarantine of the other VMs
  *
- * Without the store, records are kept and written once it is back. A request that gets a complete answer is
- * cleared on all VMs.
+ * Without the store, records are kept and written once it is back. A complete answer clears a request on all
+ * VMs, and shows that it is innocent of crashes some time before and after: content that many callers request
+ * runs at each target that ends.
  */
 
 #include "CrashWatch.h"
--- a/test/failure/CrashingRequests.cpp
+++ b/test/failure/CrashingRequests.cpp
@@ -90,6 +90,7 @@
     CPPUNIT_TEST(requestWhoseConnectionsAreResetIsServed);
     CPPUNIT_TEST(brokenOffAnswerOfATargetWithOtherConnectionsIsNoCrash);
     CPPUNIT_TEST(requestThatRanBesideTheCrashingOneIsServed);
+    CPPUNIT_TEST(popularRequestIsServedAfterManyTargetsEndAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -213,6 +214,35 @@
         CHECK_EQUAL(200, statusOf(vms.requestAt(0, "POST", "/read/1", headers, "innocent")));
         CHECK_EQUAL(200, statusOf(vms.requestAt(1, "POST", "/read/1", headers, "innocent")));
     }
+
+    // Guards against refusing content that many callers request since it ran wherever targets ended.
+    void popularRequestIsServedAfterManyTargetsEndAtOnce()
+    {
+        std::atomic<bool> holds { false };
+        auto script = [&holds](const HttpHead& head, const std::string&) {
+            return holds ? TargetAction {} : TargetAction { stampedResponse(head, "done"), false };
+        };
+        EntryVmHarness vms(targets(script), true, 2);
+        for (std::size_t vm = 0; vm < 2; ++vm)
+            CHECK_EQUAL(200, statusOf(vms.requestAt(vm, "GET", "/read/popular", headers)));
+        holds = true;
+        int before = vms.targetRequests();
+        std::vector<std::unique_ptr<RawConnection>> callers;
+        for (std::size_t i = 0; i < 2 * targetCount; ++i) {
+            callers.push_back(std::make_unique<RawConnection>(vms.port(i % 2)));
+            callers.back()->send("GET /read/popular HTTP/1.1\r\nHost: h.example\r\n" + headers + "\r\n");
+        }
+        vms.waitUntil("the requests run",
+            [&] { return vms.targetRequests() == before + 2 * static_cast<int>(targetCount); });
+        vms.runOnStore([&vms](standin::PlatformStore&) {
+            for (std::size_t i = 0; i < targetCount; ++i)
+                vms.target(i).crash();
+        });
+        holds = false;
+        wait(settlingTime);
+        for (std::size_t vm = 0; vm < 2; ++vm)
+            CHECK_EQUAL(200, statusOf(vms.requestAt(vm, "GET", "/read/popular", headers)));
+    }
 };
 
 REGISTER_SUITE(CrashingRequests);
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -4,11 +4,8 @@
 #include "Digest.h"
 
 #include <algorithm>
-#include <cstdlib>
-#include <filesystem>
 #include <stdexcept>
 #include <thread>
-#include <unistd.h>
 
 namespace fescue::test {
 
@@ -33,19 +30,6 @@
         return flags;
     }
 
-    // Each cluster gets a folder of its own below the one that the environment names.
-    std::string eventsFolderFromEnvironment()
-    {
-        const char* parent = std::getenv("FESCUE_TEST_EVENTS");
-        if (!parent)
-            return {};
-        static int clusters = 0;
-        std::string folder
-            = std::string(parent) + "/" + std::to_string(getpid()) + "-" + std::to_string(++clusters);
-        std::filesystem::create_directories(folder);
-        return folder;
-    }
-
     std::string localUrl(int port) { return "http://127.0.0.1:" + std::to_string(port); }
 
 } // namespace
@@ -83,7 +67,7 @@
     , service_(std::make_unique<Process>("standin-service", std::vector<std::string> {}, 1))
 {
     if (options_.eventsFolder_.empty())
-        options_.eventsFolder_ = eventsFolderFromEnvironment();
+        options_.eventsFolder_ = makeEventsFolder();
     for (std::size_t i = 0; i < options.zones_.size() * options.enginesPerZone_; ++i)
         engines_.push_back(std::make_unique<Process>("standin-engine", options.engineFlags_, 1));
     json published { { "author", "test" }, { "sections", manifest() } };
--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -152,6 +152,7 @@
 
 EntryVmHarness::EntryVmHarness(std::vector<ScriptedTarget::Script> scripts, bool hasConfig, std::size_t vms)
     : store_(std::make_unique<standin::PlatformStore>(io_))
+    , eventsFolder_(makeEventsFolder())
 {
     for (auto& script : scripts)
         targets_.push_back(std::make_unique<ScriptedTarget>(io_, std::move(script)));
@@ -184,24 +185,27 @@
 EntryVmHarness::Vm EntryVmHarness::makeVm()
 {
     Vm vm;
+    vm.name_ = fmt::format("vm-{}", static_cast<char>('a' + vms_.size()));
     vm.callerPort_ = findFreePort(io_);
     vm.readyPort_ = findFreePort(io_);
     vm.settingsFile_ = fmt::format("/tmp/fescue-entry-test-{}-{}.yaml", ::getpid(), vm.callerPort_);
     std::ofstream(vm.settingsFile_) << fmt::format(
-        "node-name: vm-{}\nip: 127.0.0.1\nzone: z\nport-range: [ {}, 0 ]\nheartbeat-ms: {}\n"
+        "node-name: {}\nip: 127.0.0.1\nzone: z\nport-range: [ {}, 0 ]\nheartbeat-ms: {}\n"
         "listen: {{ frontend: '127.0.0.1:{}', ready: '127.0.0.1:{}' }}\n"
         "limits: {{ cpu-quota: 1, memory-mb: 100 }}\n"
         "bounds: {{ drain-ms: 2000, grace-s: 6, config-apply-ms: 2000, settle-ms: 1000 }}\n"
         "platform: {{ address: '127.0.0.1:{}', parts: 2 }}\n",
-        static_cast<char>('a' + vms_.size()), findFreePort(io_), heartbeatInterval.count(), vm.callerPort_,
-        vm.readyPort_, store_->port());
+        vm.name_, findFreePort(io_), heartbeatInterval.count(), vm.callerPort_, vm.readyPort_,
+        store_->port());
     return vm;
 }
 
 void EntryVmHarness::startProcess(Vm& vm)
 {
+    std::string output
+        = eventsFolder_.empty() ? std::string() : fmt::format("{}/{}.events", eventsFolder_, vm.name_);
     vm.process_ = std::make_unique<Process>(
-        "fescue-entry", std::vector<std::string> { "--settings=" + vm.settingsFile_ }, 0);
+        "fescue-entry", std::vector<std::string> { "--settings=" + vm.settingsFile_ }, 0, output);
 }
 
 void EntryVmHarness::addVm()
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -37,8 +37,8 @@
     /** Connections that the other side has closed. */
     int closedConnections() const { return closedConnections_; }
     int crashes() const { return crashes_; }
-    /** Resets all connections; the target goes on. */
-    void resetConnections();
+    /** Ends the target, which comes back after a while. To be called on the thread of the stand-ins. */
+    void crash();
     /** Name of the current start; empty for the first one. */
     const std::string& startName() const { return startName_; }
     bool isRunning() const { return acceptor_.is_open(); }
@@ -49,7 +49,7 @@
 private:
     void listen();
     void accept();
-    void crash();
+    void resetConnections();
     bool isForOtherStart(const HttpHead& head) const;
 
     asio::ip::tcp::acceptor acceptor_;
@@ -101,6 +101,7 @@
 
 private:
     struct Vm {
+        std::string name_;
         std::string settingsFile_;
         int callerPort_ = 0;
         int readyPort_ = 0;
@@ -116,6 +117,7 @@
 
     asio::io_context io_ { 1 };
     std::unique_ptr<standin::PlatformStore> store_;
+    std::string eventsFolder_;
     std::vector<std::unique_ptr<ScriptedTarget>> targets_;
     std::vector<std::string> publishedStarts_; ///< Start of each target that is in the store.
     std::uint64_t heartbeats_ = 0;
--- a/test/support/Process.cpp
+++ b/test/support/Process.cpp
@@ -2,7 +2,9 @@
 
 #include <array>
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <sstream>
 #include <stdexcept>
 #include <sys/prctl.h>
@@ -62,6 +64,18 @@
 
 } // namespace
 
+std::string makeEventsFolder()
+{
+    const char* parent = std::getenv("FESCUE_TEST_EVENTS");
+    if (!parent)
+        return {};
+    static int folders = 0;
+    std::string folder
+        = std::string(parent) + "/" + std::to_string(getpid()) + "-" + std::to_string(++folders);
+    std::filesystem::create_directories(folder);
+    return folder;
+}
+
 Process::Process(const std::string& program, const std::vector<std::string>& arguments, std::size_t ports,
     const std::string& outputFile)
 {
--- a/test/support/Process.h
+++ b/test/support/Process.h
@@ -42,6 +42,10 @@
     std::map<std::string, int> ports_;
 };
 
+/** Creates a folder for event logs below the one that the environment variable FESCUE_TEST_EVENTS names.
+ * Returns its path, or nothing if the variable is not set. */
+std::string makeEventsFolder();
+
 /** Exit status and output of a program. */
 struct ProcessResult {
     int status_ = 0;
