Allow for heartbeats that reach the store late

A heartbeat that a target sent before it ended may be read up to 1.5 s later (0.8 s on its way, and a read's timeout); counted as a sign of life it would withdraw a true crash. Also skips the search for queued calls while nothing is quarantined.

--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -160,6 +160,8 @@
     // Refuses calls that were queued before their content was quarantined.
     void refuseQueuedQuarantined()
     {
+        if (pool_.quarantine_.quarantined_.empty())
+            return;
         std::vector<TransferPtr> refused;
         for (const auto& [id, transfer] : transfers_) {
             if (transfer->isQueued_ && isQuarantined(pool_.quarantine_, transfer->digest_, bootNow()))
--- a/src/CrashWatch.cpp
+++ b/src/CrashWatch.cpp
@@ -6,8 +6,9 @@
 
     // The ends of all connections of a process arrive within this time of each other.
     constexpr Milliseconds connectionEndSpread { 100 };
-    // Longest time between the store's answer to a read of the targets and its arrival here.
-    constexpr Milliseconds maxReadTime { 600 };
+    // Longest time from the sending of a heartbeat until a read shows it here: it may reach the store late,
+    // and a read may take as long as its timeout.
+    constexpr Milliseconds maxHeartbeatDelay { 1500 };
     // Without a heartbeat for this long, the process is taken to have ended. A store outage may last as long.
     constexpr Milliseconds maxWatchTime { 30000 };
 
@@ -22,7 +23,7 @@
         return ProcessState::Running;
     if (now > ended.at_ + maxWatchTime)
         return ProcessState::Ended;
-    if (targets.readAt_ < ended.at_ + maxReadTime)
+    if (targets.readAt_ < ended.at_ + maxHeartbeatDelay)
         return ProcessState::PossiblyEnded;
     auto entry = targets.entries_.find(ended.target_);
     if (entry == targets.entries_.end() || entry->second.startedAt_ != ended.targetStartedAt_)
