--- a/src/CrashTracker.cpp
+++ b/src/CrashTracker.cpp
@@ -74,20 +74,28 @@
 
     void judge(const TargetList& targets, const HasOlderConnection& hasOlderConnection, MonotonicTime now)
     {
-        auto isDecided = [&](EndedConnection& ended) {
-            bool hasOlder = !ended.isRecorded_ && hasOlderConnection(ended);
-            ProcessState state = judgeProcess(ended, hasOlder, targets, now);
-            if (state == ProcessState::Unknown)
-                return false;
-            if (hasCompleted(ended.digest_, now))
-                return true;
-            if (state == ProcessState::Running && ended.isRecorded_)
-                withdraw(ended);
-            if (state != ProcessState::Running && !ended.isRecorded_)
-                record(ended, now);
-            return state != ProcessState::PossiblyEnded;
-        };
-        watched_.erase(std::remove_if(watched_.begin(), watched_.end(), isDecided), watched_.end());
+        std::vector<EndedConnection> undecided;
+        for (EndedConnection& ended : watched_) {
+            if (!isDecided(ended, targets, hasOlderConnection, now))
+                undecided.push_back(ended);
+        }
+        watched_ = std::move(undecided);
+    }
+
+    bool isDecided(EndedConnection& ended, const TargetList& targets,
+        const HasOlderConnection& hasOlderConnection, MonotonicTime now)
+    {
+        bool hasOlder = !ended.isRecorded_ && hasOlderConnection(ended);
+        ProcessState state = judgeProcess(ended, hasOlder, targets, now);
+        if (state == ProcessState::Unknown)
+            return false;
+        if (hasCompleted(ended.digest_, now))
+            return true;
+        if (state == ProcessState::Running && ended.isRecorded_)
+            withdraw(ended);
+        if (state != ProcessState::Running && !ended.isRecorded_)
+            record(ended, now);
+        return state != ProcessState::PossiblyEnded;
     }
 
     bool hasCompleted(ContentDigest digest, MonotonicTime now) const
