Log how each answer's end was marked and how its connection ended

The relay of an answer to its caller moves out of CallForwarder, unchanged. The line of a request gets two fields: answer (framing, and whether the stream stopped inside an event) and connection (open, closed or reset), which tell the hypotheses on the broken-off answer apart.

--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -1,8 +1,8 @@
 #include "CallForwarder.h"
 
+#include "AnswerRelay.h"
 #include "BootClock.h"
 #include "CrashTracker.h"
-#include "EventCounter.h"
 #include "EventLog.h"
 #include "Headers.h"
 #include "Metrics.h"
@@ -18,8 +18,6 @@
     constexpr int badGateway = 502;
     constexpr int unavailable = 503;
     constexpr int gatewayTimeout = 504;
-    // Answers up to this size are buffered until they are complete, so that a truncated one can be retried.
-    constexpr std::size_t maxBufferedAnswerBytes = 256 * 1024;
     // Reading from the target pauses while the caller has not read this much of the stream.
     constexpr std::size_t maxUnsentBytes = 256 * 1024;
     // Maximum sends of one request, whatever their outcome; bounds repeated refusals.
@@ -51,13 +49,12 @@
         std::set<TargetId> avoid_;
         std::uint32_t sends_ = 0;
         std::uint32_t possibleRuns_ = 0; ///< Sends that may have run.
-        HttpHead answer_;
-        std::string buffered_;
-        EventCounter events_;
+        AnswerRelay relay_;
+        OutboundResult::ConnectionEnd connectionEnd_
+            = OutboundResult::ConnectionEnd::Open; ///< Of the last send.
         MonotonicTime sentAt_;
         bool isQueued_ = false;
         bool isRefusal_ = false; ///< The target states that it has not run the request.
-        bool hasAnswerStarted_ = false; ///< The head of an answer was sent to the caller.
         bool isPaused_ = false;
         bool isFinished_ = false;
         bool needsNewConnection_ = false;
@@ -124,6 +121,8 @@
         auto transfer = std::make_shared<Transfer>();
         transfer->call_ = std::move(call);
         transfer->digest_ = digestOf(transfer->call_.request_.head_, transfer->call_.request_.body_);
+        transfer->relay_.reply_ = transfer->call_.reply_;
+        transfer->relay_.isStream_ = transfer->call_.route_.isStream_;
         transfer->call_.reply_->onDisconnect([weak = weak_from_this(), transfer] {
             if (auto self = weak.lock())
                 self->handleCallerDisconnect(transfer);
@@ -189,7 +188,6 @@
         transfer->target_ = target.id_;
         transfer->targetStartedAt_ = known.startedAt_;
         transfer->isRefusal_ = false;
-        transfer->buffered_.clear();
         transfer->sentAt_ = bootNow();
         ++transfer->sends_;
         const ForwardedCall& call = transfer->call_;
@@ -220,7 +218,7 @@
         if (tags.load_)
             recordLoadReport(
                 pool_, transfer->target_, { tags.load_->running_, tags.load_->waiting_, {} }, bootNow());
-        transfer->answer_ = head;
+        takeHead(transfer->relay_, head);
         transfer->isRefusal_ = tags.wasNotRun_;
         if (tags.wasNotRun_)
             return;
@@ -232,29 +230,14 @@
         }
         recordOutput(pool_, transfer->id_, bootNow());
         if (isSuccess && transfer->call_.route_.isStream_)
-            startAnswer(transfer);
-    }
-
-    void startAnswer(const TransferPtr& transfer)
-    {
-        transfer->hasAnswerStarted_ = true;
-        transfer->call_.reply_->begin(platform::encodeCallerAnswer(transfer->answer_));
+            startRelay(transfer->relay_);
     }
 
     void handleBody(const TransferPtr& transfer, std::string part)
     {
         if (transfer->isRefusal_)
             return;
-        if (!transfer->hasAnswerStarted_) {
-            transfer->buffered_ += part;
-            if (transfer->buffered_.size() <= maxBufferedAnswerBytes)
-                return;
-            startAnswer(transfer);
-            part = std::move(transfer->buffered_);
-        }
-        if (transfer->call_.route_.isStream_)
-            transfer->events_.feed(part);
-        transfer->call_.reply_->write(part);
+        relayBody(transfer->relay_, std::move(part));
         if (transfer->call_.reply_->pendingBytes() > maxUnsentBytes && !transfer->isPaused_) {
             transfer->isPaused_ = true;
             transfer->exchange_->pauseReading(true);
@@ -267,7 +250,10 @@
             endDispatch(transfer, DispatchOutcome::Unreachable);
             return retry(transfer, end.reason_);
         }
-        if (end.wasConnectionLost_)
+        transfer->connectionEnd_ = end.connectionEnd_;
+        bool isLost = end.outcome_ == OutboundResult::Outcome::Unknown
+            && end.connectionEnd_ != OutboundResult::ConnectionEnd::Open;
+        if (isLost)
             crashTracker_.onConnectionEnded(
                 { transfer->digest_, transfer->target_, transfer->targetStartedAt_, bootNow() });
         if (end.outcome_ == OutboundResult::Outcome::Unknown)
@@ -281,23 +267,19 @@
 
     void handleAnswer(const TransferPtr& transfer)
     {
-        if (transfer->answer_.status_ < firstError)
+        if (transfer->relay_.head_.status_ < firstError)
             crashTracker_.onCompleted(transfer->digest_);
         endDispatch(transfer, DispatchOutcome::Answered);
-        if (transfer->hasAnswerStarted_)
-            transfer->call_.reply_->end();
-        else
-            transfer->call_.reply_->answer(
-                platform::encodeCallerAnswer(transfer->answer_), transfer->buffered_);
+        finishRelay(transfer->relay_);
         answered_.add();
         observeLatency("call_seconds", bootNow() - transfer->call_.request_.arrived_);
-        finish(transfer, "answered", transfer->answer_.status_, "");
+        finish(transfer, "answered", transfer->relay_.head_.status_, "");
         dispatchAll();
     }
 
     TokenCount generated(const Transfer& transfer) const
     {
-        return { transfer.events_.startedEvents() * transfer.call_.service_.tokensPerEvent_.value_ };
+        return { transfer.relay_.events_.startedEvents() * transfer.call_.service_.tokensPerEvent_.value_ };
     }
 
     void endDispatch(const TransferPtr& transfer, DispatchOutcome outcome)
@@ -315,7 +297,7 @@
         ++transfer->possibleRuns_;
         endDispatch(transfer, DispatchOutcome::ConnectionLost);
         const Route& route = transfer->call_.route_;
-        bool canRetry = route.repeatability_ == Repeatability::Repeatable && !transfer->hasAnswerStarted_;
+        bool canRetry = route.repeatability_ == Repeatability::Repeatable && !transfer->relay_.hasStarted_;
         if (canRetry && transfer->possibleRuns_ < route.maxAttempts_) {
             // A reused connection that closes without a byte was usually closed before the request arrived,
             // which does not indicate a fault of the target.
@@ -353,7 +335,7 @@
     void fail(const TransferPtr& transfer, int status, const char* reason)
     {
         failed_.add();
-        if (transfer->hasAnswerStarted_)
+        if (transfer->relay_.hasStarted_)
             transfer->call_.reply_->abort();
         else
             refuseCall(*transfer->call_.reply_, transfer->call_.tags_.attempt_, status, reason, std::nullopt);
@@ -395,7 +377,9 @@
                 { "status", std::to_string(status) }, { "reason", reason },
                 { "target", transfer->target_.value_ }, { "sends", std::to_string(transfer->sends_) },
                 { "may_have_run", std::to_string(transfer->possibleRuns_) }, { "total_ms", msText(total) },
-                { "tokens", std::to_string(generated(*transfer).value_) } });
+                { "tokens", std::to_string(generated(*transfer).value_) },
+                { "answer", describeEnd(transfer->relay_) },
+                { "connection", nameOf(transfer->connectionEnd_) } });
         if (call.onEnd_)
             call.onEnd_(generated(*transfer), transfer->target_);
     }
--- a/src/HttpWire.cpp
+++ b/src/HttpWire.cpp
@@ -139,7 +139,6 @@
     std::size_t bodyBytes_ = 0;
     bool hasHead_ = false;
     bool isComplete_ = false;
-    bool isDelimited_ = true;
     bool expectsNoBody_ = false;
     bool wasValueLast_ = false;
     std::optional<HttpParseError> error_;
@@ -161,7 +160,6 @@
         bodyBytes_ = 0;
         hasHead_ = false;
         isComplete_ = false;
-        isDelimited_ = true;
         expectsNoBody_ = false;
         wasValueLast_ = false;
         error_.reset();
@@ -227,8 +225,9 @@
         }
         bool hasNoBody = self.expectsNoBody_ || (head.status_ >= 100 && head.status_ < 200)
             || head.status_ == 204 || head.status_ == 304;
-        self.isDelimited_ = self.side_ == Side::Requests || hasNoBody || length
+        bool isDelimited = self.side_ == Side::Requests || hasNoBody || length
             || findHeader(head, "Transfer-Encoding") != nullptr;
+        head.framing_ = isDelimited ? BodyFraming::Delimited : BodyFraming::UntilClose;
         return self.expectsNoBody_ ? noBody : 0;
     }
 
@@ -345,7 +344,8 @@
 
 void HttpReader::feedEof()
 {
-    if (!impl_->isComplete_ && !impl_->error_ && impl_->hasHead_ && !impl_->isDelimited_)
+    if (!impl_->isComplete_ && !impl_->error_ && impl_->hasHead_
+        && impl_->head_.framing_ == BodyFraming::UntilClose)
         impl_->isComplete_ = true;
 }
 
@@ -354,7 +354,6 @@
 bool HttpReader::hasStarted() const { return impl_->hasHead_ || !impl_->rawHead_.empty(); }
 bool HttpReader::hasHead() const { return impl_->hasHead_ && !impl_->error_; }
 bool HttpReader::isComplete() const { return impl_->isComplete_ && !impl_->error_; }
-bool HttpReader::isDelimited() const { return impl_->isDelimited_; }
 std::optional<HttpParseError> HttpReader::error() const { return impl_->error_; }
 const HttpHead& HttpReader::head() const { return impl_->head_; }
 
@@ -380,6 +379,11 @@
     return data.empty() ? std::string() : fmt::format("{:x}\r\n{}\r\n", data.size(), data);
 }
 
+const char* nameOf(BodyFraming framing)
+{
+    return framing == BodyFraming::UntilClose ? "until-close" : "delimited";
+}
+
 const char* reasonPhraseOf(int status) { return http_status_str(static_cast<http_status>(status)); }
 
 } // namespace fescue
--- a/src/HttpWire.h
+++ b/src/HttpWire.h
@@ -25,6 +25,15 @@
     std::string value_;
 };
 
+/** What marks the end of a message's body. */
+enum class BodyFraming {
+    Delimited, ///< A length, chunks, or the absence of a body.
+    UntilClose, ///< The end of the connection, which does not show whether the body is complete.
+};
+
+/** Name of a framing for logs. Pure. */
+const char* nameOf(BodyFraming framing);
+
 /** The head of a request or a response. */
 struct HttpHead {
     std::string method_; ///< Only of a request.
@@ -34,6 +43,7 @@
     std::vector<HttpHeader> headers_;
     bool keepsAlive_ = true; ///< Whether the connection may be reused for another message.
     bool isHttp11_ = true;
+    BodyFraming framing_ = BodyFraming::Delimited;
 };
 
 /** Compares ASCII text without regard to case. Pure. */
@@ -97,9 +107,6 @@
     bool hasStarted() const;
     bool hasHead() const;
     bool isComplete() const;
-    /** Whether the end of the body is given by its length or by chunks, rather than by the end of the
-     * connection. Precondition: `hasHead()`. */
-    bool isDelimited() const;
     std::optional<HttpParseError> error() const;
     /** Precondition: `hasHead()`. */
     const HttpHead& head() const;
--- a/src/OutboundPool.cpp
+++ b/src/OutboundPool.cpp
@@ -153,6 +153,8 @@
             }
         }
 
+        bool isDelimited() const { return reader_.head().framing_ == BodyFraming::Delimited; }
+
         // Forwards the head and the body. Returns false when the exchange has ended.
         bool forwardMessage()
         {
@@ -173,7 +175,7 @@
         void completeMessage(bool hasMore)
         {
             if (!hasHead_ || isForOtherRequest_) { // An interim response, or one to an earlier request.
-                bool canContinue = reader_.isDelimited() && reader_.head().keepsAlive_;
+                bool canContinue = isDelimited() && reader_.head().keepsAlive_;
                 hasHead_ = false;
                 isForOtherRequest_ = false;
                 reader_.next();
@@ -181,8 +183,8 @@
                     fail("received only a response to another request");
                 return;
             }
-            bool canReuse = reader_.isDelimited() && reader_.head().keepsAlive_ && !hasMore
-                && link_->queuedBytes() == 0;
+            bool canReuse
+                = isDelimited() && reader_.head().keepsAlive_ && !hasMore && link_->queuedBytes() == 0;
             Milliseconds idleTimeout = state_->limits_.idleTimeout_;
             if (auto announced = announcedIdleTimeout(reader_.head()))
                 idleTimeout = std::min(idleTimeout, *announced - state_->limits_.idleTimeoutMargin_);
@@ -198,7 +200,7 @@
             else
                 link_->close();
             if (callbacks.onEnd_)
-                callbacks.onEnd_({ OutboundResult::Outcome::Answered, wasReused, true, false, "" });
+                callbacks.onEnd_({ OutboundResult::Outcome::Answered, wasReused, true, connectionEnd_, "" });
         }
 
         void returnToPool(Milliseconds idleTimeout)
@@ -235,14 +237,17 @@
             state_->connecting_.erase(self);
             if (!isBusy_)
                 return removeFromIdle();
+            if (how != CloseReason::ConnectFailed)
+                connectionEnd_ = how == CloseReason::ClosedByPeer ? OutboundResult::ConnectionEnd::Closed
+                                                                  : OutboundResult::ConnectionEnd::Reset;
             // A response without a length ends with its connection; after a reset it is incomplete.
             if (how == CloseReason::ClosedByPeer && hasHead_ && !isForOtherRequest_) {
                 reader_.feedEof();
                 if (reader_.isComplete())
                     return completeMessage(false);
             }
-            wasLost_ = how != CloseReason::ConnectFailed;
-            fail(wasLost_ ? "connection closed before the end of the response" : "connection failed");
+            fail(how == CloseReason::ConnectFailed ? "connection failed"
+                                                   : "connection closed before the end of the response");
         }
 
         void fail(const char* reason)
@@ -260,7 +265,7 @@
             auto callbacks = std::move(callbacks_);
             callbacks_ = {};
             if (callbacks.onEnd_)
-                callbacks.onEnd_({ outcome, isReused_, hasHead_, wasLost_, reason });
+                callbacks.onEnd_({ outcome, isReused_, hasHead_, connectionEnd_, reason });
         }
 
         std::shared_ptr<PoolState> state_;
@@ -275,7 +280,7 @@
         bool isBusy_ = false;
         bool isReused_ = false;
         bool wasSent_ = false;
-        bool wasLost_ = false;
+        OutboundResult::ConnectionEnd connectionEnd_ = OutboundResult::ConnectionEnd::Open;
         bool hasHead_ = false;
         bool isForOtherRequest_ = false;
     };
@@ -325,6 +330,19 @@
     }
 };
 
+const char* nameOf(OutboundResult::ConnectionEnd end)
+{
+    switch (end) {
+    case OutboundResult::ConnectionEnd::Closed:
+        return "closed";
+    case OutboundResult::ConnectionEnd::Reset:
+        return "reset";
+    case OutboundResult::ConnectionEnd::Open:
+        break;
+    }
+    return "open";
+}
+
 OutboundPool::OutboundPool(asio::io_context& io, const OutboundLimits& limits)
     : impl_(std::make_shared<Impl>(io, limits))
 {
--- a/src/OutboundPool.h
+++ b/src/OutboundPool.h
@@ -34,13 +34,21 @@
         NotSent, ///< No byte of the request left this process.
         Unknown, ///< The request may have arrived, but no complete response was received.
     };
+    enum class ConnectionEnd {
+        Open, ///< Not ended by the peer or the network.
+        Closed, ///< Closed by the peer.
+        Reset, ///< Reset by the peer, timed out or failed otherwise.
+    };
     Outcome outcome_ = Outcome::Unknown;
     bool wasReused_ = false; ///< The connection had carried earlier requests.
     bool hadHead_ = false; ///< The head of the response was received.
-    bool wasConnectionLost_ = false; ///< The peer or the network ended the connection.
+    ConnectionEnd connectionEnd_ = ConnectionEnd::Open; ///< Until the exchange ended.
     const char* reason_ = "";
 };
 
+/** Name of a connection's end for logs. Pure. */
+const char* nameOf(OutboundResult::ConnectionEnd end);
+
 /** Callbacks of an exchange. */
 struct OutboundCallbacks {
     /** Whether a response belongs to this request; other responses are skipped. Optional. */
--- a/test/correctness/HttpWireReading.cpp
+++ b/test/correctness/HttpWireReading.cpp
@@ -57,7 +57,7 @@
         reader.feed("HTTP/1.1 200 OK\r\nX: y\r\n\r\npart");
         CHECK(reader.hasHead());
         CHECK(!reader.isComplete());
-        CHECK(!reader.isDelimited());
+        CHECK(reader.head().framing_ == BodyFraming::UntilClose);
         reader.feedEof();
         CHECK(reader.isComplete());
     }
