--- a/test/support/RawConnection.cpp
+++ b/test/support/RawConnection.cpp
@@ -47,8 +47,10 @@
     std::array<char, 65536> buffer {};
     while (mark.empty() || text.find(mark) == std::string::npos) {
         ssize_t size = recv(socket_, buffer.data(), buffer.size(), 0);
-        if (size < 0 && errno == ECONNRESET)
+        if (size < 0 && errno == ECONNRESET) {
+            wasReset_ = true;
             return text;
+        }
         if (size < 0)
             throw std::runtime_error("timed out waiting for the server to respond or close the connection");
         if (size == 0)
--- a/test/support/RawConnection.h
+++ b/test/support/RawConnection.h
@@ -25,9 +25,12 @@
     std::string readUntil(const std::string& mark);
     /** Reads until the server closes the connection. */
     std::string readAll() { return readUntil({}); }
+    /** Whether the server has reset the connection, as far as it was read. */
+    bool wasReset() const { return wasReset_; }
 
 private:
     int socket_ = -1;
+    bool wasReset_ = false;
 };
 
 } // namespace fescue::test
