Give the caller the framing that the target's answer had; take a stream that stops inside an event as broken off

Cause: an answer without a length or chunks lasts until its connection ends. OutboundPool took an orderly close for its end, and FrontServer then wrote a framing of its own, which states that the answer is complete. Nobody asked whether the stream had stopped inside an event. Class: completeness stated to the next hop on evidence that does not show it.

An answer that ends with its connection reaches the caller the same way, so the caller gets no claim that the target did not make. A stream that stops inside an event, or that has neither framing nor an event, is handled like a lost answer, whatever its framing says. Lone carriage returns end lines, as in the format of event streams.

--- a/src/AnswerRelay.cpp
+++ b/src/AnswerRelay.cpp
@@ -9,9 +9,21 @@
 namespace {
 
     constexpr std::size_t maxBufferedAnswerBytes = 256 * 1024;
+    constexpr int firstError = 300; ///< Statuses below it are successes.
+
+    bool hasEvents(const AnswerRelay& relay)
+    {
+        constexpr std::string_view eventStream = "text/event-stream";
+        if (!relay.isStream_ || !isSuccess(relay.head_))
+            return false;
+        const std::string* type = findHeader(relay.head_, "Content-Type");
+        return !type || equalsIgnoreCase(std::string_view(*type).substr(0, eventStream.size()), eventStream);
+    }
 
 } // namespace
 
+bool isSuccess(const HttpHead& answer) { return answer.status_ < firstError; }
+
 void takeHead(AnswerRelay& relay, const HttpHead& head)
 {
     relay.head_ = head;
@@ -38,6 +50,16 @@
     relay.reply_->write(part);
 }
 
+const char* findBreak(const AnswerRelay& relay)
+{
+    if (!hasEvents(relay))
+        return nullptr;
+    if (relay.events_.isInEvent_)
+        return "the stream ended inside an event";
+    bool isUnframed = relay.head_.framing_ == BodyFraming::UntilClose;
+    return isUnframed && relay.events_.events_ == 0 ? "the stream ended before its first event" : nullptr;
+}
+
 void finishRelay(AnswerRelay& relay)
 {
     if (relay.hasStarted_)
--- a/src/AnswerRelay.h
+++ b/src/AnswerRelay.h
@@ -1,10 +1,14 @@
 #pragma once
 
 /** \file
- * AnswerRelay: passes a target's answer on to its caller.
+ * AnswerRelay: passes a target's answer on to its caller, and decides whether it was broken off.
  *
  * A stream is passed on as it arrives. Any other answer is buffered until it is complete, so that a truncated
  * one can be retried, unless it is too large for that.
+ *
+ * The end of a connection does not show that an answer is complete. The caller therefore gets the framing of
+ * the target: a length or a last chunk only if the target has sent one. A stream that stops inside an event
+ * was broken off, whatever its framing says.
  */
 
 #include "EventCounter.h"
@@ -25,6 +29,9 @@
     bool hasStarted_ = false; ///< The head was sent to the caller.
 };
 
+/** Whether an answer has a status of success. Pure. */
+bool isSuccess(const HttpHead& answer);
+
 /** Takes the head of an answer in place of that of an earlier send. Not thread-safe, like all functions here.
  */
 void takeHead(AnswerRelay& relay, const HttpHead& head);
@@ -35,7 +42,11 @@
 /** Passes on or buffers a part of the body. Precondition: `takeHead`. */
 void relayBody(AnswerRelay& relay, std::string part);
 
-/** Ends the answer as complete. Precondition: `takeHead`. */
+/** Why the answer is known to be incomplete although its message has ended; null if it is not. Pure.
+ * Precondition: `takeHead`. */
+const char* findBreak(const AnswerRelay& relay);
+
+/** Ends the answer as complete. Precondition: `takeHead`, and `findBreak` returns null. */
 void finishRelay(AnswerRelay& relay);
 
 /** Describes for logs how the end of the answer is marked and where it stopped. Pure. */
--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-    constexpr int firstError = 300; ///< Statuses below it are successes.
     constexpr int badGateway = 502;
     constexpr int unavailable = 503;
     constexpr int gatewayTimeout = 504;
@@ -222,14 +221,13 @@
         transfer->isRefusal_ = tags.wasNotRun_;
         if (tags.wasNotRun_)
             return;
-        bool isSuccess = head.status_ < firstError;
-        if (isSuccess && (!tags.isStamped_ || tags.isEncoded_)) {
+        if (isSuccess(head) && (!tags.isStamped_ || tags.isEncoded_)) {
             transfer->exchange_->cancel();
             return handleLostAnswer(transfer, false,
                 "the answer does not come from the target's application, or has a content encoding");
         }
         recordOutput(pool_, transfer->id_, bootNow());
-        if (isSuccess && transfer->call_.route_.isStream_)
+        if (isSuccess(head) && transfer->call_.route_.isStream_)
             startRelay(transfer->relay_);
     }
 
@@ -251,13 +249,13 @@
             return retry(transfer, end.reason_);
         }
         transfer->connectionEnd_ = end.connectionEnd_;
-        bool isLost = end.outcome_ == OutboundResult::Outcome::Unknown
-            && end.connectionEnd_ != OutboundResult::ConnectionEnd::Open;
-        if (isLost)
+        bool isAnswered = end.outcome_ == OutboundResult::Outcome::Answered;
+        const char* lossReason = isAnswered ? findBreak(transfer->relay_) : end.reason_;
+        if (lossReason && end.connectionEnd_ != OutboundResult::ConnectionEnd::Open)
             crashTracker_.onConnectionEnded(
                 { transfer->digest_, transfer->target_, transfer->targetStartedAt_, bootNow() });
-        if (end.outcome_ == OutboundResult::Outcome::Unknown)
-            return handleLostAnswer(transfer, end.wasReused_ && !end.hadHead_, end.reason_);
+        if (lossReason)
+            return handleLostAnswer(transfer, end.wasReused_ && !end.hadHead_, lossReason);
         if (transfer->isRefusal_) {
             endDispatch(transfer, DispatchOutcome::Refused);
             return retry(transfer, "the target refused the request");
@@ -267,7 +265,7 @@
 
     void handleAnswer(const TransferPtr& transfer)
     {
-        if (transfer->relay_.head_.status_ < firstError)
+        if (isSuccess(transfer->relay_.head_))
             crashTracker_.onCompleted(transfer->digest_);
         endDispatch(transfer, DispatchOutcome::Answered);
         finishRelay(transfer->relay_);
--- a/src/EventCounter.h
+++ b/src/EventCounter.h
@@ -14,14 +14,18 @@
     std::int64_t events_ = 0;
     bool isLineEmpty_ = true;
     bool isInEvent_ = false;
+    bool wasCarriageReturn_ = false; ///< The last byte was one.
 
     /** Reads the next bytes of the stream, which may end anywhere in an event. */
     void feed(std::string_view bytes)
     {
         for (char c : bytes) {
-            if (c == '\r')
+            bool isEndOfLine = c == '\n' || c == '\r';
+            bool isSecondOfPair = c == '\n' && wasCarriageReturn_;
+            wasCarriageReturn_ = c == '\r';
+            if (isSecondOfPair)
                 continue;
-            if (c != '\n') {
+            if (!isEndOfLine) {
                 isLineEmpty_ = false;
                 isInEvent_ = true;
                 continue;
--- a/test/correctness/HttpWireReading.cpp
+++ b/test/correctness/HttpWireReading.cpp
@@ -64,8 +64,12 @@
 
     void truncatedResponseIsNotComplete()
     {
-        for (const char* head :
-            { "Content-Length: 9\r\n\r\nhalf", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n" }) {
+        const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n";
+        for (const std::string& head :
+            { std::string("X: y\r\n"), std::string("Content-Length: 9\r\n\r\n"),
+                std::string("Content-Length: 9\r\n\r\nhalf"), chunks, chunks + "4", chunks + "4\r\n",
+                chunks + "4\r\nha", chunks + "4\r\nhalf", chunks + "4\r\nhalf\r\n", chunks + "4\r\nhalf\r\n0",
+                chunks + "4\r\nhalf\r\n0\r\n", chunks + "4\r\nhalf\r\n0\r\nTrailer: x\r\n" }) {
             HttpReader reader(HttpReader::Side::Responses, {});
             reader.feed(std::string("HTTP/1.1 200 OK\r\n") + head);
             reader.feedEof();
