Count a response without framing as lost where its end is not known

Callers could see: a page of the store's records, a reply of another VM, or the answer of a service behind the schedulers that was cut off by the end of its connection and taken for complete.

OutboundPool now accepts a response that ends with its connection only from targets, whose framing is passed on. HttpClient accepts it only if the body is a JSON document or the receiver looks for an end of its own: the streams of engines end with their last event. A service's answer is stored and repeated, so its framing cannot be passed on; a call that may run at most once ends as outcome-unknown with the remedy in the message.

--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -200,6 +200,7 @@
         OutboundRequest request { known.address_,
             platform::encodeTargetRequest(call.request_.head_, remaining, target.id_), call.request_.body_ };
         request.needsNewConnection_ = transfer->needsNewConnection_;
+        request.acceptsUnframed_ = true;
         OutboundCallbacks callbacks;
         callbacks.matchesRequest_ = [transfer](const HttpHead& head) {
             AttemptId answers = platform::decodeAnswerTags(head).attempt_;
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -7,6 +7,7 @@
 #include <curl/curl.h>
 #include <future>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <thread>
 #include <unordered_map>
 
@@ -114,16 +115,40 @@
         setMethodAndBody(easy, call);
     }
 
+    bool isFramed(const Transfer& transfer)
+    {
+        constexpr int noContent = 204;
+        constexpr int notModified = 304;
+        const HttpResult& result = transfer.result_;
+        return result.headers_.count("content-length") || result.headers_.count("transfer-encoding")
+            || result.status_ == noContent || result.status_ == notModified
+            || transfer.call_.method_ == "HEAD";
+    }
+
+    // A number or a literal may be the beginning of a longer one.
+    bool isWholeJson(const std::string& body)
+    {
+        return nlohmann::json::parse(body, nullptr, false).is_structured();
+    }
+
     void setOutcome(Transfer& transfer, CURLcode code)
     {
         HttpResult& result = transfer.result_;
         long status = 0;
         curl_easy_getinfo(transfer.easy_, CURLINFO_RESPONSE_CODE, &status);
         result.status_ = static_cast<int>(status);
-        if (code == CURLE_OK) {
+        bool isComplete = transfer.onData_ || isFramed(transfer) || isWholeJson(result.body_);
+        if (code == CURLE_OK && isComplete) {
             result.outcome_ = HttpResult::Outcome::Answered;
             return;
         }
+        if (code == CURLE_OK) {
+            result.outcome_ = HttpResult::Outcome::Unknown;
+            result.error_
+                = "the response has neither a length nor chunks, so it may have been cut off; let the "
+                  "server send Content-Length or chunks";
+            return;
+        }
         result.error_ = curl_easy_strerror(code);
         result.outcome_ = transfer.mayHaveSent_ ? HttpResult::Outcome::Unknown : HttpResult::Outcome::NotSent;
     }
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -35,7 +35,10 @@
 /** The result of a request. */
 struct HttpResult {
     enum class Outcome {
-        Answered, ///< The whole response was received.
+        /** The whole response was received. One that ends with its connection counts only if its body is a
+         * JSON document, which shows its own end, or went to an `onData` callback, which has to find the end.
+         */
+        Answered,
         NotSent, ///< No byte of the request left this process.
         Unknown, ///< The request may have been received, but no complete response was.
     };
--- a/src/OutboundPool.cpp
+++ b/src/OutboundPool.cpp
@@ -74,6 +74,7 @@
         {
             callbacks_ = std::move(callbacks);
             isBusy_ = true;
+            acceptsUnframed_ = request.acceptsUnframed_;
             request_ = serialize(request);
             if (request.head_.method_ == "HEAD")
                 reader_.expectNoBody();
@@ -243,7 +244,7 @@
             // A response without a length ends with its connection; after a reset it is incomplete.
             if (how == CloseReason::ClosedByPeer && hasHead_ && !isForOtherRequest_) {
                 reader_.feedEof();
-                if (reader_.isComplete())
+                if (reader_.isComplete() && acceptsUnframed_)
                     return completeMessage(false);
             }
             fail(how == CloseReason::ConnectFailed ? "connection failed"
@@ -280,6 +281,7 @@
         bool isBusy_ = false;
         bool isReused_ = false;
         bool wasSent_ = false;
+        bool acceptsUnframed_ = false;
         OutboundResult::ConnectionEnd connectionEnd_ = OutboundResult::ConnectionEnd::Open;
         bool hasHead_ = false;
         bool isForOtherRequest_ = false;
--- a/src/OutboundPool.h
+++ b/src/OutboundPool.h
@@ -25,6 +25,9 @@
     std::string body_;
     Milliseconds connectTimeout_ { 300 };
     bool needsNewConnection_ = false;
+    /** Whether a response may end with its connection. Otherwise such a response counts as lost, since its
+     * end does not show that it is complete. */
+    bool acceptsUnframed_ = false;
 };
 
 /** Result of an exchange. */
