End answers whose bytes do not end

A target may send bytes that are no answer until its caller closes. Callers would wait until their deadline, and a stream of such bytes reached them as events.

Bounds, each a named constant: bytes before a response (empty lines, interim responses, responses to other requests), the size of one event, and the events of a stream by the tokens that the request may generate. Each ends the connection at once and counts as a lost answer of the target. A head was bounded before; a body of another kind ends at the deadline of the request, with bounded memory.

--- a/src/AnswerRelay.cpp
+++ b/src/AnswerRelay.cpp
@@ -2,6 +2,7 @@
 
 #include "Headers.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace fescue {
@@ -9,6 +10,8 @@
 namespace {
 
     constexpr std::size_t maxBufferedAnswerBytes = 256 * 1024;
+    // Far above the text that engines put into one event.
+    constexpr std::size_t maxEventBytes = 256 * 1024;
     constexpr int firstError = 300; ///< Statuses below it are successes.
 
     bool hasEvents(const AnswerRelay& relay)
@@ -47,9 +50,27 @@
     }
     if (relay.isStream_)
         relay.events_.feed(part);
+    if (findExcess(relay))
+        return;
     relay.reply_->write(part);
 }
 
+std::int64_t relayedEvents(const AnswerRelay& relay)
+{
+    std::int64_t started = relay.events_.startedEvents();
+    return relay.maxEvents_ > 0 ? std::min(started, relay.maxEvents_) : started;
+}
+
+const char* findExcess(const AnswerRelay& relay)
+{
+    if (!hasEvents(relay))
+        return nullptr;
+    if (relay.events_.eventBytes_ > maxEventBytes)
+        return "an event of the stream is too large";
+    bool hasTooMany = relay.maxEvents_ > 0 && relay.events_.startedEvents() > relay.maxEvents_;
+    return hasTooMany ? "the stream has more events than the request may generate" : nullptr;
+}
+
 const char* findBreak(const AnswerRelay& relay)
 {
     if (!hasEvents(relay))
--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -35,6 +35,16 @@
         return tags.prompt_.empty() ? tags.promptTokens_ : tags.prompt_.back().tokens_;
     }
 
+    // Engines round up to whole events, and may send one more that has no tokens.
+    std::int64_t maxEventsOf(const ForwardedCall& call)
+    {
+        std::int64_t tokensPerEvent = call.service_.tokensPerEvent_.value_;
+        std::int64_t maxTokens = call.tags_.maxTokens_.value_;
+        if (tokensPerEvent <= 0 || maxTokens <= 0)
+            return 0;
+        return (maxTokens + tokensPerEvent - 1) / tokensPerEvent + 1;
+    }
+
 } // namespace
 
 struct CallForwarder::Impl : std::enable_shared_from_this<CallForwarder::Impl> {
@@ -122,6 +132,7 @@
         transfer->digest_ = digestOf(transfer->call_.request_.head_, transfer->call_.request_.body_);
         transfer->relay_.reply_ = transfer->call_.reply_;
         transfer->relay_.isStream_ = transfer->call_.route_.isStream_;
+        transfer->relay_.maxEvents_ = maxEventsOf(transfer->call_);
         transfer->call_.reply_->onDisconnect([weak = weak_from_this(), transfer] {
             if (auto self = weak.lock())
                 self->handleCallerDisconnect(transfer);
@@ -237,6 +248,10 @@
         if (transfer->isRefusal_)
             return;
         relayBody(transfer->relay_, std::move(part));
+        if (const char* excess = findExcess(transfer->relay_)) {
+            transfer->exchange_->cancel();
+            return handleLostAnswer(transfer, false, excess);
+        }
         if (transfer->call_.reply_->pendingBytes() > maxUnsentBytes && !transfer->isPaused_) {
             transfer->isPaused_ = true;
             transfer->exchange_->pauseReading(true);
@@ -278,7 +293,7 @@
 
     TokenCount generated(const Transfer& transfer) const
     {
-        return { transfer.relay_.events_.startedEvents() * transfer.call_.service_.tokensPerEvent_.value_ };
+        return { relayedEvents(transfer.relay_) * transfer.call_.service_.tokensPerEvent_.value_ };
     }
 
     void endDispatch(const TransferPtr& transfer, DispatchOutcome outcome)
--- a/src/EventCounter.h
+++ b/src/EventCounter.h
@@ -4,6 +4,7 @@
  * EventCounter: counts the server-sent events of a stream, from which its tokens are estimated.
  */
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -14,6 +15,7 @@
     std::int64_t events_ = 0;
     bool isLineEmpty_ = true;
     bool isInEvent_ = false;
+    std::size_t eventBytes_ = 0; ///< Of the incomplete event, without line ends.
     bool wasCarriageReturn_ = false; ///< The last byte was one.
 
     /** Reads the next bytes of the stream, which may end anywhere in an event. */
@@ -28,11 +30,13 @@
             if (!isEndOfLine) {
                 isLineEmpty_ = false;
                 isInEvent_ = true;
+                ++eventBytes_;
                 continue;
             }
             if (isLineEmpty_ && isInEvent_) {
                 ++events_;
                 isInEvent_ = false;
+                eventBytes_ = 0;
             }
             isLineEmpty_ = true;
         }
--- a/src/OutboundPool.cpp
+++ b/src/OutboundPool.cpp
@@ -75,6 +75,7 @@
             callbacks_ = std::move(callbacks);
             isBusy_ = true;
             acceptsUnframed_ = request.acceptsUnframed_;
+            skippedBytes_ = 0;
             request_ = serialize(request);
             if (request.head_.method_ == "HEAD")
                 reader_.expectNoBody();
@@ -142,9 +143,14 @@
             }
             auto self = shared_from_this();
             while (!data.empty() && isBusy_) {
-                data.remove_prefix(reader_.feed(data));
+                bool isBeforeResponse = !hasHead_ || isForOtherRequest_;
+                std::size_t used = reader_.feed(data);
+                data.remove_prefix(used);
                 if (reader_.error())
                     return fail("the response is not valid HTTP");
+                skippedBytes_ += isBeforeResponse ? used : 0;
+                if (skippedBytes_ > state_->limits_.maxSkippedBytes_)
+                    return fail("the connection carries too many bytes that belong to no request");
                 if (!reader_.hasHead())
                     return;
                 if (!forwardMessage())
@@ -282,6 +288,7 @@
         bool isReused_ = false;
         bool wasSent_ = false;
         bool acceptsUnframed_ = false;
+        std::size_t skippedBytes_ = 0; ///< Received before the response to the current request.
         OutboundResult::ConnectionEnd connectionEnd_ = OutboundResult::ConnectionEnd::Open;
         bool hasHead_ = false;
         bool isForOtherRequest_ = false;
--- a/src/OutboundPool.h
+++ b/src/OutboundPool.h
@@ -78,6 +78,8 @@
     /** Subtracted from an announced timeout, so that a reuse does not race with the peer's close. */
     Milliseconds idleTimeoutMargin_ { 1000 };
     HttpLimits message_ { 64 * 1024, 64 * 1024 * 1024 };
+    /** Bytes of empty lines, interim responses and responses to other requests before the response. */
+    std::size_t maxSkippedBytes_ = 256 * 1024;
 };
 
 /** Connections to peers. Confined to the thread of the event loop. */
--- /dev/null
+++ b/test/failure/EndlessAnswers.cpp
@@ -0,0 +1,144 @@
+// Guards against a target whose bytes never end, in a head or a body: the VM's memory must not grow, and the
+// request and its slot must not be kept.
+
+#include "BootClock.h"
+#include "EntryVmHarness.h"
+#include "Suite.h"
+
+using namespace fescue;
+using namespace fescue::test;
+
+namespace {
+
+const std::string requestHeaders = "Fescuewinch-Request-Id: r1\r\nFescuewinch-Deadline-Ms: 1200\r\n";
+const std::string turnHeaders = requestHeaders
+    + "Fescuewinch-Program-Id: p1\r\nFescuewinch-Token-Budget: 9000\r\nFescuewinch-Token-Count: 100,300\r\n";
+// The deadline of a request, and the time in which its caller has to have the final answer then.
+constexpr Milliseconds maxDuration { 1200 + 500 };
+// What was received is bounded; a minute of it would be gigabytes.
+constexpr ByteCount maxGrowth { 24 << 20 };
+
+std::string stampedHead(const HttpHead& request, const std::string& framing)
+{
+    const std::string* id = findHeader(request, "Fescuewinch-Request-Id");
+    return "HTTP/1.1 200 OK\r\nFescuewinch-Request-Id: " + (id ? *id : "")
+        + "\r\nFescuewinch-Response-Stamp: s\r\n" + framing + "\r\n";
+}
+
+struct Outcome {
+    std::string bytes_;
+    Milliseconds duration_ { 0 };
+};
+
+// Sends a turn to a target that answers with `start` and then `endless` without end. Checks that the VM
+// closes the connection to the target and stays small.
+Outcome takeTurn(const std::string& framing, const std::string& start, const std::string& endless)
+{
+    EntryVmHarness vm({ [=](const HttpHead& request, const std::string&) {
+        TargetAction action { framing.empty() ? start : stampedHead(request, framing) + start };
+        action.endless_ = endless;
+        return action;
+    } });
+    ByteCount before = vm.residentMemory();
+    MonotonicTime from = bootNow();
+    std::string answer = vm.request("POST", "/turn/1", turnHeaders, "prompt");
+    Outcome outcome { answer, bootNow() - from };
+    vm.waitUntil(
+        "the connection to the target is closed", [&] { return vm.target(0).closedConnections() > 0; });
+    CHECK(vm.residentMemory() < before + maxGrowth);
+    CHECK_EQUAL(1, vm.target(0).requests());
+    return outcome;
+}
+
+std::string block(const std::string& unit)
+{
+    constexpr std::size_t blockBytes = 16 * 1024;
+    std::string text;
+    while (text.size() < blockBytes)
+        text += unit;
+    return text;
+}
+
+const std::string eventStream = "Content-Type: text/event-stream\r\n";
+
+} // namespace
+
+class EndlessAnswers : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(EndlessAnswers);
+    CPPUNIT_TEST(endlessHeadIsCutOff);
+    CPPUNIT_TEST(endlessMessagesBeforeTheAnswerAreCutOff);
+    CPPUNIT_TEST(endlessEventIsCutOff);
+    CPPUNIT_TEST(endlessEventsAreCutOff);
+    CPPUNIT_TEST(endlessBodyEndsAtTheDeadline);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Well before the deadline of the request.
+    static constexpr Milliseconds promptly { 600 };
+
+public:
+    void endlessHeadIsCutOff()
+    {
+        for (const std::string& endless : { block("x"), block("X-More: header\r\n"), block("\r\n") }) {
+            Outcome outcome = takeTurn("", "HTTP/1.1 200 OK\r\n", endless);
+            CHECK_EQUAL(502, statusOf(outcome.bytes_));
+            CHECK(outcome.duration_ < promptly);
+        }
+        Outcome emptyLines = takeTurn("", "\r\n", block("\r\n"));
+        CHECK_EQUAL(502, statusOf(emptyLines.bytes_));
+        CHECK(emptyLines.duration_ < promptly);
+    }
+
+    void endlessMessagesBeforeTheAnswerAreCutOff()
+    {
+        const std::string other
+            = "HTTP/1.1 200 OK\r\nFescuewinch-Request-Id: other\r\nContent-Length: 2\r\n\r\nhi";
+        for (const std::string& message : { std::string("HTTP/1.1 100 Continue\r\n\r\n"), other }) {
+            Outcome outcome = takeTurn("", message, block(message));
+            CHECK_EQUAL(502, statusOf(outcome.bytes_));
+            CHECK(outcome.duration_ < promptly);
+        }
+    }
+
+    void endlessEventIsCutOff()
+    {
+        Outcome outcome = takeTurn(eventStream, "id: 1\ndata: ", block("x"));
+        CHECK_EQUAL(200, statusOf(outcome.bytes_));
+        CHECK(outcome.duration_ < promptly);
+    }
+
+    // The turn may generate 300 tokens, which are three events.
+    void endlessEventsAreCutOff()
+    {
+        const std::string event = "id: 1\ndata: x\n\n";
+        Outcome outcome = takeTurn(eventStream, event, block(event));
+        CHECK_EQUAL(200, statusOf(outcome.bytes_));
+        std::size_t events = 0;
+        for (std::size_t at = outcome.bytes_.find("id: "); at != std::string::npos;
+             at = outcome.bytes_.find("id: ", at + 1))
+            ++events;
+        CHECK(events <= 4); // Engines may send one more than the tokens need.
+        CHECK(outcome.duration_ < promptly);
+    }
+
+    void endlessBodyEndsAtTheDeadline()
+    {
+        EntryVmHarness vm({ [](const HttpHead& request, const std::string&) {
+            TargetAction action { stampedHead(request, "") };
+            action.endless_ = block("x");
+            return action;
+        } });
+        ByteCount before = vm.residentMemory();
+        MonotonicTime from = bootNow();
+        RawConnection caller(vm.port());
+        caller.send("POST /call/1 HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n" + requestHeaders
+            + "Content-Length: 3\r\n\r\npay");
+        caller.readAll();
+        CHECK(caller.wasReset());
+        CHECK(bootNow() - from < maxDuration);
+        vm.waitUntil(
+            "the connection to the target is closed", [&] { return vm.target(0).closedConnections() > 0; });
+        CHECK(vm.residentMemory() < before + maxGrowth);
+    }
+};
+
+REGISTER_SUITE(EndlessAnswers);
--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -88,6 +88,8 @@
                 if (action.crashes_)
                     return crash();
                 link->send(action.bytes_);
+                if (!action.endless_.empty())
+                    endless_.emplace_back(link, action.endless_);
                 if (action.closesConnection_)
                     return link->closeAfterFlush();
             }
@@ -107,6 +109,20 @@
     return (dot == std::string::npos ? std::string() : expected->substr(dot)) != startName_;
 }
 
+void ScriptedTarget::sendEndless()
+{
+    // Enough to keep the connection busy between two calls.
+    constexpr std::size_t bytesPerCall = 256 * 1024;
+    for (auto& [weak, bytes] : endless_) {
+        auto link = weak.lock();
+        std::size_t sent = 0;
+        while (link && link->isOpen() && link->queuedBytes() == 0 && sent < bytesPerCall) {
+            link->send(bytes);
+            sent += bytes.size();
+        }
+    }
+}
+
 void ScriptedTarget::resetConnections()
 {
     for (const auto& weak : links_) {
@@ -208,6 +224,15 @@
         "fescue-entry", std::vector<std::string> { "--settings=" + vm.settingsFile_ }, 0, output);
 }
 
+ByteCount EntryVmHarness::residentMemory(std::size_t vm) const
+{
+    std::ifstream file("/proc/" + std::to_string(vms_[vm].process_->id()) + "/statm");
+    std::int64_t size = 0;
+    std::int64_t resident = 0;
+    file >> size >> resident;
+    return { resident * ::sysconf(_SC_PAGESIZE) };
+}
+
 void EntryVmHarness::addVm()
 {
     vms_.push_back(makeVm());
@@ -259,6 +284,7 @@
     }
     for (std::size_t i = 0; i < targets_.size(); ++i) {
         ScriptedTarget& target = *targets_[i];
+        target.sendEndless();
         bool isRestarted = target.restartIfDue(now);
         if (publishedStarts_[i] != target.startName() && now >= target.crashedAt() + entryLapse) {
             publishTarget(i, publishedStarts_[i], false);
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -22,6 +22,7 @@
     std::string bytes_; ///< Sent unchanged.
     bool closesConnection_ = false; ///< After the bytes have been sent.
     bool crashes_ = false; ///< Resets all connections, and refuses new ones until the target is back.
+    std::string endless_; ///< Sent again and again after `bytes_` until the other side closes the connection.
 };
 
 /** A target that responds with scripted bytes. Counts requests and closed connections.
@@ -43,6 +44,8 @@
     const std::string& startName() const { return startName_; }
     bool isRunning() const { return acceptor_.is_open(); }
     MonotonicTime crashedAt() const { return crashedAt_; }
+    /** Sends more of the responses that have no end. To be called periodically. */
+    void sendEndless();
     /** Starts a crashed target again once its downtime is over. Returns whether it did. */
     bool restartIfDue(MonotonicTime now);
 
@@ -57,6 +60,7 @@
     std::uint16_t port_ = 0;
     std::string startName_;
     std::vector<std::weak_ptr<TcpLink>> links_;
+    std::vector<std::pair<std::weak_ptr<TcpLink>, std::string>> endless_;
     MonotonicTime crashedAt_;
     std::atomic<int> requests_ { 0 };
     std::atomic<int> closedConnections_ { 0 };
@@ -84,6 +88,8 @@
     void restartVm(std::size_t vm);
     std::size_t vmCount() const { return vms_.size(); }
     Process& process(std::size_t vm = 0) { return *vms_[vm].process_; }
+    /** Resident memory of a VM's process. */
+    ByteCount residentMemory(std::size_t vm = 0) const;
     int port(std::size_t vm = 0) const { return vms_[vm].callerPort_; }
     /** Sends a request to the first VM with `Connection: close` and reads until the connection ends. */
     std::string request(const std::string& method, const std::string& path, const std::string& headers = "",
