Log the version of targets, and the attempt that a request resumes

The version of a target is decoded from its entry; send and target lines name it, and send names the attempt whose stream is taken up. Nothing decides on them yet.

--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -204,7 +204,8 @@
         Milliseconds remaining = call.deadline_ - transfer->sentAt_;
         logEvent("send",
             { { "request", call.tags_.attempt_.value_ }, { "content", textOf(transfer->digest_) },
-                { "target", target.id_.value_ }, { "attempt", std::to_string(transfer->sends_) },
+                { "target", target.id_.value_ }, { "version", target.version_.value_ },
+                { "resumes", call.tags_.resumes_.value_ }, { "attempt", std::to_string(transfer->sends_) },
                 { "waited_ms", msText(transfer->sentAt_ - call.request_.arrived_) },
                 { "left_ms", msText(remaining) },
                 { "load", describeLoad(pool_, target.id_, transfer->sentAt_) } });
@@ -447,6 +448,7 @@
             target.zone_ = entry.zone_;
             target.isLeaving_ = entry.isLeaving_;
             target.slots_ = entry.slots_;
+            target.version_ = entry.version_;
             auto service = config.services_.find(entry.service_);
             if (service != config.services_.end() && service->second.isModel_)
                 target.models_.push_back({ entry.service_.value_ });
--- a/src/CallTags.h
+++ b/src/CallTags.h
@@ -26,6 +26,10 @@
 /** Metadata of a request. */
 struct CallTags {
     AttemptId attempt_;
+    /** The attempt that brought the first event of the stream that this request resumes; empty if the caller
+     * does not state it. */
+    AttemptId resumes_;
+    std::string lastEvent_; ///< Id of the last event that the caller holds; empty if it resumes no stream.
     std::optional<Milliseconds> deadline_; ///< How long the caller waits, counted from arrival.
     ProgramId program_;
     SessionId session_;
--- a/src/Manifest.h
+++ b/src/Manifest.h
@@ -57,6 +57,7 @@
     bool checksFencing_ = false; ///< It rejects requests with a stale fencing token.
     bool isLeaving_ = false; ///< It is draining and receives no new calls.
     std::uint32_t slots_ = 0; ///< Number of concurrent calls; 0 when unknown.
+    SoftwareVersion version_; ///< Empty when unknown.
     std::vector<ModelId> models_;
     ServiceId service_; ///< Empty for a model engine.
 };
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -35,7 +35,8 @@
     bool isSameTarget(const TargetEntry& a, const TargetEntry& b)
     {
         return a.service_ == b.service_ && a.address_ == b.address_ && a.zone_ == b.zone_
-            && a.slots_ == b.slots_ && a.isLeaving_ == b.isLeaving_ && a.startedAt_ == b.startedAt_;
+            && a.version_ == b.version_ && a.slots_ == b.slots_ && a.isLeaving_ == b.isLeaving_
+            && a.startedAt_ == b.startedAt_;
     }
 
     bool isSameList(const std::map<TargetId, TargetEntry>& a, const std::map<TargetId, TargetEntry>& b)
@@ -320,6 +321,7 @@
                 logEvent("target",
                     { { "target", id.value_ }, { "service", entry.service_.value_ },
                         { "address", entry.address_ }, { "zone", entry.zone_.value_ },
+                        { "version", entry.version_.value_ },
                         { "state", entry.isLeaving_ ? "leaving" : "ready" } });
         }
         for (const auto& [id, entry] : reportedTargets_) {
--- a/src/TargetList.h
+++ b/src/TargetList.h
@@ -27,6 +27,7 @@
     bool isLeaving_ = false;
     Milliseconds startedAt_ { 0 }; ///< Start of its process since the Unix epoch; 0 when unknown.
     std::uint64_t heartbeat_ = 0; ///< Grows with each report of its process.
+    SoftwareVersion version_; ///< Empty when it states none.
 };
 
 /** The announced targets. */
--- a/src/Types.h
+++ b/src/Types.h
@@ -70,6 +70,9 @@
 /** A tool service (invoices, permits, ...). */
 using ServiceId = Identifier<struct ServiceTag>;
 
+/** Version of the software that a target runs; versions of one service have no order. */
+using SoftwareVersion = Identifier<struct SoftwareVersionTag>;
+
 /** Position of a call within its program, from 1. */
 using CallNumber = Quantity<struct CallNumberTag, std::uint32_t>;
 /** Index of a program shard within its zone, from 0. */
