--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -36,12 +36,13 @@
     constexpr Milliseconds downtime { 1500 };
     constexpr Milliseconds entryLapse { 3 * heartbeatInterval };
 
-    std::string targetEntry(
-        const std::string& service, int port, const std::string& startName, std::uint64_t heartbeat)
+    std::string targetEntry(const std::string& service, int port, const std::string& startName,
+        std::uint64_t heartbeat, const Announcement& announcement)
     {
         return fmt::format(
-            R"({{"service":"{}","address":"127.0.0.1:{}","zone":"z","slots":12,"state":"ready","seq":{},"born":{}}})",
-            service, port, heartbeat, 1000 + startName.size());
+            R"({{"service":"{}","address":"127.0.0.1:{}","zone":"z","version":"{}","slots":12,"state":"{}","seq":{},"born":{}}})",
+            service, port, announcement.version_, announcement.isLeaving_ ? "draining" : "ready", heartbeat,
+            1000 + startName.size());
     }
 
 } // namespace
@@ -172,6 +173,7 @@
 {
     for (auto& script : scripts)
         targets_.push_back(std::make_unique<ScriptedTarget>(io_, std::move(script)));
+    announcements_.resize(targets_.size());
     if (hasConfig)
         publish();
     for (std::size_t i = 0; i < vms; ++i)
@@ -271,7 +273,9 @@
 {
     for (const char* service : { "app", "llm" })
         store_->put("keyed.servers", fmt::format("i-{}-{}{}", service, index, startName),
-            isPresent ? targetEntry(service, targets_[index]->port(), startName, heartbeats_) : "");
+            isPresent && announcements_[index].isPresent_
+                ? targetEntry(service, targets_[index]->port(), startName, heartbeats_, announcements_[index])
+                : "");
 }
 
 // Running targets report themselves; the entry of a crashed one lapses, and it comes back under a new id.
@@ -295,6 +299,14 @@
     }
 }
 
+void EntryVmHarness::announce(std::size_t target, const Announcement& announcement)
+{
+    runOnStore([&](standin::PlatformStore&) {
+        announcements_[target] = announcement;
+        publishTarget(target, targets_[target]->startName(), true);
+    });
+}
+
 void EntryVmHarness::runOnStore(const std::function<void(standin::PlatformStore&)>& action)
 {
     std::promise<void> done;
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -72,6 +72,13 @@
 /** The response of a target that has refused to run the request. */
 std::string targetRefusal(const HttpHead& request);
 
+/** What a target states about itself in the store. */
+struct Announcement {
+    std::string version_ = "v1";
+    bool isLeaving_ = false;
+    bool isPresent_ = true;
+};
+
 /** The running entry VMs and their environment. Must be used on the test's thread. */
 class EntryVmHarness {
 public:
@@ -81,6 +88,8 @@
 
     /** Runs `action` on the thread of the stand-ins and waits for it. */
     void runOnStore(const std::function<void(standin::PlatformStore&)>& action);
+    /** Changes what a target states about itself from now on. */
+    void announce(std::size_t target, const Announcement& announcement);
     ScriptedTarget& target(std::size_t index) { return *targets_[index]; }
     /** Starts one more VM and waits until it is ready. */
     void addVm();
@@ -125,6 +134,7 @@
     std::unique_ptr<standin::PlatformStore> store_;
     std::string eventsFolder_;
     std::vector<std::unique_ptr<ScriptedTarget>> targets_;
+    std::vector<Announcement> announcements_; ///< Used on the thread of the stand-ins.
     std::vector<std::string> publishedStarts_; ///< Start of each target that is in the store.
     std::uint64_t heartbeats_ = 0;
     MonotonicTime nextHeartbeat_;
