Move the exchange between VMs and the admission of turns into files of their own

TurnBroker had its own client, server and list of peers; PeerExchange lets other parts talk to peers over the same connections. EntryVm admitted turns itself; TurnAdmission is that stage. No change of behaviour but one: a path that peers do not serve gets 404 instead of 400.

--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -6,12 +6,11 @@
 #include "FrontServer.h"
 #include "Headers.h"
 #include "Metrics.h"
-#include "ProgramAdmission.h"
 #include "RefuseCall.h"
 #include "StoreClient.h"
 #include "StoreFollower.h"
 #include "TcpLink.h"
-#include "TurnBroker.h"
+#include "TurnAdmission.h"
 
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -35,7 +34,6 @@
     constexpr Milliseconds minTimeWithoutRequests { 400 };
     // Part of the platform's grace period that is reserved for shutting down after the drain.
     constexpr Milliseconds shutdownMargin { 700 };
-    constexpr Milliseconds budgetRetryAfter { 300 };
     // A shorter outage of the store would end before the platform's health checks react to it.
     constexpr Milliseconds storeOutageTolerance { 700 };
     constexpr Milliseconds notReadyRetryAfter { 300 };
@@ -43,7 +41,6 @@
 
     constexpr int ok = 200;
     constexpr int notFound = 404;
-    constexpr int paymentRequired = 402;
     constexpr int serviceUnavailable = 503;
 
     // A name that is unique to this start of this process.
@@ -64,37 +61,28 @@
 } // namespace
 
 struct EntryVm::Impl {
-    // A turn that waits for a budget decision.
-    struct PendingTurn {
-        ForwardedCall call_;
-        std::optional<TurnId> turnId_; ///< Its id at the broker; not set while `requestTurn` runs.
-    };
-    using PendingId = std::uint64_t;
-
     EntryVmOptions options_;
     asio::io_context io_ { 1 };
     asio::signal_set signals_ { io_, SIGTERM, SIGINT, SIGHUP };
     asio::steady_timer timer_ { io_ };
     Random random_;
-    AdmissionOptions admission_;
     std::optional<ServingConfig> config_;
     StoreHealth health_;
     platform::StoreClient store_;
     WriterId writer_;
     CallForwarder forwarder_;
+    PeerExchange exchange_;
     TurnBroker broker_;
+    TurnAdmission admission_;
     StoreFollower follower_;
     FrontServer callerServer_;
     FrontServer readinessServer_;
     std::unique_ptr<FrontServer> metricsServer_;
-    std::map<PendingId, PendingTurn> pendingTurns_;
-    PendingId lastTurnId_ = 0;
     MonotonicTime lastTick_;
     MonotonicTime lastRequest_;
     std::optional<MonotonicTime> drainStartedAt_;
     bool wasReady_ = false;
     Counter unroutedCounter_ { "unrouted_total" };
-    Counter budgetRefusals_ { "budget_refusals_total" };
 
     explicit Impl(EntryVmOptions options)
         : options_(std::move(options))
@@ -102,11 +90,13 @@
         , store_(io_, *parseEndpoint(options_.settings_.store_.address_))
         , writer_(makeWriterId(options_.settings_.vm_))
         , forwarder_(io_, store_, options_.settings_.zone_, writer_, options_.seed_)
-        , broker_(io_, store_, health_, brokerOptions(options_.settings_, writer_))
+        , exchange_(io_, options_.settings_.vm_, options_.settings_.peerAddress_)
+        , broker_(exchange_, store_, health_, brokerOptions(options_.settings_, writer_))
+        , admission_(broker_, forwarder_, health_, random_)
         , follower_(store_, health_, followIntervals(options_.settings_),
               { [this](const ServingConfig& config) { applyConfig(config); },
                   [this](const TargetList& list) { applyTargets(list); },
-                  [this](const std::map<VmId, PeerEntry>& peers) { broker_.setPeers(peers); },
+                  [this](const std::map<VmId, PeerEntry>& peers) { exchange_.peers().peers_ = peers; },
                   [this](const auto& records, bool isAll) { forwarder_.applyCrashRecords(records, isAll); } })
         , callerServer_(
               io_, options_.settings_.callerAddress_,
@@ -132,7 +122,7 @@
 
     static TurnBrokerOptions brokerOptions(const VmSettings& settings, const WriterId& writer)
     {
-        return { settings.vm_, settings.zone_, writer, settings.store_.partitions_, settings.peerAddress_ };
+        return { settings.vm_, settings.zone_, writer, settings.store_.partitions_ };
     }
 
     static FollowIntervals followIntervals(const VmSettings& settings)
@@ -158,7 +148,7 @@
         return { { "connections", {}, static_cast<double>(callerServer_.connections()) },
             { "calls_under_way", {}, static_cast<double>(forwarder_.openCallCount()) },
             { "calls_waiting", {}, static_cast<double>(forwarder_.queuedCallCount()) },
-            { "turns_waiting_for_budget", {}, static_cast<double>(pendingTurns_.size()) },
+            { "turns_waiting_for_budget", {}, static_cast<double>(admission_.waitingCount()) },
             { "programs", {}, static_cast<double>(broker_.programs()) },
             { "targets", {}, static_cast<double>(follower_.targets().entries_.size()) },
             { "config_version", {}, static_cast<double>(config_ ? config_->version_ : 0) },
@@ -213,7 +203,7 @@
         ForwardedCall call { std::move(request), std::move(reply), {} };
         call.tags_ = platform::decodeCallTags(call.request_.head_);
         if (!config_ || !follower_.targets().isComplete_)
-            return reject(
+            return rejectCall(
                 call, serviceUnavailable, "the configuration has not been read yet", notReadyRetryAfter);
         const Route* route
             = findRoute(*config_, *findHeader(call.request_.head_, "Host"), pathOf(call.request_.head_));
@@ -226,10 +216,10 @@
         call.deadline_ = call.request_.arrived_
             + std::min(route->timeout_, call.tags_.deadline_.value_or(route->timeout_));
         if (drainStartedAt_ && call.deadline_ > drainDeadline())
-            return reject(call, serviceUnavailable, "this VM shuts down before the deadline of the request",
-                otherVmRetryAfter);
+            return rejectCall(call, serviceUnavailable,
+                "this VM shuts down before the deadline of the request", otherVmRetryAfter);
         if (route->isTurn_ && call.tags_.programBudget_ && !call.tags_.program_.empty())
-            return requestBudget(std::move(call));
+            return admission_.admit(std::move(call));
         forwarder_.forward(std::move(call));
     }
 
@@ -247,111 +237,10 @@
         if (!age
             || *age > options_.settings_.configApplyTimeout_
                     + followIntervals(options_.settings_).configPollWait_)
-            return reject(call, serviceUnavailable,
+            return rejectCall(call, serviceUnavailable,
                 "no route matches this host and path, but the configuration may be stale",
                 notReadyRetryAfter);
-        reject(call, notFound, "no route matches this host and path", std::nullopt);
-    }
-
-    static void reject(ForwardedCall& call, int status, const std::string& reason,
-        std::optional<Milliseconds> retryAfter, const LogFields& fields = {})
-    {
-        LogFields all { { "request", call.tags_.attempt_.value_ }, { "program", call.tags_.program_.value_ },
-            { "route", call.route_.name_ }, { "outcome", "refused" }, { "status", std::to_string(status) },
-            { "reason", reason } };
-        all.insert(all.end(), fields.begin(), fields.end());
-        logEvent("request", all);
-        refuseCall(*call.reply_, call.tags_.attempt_, status, reason, retryAfter);
-    }
-
-    void requestBudget(ForwardedCall call)
-    {
-        PendingId id = ++lastTurnId_;
-        TurnRequest request { call.tags_.program_, *call.tags_.programBudget_, call.tags_.maxTokens_,
-            call.route_.programRetention_ };
-        request.timeLeft_ = call.deadline_ - bootNow();
-        request.canStartProgram_ = shouldAdmitProgram(
-            forwarder_.occupancy(call.service_.id_), call.route_.priority_, admission_, random_);
-        call.reply_->onDisconnect([this, id] { handleTurnDisconnect(id); });
-        pendingTurns_.emplace(id, PendingTurn { std::move(call), std::nullopt });
-        TurnId turnId = broker_.requestTurn(
-            request, [this, id](const TurnGrant& grant) { handleTurnDecision(id, grant); });
-        auto found = pendingTurns_.find(id);
-        if (found != pendingTurns_.end())
-            found->second.turnId_ = turnId;
-    }
-
-    void handleTurnDisconnect(PendingId id)
-    {
-        auto found = pendingTurns_.find(id);
-        if (found == pendingTurns_.end())
-            return;
-        const CallTags& tags = found->second.call_.tags_;
-        logEvent("request",
-            { { "request", tags.attempt_.value_ }, { "program", tags.program_.value_ },
-                { "outcome", "caller-gone" },
-                { "reason", "the caller disconnected while the turn waited for its program's budget" },
-                { "waited_for", found->second.turnId_ ? broker_.describe(*found->second.turnId_) : "" },
-                { "waited_ms",
-                    std::to_string((bootNow() - found->second.call_.request_.arrived_).count()) } });
-        if (found->second.turnId_)
-            broker_.abandonTurn(*found->second.turnId_);
-        pendingTurns_.erase(found);
-    }
-
-    void handleTurnDecision(PendingId id, const TurnGrant& grant)
-    {
-        auto found = pendingTurns_.find(id);
-        if (found == pendingTurns_.end()) {
-            if (grant.reply_.decision_ == TurnDecision::Granted)
-                broker_.endTurn(grant, {}, {});
-            return;
-        }
-        ForwardedCall call = std::move(found->second.call_);
-        pendingTurns_.erase(found);
-        if (grant.reply_.decision_ != TurnDecision::Granted) {
-            budgetRefusals_.add();
-            return rejectTurn(call, grant);
-        }
-        call.cachingTarget_ = grant.reply_.lastTarget_;
-        call.onEnd_
-            = [this, grant](TokenCount used, const TargetId& at) { broker_.endTurn(grant, used, at); };
-        forwarder_.forward(std::move(call));
-    }
-
-    void rejectTurn(ForwardedCall& call, const TurnGrant& grant)
-    {
-        const TurnReply& reply = grant.reply_;
-        LogFields fields { { "turn_most", std::to_string(grant.maxTokens_.value_) },
-            { "budget", std::to_string(call.tags_.programBudget_->value_) },
-            { "home", grant.granter_.value_ }, { "spent", std::to_string(reply.spent_.value_) },
-            { "claimed", std::to_string(reply.claimed_.value_) },
-            { "others_claimed", std::to_string(reply.othersClaimed_.value_) } };
-        if (reply.decision_ == TurnDecision::NotAdmitted) {
-            fields.emplace_back("occupancy", fmt::format("{:.2f}", forwarder_.occupancy(call.service_.id_)));
-            return reject(call, serviceUnavailable,
-                "the engines are near capacity and new programs are not admitted",
-                jittered(admission_.retryAfter_), fields);
-        }
-        if (reply.decision_ == TurnDecision::BudgetSpent)
-            return reject(
-                call, paymentRequired, "the program's token budget is exhausted", std::nullopt, fields);
-        if (reply.decision_ == TurnDecision::HeldElsewhere)
-            return reject(call, serviceUnavailable, "other VMs hold the rest of the program's token budget",
-                jittered(budgetRetryAfter), fields);
-        if (reply.decision_ == TurnDecision::InUse)
-            return reject(call, serviceUnavailable,
-                "other turns of the program have reserved the rest of its token budget",
-                jittered(budgetRetryAfter), fields);
-        reject(call, serviceUnavailable,
-            "the platform's store, which holds the token budgets, is unreachable",
-            jittered(outageRetryAfter(health_, bootNow())), fields);
-    }
-
-    Milliseconds jittered(Milliseconds middle)
-    {
-        std::uniform_int_distribution<std::int64_t> spread(middle.count() / 2, middle.count() * 3 / 2);
-        return Milliseconds { spread(random_) };
+        rejectCall(call, notFound, "no route matches this host and path", std::nullopt);
     }
 
     void tick()
@@ -367,8 +256,9 @@
         lastTick_ = now;
         store_.tick(now);
         follower_.tick(now);
-        expireTurns(now);
+        admission_.tick(now);
         forwarder_.tick(follower_.targets(), now);
+        exchange_.tick(now);
         broker_.tick(drainStartedAt_.has_value(), now);
         callerServer_.tick(now);
         readinessServer_.tick(now);
@@ -390,23 +280,6 @@
         });
     }
 
-    void expireTurns(MonotonicTime now)
-    {
-        std::vector<PendingId> expired;
-        for (const auto& [id, turn] : pendingTurns_) {
-            if (now >= turn.call_.deadline_)
-                expired.push_back(id);
-        }
-        for (PendingId id : expired) {
-            auto turn = std::move(pendingTurns_.at(id));
-            pendingTurns_.erase(id);
-            if (turn.turnId_)
-                broker_.abandonTurn(*turn.turnId_);
-            reject(turn.call_, serviceUnavailable, "timed out waiting for the program's token budget",
-                jittered(budgetRetryAfter));
-        }
-    }
-
     void logReadinessChange()
     {
         if (isReady() == wasReady_)
@@ -437,7 +310,7 @@
             return true;
         bool isTrafficStopped
             = now > *drainStartedAt_ + balancerDetectionTime && now > lastRequest_ + minTimeWithoutRequests;
-        return isTrafficStopped && forwarder_.openCallCount() == 0 && pendingTurns_.empty()
+        return isTrafficStopped && forwarder_.openCallCount() == 0 && admission_.waitingCount() == 0
             && broker_.isIdle();
     }
 
--- /dev/null
+++ b/src/PeerExchange.cpp
@@ -0,0 +1,90 @@
+#include "PeerExchange.h"
+
+#include "EventLog.h"
+#include "TcpLink.h"
+
+#include <map>
+
+namespace fescue {
+
+namespace {
+
+    constexpr int httpNotFound = 404;
+    constexpr Milliseconds peerConnectTimeout { 150 };
+
+} // namespace
+
+struct PeerExchange::Impl {
+    OutboundPool outbound_;
+    PeerList peers_;
+    std::unique_ptr<FrontServer> server_;
+    std::map<std::string, Handler> handlers_; ///< By path.
+
+    Impl(asio::io_context& io, const VmId& own, const std::string& address)
+        : outbound_(io)
+    {
+        peers_.own_ = own;
+        if (address.empty())
+            return;
+        server_ = std::make_unique<FrontServer>(
+            io, address,
+            [this](const FrontRequest& request, std::shared_ptr<FrontReply> reply) {
+                handleRequest(request, std::move(reply));
+            },
+            [](int status, const char* reason, const HttpHead*) {
+                logWarning("peer-request-refused", reason, { { "status", std::to_string(status) } });
+            });
+    }
+
+    void handleRequest(const FrontRequest& request, std::shared_ptr<FrontReply> reply)
+    {
+        auto handler = handlers_.find(request.head_.target_);
+        if (handler == handlers_.end())
+            return answerPeer(*reply, httpNotFound, "");
+        handler->second(request, std::move(reply));
+    }
+};
+
+PeerExchange::PeerExchange(asio::io_context& io, const VmId& own, const std::string& address)
+    : impl_(std::make_unique<Impl>(io, own, address))
+{
+}
+
+PeerExchange::~PeerExchange() = default;
+
+PeerList& PeerExchange::peers() { return impl_->peers_; }
+
+void PeerExchange::serve(const std::string& path, Handler handler)
+{
+    impl_->handlers_[path] = std::move(handler);
+}
+
+std::shared_ptr<OutboundCall> PeerExchange::post(
+    const PeerEntry& peer, const char* path, std::string body, OutboundCallbacks callbacks)
+{
+    auto address = parseEndpoint(peer.address_);
+    if (!address)
+        return nullptr;
+    HttpHead head;
+    head.method_ = "POST";
+    head.target_ = path;
+    head.headers_.push_back({ "Host", peer.address_ });
+    OutboundRequest request { *address, std::move(head), std::move(body), peerConnectTimeout };
+    return impl_->outbound_.send(std::move(request), std::move(callbacks));
+}
+
+void PeerExchange::tick(MonotonicTime now)
+{
+    impl_->outbound_.tick(now);
+    if (impl_->server_)
+        impl_->server_->tick(now);
+}
+
+void answerPeer(FrontReply& reply, int status, const std::string& body)
+{
+    HttpHead head;
+    head.status_ = status;
+    reply.answer(std::move(head), body);
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/PeerExchange.h
@@ -0,0 +1,44 @@
+#pragma once
+
+/** \file
+ * PeerExchange: HTTP between entry VMs: the list of peers, calls to them, and the server for their calls.
+ */
+
+#include "FrontServer.h"
+#include "OutboundPool.h"
+#include "PeerList.h"
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace fescue {
+
+/** Calls peers and serves their calls. Confined to the thread of the event loop. */
+class PeerExchange {
+public:
+    using Handler = std::function<void(const FrontRequest&, std::shared_ptr<FrontReply>)>;
+
+    /** Binds `address` (`ip:port`) for peers unless it is empty; throws `std::system_error` if that fails. */
+    PeerExchange(asio::io_context& io, const VmId& own, const std::string& address);
+    ~PeerExchange();
+
+    PeerList& peers();
+    /** Serves the calls of peers to a path. Precondition: the handler outlives this object's use of it. */
+    void serve(const std::string& path, Handler handler);
+    /** Calls a peer. Returns null if its address is not valid; no callback follows then. */
+    std::shared_ptr<OutboundCall> post(
+        const PeerEntry& peer, const char* path, std::string body, OutboundCallbacks callbacks);
+    /** To be called periodically. */
+    void tick(MonotonicTime now);
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+/** Answers a call of a peer. */
+void answerPeer(FrontReply& reply, int status, const std::string& body);
+
+} // namespace fescue
--- a/src/RefuseCall.cpp
+++ b/src/RefuseCall.cpp
@@ -31,4 +31,15 @@
     reply.answer(std::move(head), body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
+void rejectCall(ForwardedCall& call, int status, const std::string& reason,
+    std::optional<Milliseconds> retryAfter, const LogFields& fields)
+{
+    LogFields all { { "request", call.tags_.attempt_.value_ }, { "program", call.tags_.program_.value_ },
+        { "route", call.route_.name_ }, { "outcome", "refused" }, { "status", std::to_string(status) },
+        { "reason", reason } };
+    all.insert(all.end(), fields.begin(), fields.end());
+    logEvent("request", all);
+    refuseCall(*call.reply_, call.tags_.attempt_, status, reason, retryAfter);
+}
+
 } // namespace fescue
--- a/src/RefuseCall.h
+++ b/src/RefuseCall.h
@@ -4,7 +4,9 @@
  * RefuseCall: the answer to a request that ends at the entry VM.
  */
 
+#include "CallForwarder.h"
 #include "CallTags.h"
+#include "EventLog.h"
 #include "FrontServer.h"
 
 #include <optional>
@@ -17,4 +19,9 @@
 void refuseCall(FrontReply& reply, const AttemptId& attempt, int status, const std::string& reason,
     std::optional<Milliseconds> retryAfter);
 
+/** The same for a call that is refused before it is forwarded, with the log line of its final answer;
+ * `fields` are added to that line. */
+void rejectCall(ForwardedCall& call, int status, const std::string& reason,
+    std::optional<Milliseconds> retryAfter, const LogFields& fields = {});
+
 } // namespace fescue
--- a/src/TurnBroker.cpp
+++ b/src/TurnBroker.cpp
@@ -2,10 +2,7 @@
 
 #include "BootClock.h"
 #include "EventLog.h"
-#include "FrontServer.h"
 #include "Metrics.h"
-#include "OutboundPool.h"
-#include "TcpLink.h"
 
 #include <algorithm>
 #include <set>
@@ -21,7 +18,6 @@
     // A home replies within this time, if only with `ClaimPending`; a failed VM costs a turn `peerTimeout`.
     constexpr Milliseconds homeReplyTimeout { 150 };
     constexpr Milliseconds peerTimeout { 300 };
-    constexpr Milliseconds peerConnectTimeout { 150 };
     // After this many homes have failed, the VM decides on the turn itself.
     constexpr int maxHomesTried = 3;
     // Matches the interval of some 100 ms at which turns of a program end.
@@ -67,10 +63,9 @@
 
     TurnBrokerOptions options_;
     StoreHealth& health_;
-    OutboundPool outbound_;
     BudgetStore budgets_;
-    PeerList peers_;
-    std::unique_ptr<FrontServer> server_;
+    PeerExchange& exchange_;
+    PeerList& peers_; ///< Of the exchange.
     std::map<TurnId, PendingTurnPtr> pending_;
     std::map<std::uint64_t, PeerGrant> grants_;
     std::map<ProgramId, LastTarget> lastTargets_; ///< Of programs whose turns this VM granted.
@@ -82,24 +77,22 @@
     Counter peerFailures_ { "peer_failures_total" };
     Counter expired_ { "peer_grants_expired_total" };
 
-    Impl(asio::io_context& io, platform::StoreClient& store, StoreHealth& health,
+    Impl(PeerExchange& exchange, platform::StoreClient& store, StoreHealth& health,
         const TurnBrokerOptions& options)
         : options_(options)
         , health_(health)
-        , outbound_(io)
         , budgets_(store, health, options.writer_, options.partitions_,
               [this](TurnId turn, TurnDecision decision) { onLocalDecision(turn, decision); })
+        , exchange_(exchange)
+        , peers_(exchange.peers())
     {
-        peers_.own_ = options.vm_;
-        if (options.address_.empty())
-            return;
-        server_ = std::make_unique<FrontServer>(
-            io, options.address_,
-            [this](FrontRequest request, std::shared_ptr<FrontReply> reply) {
-                handlePeerRequest(request, std::move(reply));
-            },
-            [](int status, const char* reason, const HttpHead*) {
-                logWarning("peer-request-refused", reason, { { "status", std::to_string(status) } });
+        // The exchange serves calls for as long as this broker exists.
+        exchange_.serve(turnPath, [this](const FrontRequest& request, std::shared_ptr<FrontReply> reply) {
+            handlePeerTurn(request, std::move(reply));
+        });
+        exchange_.serve(
+            endPath, [this](const FrontRequest& request, const std::shared_ptr<FrontReply>& reply) {
+                handlePeerEnd(request.body_, *reply);
             });
     }
 
@@ -149,9 +142,6 @@
         entry->peer_ = peer.vm_;
         entry->callDeadline_ = bootNow() + peerTimeout;
         entry->replyBody_.clear();
-        HttpHead head;
-        head.method_ = "POST";
-        head.target_ = turnPath;
         OutboundCallbacks callbacks;
         callbacks.onBody_ = [entry](std::string part) { entry->replyBody_ += part; };
         callbacks.onEnd_ = [weak = weak_from_this(), id, entry](const OutboundResult& end) {
@@ -164,22 +154,11 @@
             else
                 self->onPeerFailure(id, entry, end.reason_);
         };
-        entry->call_ = send(peer, std::move(head), encode(entry->request_), std::move(callbacks));
+        entry->call_ = exchange_.post(peer, turnPath, encode(entry->request_), std::move(callbacks));
         if (!entry->call_)
             onPeerFailure(id, entry, "peer address is not a valid endpoint");
     }
 
-    std::shared_ptr<OutboundCall> send(
-        const PeerEntry& peer, HttpHead head, std::string body, OutboundCallbacks callbacks)
-    {
-        auto address = parseEndpoint(peer.address_);
-        if (!address)
-            return nullptr;
-        head.headers_.push_back({ "Host", peer.address_ });
-        OutboundRequest request { *address, std::move(head), std::move(body), peerConnectTimeout };
-        return outbound_.send(std::move(request), std::move(callbacks));
-    }
-
     void onPeerFailure(TurnId id, const PendingTurnPtr& entry, const char* reason)
     {
         peerFailures_.add();
@@ -320,9 +299,6 @@
         auto peer = peers_.peers_.find(grant.granter_);
         if (peer == peers_.peers_.end())
             return; // The peer has drained; its claim remains as last written.
-        HttpHead head;
-        head.method_ = "POST";
-        head.target_ = endPath;
         OutboundCallbacks callbacks;
         callbacks.onEnd_ = [weak = weak_from_this(), vm = grant.granter_](const OutboundResult& end) {
             // If this message is lost, the grant expires at the granter and counts as fully used.
@@ -330,19 +306,17 @@
             if (self && end.outcome_ != OutboundResult::Outcome::Answered)
                 recordPeerOutcome(self->peers_, vm, false, bootNow());
         };
-        send(peer->second, std::move(head), encode(TurnEnd { grant.reply_.grant_, used, target }),
+        exchange_.post(peer->second, endPath, encode(TurnEnd { grant.reply_.grant_, used, target }),
             std::move(callbacks));
     }
 
-    void handlePeerRequest(const FrontRequest& request, std::shared_ptr<FrontReply> reply)
+    void handlePeerTurn(const FrontRequest& request, std::shared_ptr<FrontReply> reply)
     {
-        if (request.head_.target_ == endPath)
-            return handlePeerEnd(request.body_, *reply);
         auto turn = parseTurnRequest(request.body_);
-        if (request.head_.target_ != turnPath || !turn)
-            return answer(*reply, httpBadRequest, "");
+        if (!turn)
+            return answerPeer(*reply, httpBadRequest, "");
         if (isDraining_)
-            return answer(*reply, httpOk, encode(TurnReply {}));
+            return answerPeer(*reply, httpOk, encode(TurnReply {}));
         grantToPeer(*turn, std::move(reply));
     }
 
@@ -361,7 +335,7 @@
                 grants_[message.grant_]
                     = { turn.program_, turn.maxTokens_, bootNow() + turn.timeLeft_ + grantMargin };
             }
-            answer(*reply, httpOk, encode(message));
+            answerPeer(*reply, httpOk, encode(message));
         };
         pending_[id] = entry;
         reply->onDisconnect([this, id] { abandonTurn(id); });
@@ -378,7 +352,7 @@
             recordLastTarget(ended.program_, end->target_);
             budgets_.onTurnEnded(ended.program_, ended.maxTokens_, end->usedTokens_);
         }
-        answer(reply, httpOk, "");
+        answerPeer(reply, httpOk, "");
     }
 
     void recordLastTarget(const ProgramId& program, const TargetId& target)
@@ -406,20 +380,10 @@
             { replyFor(entry->request_.program_, TurnDecision::ClaimPending), options_.vm_, {}, {} });
     }
 
-    static void answer(FrontReply& reply, int status, const std::string& body)
-    {
-        HttpHead head;
-        head.status_ = status;
-        reply.answer(std::move(head), body);
-    }
-
     void tick(bool isDraining, MonotonicTime now)
     {
         isDraining_ = isDraining;
         peers_.isStoreReachable_ = health_.isUp_;
-        outbound_.tick(now);
-        if (server_)
-            server_->tick(now);
         expireCalls(now);
         evictLastTargets(now);
         for (auto grant = grants_.begin(); grant != grants_.end();) {
@@ -467,9 +431,9 @@
     }
 };
 
-TurnBroker::TurnBroker(
-    asio::io_context& io, platform::StoreClient& store, StoreHealth& health, const TurnBrokerOptions& options)
-    : impl_(std::make_shared<Impl>(io, store, health, options))
+TurnBroker::TurnBroker(PeerExchange& exchange, platform::StoreClient& store, StoreHealth& health,
+    const TurnBrokerOptions& options)
+    : impl_(std::make_shared<Impl>(exchange, store, health, options))
 {
 }
 
@@ -489,8 +453,6 @@
     impl_->endTurn(grant, used, target);
 }
 
-void TurnBroker::setPeers(const std::map<VmId, PeerEntry>& peers) { impl_->peers_.peers_ = peers; }
-
 void TurnBroker::tick(bool isDraining, MonotonicTime now) { impl_->tick(isDraining, now); }
 
 bool TurnBroker::isIdle() const { return impl_->budgets_.isIdle(); }
--- a/src/TurnBroker.h
+++ b/src/TurnBroker.h
@@ -12,10 +12,9 @@
  */
 
 #include "BudgetStore.h"
-#include "PeerList.h"
+#include "PeerExchange.h"
 #include "PeerTurns.h"
 
-#include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
 
@@ -29,13 +28,12 @@
     TokenCount maxTokens_;
 };
 
-/** The VM of a broker and its addresses. */
+/** The VM of a broker. */
 struct TurnBrokerOptions {
     VmId vm_;
     ZoneId zone_;
     WriterId writer_;
     std::uint32_t partitions_ = 1; ///< Per topic of the store.
-    std::string address_; ///< `ip:port` to bind for peers; empty to accept no peer requests.
 };
 
 /** Decides on turns. Not thread-safe; to be used on the thread of the event loop only. */
@@ -43,9 +41,9 @@
 public:
     using OnGrant = std::function<void(const TurnGrant&)>;
 
-    /** Binds the address for peers; throws `std::system_error` if that fails. Precondition: `store` and
-     * `health` outlive the broker. */
-    TurnBroker(asio::io_context& io, platform::StoreClient& store, StoreHealth& health,
+    /** Precondition: `exchange`, `store` and `health` outlive the broker, and `exchange` serves no call after
+     * it. */
+    TurnBroker(PeerExchange& exchange, platform::StoreClient& store, StoreHealth& health,
         const TurnBrokerOptions& options);
     ~TurnBroker();
 
@@ -57,7 +55,6 @@
     void abandonTurn(TurnId turn);
     /** Reports the end of a granted turn; `target` ran it, empty if it was not sent to any. */
     void endTurn(const TurnGrant& grant, TokenCount used, const TargetId& target);
-    void setPeers(const std::map<VmId, PeerEntry>& peers);
     /** Runs periodic work; to be called at regular intervals. */
     void tick(bool isDraining, MonotonicTime now);
     /** Whether no budget write is in flight or queued. */
--- a/test/correctness/HomeAnswers.cpp
+++ b/test/correctness/HomeAnswers.cpp
@@ -36,6 +36,7 @@
         VmId id_;
         StoreHealth health_;
         std::unique_ptr<platform::StoreClient> store_;
+        std::unique_ptr<PeerExchange> exchange_;
         std::unique_ptr<TurnBroker> broker_;
     };
 
@@ -53,6 +54,7 @@
             store_->tick(bootNow());
             for (auto& [id, vm] : vms_) {
                 vm.store_->tick(bootNow());
+                vm.exchange_->tick(bootNow());
                 vm.broker_->tick(false, bootNow());
             }
         }
@@ -65,10 +67,11 @@
         vm.id_ = { name };
         asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(), store_->port());
         vm.store_ = std::make_unique<platform::StoreClient>(*io_, address);
-        TurnBrokerOptions options { { name }, { "z" }, { name + "#1" }, 1,
-            fmt::format("127.0.0.1:{}", fescue::test::findFreePort(*io_)) };
-        vm.broker_ = std::make_unique<TurnBroker>(*io_, *vm.store_, vm.health_, options);
-        peers_[vm.id_] = { vm.id_, { "z" }, options.address_, options.writer_ };
+        TurnBrokerOptions options { { name }, { "z" }, { name + "#1" }, 1 };
+        std::string peerAddress = fmt::format("127.0.0.1:{}", fescue::test::findFreePort(*io_));
+        vm.exchange_ = std::make_unique<PeerExchange>(*io_, vm.id_, peerAddress);
+        vm.broker_ = std::make_unique<TurnBroker>(*vm.exchange_, *vm.store_, vm.health_, options);
+        peers_[vm.id_] = { vm.id_, { "z" }, peerAddress, options.writer_ };
     }
 
     // Returns a program with the given home.
@@ -105,7 +108,7 @@
         addVm("vm-a");
         addVm("vm-b");
         for (auto& [id, vm] : vms_)
-            vm.broker_->setPeers(peers_);
+            vm.exchange_->peers().peers_ = peers_;
     }
 
     void tearDown() override
