Bind a stream that is taken up again to the software version that began it

Cause: a request with Last-Event-Id was placed like any other, on any VM; nothing kept the version that began the stream, and the header that names the stream was not read. Class: a decision that must hold over several VMs was made from a single request.

While a service has had one version for longer than any stream lasts, nothing is copied or asked. An unknown origin is refused at once with when to come back, not guessed. The version is a constraint of the call in servesCall, so waiting times, refusals and choices all follow it; bound calls are dispatched first.

--- a/src/AnswerRelay.cpp
+++ b/src/AnswerRelay.cpp
@@ -25,6 +25,14 @@
 
 } // namespace
 
+std::int64_t maxEventsOf(TokenCount maxTokens, TokenCount tokensPerEvent)
+{
+    if (tokensPerEvent.value_ <= 0 || maxTokens.value_ <= 0)
+        return 0;
+    // Engines round up to whole events, and may send one more that has no tokens.
+    return (maxTokens.value_ + tokensPerEvent.value_ - 1) / tokensPerEvent.value_ + 1;
+}
+
 bool isSuccess(const HttpHead& answer) { return answer.status_ < firstError; }
 
 void takeHead(AnswerRelay& relay, const HttpHead& head)
--- a/src/AnswerRelay.h
+++ b/src/AnswerRelay.h
@@ -30,6 +30,9 @@
     bool hasStarted_ = false; ///< The head was sent to the caller.
 };
 
+/** The most events that a stream of so many tokens has; 0 if unknown. Pure. */
+std::int64_t maxEventsOf(TokenCount maxTokens, TokenCount tokensPerEvent);
+
 /** Whether an answer has a status of success. Pure. */
 bool isSuccess(const HttpHead& answer);
 
--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -35,16 +35,6 @@
         return tags.prompt_.empty() ? tags.promptTokens_ : tags.prompt_.back().tokens_;
     }
 
-    // Engines round up to whole events, and may send one more that has no tokens.
-    std::int64_t maxEventsOf(const ForwardedCall& call)
-    {
-        std::int64_t tokensPerEvent = call.service_.tokensPerEvent_.value_;
-        std::int64_t maxTokens = call.tags_.maxTokens_.value_;
-        if (tokensPerEvent <= 0 || maxTokens <= 0)
-            return 0;
-        return (maxTokens + tokensPerEvent - 1) / tokensPerEvent + 1;
-    }
-
 } // namespace
 
 struct CallForwarder::Impl : std::enable_shared_from_this<CallForwarder::Impl> {
@@ -53,6 +43,7 @@
         ContentDigest digest_;
         DispatchId id_; ///< In the pool; a new id for each send.
         TargetId target_;
+        SoftwareVersion version_; ///< Of `target_`.
         Milliseconds targetStartedAt_ { 0 };
         std::shared_ptr<OutboundCall> exchange_;
         std::set<TargetId> avoid_;
@@ -121,6 +112,7 @@
         queued.arrived_ = call.request_.arrived_;
         queued.deadline_ = call.deadline_;
         queued.cachingTarget_ = call.cachingTarget_;
+        queued.version_ = call.version_;
         queued.avoid_ = transfer.avoid_;
         return queued;
     }
@@ -132,7 +124,8 @@
         transfer->digest_ = digestOf(transfer->call_.request_.head_, transfer->call_.request_.body_);
         transfer->relay_.reply_ = transfer->call_.reply_;
         transfer->relay_.isStream_ = transfer->call_.route_.isStream_;
-        transfer->relay_.maxEvents_ = maxEventsOf(transfer->call_);
+        transfer->relay_.maxEvents_
+            = maxEventsOf(transfer->call_.tags_.maxTokens_, transfer->call_.service_.tokensPerEvent_);
         transfer->call_.reply_->onDisconnect([weak = weak_from_this(), transfer] {
             if (auto self = weak.lock())
                 self->handleCallerDisconnect(transfer);
@@ -196,6 +189,7 @@
         transfer->isQueued_ = false;
         const KnownTarget& known = knownTargets_[target.id_];
         transfer->target_ = target.id_;
+        transfer->version_ = target.version_;
         transfer->targetStartedAt_ = known.startedAt_;
         transfer->isRefusal_ = false;
         transfer->sentAt_ = bootNow();
@@ -248,6 +242,9 @@
     {
         if (transfer->isRefusal_)
             return;
+        if (auto onBegin = std::exchange(transfer->call_.onBegin_, nullptr);
+            onBegin && transfer->relay_.hasStarted_)
+            onBegin(transfer->version_);
         relayBody(transfer->relay_, std::move(part));
         if (const char* excess = findExcess(transfer->relay_)) {
             transfer->exchange_->cancel();
--- a/src/CallForwarder.h
+++ b/src/CallForwarder.h
@@ -34,6 +34,10 @@
     Route route_;
     ServiceTraits service_;
     MonotonicTime deadline_; ///< The caller receives the final answer by then.
+    /** The software version at which the stream may go on; nothing if the request begins it. */
+    std::optional<SoftwareVersion> version_;
+    /** Called before the first bytes of a stream are passed on, with the version that made them. Optional. */
+    std::function<void(const SoftwareVersion&)> onBegin_;
     TargetId cachingTarget_; ///< Target that ran the program's last turn; empty if unknown.
     /** Called once, with the number of tokens that were forwarded and the last target that the request was
      * sent to, if any. */
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -9,6 +9,7 @@
 #include "RefuseCall.h"
 #include "StoreClient.h"
 #include "StoreFollower.h"
+#include "StreamResumption.h"
 #include "TcpLink.h"
 #include "TurnAdmission.h"
 
@@ -36,6 +37,10 @@
     constexpr Milliseconds shutdownMargin { 700 };
     // A shorter outage of the store would end before the platform's health checks react to it.
     constexpr Milliseconds storeOutageTolerance { 700 };
+    constexpr Milliseconds minStreamRetention { 10000 };
+    constexpr Milliseconds maxStreamRetention { 120000 };
+    // The caller begins anew, so it has to wait only for its own sake.
+    constexpr Milliseconds unknownOriginRetryAfter { 50 };
     constexpr Milliseconds notReadyRetryAfter { 300 };
     constexpr Milliseconds otherVmRetryAfter { 50 }; // Another VM can accept the request immediately.
 
@@ -74,6 +79,7 @@
     PeerExchange exchange_;
     TurnBroker broker_;
     TurnAdmission admission_;
+    StreamResumption resumption_;
     StoreFollower follower_;
     FrontServer callerServer_;
     FrontServer readinessServer_;
@@ -93,6 +99,7 @@
         , exchange_(io_, options_.settings_.vm_, options_.settings_.peerAddress_)
         , broker_(exchange_, store_, health_, brokerOptions(options_.settings_, writer_))
         , admission_(broker_, forwarder_, health_, random_)
+        , resumption_(exchange_, options_.settings_.zone_)
         , follower_(store_, health_, followIntervals(options_.settings_),
               { [this](const ServingConfig& config) { applyConfig(config); },
                   [this](const TargetList& list) { applyTargets(list); },
@@ -188,9 +195,19 @@
         limits.headTimeout_ = config.limits_.headTimeout_;
         limits.idleTimeout_ = config.limits_.idleTimeout_;
         callerServer_.setLimits(limits);
+        resumption_.setRetention(streamRetention(config));
         forwarder_.setTargets(follower_.targets(), *config_);
     }
 
+    // A caller takes a stream up again within its deadline, which is about the timeout of the route.
+    static Milliseconds streamRetention(const ServingConfig& config)
+    {
+        Milliseconds longest { 0 };
+        for (const Route& route : config.routes_)
+            longest = std::max(longest, route.isStream_ ? route.timeout_ : Milliseconds { 0 });
+        return std::clamp(2 * longest, minStreamRetention, maxStreamRetention);
+    }
+
     void applyTargets(const TargetList& list)
     {
         if (config_)
@@ -211,14 +228,65 @@
             return rejectUnrouted(call);
         call.route_ = *route;
         ServiceId service = chooseService(*route, serviceKey(call.tags_));
-        auto traits = config_->services_.find(service);
-        call.service_ = traits == config_->services_.end() ? ServiceTraits { service } : traits->second;
+        call.service_ = traitsOf(service);
         call.deadline_ = call.request_.arrived_
             + std::min(route->timeout_, call.tags_.deadline_.value_or(route->timeout_));
         if (drainStartedAt_ && call.deadline_ > drainDeadline())
             return rejectCall(call, serviceUnavailable,
                 "this VM shuts down before the deadline of the request", otherVmRetryAfter);
-        if (route->isTurn_ && call.tags_.programBudget_ && !call.tags_.program_.empty())
+        if (route->isStream_ && !call.tags_.lastEvent_.empty())
+            return resume(std::move(call));
+        if (route->isStream_ && route->repeatability_ == Repeatability::Repeatable)
+            call.onBegin_ = [this, attempt = call.tags_.attempt_, service = call.service_.id_](
+                                const SoftwareVersion& version) {
+                resumption_.recordBegin({ attempt, { service, version } });
+            };
+        admit(std::move(call));
+    }
+
+    // Binds a stream that its caller takes up again to the version that began it.
+    void resume(ForwardedCall call)
+    {
+        auto waiting = std::make_shared<ForwardedCall>(std::move(call));
+        auto isGone = std::make_shared<bool>(false);
+        waiting->reply_->onDisconnect([isGone] { *isGone = true; });
+        resumption_.find(waiting->tags_.resumes_, waiting->service_.id_,
+            [this, waiting, isGone](const std::optional<StreamOrigin>& origin) {
+                if (*isGone)
+                    return logEvent("request",
+                        { { "request", waiting->tags_.attempt_.value_ }, { "outcome", "caller-gone" },
+                            { "reason",
+                                "the caller disconnected while the origin of its stream was sought" } });
+                if (!origin || !routeAllows(waiting->route_, origin->service_))
+                    return rejectCall(*waiting, serviceUnavailable,
+                        "the software version that began the stream is unknown or not in use on this route "
+                        "any "
+                        "more; begin the request anew",
+                        unknownOriginRetryAfter);
+                waiting->service_ = traitsOf(origin->service_);
+                waiting->version_ = origin->version_;
+                admit(std::move(*waiting));
+            });
+    }
+
+    static bool routeAllows(const Route& route, const ServiceId& service)
+    {
+        return std::any_of(
+            route.services_.begin(), route.services_.end(), [&service](const WeightedService& allowed) {
+                return allowed.service_ == service && allowed.weight_ > 0;
+            });
+    }
+
+    ServiceTraits traitsOf(const ServiceId& service) const
+    {
+        auto traits = config_->services_.find(service);
+        return traits == config_->services_.end() ? ServiceTraits { service } : traits->second;
+    }
+
+    void admit(ForwardedCall call)
+    {
+        const Route& route = call.route_;
+        if (route.isTurn_ && call.tags_.programBudget_ && !call.tags_.program_.empty())
             return admission_.admit(std::move(call));
         forwarder_.forward(std::move(call));
     }
@@ -259,6 +327,7 @@
         admission_.tick(now);
         forwarder_.tick(follower_.targets(), now);
         exchange_.tick(now);
+        resumption_.tick(follower_.targets(), now);
         broker_.tick(drainStartedAt_.has_value(), now);
         callerServer_.tick(now);
         readinessServer_.tick(now);
--- a/src/PeerList.cpp
+++ b/src/PeerList.cpp
@@ -67,6 +67,20 @@
     return list.peers_.at(member->vm_);
 }
 
+std::vector<PeerEntry> peersFor(
+    const PeerList& list, const ZoneId& zone, const std::string& key, std::size_t count, MonotonicTime now)
+{
+    Members members;
+    for (const auto& [vm, peer] : list.peers_) {
+        if (vm != list.own_ && peer.zone_ == zone && isUsable(list, vm, now))
+            members.push_back({ vm, peer.zone_, peer.address_ });
+    }
+    std::vector<PeerEntry> peers;
+    while (peers.size() < std::min(count, members.size()))
+        peers.push_back(list.peers_.at(expectedMember(members, zone, key, peers.size())->vm_));
+    return peers;
+}
+
 std::optional<PeerEntry> findPeerByWriter(const PeerList& list, const WriterId& writer, MonotonicTime now)
 {
     for (const auto& [vm, peer] : list.peers_) {
--- a/src/PeerList.h
+++ b/src/PeerList.h
@@ -48,6 +48,10 @@
 std::optional<PeerEntry> homeOf(
     const PeerList& list, const ZoneId& zone, const ProgramId& program, MonotonicTime now);
 
+/** Returns the usable peers of a zone that rank first for a key, without this VM; at most `count`. Pure. */
+std::vector<PeerEntry> peersFor(
+    const PeerList& list, const ZoneId& zone, const std::string& key, std::size_t count, MonotonicTime now);
+
 /** Returns the peer whose current process has this writer id, unless it is in backoff. Pure. */
 std::optional<PeerEntry> findPeerByWriter(const PeerList& list, const WriterId& writer, MonotonicTime now);
 
--- /dev/null
+++ b/src/PeerStreams.cpp
@@ -0,0 +1,98 @@
+#include "PeerStreams.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace fescue {
+
+namespace {
+
+    using nlohmann::json;
+
+    std::string toBytes(const json& document)
+    {
+        std::vector<std::uint8_t> bytes = json::to_cbor(document);
+        return { bytes.begin(), bytes.end() };
+    }
+
+    // An array of `count` strings.
+    bool isStrings(const json& document, std::size_t count)
+    {
+        return document.is_array() && document.size() == count
+            && std::all_of(
+                document.begin(), document.end(), [](const json& field) { return field.is_string(); });
+    }
+
+    json toArray(const std::optional<StreamOrigin>& origin)
+    {
+        return origin ? json::array({ origin->service_.value_, origin->version_.value_ }) : json::array();
+    }
+
+} // namespace
+
+std::string encode(const std::vector<BegunStream>& streams)
+{
+    json document = json::array();
+    for (const BegunStream& stream : streams)
+        document.push_back(json::array(
+            { stream.attempt_.value_, stream.origin_.service_.value_, stream.origin_.version_.value_ }));
+    return toBytes(document);
+}
+
+std::string encode(const OriginQuery& query)
+{
+    return toBytes(json::array({ query.attempt_.value_, query.service_.value_ }));
+}
+
+std::string encode(const OriginReply& reply)
+{
+    json sole = json::array();
+    if (reply.soleVersion_)
+        sole.push_back(reply.soleVersion_->value_);
+    return toBytes(json::array({ toArray(reply.origin_), sole }));
+}
+
+std::optional<std::vector<BegunStream>> parseStreams(const std::string& bytes)
+{
+    json document = json::from_cbor(bytes, true, false);
+    if (!document.is_array())
+        return std::nullopt;
+    std::vector<BegunStream> streams;
+    for (const json& entry : document) {
+        constexpr std::size_t fieldCount = 3;
+        if (!isStrings(entry, fieldCount))
+            return std::nullopt;
+        streams.push_back({ { entry[0].get<std::string>() },
+            { { entry[1].get<std::string>() }, { entry[2].get<std::string>() } } });
+    }
+    return streams;
+}
+
+std::optional<OriginQuery> parseOriginQuery(const std::string& bytes)
+{
+    json document = json::from_cbor(bytes, true, false);
+    if (!isStrings(document, 2))
+        return std::nullopt;
+    return OriginQuery { { document[0].get<std::string>() }, { document[1].get<std::string>() } };
+}
+
+std::optional<OriginReply> parseOriginReply(const std::string& bytes)
+{
+    json document = json::from_cbor(bytes, true, false);
+    if (!document.is_array() || document.size() != 2)
+        return std::nullopt;
+    const json& origin = document[0];
+    const json& sole = document[1];
+    bool hasOrigin = isStrings(origin, 2);
+    bool hasSole = isStrings(sole, 1);
+    if ((!hasOrigin && !isStrings(origin, 0)) || (!hasSole && !isStrings(sole, 0)))
+        return std::nullopt;
+    OriginReply reply;
+    if (hasOrigin)
+        reply.origin_ = { { origin[0].get<std::string>() }, { origin[1].get<std::string>() } };
+    if (hasSole)
+        reply.soleVersion_ = { sole[0].get<std::string>() };
+    return reply;
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/PeerStreams.h
@@ -0,0 +1,36 @@
+#pragma once
+
+/** \file
+ * PeerStreams: the CBOR messages in which entry VMs tell each other what began a stream.
+ */
+
+#include "StreamOrigins.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fescue {
+
+/** Asks what began a stream. */
+struct OriginQuery {
+    AttemptId attempt_;
+    ServiceId service_; ///< The service that the request would be sent to.
+};
+
+/** The reply to an `OriginQuery`. */
+struct OriginReply {
+    std::optional<StreamOrigin> origin_; ///< If the peer knows the stream.
+    std::optional<SoftwareVersion> soleVersion_; ///< See `VersionHistory`.
+};
+
+std::string encode(const std::vector<BegunStream>& streams);
+std::string encode(const OriginQuery& query);
+std::string encode(const OriginReply& reply);
+
+/** Parse messages; return nothing if the bytes are malformed. Pure, like the functions above. */
+std::optional<std::vector<BegunStream>> parseStreams(const std::string& bytes);
+std::optional<OriginQuery> parseOriginQuery(const std::string& bytes);
+std::optional<OriginReply> parseOriginReply(const std::string& bytes);
+
+} // namespace fescue
--- /dev/null
+++ b/src/StreamResumption.h
@@ -0,0 +1,46 @@
+#pragma once
+
+/** \file
+ * StreamResumption: finds the software version at which a broken stream may go on.
+ *
+ *     a stream begins --> own table --> copies at two peers of the zone
+ *     a stream is taken up --> own table, or the only version there was, or the peers that may have a copy
+ *
+ * The copies outlive the VM that began the stream. They are sent, in batches, only while a service has
+ * several versions, or may have. What nobody knows is not guessed.
+ */
+
+#include "PeerExchange.h"
+#include "StreamOrigins.h"
+#include "VersionHistory.h"
+
+#include <functional>
+#include <memory>
+
+namespace fescue {
+
+/** Keeps and finds the origins of streams. Confined to the thread of the event loop. */
+class StreamResumption {
+public:
+    using OnFound = std::function<void(const std::optional<StreamOrigin>&)>;
+
+    /** Precondition: `exchange` outlives this object, and serves no call after it. */
+    StreamResumption(PeerExchange& exchange, const ZoneId& zone);
+    ~StreamResumption();
+
+    /** Sets how long after its begin a stream may be taken up. */
+    void setRetention(Milliseconds retention);
+    /** Records a stream whose first event is about to be passed on. */
+    void recordBegin(const BegunStream& stream);
+    /** Finds what began a stream; `service` is where the request would be sent. `done` is called once,
+     * possibly before this returns, with nothing if the origin is not known. */
+    void find(const AttemptId& attempt, const ServiceId& service, OnFound done);
+    /** Sends copies and ends searches. To be called periodically. */
+    void tick(const TargetList& list, MonotonicTime now);
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+} // namespace fescue
--- a/src/TargetChoice.cpp
+++ b/src/TargetChoice.cpp
@@ -156,6 +156,8 @@
 
 bool servesCall(const Target& target, const QueuedCall& call)
 {
+    if (call.version_ && target.version_ != *call.version_)
+        return false;
     if (!call.service_.empty())
         return target.service_ == call.service_;
     return std::find(target.models_.begin(), target.models_.end(), call.model_) != target.models_.end();
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -208,6 +208,9 @@
     if (pool.options_.ordersByProgram_)
         orderCalls(pool.queue_, now);
     auto& calls = pool.queue_.calls_;
+    // A version may have few targets left, and calls that are bound to it cannot run elsewhere.
+    std::stable_partition(
+        calls.begin(), calls.end(), [](const QueuedCall& call) { return call.version_.has_value(); });
     for (auto call = calls.begin(); call != calls.end();) {
         Choice choice = chooseTargetFor(pool, *call, now);
         if (choice.kind_ != Choice::Kind::Run) {
