Give no work to a target that has said in an answer that it leaves

A target that leaves states it in every answer. Callers could be sent to it while the store is away or still lists it as ready, and then lose their request with it.

Change: the statement is read in the head of each answer, also of an error, a refusal, an answer that breaks off, and a stream that goes on. It joins what the store says where the pool's targets are made (PoolTargets), so new requests, retries, resumed streams and queued calls all follow it. It belongs to one start of a target and outlives its entry, which may lapse and come back. Queued calls that no target may run any more are refused at once. Callers do not get the statement, which is about the target.

--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -6,6 +6,7 @@
 #include "EventLog.h"
 #include "Headers.h"
 #include "Metrics.h"
+#include "PoolTargets.h"
 #include "RefuseCall.h"
 #include "RequestDigest.h"
 #include "TcpLink.h"
@@ -29,12 +30,6 @@
 
     std::string msText(Milliseconds time) { return std::to_string(time.count()); }
 
-    // Shared prompt parts are soon cached by every engine; only the last part is specific to the session.
-    TokenCount ownPromptTokens(const CallTags& tags)
-    {
-        return tags.prompt_.empty() ? tags.promptTokens_ : tags.prompt_.back().tokens_;
-    }
-
 } // namespace
 
 struct CallForwarder::Impl : std::enable_shared_from_this<CallForwarder::Impl> {
@@ -70,12 +65,14 @@
         Milliseconds startedAt_ { 0 };
     };
     std::map<TargetId, KnownTarget> knownTargets_;
+    LeavingTargets leaving_;
     std::map<DispatchId, TransferPtr> transfers_;
     std::uint64_t lastId_ = 0;
     Counter answered_ { "calls_total", { "outcome", "answered" } };
     Counter refused_ { "calls_total", { "outcome", "refused" } };
     Counter failed_ { "calls_total", { "outcome", "failed" } };
     Counter gone_ { "calls_total", { "outcome", "caller-gone" } };
+    Counter leavingAnswers_ { "targets_leaving_total", { "source", "answer" } };
     Counter retries_ { "call_retries_total" };
 
     Impl(asio::io_context& io, platform::StoreClient& store, const ZoneId& zone, const WriterId& writer,
@@ -97,22 +94,9 @@
 
     QueuedCall queuedCall(const Transfer& transfer) const
     {
-        const ForwardedCall& call = transfer.call_;
-        QueuedCall queued;
+        QueuedCall queued = toQueuedCall(transfer.call_);
         queued.id_ = transfer.id_;
-        queued.program_ = call.tags_.program_;
-        if (call.service_.isModel_)
-            queued.model_ = { call.service_.id_.value_ };
-        else
-            queued.service_ = call.service_.id_;
-        queued.promptTokens_ = ownPromptTokens(call.tags_);
-        queued.maxTokens_ = call.tags_.maxTokens_;
-        queued.bytes_ = { static_cast<std::int64_t>(call.request_.body_.size()) };
         queued.digest_ = transfer.digest_;
-        queued.arrived_ = call.request_.arrived_;
-        queued.deadline_ = call.deadline_;
-        queued.cachingTarget_ = call.cachingTarget_;
-        queued.version_ = call.version_;
         queued.avoid_ = transfer.avoid_;
         return queued;
     }
@@ -224,6 +208,9 @@
         if (tags.load_)
             recordLoadReport(
                 pool_, transfer->target_, { tags.load_->running_, tags.load_->waiting_, {} }, bootNow());
+        bool isFromOther = !tags.instance_.empty() && tags.instance_ != transfer->target_.value_;
+        if (tags.isLeaving_ && !isFromOther)
+            handleLeaving(transfer);
         takeHead(transfer->relay_, head);
         transfer->isRefusal_ = tags.wasNotRun_;
         if (tags.wasNotRun_)
@@ -238,6 +225,32 @@
             startRelay(transfer->relay_);
     }
 
+    void handleLeaving(const TransferPtr& transfer)
+    {
+        if (!recordLeaving(leaving_, transfer->target_, transfer->targetStartedAt_, bootNow()))
+            return;
+        leavingAnswers_.add();
+        logEvent("target-leaving",
+            { { "target", transfer->target_.value_ }, { "request", transfer->call_.tags_.attempt_.value_ },
+                { "source", "answer" }, { "age_ms", "0" } });
+        markLeaving(pool_, transfer->target_);
+        refuseUnserved();
+    }
+
+    // Refuses queued calls that no target may run any more.
+    void refuseUnserved()
+    {
+        for (DispatchId id : removeUnserved(pool_)) {
+            TransferPtr transfer = transfers_.at(id);
+            transfers_.erase(id);
+            transfer->isQueued_ = false;
+            if (transfer->possibleRuns_ > 0)
+                fail(transfer, badGateway, "no other target can run the request");
+            else
+                refuse(transfer, "all targets that could run the request have left", retryAfterFailure);
+        }
+    }
+
     void handleBody(const TransferPtr& transfer, std::string part)
     {
         if (transfer->isRefusal_)
@@ -408,6 +421,10 @@
             },
             now);
         refuseQueuedQuarantined();
+        for (const EndedBelief& ended : endBeliefs(leaving_, list, now))
+            logEvent("target-leaving-ended",
+                { { "target", ended.target_.value_ }, { "reason", ended.reason_ },
+                    { "age_ms", msText(now - ended.belief_.since_) } });
         std::vector<TransferPtr> overdue;
         for (const auto& [id, transfer] : transfers_) {
             if (now >= transfer->call_.deadline_)
@@ -432,28 +449,13 @@
 
     void setTargets(const TargetList& list, const ServingConfig& config)
     {
-        Manifest manifest;
         knownTargets_.clear();
         for (const auto& [id, entry] : list.entries_) {
-            auto address = parseEndpoint(entry.address_);
-            if (!address)
-                continue;
-            knownTargets_[id] = { *address, entry.startedAt_ };
-            Target target;
-            target.id_ = id;
-            target.url_ = entry.address_;
-            target.zone_ = entry.zone_;
-            target.isLeaving_ = entry.isLeaving_;
-            target.slots_ = entry.slots_;
-            target.version_ = entry.version_;
-            auto service = config.services_.find(entry.service_);
-            if (service != config.services_.end() && service->second.isModel_)
-                target.models_.push_back({ entry.service_.value_ });
-            else
-                target.service_ = entry.service_;
-            manifest.targets_[id] = std::move(target);
+            if (auto address = parseEndpoint(entry.address_))
+                knownTargets_[id] = { *address, entry.startedAt_ };
         }
-        fescue::setTargets(pool_, manifest);
+        fescue::setTargets(pool_, poolTargets(list, config, leaving_));
+        refuseUnserved();
         dispatchAll();
     }
 };
--- a/src/CallForwarder.h
+++ b/src/CallForwarder.h
@@ -9,14 +9,11 @@
  * final answer as soon as it is known.
  */
 
-#include "CallTags.h"
-#include "FrontServer.h"
+#include "ForwardedCall.h"
 #include "OutboundPool.h"
-#include "ServingConfig.h"
 #include "TargetList.h"
 #include "TargetPool.h"
 
-#include <functional>
 #include <memory>
 
 namespace fescue::platform {
@@ -26,24 +23,6 @@
 
 namespace fescue {
 
-/** An admitted request. */
-struct ForwardedCall {
-    FrontRequest request_;
-    std::shared_ptr<FrontReply> reply_;
-    CallTags tags_;
-    Route route_;
-    ServiceTraits service_;
-    MonotonicTime deadline_; ///< The caller receives the final answer by then.
-    /** The software version at which the stream may go on; nothing if the request begins it. */
-    std::optional<SoftwareVersion> version_;
-    /** Called before the first bytes of a stream are passed on, with the version that made them. Optional. */
-    std::function<void(const SoftwareVersion&)> onBegin_;
-    TargetId cachingTarget_; ///< Target that ran the program's last turn; empty if unknown.
-    /** Called once, with the number of tokens that were forwarded and the last target that the request was
-     * sent to, if any. */
-    std::function<void(TokenCount generated, const TargetId&)> onEnd_;
-};
-
 /** Forwards requests. Confined to the thread of the event loop. */
 class CallForwarder {
 public:
--- a/src/CallTags.h
+++ b/src/CallTags.h
@@ -46,6 +46,7 @@
     std::string instance_; ///< The target's id; empty when the target does not state it.
     bool isStamped_ = false; ///< The answer comes from the target's application, not from an intermediary.
     bool wasNotRun_ = false; ///< The target states that it did not run the request.
+    bool isLeaving_ = false; ///< The target states that it is about to end.
     bool isEncoded_ = false; ///< The body has a content encoding that callers did not ask for.
     struct Load {
         std::uint32_t running_ = 0;
--- /dev/null
+++ b/src/ForwardedCall.cpp
@@ -0,0 +1,28 @@
+#include "ForwardedCall.h"
+
+namespace fescue {
+
+QueuedCall toQueuedCall(const ForwardedCall& call)
+{
+    QueuedCall queued;
+    queued.program_ = call.tags_.program_;
+    if (call.service_.isModel_)
+        queued.model_ = { call.service_.id_.value_ };
+    else
+        queued.service_ = call.service_.id_;
+    queued.promptTokens_ = ownPromptTokens(call.tags_);
+    queued.maxTokens_ = call.tags_.maxTokens_;
+    queued.bytes_ = { static_cast<std::int64_t>(call.request_.body_.size()) };
+    queued.arrived_ = call.request_.arrived_;
+    queued.deadline_ = call.deadline_;
+    queued.cachingTarget_ = call.cachingTarget_;
+    queued.version_ = call.version_;
+    return queued;
+}
+
+TokenCount ownPromptTokens(const CallTags& tags)
+{
+    return tags.prompt_.empty() ? tags.promptTokens_ : tags.prompt_.back().tokens_;
+}
+
+} // namespace fescue
--- /dev/null
+++ b/src/ForwardedCall.h
@@ -0,0 +1,41 @@
+#pragma once
+
+/** \file
+ * ForwardedCall: a request that an entry VM has admitted and forwards to a target.
+ */
+
+#include "CallTags.h"
+#include "FrontServer.h"
+#include "QueuedCall.h"
+#include "ServingConfig.h"
+
+#include <functional>
+#include <memory>
+
+namespace fescue {
+
+/** An admitted request. */
+struct ForwardedCall {
+    FrontRequest request_;
+    std::shared_ptr<FrontReply> reply_;
+    CallTags tags_;
+    Route route_;
+    ServiceTraits service_;
+    MonotonicTime deadline_; ///< The caller receives the final answer by then.
+    /** The software version at which the stream may go on; nothing if the request begins it. */
+    std::optional<SoftwareVersion> version_;
+    /** Called before the first bytes of a stream are passed on, with the version that made them. Optional. */
+    std::function<void(const SoftwareVersion&)> onBegin_;
+    TargetId cachingTarget_; ///< Target that ran the program's last turn; empty if unknown.
+    /** Called once, with the number of tokens that were forwarded and the last target that the request was
+     * sent to, if any. */
+    std::function<void(TokenCount generated, const TargetId&)> onEnd_;
+};
+
+/** The call as the target pool sees it, without an id. Pure. */
+QueuedCall toQueuedCall(const ForwardedCall& call);
+
+/** Tokens of the prompt that are specific to the call: shared parts are soon cached by every engine. Pure. */
+TokenCount ownPromptTokens(const CallTags& tags);
+
+} // namespace fescue
--- a/src/RefuseCall.h
+++ b/src/RefuseCall.h
@@ -4,10 +4,8 @@
  * RefuseCall: the answer to a request that ends at the entry VM.
  */
 
-#include "CallForwarder.h"
-#include "CallTags.h"
 #include "EventLog.h"
-#include "FrontServer.h"
+#include "ForwardedCall.h"
 
 #include <optional>
 #include <string>
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -286,6 +286,25 @@
         backOff(pool.zones_[state.target_.zone_], options.maxBackoff_, now, random);
 }
 
+void markLeaving(TargetPool& pool, const TargetId& target)
+{
+    auto found = pool.targets_.find(target);
+    if (found != pool.targets_.end())
+        found->second.target_.isLeaving_ = true;
+}
+
+std::vector<DispatchId> removeUnserved(TargetPool& pool)
+{
+    std::vector<DispatchId> unserved;
+    for (const QueuedCall& call : pool.queue_.calls_) {
+        if (!isServedByAny(pool, call))
+            unserved.push_back(call.id_);
+    }
+    for (DispatchId id : unserved)
+        removeQueued(pool, id);
+    return unserved;
+}
+
 bool tryConsumeRetry(TargetPool& pool) { return withdrawRetry(pool.retries_); }
 
 void recordLoadReport(TargetPool& pool, const TargetId& target, const LoadReport& report, MonotonicTime now)
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -157,6 +157,12 @@
 void completeDispatch(
     TargetPool& pool, DispatchId id, const DispatchResult& result, MonotonicTime now, Random& random);
 
+/** Marks a target as leaving: it gets no new calls. */
+void markLeaving(TargetPool& pool, const TargetId& target);
+
+/** Removes and returns the queued calls that no target may run any more. */
+std::vector<DispatchId> removeUnserved(TargetPool& pool);
+
 /** Withdraws a retry from the retry budget; returns whether the call may be sent to another target. */
 bool tryConsumeRetry(TargetPool& pool);
 
