Avoid a target whose address another target has got

The choice did not change, since a refusal that says full or misdirected was handled alike.

failure/EntryVmPath, requestIsNotSentAgainToAnAddressOfAnotherTarget, failed before (503) and passes.

--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+    constexpr int misdirectedRequest = 421; ///< Another target has the address now.
     constexpr int badGateway = 502;
     constexpr int unavailable = 503;
     constexpr int gatewayTimeout = 504;
@@ -208,8 +209,7 @@
         if (tags.load_)
             recordLoadReport(
                 pool_, transfer->target_, { tags.load_->running_, tags.load_->waiting_, {} }, bootNow());
-        bool isFromOther = !tags.instance_.empty() && tags.instance_ != transfer->target_.value_;
-        if (tags.isLeaving_ && !isFromOther)
+        if (tags.isLeaving_ && (tags.instance_.empty() || tags.instance_ == transfer->target_.value_))
             handleLeaving(transfer);
         takeHead(transfer->relay_, head);
         transfer->isRefusal_ = tags.wasNotRun_;
@@ -285,6 +285,8 @@
             return handleLostAnswer(transfer, end.wasReused_ && !end.hadHead_, lossReason);
         if (transfer->isRefusal_) {
             endDispatch(transfer, DispatchOutcome::Refused);
+            if (transfer->relay_.head_.status_ == misdirectedRequest)
+                transfer->avoid_.insert(transfer->target_);
             return retry(transfer, "the target refused the request");
         }
         handleAnswer(transfer);
--- a/test/failure/EntryVmPath.cpp
+++ b/test/failure/EntryVmPath.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(repeatableCallIsRetriedAtAnotherTargetAfterALostResponse);
     CPPUNIT_TEST(repeatableCallIsRetriedOnlyUpToTheLimitOfItsRoute);
     CPPUNIT_TEST(refusedCallGetsRetryAfter);
+    CPPUNIT_TEST(requestIsNotSentAgainToAnAddressOfAnotherTarget);
     CPPUNIT_TEST(responseToAnotherRequestIsSkipped);
     CPPUNIT_TEST(extraResponseIsDiscarded);
     CPPUNIT_TEST(unstampedOrMalformedResponseIsNotForwarded);
@@ -154,6 +155,24 @@
         CHECK(contains(answer, "Retry-After") && contains(answer, "not-run"));
     }
 
+    // Guards against a request that is refused by the new target at an address until its sends are used up.
+    void requestIsNotSentAgainToAnAddressOfAnotherTarget()
+    {
+        auto misdirected = [](const HttpHead&, const std::string&) {
+            return TargetAction { "HTTP/1.1 421 Misdirected Request\r\nFescuewinch-Instance-Id: i-new\r\n"
+                                  "Content-Length: 0\r\n\r\n" };
+        };
+        EntryVmHarness vm({ misdirected, respondOk });
+        for (int i = 0; i < 8; ++i) {
+            int before = vm.target(0).requests();
+            CHECK_EQUAL(200, statusOf(vm.request("POST", "/call/1", requestId, "pay")));
+            CHECK(vm.target(0).requests() <= before + 1);
+        }
+        EntryVmHarness alone({ misdirected });
+        CHECK_EQUAL(503, statusOf(alone.request("POST", "/call/1", requestId, "pay")));
+        CHECK_EQUAL(1, alone.target(0).requests());
+    }
+
     void responseToAnotherRequestIsSkipped()
     {
         EntryVmHarness vm({ [](const HttpHead& head, const std::string&) {
