Follow the versions of targets through outages of the store

The store gives all changes of the time in which it was away, so the versions are recorded where entries are applied; only a lost history, or a pause of the VM, begins anew.

--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -79,8 +79,8 @@
     PeerExchange exchange_;
     TurnBroker broker_;
     TurnAdmission admission_;
-    StreamResumption resumption_;
     StoreFollower follower_;
+    StreamResumption resumption_;
     FrontServer callerServer_;
     FrontServer readinessServer_;
     std::unique_ptr<FrontServer> metricsServer_;
@@ -99,12 +99,12 @@
         , exchange_(io_, options_.settings_.vm_, options_.settings_.peerAddress_)
         , broker_(exchange_, store_, health_, brokerOptions(options_.settings_, writer_))
         , admission_(broker_, forwarder_, health_, random_)
-        , resumption_(exchange_, options_.settings_.zone_)
         , follower_(store_, health_, followIntervals(options_.settings_),
               { [this](const ServingConfig& config) { applyConfig(config); },
                   [this](const TargetList& list) { applyTargets(list); },
                   [this](const std::map<VmId, PeerEntry>& peers) { exchange_.peers().peers_ = peers; },
                   [this](const auto& records, bool isAll) { forwarder_.applyCrashRecords(records, isAll); } })
+        , resumption_(exchange_, follower_.targets(), options_.settings_.zone_)
         , callerServer_(
               io_, options_.settings_.callerAddress_,
               [this](FrontRequest request, std::shared_ptr<FrontReply> reply) {
@@ -327,7 +327,7 @@
         admission_.tick(now);
         forwarder_.tick(follower_.targets(), now);
         exchange_.tick(now);
-        resumption_.tick(follower_.targets(), now);
+        resumption_.tick(now);
         broker_.tick(drainStartedAt_.has_value(), now);
         callerServer_.tick(now);
         readinessServer_.tick(now);
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -138,13 +138,13 @@
         auto records = std::move(cursor.pages_);
         cursor.pages_.clear();
         cursor.pagesEnd_.reset();
-        markCurrent(cursor);
         if (isConfig(cursor))
             applyConfig(records);
         else if (isPeers(cursor))
             applyAllPeers(records);
         else
             applyAllTargets(records);
+        markCurrent(cursor);
     }
 
     void onPage(Cursor& cursor, tl::expected<platform::RecordPage, platform::StoreError>& page)
--- a/src/StreamResumption.cpp
+++ b/src/StreamResumption.cpp
@@ -40,7 +40,8 @@
 
     PeerExchange& exchange_;
     ZoneId zone_;
-    VersionHistory history_;
+    const TargetList& targets_;
+    Milliseconds retention_ { 10000 }; ///< How long after its begin a stream may be taken up.
     StreamOrigins streams_; ///< Of this VM, and copies of others'.
     std::map<AttemptId, StreamOrigin> uncopied_; ///< Of this VM.
     std::list<SearchPtr> searches_;
@@ -49,9 +50,10 @@
     Counter found_ { "stream_origin_searches_total", { "outcome", "found" } };
     Counter unknown_ { "stream_origin_searches_total", { "outcome", "unknown" } };
 
-    Impl(PeerExchange& exchange, const ZoneId& zone)
+    Impl(PeerExchange& exchange, const TargetList& targets, const ZoneId& zone)
         : exchange_(exchange)
         , zone_(zone)
+        , targets_(targets)
     {
         exchange_.serve(
             copiesPath, [this](const FrontRequest& request, const std::shared_ptr<FrontReply>& reply) {
@@ -79,8 +81,8 @@
         if (!query)
             return answerPeer(reply, httpBadRequest, "");
         answerPeer(reply, httpOk,
-            encode(OriginReply {
-                findOrigin(streams_, query->attempt_), soleVersion(history_, query->service_, bootNow()) }));
+            encode(OriginReply { findOrigin(streams_, query->attempt_),
+                soleVersion(targets_, query->service_, retention_, bootNow()) }));
     }
 
     void find(const AttemptId& attempt, const ServiceId& service, OnFound done)
@@ -91,7 +93,7 @@
         search->startedAt_ = bootNow();
         if (auto origin = findOrigin(streams_, attempt))
             return finish(search, origin, "own table");
-        if (auto version = soleVersion(history_, service, bootNow()))
+        if (auto version = soleVersion(targets_, service, retention_, bootNow()))
             return finish(search, StreamOrigin { service, *version }, "only version");
         searches_.push_back(search);
         for (const PeerEntry& peer : peersToAsk(attempt))
@@ -144,7 +146,8 @@
             return finish(search, reply->origin_, "a peer's table");
         if (reply && reply->soleVersion_) {
             // A peer that has not seen a version that this VM has is not up to date.
-            std::set<SoftwareVersion> seen = recentVersions(history_, search->query_.service_);
+            std::set<SoftwareVersion> seen
+                = recentVersions(targets_, search->query_.service_, retention_, bootNow());
             seen.insert(*reply->soleVersion_);
             if (seen.size() == 1)
                 return finish(search, StreamOrigin { search->query_.service_, *reply->soleVersion_ },
@@ -184,7 +187,7 @@
             const auto& [attempt, origin] = *stream;
             auto [needed, isNew] = needsCopies.emplace(origin.service_, false);
             if (isNew)
-                needed->second = !soleVersion(history_, origin.service_, now);
+                needed->second = !soleVersion(targets_, origin.service_, retention_, now);
             auto peers = needed->second ? peersFor(exchange_.peers(), zone_, attempt.value_, copyCount, now)
                                         : std::vector<PeerEntry>();
             for (const PeerEntry& peer : peers) {
@@ -220,9 +223,8 @@
         exchange_.post(peer, copiesPath, std::move(body), std::move(callbacks));
     }
 
-    void tick(const TargetList& list, MonotonicTime now)
+    void tick(MonotonicTime now)
     {
-        recordVersions(history_, list);
         std::vector<SearchPtr> overdue;
         for (const SearchPtr& search : searches_) {
             if (now >= search->startedAt_ + searchTimeout)
@@ -233,19 +235,19 @@
         if (now < nextCopiesAt_)
             return;
         nextCopiesAt_ = now + copyInterval;
-        dropStreamsBefore(streams_, now - history_.retention_);
+        dropStreamsBefore(streams_, now - retention_);
         sendCopies(now);
     }
 };
 
-StreamResumption::StreamResumption(PeerExchange& exchange, const ZoneId& zone)
-    : impl_(std::make_shared<Impl>(exchange, zone))
+StreamResumption::StreamResumption(PeerExchange& exchange, const TargetList& targets, const ZoneId& zone)
+    : impl_(std::make_shared<Impl>(exchange, targets, zone))
 {
 }
 
 StreamResumption::~StreamResumption() = default;
 
-void StreamResumption::setRetention(Milliseconds retention) { impl_->history_.retention_ = retention; }
+void StreamResumption::setRetention(Milliseconds retention) { impl_->retention_ = retention; }
 
 void StreamResumption::recordBegin(const BegunStream& stream) { impl_->recordBegin(stream); }
 
@@ -254,6 +256,6 @@
     impl_->find(attempt, service, std::move(done));
 }
 
-void StreamResumption::tick(const TargetList& list, MonotonicTime now) { impl_->tick(list, now); }
+void StreamResumption::tick(MonotonicTime now) { impl_->tick(now); }
 
 } // namespace fescue
--- a/src/StreamResumption.h
+++ b/src/StreamResumption.h
@@ -12,7 +12,7 @@
 
 #include "PeerExchange.h"
 #include "StreamOrigins.h"
-#include "VersionHistory.h"
+#include "TargetList.h"
 
 #include <functional>
 #include <memory>
@@ -24,8 +24,8 @@
 public:
     using OnFound = std::function<void(const std::optional<StreamOrigin>&)>;
 
-    /** Precondition: `exchange` outlives this object, and serves no call after it. */
-    StreamResumption(PeerExchange& exchange, const ZoneId& zone);
+    /** Precondition: `exchange` and `targets` outlive this object, and `exchange` serves no call after it. */
+    StreamResumption(PeerExchange& exchange, const TargetList& targets, const ZoneId& zone);
     ~StreamResumption();
 
     /** Sets how long after its begin a stream may be taken up. */
@@ -36,7 +36,7 @@
      * possibly before this returns, with nothing if the origin is not known. */
     void find(const AttemptId& attempt, const ServiceId& service, OnFound done);
     /** Sends copies and ends searches. To be called periodically. */
-    void tick(const TargetList& list, MonotonicTime now);
+    void tick(MonotonicTime now);
 
 private:
     struct Impl;
--- a/src/TargetList.cpp
+++ b/src/TargetList.cpp
@@ -4,6 +4,10 @@
 
 namespace {
 
+    // The list is read about every 600 ms; one read may fail. An entry that came and went in less is not
+    // missed by a stream that it began.
+    constexpr Milliseconds maxListAge { 1500 };
+
     void remove(TargetList& list, const TargetId& id, MonotonicTime now)
     {
         if (!list.entries_.count(id))
@@ -24,10 +28,13 @@
         return remove(list, id, now);
     list.missingSince_.erase(id);
     list.entries_[id] = *entry;
+    recordVersion(list.versions_, entry->service_, entry->version_, now);
 }
 
 void applyFullList(TargetList& list, const std::vector<TargetEntry>& entries, MonotonicTime now)
 {
+    if (!list.isComplete_ || now > list.readAt_ + maxListAge)
+        restartCoverage(list.versions_, now);
     std::map<TargetId, TargetEntry> present;
     for (const TargetEntry& entry : entries)
         present[entry.id_] = entry;
@@ -43,6 +50,34 @@
     list.isComplete_ = true;
 }
 
+std::set<SoftwareVersion> recentVersions(
+    const TargetList& list, const ServiceId& service, Milliseconds retention, MonotonicTime now)
+{
+    std::set<SoftwareVersion> versions;
+    auto seen = list.versions_.lastSeen_.find(service);
+    if (seen != list.versions_.lastSeen_.end()) {
+        for (const auto& [version, seenAt] : seen->second) {
+            if (now <= seenAt + retention)
+                versions.insert(version);
+        }
+    }
+    for (const auto& [id, entry] : list.entries_) {
+        if (entry.service_ == service)
+            versions.insert(entry.version_);
+    }
+    return versions;
+}
+
+std::optional<SoftwareVersion> soleVersion(
+    const TargetList& list, const ServiceId& service, Milliseconds retention, MonotonicTime now)
+{
+    const auto& coveredSince = list.versions_.coveredSince_;
+    if (!coveredSince || *coveredSince + retention > now || now > list.readAt_ + maxListAge)
+        return std::nullopt;
+    std::set<SoftwareVersion> versions = recentVersions(list, service, retention, now);
+    return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
+}
+
 void recordStoreReconnect(TargetList& list, MonotonicTime now) { list.reconnectedAt_ = now; }
 
 bool removeMissing(TargetList& list, MonotonicTime now)
--- a/src/TargetList.h
+++ b/src/TargetList.h
@@ -9,9 +9,11 @@
  */
 
 #include "Types.h"
+#include "VersionHistory.h"
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +40,7 @@
     std::optional<MonotonicTime> reconnectedAt_; ///< When the store last recovered from an outage.
     bool isComplete_ = false; ///< The full list has been read at least once.
     MonotonicTime readAt_; ///< When the store was last read to the end.
+    VersionHistory versions_;
 };
 
 /** Time after a recovery of the store within which expired entries of live targets reappear, as documented by
@@ -51,6 +54,15 @@
 /** Replaces the list by a full read of the store. */
 void applyFullList(TargetList& list, const std::vector<TargetEntry>& entries, MonotonicTime now);
 
+/** The versions of a service that are listed, or were within the retention period. Pure. */
+std::set<SoftwareVersion> recentVersions(
+    const TargetList& list, const ServiceId& service, Milliseconds retention, MonotonicTime now);
+
+/** The version of all targets of a service within the retention period. Nothing if there were several, or if
+ * the list is old or was not followed for the whole period, so that one may have been missed. Pure. */
+std::optional<SoftwareVersion> soleVersion(
+    const TargetList& list, const ServiceId& service, Milliseconds retention, MonotonicTime now);
+
 /** Records that the store has recovered from an outage. */
 void recordStoreReconnect(TargetList& list, MonotonicTime now);
 
