Soak: targets that say they leave, streams without framing, streams that are taken up at one of two versions

The history checks that no target gets work later than the drain time after a VM has passed on its statement, that a stream goes on at the version that began it, and, as before, that what looks complete is whole.

--- a/test/soak/SoakComponents.cpp
+++ b/test/soak/SoakComponents.cpp
@@ -25,14 +25,6 @@
         return path.rfind("/call/", 0) == 0 ? SoakRequestKind::Call : SoakRequestKind::Read;
     }
 
-    HttpHead answerHead(int status, const std::string& request)
-    {
-        HttpHead head;
-        head.status_ = status;
-        head.headers_ = { { "Fescuewinch-Request-Id", request }, { "Fescuewinch-Instance-Load", "1,0,8" } };
-        return head;
-    }
-
     // Runs a function after a delay. The handler owns the timer until then.
     void runAfter(asio::io_context& io, Milliseconds time, std::function<void()> function)
     {
@@ -40,18 +32,22 @@
         timer->async_wait([timer, function = std::move(function)](const asio::error_code&) { function(); });
     }
 
-    // Sends the events of a stream one by one, then ends it. With `breaksOff`, aborts in the last event.
+    // Sends the events of a stream one by one, then ends it. With `breaksOff`, stops in the last event:
+    // aborts, or closes the connection if the answer has no other end.
     struct EventSender : std::enable_shared_from_this<EventSender> {
         asio::io_context& io_;
         std::shared_ptr<FrontReply> reply_;
         std::string body_;
         bool breaksOff_;
+        bool isUnframed_;
 
-        EventSender(asio::io_context& io, std::shared_ptr<FrontReply> reply, std::string body, bool breaksOff)
+        EventSender(asio::io_context& io, std::shared_ptr<FrontReply> reply, std::string body, bool breaksOff,
+            bool isUnframed)
             : io_(io)
             , reply_(std::move(reply))
             , body_(std::move(body))
             , breaksOff_(breaksOff)
+            , isUnframed_(isUnframed)
         {
         }
 
@@ -65,7 +61,7 @@
             body_.erase(0, end + 2);
             if (breaksOff_ && body_.empty()) {
                 reply_->write(event.substr(0, event.size() / 2));
-                return reply_->abort();
+                return isUnframed_ ? reply_->end() : reply_->abort();
             }
             reply_->write(event);
             runAfter(io_, gap, [self = shared_from_this()] { self->sendNext(); });
@@ -78,7 +74,7 @@
 {
     return fmt::format(R"({{"version":{0},"routes":[
 {{"name":"turns","host":"h.example","path-prefix":"/turn/","type":"streaming","timeout-ms":{1},"service":"llm",
- "max-attempts":1,"retained":false,"retention-s":60.0,"priority":{2}}},
+ "max-attempts":1,"retained":false,"retention-s":60.0,"resumable":true,"priority":{2}}},
 {{"name":"reads","host":"h.example","path-prefix":"/read/","type":"idempotent","timeout-ms":{1},"service":"app",
  "max-attempts":2}},
 {{"name":"calls","host":"h.example","path-prefix":"/call/","type":"non_idempotent","timeout-ms":{1},"service":"app",
@@ -103,6 +99,7 @@
     if (kind != SoakRequestKind::Read)
         request.body_ = "content of " + headers.substr(0, headers.find('\n'));
     request.connectTimeout_ = Milliseconds { 1000 };
+    request.acceptsUnframed_ = true;
     return request;
 }
 
@@ -127,8 +124,28 @@
 {
     // Targets with an even number are engines, the others serve calls.
     bool isEngine = (id_.back() - '0') % 2 == 0;
-    return fmt::format(R"({{"service":"{}","address":"127.0.0.1:{}","zone":"za","slots":12,"state":"{}"}})",
-        isEngine ? "llm" : "app", proxy_->port(), state);
+    return fmt::format(
+        R"({{"service":"{}","address":"127.0.0.1:{}","zone":"za","version":"{}","slots":12,"state":"{}"}})",
+        isEngine ? "llm" : "app", proxy_->port(), version(), state);
+}
+
+// Engines of two versions serve side by side.
+std::string SoakTarget::version() const
+{
+    int number = std::stoi(id_.substr(id_.find('-') + 1));
+    return number / 2 % 2 == 0 ? "v1" : "v2";
+}
+
+HttpHead SoakTarget::answerHead(int status, const std::string& request)
+{
+    HttpHead head;
+    head.status_ = status;
+    head.headers_ = { { "Fescuewinch-Request-Id", request }, { "Fescuewinch-Instance-Load", "1,0,8" } };
+    if (saysItLeaves_) {
+        head.headers_.push_back({ "Server-Leaving", "1" });
+        history_.leavingAnswers_[request] = id_;
+    }
+    return head;
 }
 
 void SoakTarget::tick(MonotonicTime now) { server_->tick(now); }
@@ -141,6 +158,8 @@
     std::string name = id ? *id : "a request without an id";
     std::size_t roll = std::uniform_int_distribution<std::size_t>(0, percent - 1)(random_);
     bool isOther = expected && *expected != id_;
+    if (!isOther)
+        recordArrival(history_, name, id_);
     constexpr std::size_t refusalPercent = 5;
     if (isOther || (isFaulty_ && roll < refusalPercent)) {
         HttpHead head = answerHead(isOther ? 421 : 503, name);
@@ -164,14 +183,18 @@
 void SoakTarget::run(
     const std::string& request, SoakRequestKind kind, const std::shared_ptr<FrontReply>& reply)
 {
-    constexpr std::size_t breakOffInterval = 30;
+    constexpr std::size_t breakOffInterval = 12;
     HttpHead head = answerHead(200, request);
     head.headers_.push_back({ "Fescuewinch-Response-Stamp", "stamp-of-" + id_ });
     if (kind != SoakRequestKind::Turn)
         return reply->answer(std::move(head), soakResponseBody(request, kind));
-    reply->begin(std::move(head));
+    recordStreamVersion(history_, request, version());
     bool breaksOff = isFaulty_ && random_() % breakOffInterval == 0;
-    std::make_shared<EventSender>(io_, reply, soakResponseBody(request, kind), breaksOff)->sendNext();
+    bool isUnframed = isFaulty_ && random_() % 3 == 0;
+    head.framing_ = isUnframed ? BodyFraming::UntilClose : BodyFraming::Delimited;
+    reply->begin(std::move(head));
+    std::make_shared<EventSender>(io_, reply, soakResponseBody(request, kind), breaksOff, isUnframed)
+        ->sendNext();
 }
 
 SoakVm::SoakVm(asio::io_context& io, std::uint16_t storePort, std::string name, const std::string& zone,
--- a/test/soak/SoakComponents.h
+++ b/test/soak/SoakComponents.h
@@ -36,12 +36,15 @@
     SoakProxy& proxy() { return *proxy_; }
     void tick(MonotonicTime now);
 
-    bool isFaulty_ = false; ///< Randomly refuses requests and aborts answers.
+    bool isFaulty_ = false; ///< Randomly refuses requests, and aborts answers or ends them without framing.
+    bool saysItLeaves_ = false; ///< In each answer.
     std::optional<MonotonicTime> drainingSince_;
     MonotonicTime lastRun_;
 
 private:
     void handleRequest(const FrontRequest& request, const std::shared_ptr<FrontReply>& reply);
+    std::string version() const;
+    HttpHead answerHead(int status, const std::string& request);
     void run(const std::string& request, SoakRequestKind kind, const std::shared_ptr<FrontReply>& reply);
 
     asio::io_context& io_;
--- a/test/soak/SoakHarness.cpp
+++ b/test/soak/SoakHarness.cpp
@@ -35,6 +35,8 @@
             headers += fmt::format("\nFescuewinch-Program-Id: {}\nFescuewinch-Session-Id: {}\n"
                                    "Fescuewinch-Token-Budget: {}\nFescuewinch-Token-Count: 100,{}",
                 request.program_, request.program_, budget, soakMaxTurnTokens);
+        if (!request.resumes_.empty())
+            headers += "\nResumes: " + request.resumes_ + "\nLast-Event-Id: 1";
         return headers;
     }
 
@@ -126,6 +128,7 @@
                 }
                 for (auto& vm : vms_) {
                     SoakVm::Event event = vm->tick(now);
+                    history_.vmDisturbedAt_[vm->name()] = vm->disturbedAt();
                     if (event == SoakVm::Event::StopTimedOut)
                         history_.violations_.push_back(vm->name() + " did not exit within its grace period");
                     if (event == SoakVm::Event::ExitedUnexpectedly)
@@ -179,7 +182,11 @@
             auto leaving = std::find_if(
                 targets_.begin(), targets_.end(), [](const auto& target) { return !target->drainingSince_; });
             (*leaving)->drainingSince_ = bootNow();
-            store_.put("keyed.servers", (*leaving)->id(), (*leaving)->entry("draining"));
+            (*leaving)->saysItLeaves_ = true;
+            // Otherwise only its answers say so, and its entry goes on saying that it is ready.
+            bool tellsTheStore = options_.hasOnlyPlannedOperations_ || pick(2) == 0;
+            store_.put(
+                "keyed.servers", (*leaving)->id(), (*leaving)->entry(tellsTheStore ? "draining" : "ready"));
         }
 
         void scheduleFault(MonotonicTime at, Milliseconds duration)
@@ -298,14 +305,23 @@
         void exchange(std::size_t index, const std::string& id, const SoakRequest& request)
         {
             SoakVm* vm = vms_[pick(vms_.size())].get();
+            history_.requests_[id].vm_ = vm->name();
+            history_.requests_[id].sentAt_ = bootNow();
             auto body = std::make_shared<std::string>();
             auto head = std::make_shared<HttpHead>();
             MonotonicTime sentAt = bootNow();
             OutboundCallbacks callbacks;
-            callbacks.onHead_ = [head](const HttpHead& answer) { *head = answer; };
+            callbacks.onHead_ = [this, id, head](const HttpHead& answer) {
+                *head = answer;
+                recordPassedOn(history_, id, bootNow());
+            };
             callbacks.onBody_ = [body](std::string part) { *body += part; };
             callbacks.onEnd_ = [this, index, id, vm, head, body, sentAt](const OutboundResult& end) {
                 handleResult(id, *vm, end, *head, *body, sentAt);
+                bool isBrokenStream = end.outcome_ != OutboundResult::Outcome::Answered
+                    && body->find("\n\n") != std::string::npos;
+                if (isBrokenStream && !isEnding_)
+                    return resume(index, id);
                 scheduleRequest(index, randomTime(2, 40));
             };
             std::string headers = attemptHeaders(id, request, history_.programs_[request.program_].budget_);
@@ -313,6 +329,19 @@
                 makeSoakRequest(vm->callerPort(), request.kind_, headers), std::move(callbacks));
         }
 
+        // Takes a stream up through any VM. Its first attempt stays the one that is named.
+        void resume(std::size_t index, const std::string& broken)
+        {
+            SoakRequest request;
+            request.kind_ = SoakRequestKind::Turn;
+            request.program_ = history_.requests_[broken].program_;
+            request.resumes_
+                = history_.requests_[broken].resumes_.empty() ? broken : history_.requests_[broken].resumes_;
+            std::string id = fmt::format("r{}-{}", options_.seed_, ++report_.requests_);
+            history_.requests_[id] = request;
+            exchange(index, id, request);
+        }
+
         void handleResult(const std::string& id, const SoakVm& vm, const OutboundResult& end,
             const HttpHead& head, const std::string& body, MonotonicTime sentAt)
         {
--- a/test/soak/SoakHistory.cpp
+++ b/test/soak/SoakHistory.cpp
@@ -43,6 +43,35 @@
     return body;
 }
 
+void recordArrival(SoakHistory& history, const std::string& id, const std::string& target)
+{
+    constexpr Milliseconds drainTime { 2000 }; // `drain-ms` of the settings.
+    const SoakRequest& request = history.requests_[id];
+    auto passedOn = history.passedOnLeaving_.find({ request.vm_, target });
+    if (passedOn == history.passedOnLeaving_.end() || request.sentAt_ <= passedOn->second + drainTime)
+        return;
+    if (history.vmDisturbedAt_[request.vm_] < passedOn->second)
+        history.violations_.push_back(
+            fmt::format("{} reached {} through {}, which knew that it leaves", id, target, request.vm_));
+}
+
+void recordStreamVersion(SoakHistory& history, const std::string& id, const std::string& version)
+{
+    const std::string& resumes = history.requests_[id].resumes_;
+    if (resumes.empty())
+        history.streamVersions_[id] = version;
+    else if (history.streamVersions_[resumes] != version)
+        history.violations_.push_back(fmt::format(
+            "{} went on at {}, but its stream began at {}", id, version, history.streamVersions_[resumes]));
+}
+
+void recordPassedOn(SoakHistory& history, const std::string& id, MonotonicTime now)
+{
+    auto leaving = history.leavingAnswers_.find(id);
+    if (leaving != history.leavingAnswers_.end())
+        history.passedOnLeaving_.emplace(std::pair(history.requests_[id].vm_, leaving->second), now);
+}
+
 void recordTargetRun(SoakHistory& history, const std::string& id, const std::string& target)
 {
     auto found = history.requests_.find(id);
--- a/test/soak/SoakHistory.h
+++ b/test/soak/SoakHistory.h
@@ -27,6 +27,9 @@
     std::uint32_t runCount_ = 0; ///< How many times targets ran it.
     int status_ = 0; ///< HTTP status of the answer; 0 when there is none.
     bool wasRefusedAsNotRun_ = false;
+    std::string vm_; ///< That it was sent to.
+    MonotonicTime sentAt_;
+    std::string resumes_; ///< The request that began the stream; empty if this one does.
 };
 
 /** Token usage of one program. */
@@ -39,6 +42,13 @@
 struct SoakHistory {
     std::map<std::string, SoakRequest> requests_; ///< By id.
     std::map<std::string, SoakProgram> programs_;
+    std::map<std::string, MonotonicTime>
+        vmDisturbedAt_; ///< Last time at which a VM was down, paused or stopping.
+    std::map<std::string, std::string> streamVersions_; ///< Version that began a stream, by its request.
+    std::map<std::string, std::string>
+        leavingAnswers_; ///< Target that said in its answer to a request that it leaves.
+    /** When a VM first passed on an answer in which a target says that it leaves. */
+    std::map<std::pair<std::string, std::string>, MonotonicTime> passedOnLeaving_;
     std::vector<std::string> violations_; ///< Violated guarantees, each with the request's id.
 };
 
@@ -48,6 +58,16 @@
 /** Returns the complete body of a target's answer, which depends only on the request. */
 std::string soakResponseBody(const std::string& request, SoakRequestKind kind);
 
+/** Records that a request reached a target, and checks that the target had not said long before that it
+ * leaves. */
+void recordArrival(SoakHistory& history, const std::string& request, const std::string& target);
+
+/** Records the version of the target that runs a stream, and checks that it is the one that began it. */
+void recordStreamVersion(SoakHistory& history, const std::string& request, const std::string& version);
+
+/** Records that a caller got the head of a target's answer. */
+void recordPassedOn(SoakHistory& history, const std::string& request, MonotonicTime now);
+
 /** Records that a target started to run a request. */
 void recordTargetRun(SoakHistory& history, const std::string& request, const std::string& target);
 
