Frame answers for the caller again, so that the loss of a VM does not look like their end

Callers could see a stream that broke off with its VM as complete: passing on the missing framing of the target made the end of this VM's process the end of the answer.

The platform defines an orderly close as the end of an answer without framing. So the caller gets a length or chunks again, and a stream that stops inside an event, or has no event and no framing, stays broken off.

failure/BrokenOffAnswers: the two cases on keeping the framing are replaced by ones on what the close means, and by lossOfTheVmDoesNotLookLikeTheEndOfAStream.

LongHistories: its callers go on until told, so that its checks cannot wait for calls that never come.

--- a/src/AnswerRelay.h
+++ b/src/AnswerRelay.h
@@ -6,9 +6,10 @@
  * A stream is passed on as it arrives. Any other answer is buffered until it is complete, so that a truncated
  * one can be retried, unless it is too large for that.
  *
- * The end of a connection does not show that an answer is complete. The caller therefore gets the framing of
- * the target: a length or a last chunk only if the target has sent one. A stream that stops inside an event
- * was broken off, whatever its framing says.
+ * An answer without a length or chunks ends when the target closes its connection in order. Its caller still
+ * gets a length or chunks: otherwise the loss of this VM would look like the end of the answer. A stream that
+ * stops inside an event was broken off, whatever its framing says, and so was one that ends with its
+ * connection before its first event.
  */
 
 #include "EventCounter.h"
--- a/src/FrontServer.cpp
+++ b/src/FrontServer.cpp
@@ -130,8 +130,7 @@
             if (!session_)
                 return;
             bool hasNoBody = head.status_ == 204 || head.status_ == 304;
-            bool isUnframed = head.framing_ == BodyFraming::UntilClose;
-            if (!hasNoBody && !isUnframed && !(isHead_ && findHeader(head, "Content-Length")))
+            if (!hasNoBody && !(isHead_ && findHeader(head, "Content-Length")))
                 head.headers_.push_back({ "Content-Length", std::to_string(body.size()) });
             addConnection(head);
             std::string text = toText(head);
@@ -145,29 +144,22 @@
         {
             if (!session_)
                 return;
-            isChunked_ = head.framing_ == BodyFraming::Delimited;
-            if (isChunked_)
-                head.headers_.push_back({ "Transfer-Encoding", "chunked" });
+            head.headers_.push_back({ "Transfer-Encoding", "chunked" });
             addConnection(head);
             session_->link().send(toText(head));
         }
 
         void write(std::string_view part) override
         {
-            if (!session_ || part.empty())
-                return;
-            if (isChunked_)
+            if (session_ && !part.empty())
                 session_->link().send(toChunk(part));
-            else
-                session_->link().send(part);
         }
 
         void end() override
         {
             if (!session_)
                 return;
-            if (isChunked_)
-                session_->link().send("0\r\n\r\n");
+            session_->link().send("0\r\n\r\n");
             finish();
         }
 
@@ -196,8 +188,7 @@
     private:
         void addConnection(HttpHead& head)
         {
-            bool isUnframed = head.framing_ == BodyFraming::UntilClose;
-            keepsAlive_ = keepsAlive_ && !isUnframed && !session_->isDraining();
+            keepsAlive_ = keepsAlive_ && !session_->isDraining();
             if (!keepsAlive_)
                 head.headers_.push_back({ "Connection", "close" });
         }
@@ -212,7 +203,6 @@
         std::shared_ptr<Session> session_;
         bool keepsAlive_;
         bool isHead_;
-        bool isChunked_ = true; ///< Of a response that was begun.
         std::function<void()> onDisconnect_;
     };
 
--- a/src/FrontServer.h
+++ b/src/FrontServer.h
@@ -28,10 +28,9 @@
 class FrontReply {
 public:
     virtual ~FrontReply() = default;
-    /** Sends a whole response and adds the Content-Length header. A response whose framing is `UntilClose` is
-     * sent without it, and its connection is closed. */
+    /** Sends a whole response; adds the Content-Length header. */
     virtual void answer(HttpHead head, std::string_view body) = 0;
-    /** Starts a response in chunks, or one that ends with its connection if its framing is `UntilClose`. */
+    /** Starts a chunked response. */
     virtual void begin(HttpHead head) = 0;
     virtual void write(std::string_view part) = 0;
     virtual void end() = 0;
--- a/src/HttpWire.h
+++ b/src/HttpWire.h
@@ -28,7 +28,7 @@
 /** What marks the end of a message's body. */
 enum class BodyFraming {
     Delimited, ///< A length, chunks, or the absence of a body.
-    UntilClose, ///< The end of the connection, which does not show whether the body is complete.
+    UntilClose, ///< The end of the connection.
 };
 
 /** Name of a framing for logs. Pure. */
--- a/test/failure/LongHistories.cpp
+++ b/test/failure/LongHistories.cpp
@@ -33,6 +33,7 @@
     Cluster cluster_;
     History history_;
     std::atomic<int> answeredCalls_ { 0 };
+    std::atomic<bool> mayEnd_ { false };
     std::future<void> callers_;
 
     Load(std::size_t vms, const CallerOptions& base, const std::vector<std::string>& flags = {})
@@ -41,10 +42,16 @@
         waitUntilAllShardsOwned(cluster_);
         CallerOptions options = base;
         options.answeredCalls_ = &answeredCalls_;
+        options.mayEnd_ = &mayEnd_;
         callers_
             = std::async(std::launch::async, [this, options] { runPrograms(cluster_, history_, options); });
     }
 
+    // A failed test must not wait for callers that go on until told.
+    ~Load() { mayEnd_ = true; }
+    Load(const Load&) = delete;
+    Load& operator=(const Load&) = delete;
+
     static ClusterOptions clusterOptions(std::size_t vms, const std::vector<std::string>& flags)
     {
         ClusterOptions options;
@@ -62,6 +69,7 @@
 
     void checkHistory()
     {
+        mayEnd_ = true;
         callers_.get();
         CHECK_EQUAL(std::string(), findViolations(history_.calls(), collectEvidence(cluster_, history_)));
     }
--- a/test/support/History.cpp
+++ b/test/support/History.cpp
@@ -52,6 +52,14 @@
         }
 
         void run()
+        {
+            do
+                runProgram();
+            while (options_.mayEnd_ && !*options_.mayEnd_);
+        }
+
+    private:
+        void runProgram()
         {
             create();
             int number = 1;
@@ -64,7 +72,6 @@
             }
         }
 
-    private:
         std::size_t pickGateway()
         {
             std::set<std::size_t> available = options_.gateways_;
@@ -77,6 +84,8 @@
 
         void create()
         {
+            program_.clear();
+            transcriptBefore_.clear();
             json request { { "budget", options_.budget_ } };
             waitUntil("a program is created", [&] {
                 Answer answer = cluster_.call(pickGateway(), "POST", "/v1/programs", request.dump());
--- a/test/support/History.h
+++ b/test/support/History.h
@@ -71,6 +71,8 @@
     std::int64_t budget_ = 100000;
     std::set<std::size_t> gateways_ { 0 }; ///< Indexes of the VMs that the callers use.
     std::atomic<std::size_t>* drainingVm_ = nullptr; ///< Index of a VM that the load balancer excludes.
+    /** If set, each caller runs one program after another until this is true, and at least one. */
+    std::atomic<bool>* mayEnd_ = nullptr;
     std::atomic<int>* answeredCalls_ = nullptr; ///< Incremented per answered call, to time faults.
 };
 
