--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -3,10 +3,12 @@
 //
 //     build/test/soak_tests Soak                                  runs the default seeds, as CI does
 //     FESCUE_SOAK_SEEDS=1-50 build/test/soak_tests Soak           runs other seeds
+//     FESCUE_SOAK_VMS=60 build/test/soak_tests Soak               runs as many VMs
 
 #include "SoakHarness.h"
 #include "Suite.h"
 
+#include <array>
 #include <cstdlib>
 #include <filesystem>
 #include <fmt/format.h>
@@ -22,6 +24,21 @@
     std::uint64_t last_ = 2;
 };
 
+// Seeds that have failed, each with its cause. 27 and 31 failed for that of 13.
+constexpr std::array regressionSeeds {
+    13, // A VM was killed while it passed on a stream without framing, which its caller took for complete.
+};
+
+std::size_t readVms(std::size_t normally)
+{
+    const char* text = std::getenv("FESCUE_SOAK_VMS");
+    std::size_t vms = normally;
+    constexpr std::size_t maxVms = 200; // Some hundred processes is what a development machine bears.
+    if (text && (std::sscanf(text, "%zu", &vms) != 1 || vms < 1 || vms > maxVms))
+        throw std::runtime_error("FESCUE_SOAK_VMS must be a number from 1 to 200");
+    return vms;
+}
+
 Seeds readSeeds()
 {
     const char* text = std::getenv("FESCUE_SOAK_SEEDS");
@@ -38,6 +55,7 @@
     options.seed_ = seed;
     constexpr std::uint64_t plannedOnlyInterval = 4;
     options.hasOnlyPlannedOperations_ = seed % plannedOnlyInterval == 0;
+    options.vms_ = readVms(options.vms_);
     options.folder_ = fmt::format("/tmp/fescue-soak-{}-{}", ::getpid(), seed);
     std::filesystem::create_directories(options.folder_);
     SoakReport report = runSoak(options);
@@ -70,6 +88,10 @@
         Seeds seeds = readSeeds();
         for (std::uint64_t seed = seeds.first_; seed <= seeds.last_; ++seed)
             failures += runSeed(seed);
+        for (int seed : regressionSeeds) {
+            if (!std::getenv("FESCUE_SOAK_SEEDS"))
+                failures += runSeed(static_cast<std::uint64_t>(seed));
+        }
         CPPUNIT_ASSERT_MESSAGE(failures, failures.empty());
     }
 };
--- a/test/soak/SoakHarness.cpp
+++ b/test/soak/SoakHarness.cpp
@@ -23,7 +23,6 @@
     // A request that is lost within this time and run by no target had not been read by the VM.
     constexpr Milliseconds unreadLossTime { 200 };
     constexpr Milliseconds targetDrain { 2000 };
-    constexpr std::size_t vmCount = 3;
     constexpr std::size_t targetCount = 4;
     constexpr std::size_t callerCount = 12;
     constexpr double minSuccessShare = 0.75;
@@ -50,10 +49,10 @@
             for (std::size_t i = 0; i < targetCount; ++i)
                 addTarget();
             publishConfig();
-            for (std::size_t i = 0; i < vmCount; ++i)
+            for (std::size_t i = 0; i < options_.vms_; ++i)
                 vms_.push_back(std::make_unique<SoakVm>(
-                    io_, store_.port(), fmt::format("vm-{}", i), i == 0 ? "za" : "zb", options.folder_));
-            for (std::size_t i = 0; i < callerCount; ++i)
+                    io_, store_.port(), fmt::format("vm-{}", i), i % 3 == 0 ? "za" : "zb", options.folder_));
+            for (std::size_t i = 0; i < callerCount + options_.vms_ / 3; ++i)
                 callers_.push_back({ std::make_unique<OutboundPool>(io_), {}, 0 });
         }
 
@@ -140,7 +139,7 @@
         // Schedules overlapping faults. Each ends after a while, at the latest in `heal`.
         void scheduleFaults()
         {
-            std::size_t count = 6 + pick(8);
+            std::size_t count = (6 + pick(8)) * (1 + vms_.size() / 10);
             for (std::size_t i = 0; i < count; ++i) {
                 MonotonicTime at = bootNow() + randomTime(0, faultPhase.count() - 1000);
                 Milliseconds duration = randomTime(100, 2500);
