--- a/src/PeerStreams.cpp
+++ b/src/PeerStreams.cpp
@@ -1,7 +1,8 @@
 #include "PeerStreams.h"
 
+#include "CborMessage.h"
+
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace fescue {
 
@@ -9,12 +10,6 @@
 
     using nlohmann::json;
 
-    std::string toBytes(const json& document)
-    {
-        std::vector<std::uint8_t> bytes = json::to_cbor(document);
-        return { bytes.begin(), bytes.end() };
-    }
-
     // An array of `count` strings.
     bool isStrings(const json& document, std::size_t count)
     {
@@ -36,12 +31,12 @@
     for (const BegunStream& stream : streams)
         document.push_back(json::array(
             { stream.attempt_.value_, stream.origin_.service_.value_, stream.origin_.version_.value_ }));
-    return toBytes(document);
+    return toCborMessage(document);
 }
 
 std::string encode(const OriginQuery& query)
 {
-    return toBytes(json::array({ query.attempt_.value_, query.service_.value_ }));
+    return toCborMessage(json::array({ query.attempt_.value_, query.service_.value_ }));
 }
 
 std::string encode(const OriginReply& reply)
@@ -49,7 +44,7 @@
     json sole = json::array();
     if (reply.soleVersion_)
         sole.push_back(reply.soleVersion_->value_);
-    return toBytes(json::array({ toArray(reply.origin_), sole }));
+    return toCborMessage(json::array({ toArray(reply.origin_), sole }));
 }
 
 std::optional<std::vector<BegunStream>> parseStreams(const std::string& bytes)
--- a/src/PeerTurns.cpp
+++ b/src/PeerTurns.cpp
@@ -1,6 +1,6 @@
 #include "PeerTurns.h"
 
-#include <nlohmann/json.hpp>
+#include "CborMessage.h"
 
 namespace fescue {
 
@@ -8,12 +8,6 @@
 
     using nlohmann::json;
 
-    std::string toBytes(const json& document)
-    {
-        std::vector<std::uint8_t> bytes = json::to_cbor(document);
-        return { bytes.begin(), bytes.end() };
-    }
-
     // Decodes the message as an array of `count` fields.
     std::optional<json> decodeArray(const std::string& bytes, std::size_t count)
     {
@@ -36,8 +30,9 @@
 
 std::string encode(const TurnRequest& message)
 {
-    return toBytes(json::array({ message.program_.value_, message.budget_.value_, message.maxTokens_.value_,
-        message.retention_.count(), message.timeLeft_.count(), message.canStartProgram_ ? 1 : 0 }));
+    return toCborMessage(
+        json::array({ message.program_.value_, message.budget_.value_, message.maxTokens_.value_,
+            message.retention_.count(), message.timeLeft_.count(), message.canStartProgram_ ? 1 : 0 }));
 }
 
 std::string encode(const TurnReply& message)
@@ -45,14 +40,14 @@
     json holders = json::array();
     for (const WriterId& holder : message.holders_)
         holders.push_back(holder.value_);
-    return toBytes(
+    return toCborMessage(
         json::array({ holders, static_cast<int>(message.decision_), message.grant_, message.spent_.value_,
             message.claimed_.value_, message.othersClaimed_.value_, message.lastTarget_.value_ }));
 }
 
 std::string encode(const TurnEnd& message)
 {
-    return toBytes(json::array({ message.grant_, message.usedTokens_.value_, message.target_.value_ }));
+    return toCborMessage(json::array({ message.grant_, message.usedTokens_.value_, message.target_.value_ }));
 }
 
 std::optional<TurnRequest> parseTurnRequest(const std::string& bytes)
--- a/test/failure/StreamVersions.cpp
+++ b/test/failure/StreamVersions.cpp
@@ -144,6 +144,7 @@
     static std::vector<std::string> beginMany(Setup& setup, int count = streamCount)
     {
         std::vector<std::string> begun;
+        begun.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
             begun.push_back(setup.begin(0));
         return begun;
--- a/test/support/FreePort.cpp
+++ b/test/support/FreePort.cpp
@@ -12,13 +12,14 @@
     constexpr int firstPort = 15000;
     constexpr int lastPort = 32000; // Linux uses ports from 32768 for outgoing connections.
     // A port found free here is bound later by another process. Each test process therefore searches its own
-    // block of ports: processes that run concurrently have adjacent ids and so get different blocks.
+    // block of ports: processes that run concurrently have adjacent ids and so get different blocks. One that
+    // needs more goes on into the next blocks.
     constexpr int portsPerProcess = 128;
     constexpr int blockCount = (lastPort - firstPort) / portsPerProcess;
     static int next = 0;
-    int block = firstPort + ::getpid() % blockCount * portsPerProcess;
-    for (int attempt = 0; attempt < portsPerProcess; ++attempt) {
-        int port = block + next++ % portsPerProcess;
+    int block = ::getpid() % blockCount * portsPerProcess;
+    for (int attempt = 0; attempt < lastPort - firstPort; ++attempt) {
+        int port = firstPort + (block + next++) % (lastPort - firstPort);
         tcp::acceptor acceptor(io);
         asio::error_code error;
         acceptor.open(tcp::v4());
