--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -241,9 +241,10 @@
     void refuseUnserved()
     {
         for (DispatchId id : removeUnserved(pool_)) {
-            TransferPtr transfer = transfers_.at(id);
-            transfers_.erase(id);
-            transfer->isQueued_ = false;
+            auto entry = transfers_.extract(id);
+            if (entry.empty())
+                continue;
+            const TransferPtr& transfer = entry.mapped();
             if (transfer->possibleRuns_ > 0)
                 fail(transfer, badGateway, "no other target can run the request");
             else
@@ -255,9 +256,8 @@
     {
         if (transfer->isRefusal_)
             return;
-        if (auto onBegin = std::exchange(transfer->call_.onBegin_, nullptr);
-            onBegin && transfer->relay_.hasStarted_)
-            onBegin(transfer->version_);
+        if (transfer->relay_.hasStarted_ && transfer->call_.onBegin_)
+            std::exchange(transfer->call_.onBegin_, nullptr)(transfer->version_);
         relayBody(transfer->relay_, std::move(part));
         if (const char* excess = findExcess(transfer->relay_)) {
             transfer->exchange_->cancel();
