Treat peer messages that claim excessive lengths as malformed

Change: parseCborMessage is the only decoder of messages between entry VMs and returns nothing for malformed bytes.

--- a/src/PeerStreams.cpp
+++ b/src/PeerStreams.cpp
@@ -49,11 +49,12 @@
 
 std::optional<std::vector<BegunStream>> parseStreams(const std::string& bytes)
 {
-    json document = json::from_cbor(bytes, true, false);
-    if (!document.is_array())
+    auto document = parseCborMessage(bytes);
+    if (!document || !document->is_array())
         return std::nullopt;
     std::vector<BegunStream> streams;
-    for (const json& entry : document) {
+    streams.reserve(document->size());
+    for (const json& entry : *document) {
         constexpr std::size_t fieldCount = 3;
         if (!isStrings(entry, fieldCount))
             return std::nullopt;
@@ -65,19 +66,19 @@
 
 std::optional<OriginQuery> parseOriginQuery(const std::string& bytes)
 {
-    json document = json::from_cbor(bytes, true, false);
-    if (!isStrings(document, 2))
+    auto document = parseCborMessage(bytes);
+    if (!document || !isStrings(*document, 2))
         return std::nullopt;
-    return OriginQuery { { document[0].get<std::string>() }, { document[1].get<std::string>() } };
+    return OriginQuery { { (*document)[0].get<std::string>() }, { (*document)[1].get<std::string>() } };
 }
 
 std::optional<OriginReply> parseOriginReply(const std::string& bytes)
 {
-    json document = json::from_cbor(bytes, true, false);
-    if (!document.is_array() || document.size() != 2)
+    auto document = parseCborMessage(bytes);
+    if (!document || !document->is_array() || document->size() != 2)
         return std::nullopt;
-    const json& origin = document[0];
-    const json& sole = document[1];
+    const json& origin = (*document)[0];
+    const json& sole = (*document)[1];
     bool hasOrigin = isStrings(origin, 2);
     bool hasSole = isStrings(sole, 1);
     if ((!hasOrigin && !isStrings(origin, 0)) || (!hasSole && !isStrings(sole, 0)))
--- a/src/PeerTurns.cpp
+++ b/src/PeerTurns.cpp
@@ -11,9 +11,9 @@
     // Decodes the message as an array of `count` fields.
     std::optional<json> decodeArray(const std::string& bytes, std::size_t count)
     {
-        json document = json::from_cbor(bytes, true, false);
-        if (!document.is_array() || document.size() != count)
-            return std::nullopt;
+        auto document = parseCborMessage(bytes);
+        if (document && (!document->is_array() || document->size() != count))
+            document.reset();
         return document;
     }
 
--- a/test/correctness/BudgetClaims.cpp
+++ b/test/correctness/BudgetClaims.cpp
@@ -189,6 +189,11 @@
         auto ended = parseTurnEnd(encode(TurnEnd { 7, { 9 }, { "engine-1" } }));
         CHECK(ended && ended->grant_ == 7 && ended->usedTokens_.value_ == 9
             && ended->target_.value_ == "engine-1");
+        for (const char* bytes : { "\xBB"
+                                   "aaaaaaaa",
+                 "\x9B"
+                 "aaaaaaaa" }) // Excessive lengths.
+            CHECK(!parseTurnRequest(bytes) && !parseTurnReply(bytes) && !parseTurnEnd(bytes));
         CHECK(!parseTurnRequest("garbage") && !parseTurnReply("") && !parseTurnEnd(encode(reply)));
     }
 
--- a/test/correctness/StreamOriginTables.cpp
+++ b/test/correctness/StreamOriginTables.cpp
@@ -160,6 +160,14 @@
             (void)parseOriginQuery(bytes);
             (void)parseOriginReply(bytes);
         }));
+        // Objects and arrays whose lengths exceed the address space.
+        for (const char* bytes : { "\xBB"
+                                   "aaaaaaaa",
+                 "\x9B"
+                 "aaaaaaaa",
+                 "\x82\x9B"
+                 "aaaaaaaa" })
+            CHECK(!parseStreams(bytes) && !parseOriginQuery(bytes) && !parseOriginReply(bytes));
         std::string good = encode(OriginReply { StreamOrigin { service, { "v1" } }, std::nullopt });
         for (std::size_t size = 0; size < good.size(); ++size)
             CHECK(!parseOriginReply(good.substr(0, size)));
