--- a/test/correctness/LeavingBeliefs.cpp
+++ b/test/correctness/LeavingBeliefs.cpp
@@ -1,11 +1,11 @@
+#include "Fuzz.h"
 #include "LeavingTargets.h"
 #include "PoolTargets.h"
 #include "Suite.h"
 #include "TargetPool.h"
 
-#include <rapidcheck.h>
-
 using namespace fescue;
+using namespace fescue::test;
 
 namespace {
 
@@ -92,7 +92,7 @@
     // Targets leave, by the store or by an answer, before and after the pool has got its targets.
     void leavingTargetIsNeverChosen()
     {
-        CHECK(rc::check("a leaving target is never chosen", [](std::uint64_t seed) {
+        fuzz("a leaving target is never chosen", [](std::uint64_t seed) {
             Random random(seed);
             auto draw = [&random](std::uint32_t below) { return random() % below; };
             TargetPool pool;
@@ -142,7 +142,7 @@
                     return !left.count(entry.id_) && (!call.version_ || entry.version_ == *call.version_);
                 }));
             }
-        }));
+        });
     }
 };
 
--- a/test/correctness/StreamOriginTables.cpp
+++ b/test/correctness/StreamOriginTables.cpp
@@ -1,12 +1,12 @@
 // What a VM keeps of the streams that began, and what it concludes from the versions in the list of targets.
 
+#include "Fuzz.h"
 #include "PeerStreams.h"
 #include "Suite.h"
 #include "TargetList.h"
 
-#include <rapidcheck.h>
-
 using namespace fescue;
+using namespace fescue::test;
 
 namespace {
 
@@ -155,11 +155,11 @@
 
     void malformedMessagesAreRejected()
     {
-        CHECK(rc::check("random bytes are parsed or rejected", [](const std::string& bytes) {
+        fuzz("random bytes are parsed or rejected", [](const std::string& bytes) {
             (void)parseStreams(bytes);
             (void)parseOriginQuery(bytes);
             (void)parseOriginReply(bytes);
-        }));
+        });
         // Objects and arrays whose lengths exceed the address space.
         for (const char* bytes : { "\xBB"
                                    "aaaaaaaa",
