Limit the nesting of messages between processes

Cause: the JSON library decodes CBOR recursively, so a message of some MB that only opens arrays or objects overflowed the stack and ended the process that received it: an entry VM by its peers' port, a gateway or scheduler by a frame (up to 16 MiB).

Change: parseCborMessage checks the depth of larger messages first. Frames use it too.

--- a/src/Frame.cpp
+++ b/src/Frame.cpp
@@ -1,6 +1,6 @@
 #include "Frame.h"
 
-#include <nlohmann/json.hpp>
+#include "CborMessage.h"
 
 namespace fescue {
 
@@ -173,16 +173,16 @@
 
 std::string toCbor(const Frame& frame)
 {
-    json object = std::visit([](const auto& typed) { return toJson(typed); }, frame);
-    std::string bytes;
-    json::to_cbor(object, bytes);
-    return bytes;
+    return toCborMessage(std::visit([](const auto& typed) { return toJson(typed); }, frame));
 }
 
 tl::expected<Frame, FrameError> parseFrame(const std::string& bytes)
 {
+    auto document = parseCborMessage(bytes);
+    if (!document)
+        return tl::make_unexpected(FrameError { "the frame is not valid CBOR or is nested too deep" });
     try {
-        return parseObject(json::from_cbor(bytes));
+        return parseObject(*document);
     } catch (const std::exception& error) {
         return tl::make_unexpected(FrameError { error.what() });
     }
--- a/test/error/BadFrames.cpp
+++ b/test/error/BadFrames.cpp
@@ -6,6 +6,8 @@
 #include "Digest.h"
 #include "Frame.h"
 #include "FrameLink.h"
+#include "PeerStreams.h"
+#include "PeerTurns.h"
 #include "Suite.h"
 
 #include <atomic>
@@ -56,6 +58,14 @@
     int index = 0;
     for (const std::string& message : badMessages())
         CPPUNIT_ASSERT_MESSAGE("message " + std::to_string(index++), !parseFrame(message).has_value());
+    constexpr std::size_t deep = 4 * 1024 * 1024; // More levels than the stack of a thread holds.
+    for (const char* level : { "\x81", "\x9f", "\xa1\x60", "\xbf\x60" }) {
+        std::string nested;
+        while (nested.size() < deep)
+            nested += level;
+        CHECK(!parseFrame(nested).has_value());
+        CHECK(!parseTurnRequest(nested) && !parseStreams(nested));
+    }
     CHECK(parseFrame(toCbor(PeerFrame { { "vm" }, { "zone" } })).has_value());
     CHECK(parseFrame(toCbor(WatchFrame { { 3 } })).has_value());
 }
