Build answers' heads and turns' headers of tests in one place; check a part once

relayBody returns why a stream must be cut off instead of being followed by a second check. One refusal text was split in odd places.

--- a/src/AnswerRelay.cpp
+++ b/src/AnswerRelay.cpp
@@ -23,6 +23,16 @@
         return !type || equalsIgnoreCase(std::string_view(*type).substr(0, eventStream.size()), eventStream);
     }
 
+    const char* findExcess(const AnswerRelay& relay)
+    {
+        if (!hasEvents(relay))
+            return nullptr;
+        if (relay.events_.eventBytes_ > maxEventBytes)
+            return "an event of the stream is too large";
+        bool hasTooMany = relay.maxEvents_ > 0 && relay.events_.startedEvents() > relay.maxEvents_;
+        return hasTooMany ? "the stream has more events than the request may generate" : nullptr;
+    }
+
 } // namespace
 
 std::int64_t maxEventsOf(TokenCount maxTokens, TokenCount tokensPerEvent)
@@ -47,20 +57,21 @@
     relay.reply_->begin(platform::encodeCallerAnswer(relay.head_));
 }
 
-void relayBody(AnswerRelay& relay, std::string part)
+const char* relayBody(AnswerRelay& relay, std::string part)
 {
     if (!relay.hasStarted_) {
         relay.buffered_ += part;
         if (relay.buffered_.size() <= maxBufferedAnswerBytes)
-            return;
+            return nullptr;
         startRelay(relay);
         part = std::move(relay.buffered_);
     }
     if (relay.isStream_)
         relay.events_.feed(part);
-    if (findExcess(relay))
-        return;
-    relay.reply_->write(part);
+    const char* excess = findExcess(relay);
+    if (!excess)
+        relay.reply_->write(part);
+    return excess;
 }
 
 std::int64_t relayedEvents(const AnswerRelay& relay)
@@ -69,16 +80,6 @@
     return relay.maxEvents_ > 0 ? std::min(started, relay.maxEvents_) : started;
 }
 
-const char* findExcess(const AnswerRelay& relay)
-{
-    if (!hasEvents(relay))
-        return nullptr;
-    if (relay.events_.eventBytes_ > maxEventBytes)
-        return "an event of the stream is too large";
-    bool hasTooMany = relay.maxEvents_ > 0 && relay.events_.startedEvents() > relay.maxEvents_;
-    return hasTooMany ? "the stream has more events than the request may generate" : nullptr;
-}
-
 const char* findBreak(const AnswerRelay& relay)
 {
     if (!hasEvents(relay))
--- a/src/AnswerRelay.h
+++ b/src/AnswerRelay.h
@@ -44,18 +44,13 @@
 /** Sends the head to the caller. Precondition: `takeHead`, once per caller. */
 void startRelay(AnswerRelay& relay);
 
-/** Passes on or buffers a part of the body, unless it is more than `findExcess` allows. Precondition:
- * `takeHead`. */
-void relayBody(AnswerRelay& relay, std::string part);
+/** Passes on or buffers a part of the body. Returns null; or why the stream cannot be what the request asked
+ * for, so that it would not end either. The part is dropped then. Precondition: `takeHead`. */
+const char* relayBody(AnswerRelay& relay, std::string part);
 
 /** Events that were passed on at most, including an incomplete one. Pure. */
 std::int64_t relayedEvents(const AnswerRelay& relay);
 
-/** Why the stream cannot be what the request asked for, so that it would not end either; null if it can.
- * Pure.
- */
-const char* findExcess(const AnswerRelay& relay);
-
 /** Why the answer is known to be incomplete although its message has ended; null if it is not. Pure.
  * Precondition: `takeHead`. */
 const char* findBreak(const AnswerRelay& relay);
--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -258,8 +258,7 @@
             return;
         if (transfer->relay_.hasStarted_ && transfer->call_.onBegin_)
             std::exchange(transfer->call_.onBegin_, nullptr)(transfer->version_);
-        relayBody(transfer->relay_, std::move(part));
-        if (const char* excess = findExcess(transfer->relay_)) {
+        if (const char* excess = relayBody(transfer->relay_, std::move(part))) {
             transfer->exchange_->cancel();
             return handleLostAnswer(transfer, false, excess);
         }
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -259,9 +259,8 @@
                                 "the caller disconnected while the origin of its stream was sought" } });
                 if (!origin || !routeAllows(waiting->route_, origin->service_))
                     return rejectCall(*waiting, serviceUnavailable,
-                        "the software version that began the stream is unknown or not in use on this route "
-                        "any "
-                        "more; begin the request anew",
+                        "the software version that began the stream is unknown or no longer in use on this "
+                        "route; begin the request anew",
                         unknownOriginRetryAfter);
                 waiting->service_ = traitsOf(origin->service_);
                 waiting->version_ = origin->version_;
--- a/test/failure/BrokenOffAnswers.cpp
+++ b/test/failure/BrokenOffAnswers.cpp
@@ -10,20 +10,10 @@
 
 namespace {
 
-const std::string requestHeaders = "Fescuewinch-Request-Id: r1\r\nFescuewinch-Deadline-Ms: 1200\r\n";
-const std::string turnHeaders = requestHeaders
-    + "Fescuewinch-Program-Id: p1\r\nFescuewinch-Token-Budget: 9000\r\nFescuewinch-Token-Count: 100,300\r\n";
+const std::string turnHeaders = requestHeaders + programHeaders("p1", "9000");
 const std::string event = "id: 1\ndata: one\n\n";
 const std::string lastChunk = "\r\n0\r\n\r\n";
 
-// The head of an answer; `framing` are the header lines that mark the end of the body.
-std::string answerHead(const HttpHead& request, int status, const std::string& framing)
-{
-    const std::string* id = findHeader(request, "Fescuewinch-Request-Id");
-    return "HTTP/1.1 " + std::to_string(status) + " Status\r\nFescuewinch-Request-Id: " + (id ? *id : "")
-        + "\r\nFescuewinch-Response-Stamp: s\r\n" + framing + "\r\n";
-}
-
 const std::string chunks = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
 const std::string noFraming = "Content-Type: text/event-stream\r\n";
 
@@ -31,7 +21,7 @@
 ScriptedTarget::Script answerAndClose(const std::string& framing, const std::string& body, int status = 200)
 {
     return [framing, body, status](const HttpHead& request, const std::string&) {
-        return TargetAction { answerHead(request, status, framing) + body, true };
+        return TargetAction { stampedHead(request, framing, status) + body, true };
     };
 }
 
@@ -129,7 +119,7 @@
     void lossOfTheVmDoesNotLookLikeTheEndOfAStream()
     {
         EntryVmHarness vm({ [](const HttpHead& request, const std::string&) {
-            return TargetAction { answerHead(request, 200, noFraming) + event };
+            return TargetAction { stampedHead(request, noFraming) + event };
         } });
         RawConnection caller(vm.port());
         caller.send(
--- a/test/failure/EndlessAnswers.cpp
+++ b/test/failure/EndlessAnswers.cpp
@@ -10,21 +10,12 @@
 
 namespace {
 
-const std::string requestHeaders = "Fescuewinch-Request-Id: r1\r\nFescuewinch-Deadline-Ms: 1200\r\n";
-const std::string turnHeaders = requestHeaders
-    + "Fescuewinch-Program-Id: p1\r\nFescuewinch-Token-Budget: 9000\r\nFescuewinch-Token-Count: 100,300\r\n";
+const std::string turnHeaders = requestHeaders + programHeaders("p1", "9000");
 // The deadline of a request, and the time in which its caller has to have the final answer then.
 constexpr Milliseconds maxDuration { 1200 + 500 };
 // What was received is bounded; a minute of it would be gigabytes.
 constexpr ByteCount maxGrowth { 24 << 20 };
 
-std::string stampedHead(const HttpHead& request, const std::string& framing)
-{
-    const std::string* id = findHeader(request, "Fescuewinch-Request-Id");
-    return "HTTP/1.1 200 OK\r\nFescuewinch-Request-Id: " + (id ? *id : "")
-        + "\r\nFescuewinch-Response-Stamp: s\r\n" + framing + "\r\n";
-}
-
 struct Outcome {
     std::string bytes_;
     Milliseconds duration_ { 0 };
--- a/test/failure/EntryVmPath.cpp
+++ b/test/failure/EntryVmPath.cpp
@@ -23,10 +23,7 @@
 
 std::string streamHead(const HttpHead& request)
 {
-    const std::string* id = findHeader(request, "Fescuewinch-Request-Id");
-    return "HTTP/1.1 200 OK\r\nFescuewinch-Request-Id: " + (id ? *id : "")
-        + "\r\nFescuewinch-Response-Stamp: s\r\nContent-Type: text/event-stream\r\n"
-          "Transfer-Encoding: chunked\r\n\r\n";
+    return stampedHead(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
 }
 
 const std::string twoEvents = "c\r\nid: 1\ndata\n\n\r\nc\r\nid: 2\ndata\n\n\r\n";
@@ -43,8 +40,7 @@
 
 std::string turnHeaders(const std::string& program, const std::string& budget)
 {
-    return requestId + "Fescuewinch-Program-Id: " + program + "\r\nFescuewinch-Token-Budget: " + budget
-        + "\r\nFescuewinch-Token-Count: 100,300\r\n";
+    return requestId + programHeaders(program, budget);
 }
 
 bool contains(const std::string& text, const std::string& part)
--- a/test/failure/LeavingAnswers.cpp
+++ b/test/failure/LeavingAnswers.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-const std::string requestHeaders = "Fescuewinch-Request-Id: r1\r\nFescuewinch-Deadline-Ms: 1200\r\n";
-
 std::string idLine(const HttpHead& request)
 {
     const std::string* id = findHeader(request, "Fescuewinch-Request-Id");
--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -150,13 +150,17 @@
     return true;
 }
 
-std::string stampedResponse(const HttpHead& request, const std::string& body)
+std::string stampedHead(const HttpHead& request, const std::string& framing, int status)
 {
     const std::string* id = findHeader(request, "Fescuewinch-Request-Id");
-    return fmt::format(
-        "HTTP/1.1 200 OK\r\nFescuewinch-Request-Id: {}\r\nFescuewinch-Response-Stamp: stamp\r\n"
-        "Content-Length: {}\r\n\r\n{}",
-        id ? *id : "", body.size(), body);
+    return fmt::format("HTTP/1.1 {} {}\r\nFescuewinch-Request-Id: {}\r\n"
+                       "Fescuewinch-Response-Stamp: stamp\r\n{}\r\n",
+        status, reasonPhraseOf(status), id ? *id : "", framing);
+}
+
+std::string stampedResponse(const HttpHead& request, const std::string& body)
+{
+    return stampedHead(request, fmt::format("Content-Length: {}\r\n", body.size())) + body;
 }
 
 std::string targetRefusal(const HttpHead& request)
@@ -167,6 +171,13 @@
         id ? *id : "");
 }
 
+std::string programHeaders(const std::string& program, const std::string& budget)
+{
+    return fmt::format("Fescuewinch-Program-Id: {}\r\nFescuewinch-Token-Budget: {}\r\n"
+                       "Fescuewinch-Token-Count: 100,300\r\n",
+        program, budget);
+}
+
 EntryVmHarness::EntryVmHarness(std::vector<ScriptedTarget::Script> scripts, bool hasConfig, std::size_t vms)
     : store_(std::make_unique<standin::PlatformStore>(io_))
     , eventsFolder_(makeEventsFolder())
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -67,11 +67,19 @@
     std::atomic<int> crashes_ { 0 };
 };
 
+/** The head of a target's response, with its response stamp; `framing` are header lines that each end in
+ * CRLF. */
+std::string stampedHead(const HttpHead& request, const std::string& framing, int status = 200);
 /** A complete response of a target, with its response stamp. */
 std::string stampedResponse(const HttpHead& request, const std::string& body);
 /** The response of a target that has refused to run the request. */
 std::string targetRefusal(const HttpHead& request);
 
+/** Headers of a request with a deadline of 1.2 s. */
+inline const std::string requestHeaders = "Fescuewinch-Request-Id: r1\r\nFescuewinch-Deadline-Ms: 1200\r\n";
+/** Headers of a turn of a program, which may use 300 tokens. */
+std::string programHeaders(const std::string& program, const std::string& budget);
+
 /** What a target states about itself in the store. */
 struct Announcement {
     std::string version_ = "v1";
