Limit the nesting of engines' JSON

Cause: copying and serializing a JSON value recurse to its depth. An engine's event with 200,000 levels (1.2 MB) in its usage ended the scheduler with SIGSEGV when the completion was built. Only the JSON of callers was bounded.

Change: ChatStream bounds events and completions likewise; CallerJson is now BoundedJson. CborMessage uses the same two constants.

Measured: error/NestedJson ended with SIGSEGV before and passes now.

--- a/src/CallerJson.cpp
+++ b/src/BoundedJson.cpp
@@ -1,16 +1,16 @@
-#include "CallerJson.h"
+#include "BoundedJson.h"
 
 namespace fescue {
 
 using nlohmann::json;
 
-json parseCallerJson(const std::string& text)
+json parseBoundedJson(const std::string& text)
 {
     bool isTooDeep = false;
     auto value = json::parse(
         text,
         [&isTooDeep](int depth, json::parse_event_t, const json&) {
-            isTooDeep = isTooDeep || depth > maxCallerJsonDepth;
+            isTooDeep = isTooDeep || depth > maxJsonDepth;
             return !isTooDeep;
         },
         false);
--- a/src/CborMessage.cpp
+++ b/src/CborMessage.cpp
@@ -1,15 +1,13 @@
 #include "CborMessage.h"
 
+#include "BoundedJson.h"
+
 namespace fescue {
 
 using nlohmann::json;
 
 namespace {
 
-    constexpr int maxDepth = 32;
-    // Messages below this size are not checked: each level takes a byte, and the stack holds as many.
-    constexpr std::size_t uncheckedBytes = 4096;
-
     // Stops parsing at the first array or object that is nested too deep.
     class DepthCheck final : public nlohmann::json_sax<json> {
     public:
@@ -28,7 +26,7 @@
         bool parse_error(std::size_t, const std::string&, const json::exception&) override { return false; }
 
     private:
-        bool enter() { return ++depth_ <= maxDepth; }
+        bool enter() { return ++depth_ <= maxJsonDepth; }
         bool leave()
         {
             --depth_;
@@ -42,7 +40,8 @@
     bool isTooDeep(const std::string& bytes)
     {
         DepthCheck check;
-        return bytes.size() > uncheckedBytes && !json::sax_parse(bytes, &check, json::input_format_t::cbor);
+        return bytes.size() >= uncheckedJsonBytes
+            && !json::sax_parse(bytes, &check, json::input_format_t::cbor);
     }
 
 } // namespace
--- a/src/ChatStream.cpp
+++ b/src/ChatStream.cpp
@@ -1,6 +1,6 @@
 #include "ChatStream.h"
 
-#include <nlohmann/json.hpp>
+#include "BoundedJson.h"
 
 namespace fescue {
 
@@ -105,7 +105,10 @@
             isDone_ = true;
             return;
         }
-        json object = data.empty() ? json() : json::parse(data, nullptr, false);
+        if (data.empty())
+            return;
+        json object = data.size() < uncheckedJsonBytes ? json::parse(data, nullptr, false)
+                                                       : parseBoundedJson(std::string(data));
         if (!object.is_object())
             return;
         try {
@@ -163,7 +166,7 @@
 
 std::string toEventStream(const std::string& completion)
 {
-    json object = json::parse(completion, nullptr, false);
+    json object = parseBoundedJson(completion);
     if (!object.is_object() || !object.contains("choices") || object["choices"].empty())
         return {};
     json choice = object["choices"][0];
--- a/src/Gateway.cpp
+++ b/src/Gateway.cpp
@@ -1,6 +1,6 @@
 #include "Gateway.h"
 
-#include "CallerJson.h"
+#include "BoundedJson.h"
 #include "EventLog.h"
 #include "HttpServer.h"
 #include "Metrics.h"
@@ -233,7 +233,7 @@
     {
         std::uniform_int_distribution<std::uint32_t> anyShard(0, shardsPerZone - 1);
         ShardKey shard { options_.zone_, { anyShard(random_) } };
-        auto body = parseCallerJson(frame.body_);
+        auto body = parseBoundedJson(frame.body_);
         if (body.is_object() && body.contains("parent") && body["parent"].is_string())
             shard = shardOf({ body["parent"].get<std::string>() }).value_or(shard);
         auto now = std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
--- a/src/ParseCall.cpp
+++ b/src/ParseCall.cpp
@@ -1,6 +1,6 @@
 #include "ParseCall.h"
 
-#include "CallerJson.h"
+#include "BoundedJson.h"
 #include "Digest.h"
 
 #include <algorithm>
@@ -61,11 +61,11 @@
 
     tl::expected<ParsedCall, Problem> parseModelCall(const RequestFrame& frame, const Manifest& manifest)
     {
-        json body = parseCallerJson(frame.body_);
+        json body = parseBoundedJson(frame.body_);
         if (!body.is_object())
             return problem(ProblemKind::BadRequest,
                 "the body must be one JSON object in UTF-8, nested at most "
-                    + std::to_string(maxCallerJsonDepth) + " deep");
+                    + std::to_string(maxJsonDepth) + " deep");
         if (!body.contains("model") || !body["model"].is_string())
             return problem(ProblemKind::BadRequest, "\"model\" must name a model of the manifest");
         if (!body.contains("messages") || !isMessageList(body["messages"]))
--- a/src/ProgramDocument.cpp
+++ b/src/ProgramDocument.cpp
@@ -1,6 +1,6 @@
 #include "ProgramDocument.h"
 
-#include "CallerJson.h"
+#include "BoundedJson.h"
 
 namespace fescue {
 
@@ -27,7 +27,7 @@
 
 tl::expected<CreateProgram, Problem> parseCreation(const RequestFrame& frame, const Manifest& manifest)
 {
-    json body = frame.body_.empty() ? json::object() : parseCallerJson(frame.body_);
+    json body = frame.body_.empty() ? json::object() : parseBoundedJson(frame.body_);
     if (!body.is_object())
         return problem(ProblemKind::BadRequest, "the body must be a JSON object such as {\"budget\": 20000}");
     for (const auto& [name, value] : body.items()) {
