--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+    constexpr int httpBadRequest = 400;
     constexpr int httpNotFound = 404;
     constexpr Milliseconds peerConnectTimeout { 150 };
 
@@ -87,4 +88,11 @@
     reply.answer(std::move(head), body);
 }
 
+void refuseMalformed(FrontReply& reply, const FrontRequest& request)
+{
+    logWarning("peer-request-refused", "the message is malformed; check that all VMs run the same release",
+        { { "path", request.head_.target_ }, { "bytes", std::to_string(request.body_.size()) } });
+    answerPeer(reply, httpBadRequest, "");
+}
+
 } // namespace fescue
--- a/src/StreamResumption.cpp
+++ b/src/StreamResumption.cpp
@@ -15,7 +15,6 @@
     constexpr const char* copiesPath = "/streams";
     constexpr const char* queryPath = "/streams/origin";
     constexpr int httpOk = 200;
-    constexpr int httpBadRequest = 400;
     constexpr std::size_t copyCount = 2;
     // One more than there are copies, since a VM may have left or come since a copy was sent.
     constexpr std::size_t maxAskedInZone = copyCount + 1;
@@ -57,29 +56,29 @@
     {
         exchange_.serve(
             copiesPath, [this](const FrontRequest& request, const std::shared_ptr<FrontReply>& reply) {
-                handleCopies(request.body_, *reply);
+                handleCopies(request, *reply);
             });
         exchange_.serve(
             queryPath, [this](const FrontRequest& request, const std::shared_ptr<FrontReply>& reply) {
-                handleQuery(request.body_, *reply);
+                handleQuery(request, *reply);
             });
     }
 
-    void handleCopies(const std::string& body, FrontReply& reply)
+    void handleCopies(const FrontRequest& request, FrontReply& reply)
     {
-        auto streams = parseStreams(body);
+        auto streams = parseStreams(request.body_);
         if (!streams)
-            return answerPeer(reply, httpBadRequest, "");
+            return refuseMalformed(reply, request);
         for (const BegunStream& stream : *streams)
             recordStream(streams_, stream, bootNow());
         answerPeer(reply, httpOk, "");
     }
 
-    void handleQuery(const std::string& body, FrontReply& reply)
+    void handleQuery(const FrontRequest& request, FrontReply& reply)
     {
-        auto query = parseOriginQuery(body);
+        auto query = parseOriginQuery(request.body_);
         if (!query)
-            return answerPeer(reply, httpBadRequest, "");
+            return refuseMalformed(reply, request);
         answerPeer(reply, httpOk,
             encode(OriginReply { findOrigin(streams_, query->attempt_),
                 soleVersion(targets_, query->service_, retention_, bootNow()) }));
--- a/src/TurnBroker.cpp
+++ b/src/TurnBroker.cpp
@@ -14,7 +14,6 @@
     constexpr const char* turnPath = "/turns";
     constexpr const char* endPath = "/turns/ended";
     constexpr int httpOk = 200;
-    constexpr int httpBadRequest = 400;
     // A home replies within this time, if only with `ClaimPending`; a failed VM costs a turn `peerTimeout`.
     constexpr Milliseconds homeReplyTimeout { 150 };
     constexpr Milliseconds peerTimeout { 300 };
@@ -92,7 +91,7 @@
         });
         exchange_.serve(
             endPath, [this](const FrontRequest& request, const std::shared_ptr<FrontReply>& reply) {
-                handlePeerEnd(request.body_, *reply);
+                handlePeerEnd(request, *reply);
             });
     }
 
@@ -314,7 +313,7 @@
     {
         auto turn = parseTurnRequest(request.body_);
         if (!turn)
-            return answerPeer(*reply, httpBadRequest, "");
+            return refuseMalformed(*reply, request);
         if (isDraining_)
             return answerPeer(*reply, httpOk, encode(TurnReply {}));
         grantToPeer(*turn, std::move(reply));
@@ -342,10 +341,12 @@
         requestLocally(id, entry);
     }
 
-    void handlePeerEnd(const std::string& body, FrontReply& reply)
+    void handlePeerEnd(const FrontRequest& request, FrontReply& reply)
     {
-        auto end = parseTurnEnd(body);
-        auto grant = end ? grants_.find(end->grant_) : grants_.end();
+        auto end = parseTurnEnd(request.body_);
+        if (!end)
+            return refuseMalformed(reply, request);
+        auto grant = grants_.find(end->grant_);
         if (grant != grants_.end()) {
             PeerGrant ended = grant->second;
             grants_.erase(grant);
--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -217,6 +217,7 @@
     vm.name_ = fmt::format("vm-{}", static_cast<char>('a' + vms_.size()));
     vm.callerPort_ = findFreePort(io_);
     vm.readyPort_ = findFreePort(io_);
+    vm.peerPort_ = findFreePort(io_);
     vm.settingsFile_ = fmt::format("/tmp/fescue-entry-test-{}-{}.yaml", ::getpid(), vm.callerPort_);
     std::ofstream(vm.settingsFile_) << fmt::format(
         "node-name: {}\nip: 127.0.0.1\nzone: z\nport-range: [ {}, 0 ]\nheartbeat-ms: {}\n"
@@ -224,8 +225,7 @@
         "limits: {{ cpu-quota: 1, memory-mb: 100 }}\n"
         "bounds: {{ drain-ms: 2000, grace-s: 6, config-apply-ms: 2000, settle-ms: 1000 }}\n"
         "platform: {{ address: '127.0.0.1:{}', parts: 2 }}\n",
-        vm.name_, findFreePort(io_), heartbeatInterval.count(), vm.callerPort_, vm.readyPort_,
-        store_->port());
+        vm.name_, vm.peerPort_, heartbeatInterval.count(), vm.callerPort_, vm.readyPort_, store_->port());
     return vm;
 }
 
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -108,6 +108,8 @@
     /** Resident memory of a VM's process. */
     ByteCount residentMemory(std::size_t vm = 0) const;
     int port(std::size_t vm = 0) const { return vms_[vm].callerPort_; }
+    /** Port for other VMs. */
+    int peerPort(std::size_t vm = 0) const { return vms_[vm].peerPort_; }
     /** Sends a request to the first VM with `Connection: close` and reads until the connection ends. */
     std::string request(const std::string& method, const std::string& path, const std::string& headers = "",
         const std::string& body = "") const;
@@ -128,6 +130,7 @@
         std::string settingsFile_;
         int callerPort_ = 0;
         int readyPort_ = 0;
+        int peerPort_ = 0;
         std::unique_ptr<Process> process_;
     };
 
