--- a/src/ParseCall.cpp
+++ b/src/ParseCall.cpp
@@ -64,8 +64,8 @@
         json body = parseBoundedJson(frame.body_);
         if (!body.is_object())
             return problem(ProblemKind::BadRequest,
-                "the body must be one JSON object in UTF-8, nested at most "
-                    + std::to_string(maxJsonDepth) + " deep");
+                "the body must be one JSON object in UTF-8, nested at most " + std::to_string(maxJsonDepth)
+                    + " deep");
         if (!body.contains("model") || !body["model"].is_string())
             return problem(ProblemKind::BadRequest, "\"model\" must name a model of the manifest");
         if (!body.contains("messages") || !isMessageList(body["messages"]))
