Log the rate that targets name in their answers

A target in need names the requests a second that it takes from all VMs together. The header is decoded, and each change of what a VM knows is logged (target-rate) and counted; nothing acts on it yet. What answers say of their target moves from CallForwarder to TargetStatements; the lifetime of such beliefs is shared with those of leaving targets.

--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -9,6 +9,7 @@
 #include "PoolTargets.h"
 #include "RefuseCall.h"
 #include "RequestDigest.h"
+#include "TargetStatements.h"
 #include "TcpLink.h"
 
 namespace fescue {
@@ -66,14 +67,13 @@
         Milliseconds startedAt_ { 0 };
     };
     std::map<TargetId, KnownTarget> knownTargets_;
-    LeavingTargets leaving_;
+    TargetStatements statements_;
     std::map<DispatchId, TransferPtr> transfers_;
     std::uint64_t lastId_ = 0;
     Counter answered_ { "calls_total", { "outcome", "answered" } };
     Counter refused_ { "calls_total", { "outcome", "refused" } };
     Counter failed_ { "calls_total", { "outcome", "failed" } };
     Counter gone_ { "calls_total", { "outcome", "caller-gone" } };
-    Counter leavingAnswers_ { "targets_leaving_total", { "source", "answer" } };
     Counter retries_ { "call_retries_total" };
 
     Impl(asio::io_context& io, platform::StoreClient& store, const ZoneId& zone, const WriterId& writer,
@@ -209,8 +209,11 @@
         if (tags.load_)
             recordLoadReport(
                 pool_, transfer->target_, { tags.load_->running_, tags.load_->waiting_, {} }, bootNow());
-        if (tags.isLeaving_ && (tags.instance_.empty() || tags.instance_ == transfer->target_.value_))
-            handleLeaving(transfer);
+        TargetStart start { transfer->target_, transfer->targetStartedAt_ };
+        if (readStatements(statements_, start, tags, bootNow()).startsLeaving_) {
+            markLeaving(pool_, transfer->target_);
+            refuseUnserved();
+        }
         takeHead(transfer->relay_, head);
         transfer->isRefusal_ = tags.wasNotRun_;
         if (tags.wasNotRun_)
@@ -225,18 +228,6 @@
             startRelay(transfer->relay_);
     }
 
-    void handleLeaving(const TransferPtr& transfer)
-    {
-        if (!recordLeaving(leaving_, transfer->target_, transfer->targetStartedAt_, bootNow()))
-            return;
-        leavingAnswers_.add();
-        logEvent("target-leaving",
-            { { "target", transfer->target_.value_ }, { "request", transfer->call_.tags_.attempt_.value_ },
-                { "source", "answer" }, { "age_ms", "0" } });
-        markLeaving(pool_, transfer->target_);
-        refuseUnserved();
-    }
-
     // Refuses queued calls that no target may run any more.
     void refuseUnserved()
     {
@@ -422,10 +413,7 @@
             },
             now);
         refuseQueuedQuarantined();
-        for (const EndedBelief& ended : endBeliefs(leaving_, list, now))
-            logEvent("target-leaving-ended",
-                { { "target", ended.target_.value_ }, { "reason", ended.reason_ },
-                    { "age_ms", msText(now - ended.belief_.since_) } });
+        endStatements(statements_, list, now);
         std::vector<TransferPtr> overdue;
         for (const auto& [id, transfer] : transfers_) {
             if (now >= transfer->call_.deadline_)
@@ -455,7 +443,7 @@
             if (auto address = parseEndpoint(entry.address_))
                 knownTargets_[id] = { *address, entry.startedAt_ };
         }
-        fescue::setTargets(pool_, poolTargets(list, config, leaving_));
+        fescue::setTargets(pool_, poolTargets(list, config, statements_.leaving_));
         refuseUnserved();
         dispatchAll();
     }
--- a/src/CallTags.h
+++ b/src/CallTags.h
@@ -47,6 +47,8 @@
     bool isStamped_ = false; ///< The answer comes from the target's application, not from an intermediary.
     bool wasNotRun_ = false; ///< The target states that it did not run the request.
     bool isLeaving_ = false; ///< The target states that it is about to end.
+    /** Requests a second that the target takes from all VMs together; nothing if it names no limit. */
+    std::optional<double> rateLimit_;
     bool isEncoded_ = false; ///< The body has a content encoding that callers did not ask for.
     struct Load {
         std::uint32_t running_ = 0;
--- a/test/correctness/LeavingBeliefs.cpp
+++ b/test/correctness/LeavingBeliefs.cpp
@@ -61,12 +61,12 @@
 
     void beliefOutlivesALapsedEntry()
     {
-        CHECK(endBeliefs(leaving_, {}, now + Milliseconds { 60000 }).empty());
+        CHECK(endBeliefs(leaving_.beliefs_, {}, now + Milliseconds { 60000 }).empty());
         CHECK(
-            endBeliefs(leaving_, listOf({ entryOf("i-1", Milliseconds { 7 }) }), now + Milliseconds { 61000 })
+            endBeliefs(leaving_.beliefs_, listOf({ entryOf("i-1", Milliseconds { 7 }) }), now + Milliseconds { 61000 })
                 .empty());
         CHECK(hasSaidItLeaves(leaving_, { "i-1" }, Milliseconds { 7 }));
-        auto ended = endBeliefs(leaving_, {}, now + Milliseconds { 900000 });
+        auto ended = endBeliefs(leaving_.beliefs_, {}, now + Milliseconds { 900000 });
         CHECK_EQUAL(std::size_t { 1 }, ended.size());
         CHECK_EQUAL(std::string("left the list"), std::string(ended[0].reason_));
         CHECK(!hasSaidItLeaves(leaving_, { "i-1" }, Milliseconds { 7 }));
@@ -74,7 +74,7 @@
 
     void beliefEndsWithAnotherStart()
     {
-        auto ended = endBeliefs(leaving_, listOf({ entryOf("i-1", Milliseconds { 8 }) }), now);
+        auto ended = endBeliefs(leaving_.beliefs_, listOf({ entryOf("i-1", Milliseconds { 8 }) }), now);
         CHECK_EQUAL(std::size_t { 1 }, ended.size());
         CHECK_EQUAL(std::string("started again"), std::string(ended[0].reason_));
     }
--- a/test/correctness/PlatformFormats.cpp
+++ b/test/correctness/PlatformFormats.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(callersCannotSetHeadersOfTheSystem);
     CPPUNIT_TEST(requestTagsAreDecoded);
     CPPUNIT_TEST(answerTagsAreDecoded);
+    CPPUNIT_TEST(rateLimitIsADecimalNumber);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -185,6 +186,21 @@
         answer.status_ = 421;
         CHECK(platform::decodeAnswerTags(answer).wasNotRun_);
     }
+
+    void rateLimitIsADecimalNumber()
+    {
+        auto rateOf = [](const std::string& value) {
+            HttpHead answer;
+            answer.headers_ = { { "Server-Limit", value } };
+            return platform::decodeAnswerTags(answer).rateLimit_;
+        };
+        CHECK(rateOf("6.5") == 6.5);
+        CHECK(rateOf("12") == 12.0);
+        CHECK(rateOf("0") == 0.0);
+        for (const char* malformed : { "", "-1", "many", "6.5/s", "nan", "inf", "1e999" })
+            CHECK(!rateOf(malformed).has_value());
+        CHECK(!platform::decodeAnswerTags({}).rateLimit_.has_value());
+    }
 };
 
 REGISTER_SUITE(PlatformFormats);
