Give out a target's rate among all VMs by permits

Cause: nobody acted on the statement. What a target says to all its callers was held, if at all, VM by VM.

A VM now gets a permit from one VM of the target's zone, the first by rendezvous hashing, before it sends to a limited target. Nobody has to agree on who that is: the second gives out a fifth of the rate and all others together another fifth, so the sum stays below one and a half times the rate whatever the VMs believe of each other, and a new bucket adds no burst. An answer that names no rate ends the limit, also for the other VMs, and only for one start of the target. Placement counts the slots that a rate keeps busy, and estimates the load of a target by its share of them. Calls that the rates leave no time for are refused at once with a time to come back.

--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -1,16 +1,15 @@
 #include "CallForwarder.h"
 
-#include "AnswerRelay.h"
 #include "BootClock.h"
 #include "CrashTracker.h"
 #include "EventLog.h"
 #include "Headers.h"
+#include "KnownTargets.h"
 #include "Metrics.h"
-#include "PoolTargets.h"
 #include "RefuseCall.h"
 #include "RequestDigest.h"
-#include "TargetStatements.h"
-#include "TcpLink.h"
+#include "TargetChoice.h"
+#include "Transfer.h"
 
 namespace fescue {
 
@@ -30,44 +29,16 @@
     // Calls of many VMs run beside each other at a shared target, so two crashes of one call may be chance.
     constexpr std::uint32_t sharedCrashesToQuarantine = 3;
 
-    std::string msText(Milliseconds time) { return std::to_string(time.count()); }
-
 } // namespace
 
 struct CallForwarder::Impl : std::enable_shared_from_this<CallForwarder::Impl> {
-    struct Transfer {
-        ForwardedCall call_;
-        ContentDigest digest_;
-        DispatchId id_; ///< In the pool; a new id for each send.
-        TargetId target_;
-        SoftwareVersion version_; ///< Of `target_`.
-        Milliseconds targetStartedAt_ { 0 };
-        std::shared_ptr<OutboundCall> exchange_;
-        std::set<TargetId> avoid_;
-        std::uint32_t sends_ = 0;
-        std::uint32_t possibleRuns_ = 0; ///< Sends that may have run.
-        AnswerRelay relay_;
-        OutboundResult::ConnectionEnd connectionEnd_
-            = OutboundResult::ConnectionEnd::Open; ///< Of the last send.
-        MonotonicTime sentAt_;
-        bool isQueued_ = false;
-        bool isRefusal_ = false; ///< The target states that it has not run the request.
-        bool isPaused_ = false;
-        bool isFinished_ = false;
-        bool needsNewConnection_ = false;
-    };
     using TransferPtr = std::shared_ptr<Transfer>;
 
     OutboundPool outbound_;
     TargetPool pool_;
     Random random_;
     CrashTracker crashTracker_;
-    struct KnownTarget {
-        asio::ip::tcp::endpoint address_;
-        Milliseconds startedAt_ { 0 };
-    };
-    std::map<TargetId, KnownTarget> knownTargets_;
-    TargetStatements statements_;
+    KnownTargets targets_;
     std::map<DispatchId, TransferPtr> transfers_;
     std::uint64_t lastId_ = 0;
     Counter answered_ { "calls_total", { "outcome", "answered" } };
@@ -76,11 +47,12 @@
     Counter gone_ { "calls_total", { "outcome", "caller-gone" } };
     Counter retries_ { "call_retries_total" };
 
-    Impl(asio::io_context& io, platform::StoreClient& store, const ZoneId& zone, const WriterId& writer,
-        std::uint64_t seed)
+    Impl(asio::io_context& io, platform::StoreClient& store, PeerExchange& exchange, const ZoneId& zone,
+        const WriterId& writer, std::uint64_t seed)
         : outbound_(io)
         , random_(seed)
         , crashTracker_(pool_.quarantine_, store, writer)
+        , targets_(io, exchange, pool_, [this] { dispatchAll(); })
     {
         pool_.options_.tracksCrashes_ = false;
         pool_.quarantine_.threshold_ = sharedCrashesToQuarantine;
@@ -167,28 +139,22 @@
             if (found != transfers_.end())
                 send(found->second, dispatch.target_);
         }
+        targets_.requestPermits();
     }
 
     void send(const TransferPtr& transfer, const Target& target)
     {
         transfer->isQueued_ = false;
-        const KnownTarget& known = knownTargets_[target.id_];
         transfer->target_ = target.id_;
         transfer->version_ = target.version_;
-        transfer->targetStartedAt_ = known.startedAt_;
+        transfer->targetStartedAt_ = targets_.startOf(target.id_).startedAt_;
         transfer->isRefusal_ = false;
         transfer->sentAt_ = bootNow();
         ++transfer->sends_;
         const ForwardedCall& call = transfer->call_;
         Milliseconds remaining = call.deadline_ - transfer->sentAt_;
-        logEvent("send",
-            { { "request", call.tags_.attempt_.value_ }, { "content", textOf(transfer->digest_) },
-                { "target", target.id_.value_ }, { "version", target.version_.value_ },
-                { "resumes", call.tags_.resumes_.value_ }, { "attempt", std::to_string(transfer->sends_) },
-                { "waited_ms", msText(transfer->sentAt_ - call.request_.arrived_) },
-                { "left_ms", msText(remaining) },
-                { "load", describeLoad(pool_, target.id_, transfer->sentAt_) } });
-        OutboundRequest request { known.address_,
+        logSend(*transfer, describeLoad(pool_, target.id_, transfer->sentAt_));
+        OutboundRequest request { targets_.addressOf(target.id_).value_or(asio::ip::tcp::endpoint()),
             platform::encodeTargetRequest(call.request_.head_, remaining, target.id_), call.request_.body_ };
         request.needsNewConnection_ = transfer->needsNewConnection_;
         request.acceptsUnframed_ = true;
@@ -210,10 +176,8 @@
             recordLoadReport(
                 pool_, transfer->target_, { tags.load_->running_, tags.load_->waiting_, {} }, bootNow());
         TargetStart start { transfer->target_, transfer->targetStartedAt_ };
-        if (readStatements(statements_, start, tags, bootNow()).startsLeaving_) {
-            markLeaving(pool_, transfer->target_);
+        if (targets_.readAnswer(start, tags))
             refuseUnserved();
-        }
         takeHead(transfer->relay_, head);
         transfer->isRefusal_ = tags.wasNotRun_;
         if (tags.wasNotRun_)
@@ -228,10 +192,15 @@
             startRelay(transfer->relay_);
     }
 
-    // Refuses queued calls that no target may run any more.
     void refuseUnserved()
     {
-        for (DispatchId id : removeUnserved(pool_)) {
+        refuseRemoved(removeUnserved(pool_), "all targets that could run the request have left");
+    }
+
+    // Refuses calls that were removed from the queue.
+    void refuseRemoved(const std::vector<DispatchId>& removed, const char* reason)
+    {
+        for (DispatchId id : removed) {
             auto entry = transfers_.extract(id);
             if (entry.empty())
                 continue;
@@ -239,7 +208,7 @@
             if (transfer->possibleRuns_ > 0)
                 fail(transfer, badGateway, "no other target can run the request");
             else
-                refuse(transfer, "all targets that could run the request have left", retryAfterFailure);
+                refuse(transfer, reason, retryAfterFailure);
         }
     }
 
@@ -294,16 +263,11 @@
         dispatchAll();
     }
 
-    TokenCount generated(const Transfer& transfer) const
-    {
-        return { relayedEvents(transfer.relay_) * transfer.call_.service_.tokensPerEvent_.value_ };
-    }
-
     void endDispatch(const TransferPtr& transfer, DispatchOutcome outcome)
     {
         DispatchResult result { outcome };
         result.prompt_ = ownPromptTokens(transfer->call_.tags_);
-        result.completion_ = generated(*transfer);
+        result.completion_ = generatedTokens(*transfer);
         completeDispatch(pool_, transfer->id_, result, bootNow(), random_);
         transfers_.erase(transfer->id_);
     }
@@ -385,20 +349,10 @@
     void finish(const TransferPtr& transfer, const char* outcome, int status, const std::string& reason)
     {
         transfer->isFinished_ = true;
+        logFinish(*transfer, outcome, status, reason, bootNow());
         const ForwardedCall& call = transfer->call_;
-        Milliseconds total = bootNow() - call.request_.arrived_;
-        logEvent("request",
-            { { "request", call.tags_.attempt_.value_ }, { "content", textOf(transfer->digest_) },
-                { "program", call.tags_.program_.value_ }, { "route", call.route_.name_ },
-                { "service", call.service_.id_.value_ }, { "outcome", outcome },
-                { "status", std::to_string(status) }, { "reason", reason },
-                { "target", transfer->target_.value_ }, { "sends", std::to_string(transfer->sends_) },
-                { "may_have_run", std::to_string(transfer->possibleRuns_) }, { "total_ms", msText(total) },
-                { "tokens", std::to_string(generated(*transfer).value_) },
-                { "answer", describeEnd(transfer->relay_) },
-                { "connection", nameOf(transfer->connectionEnd_) } });
         if (call.onEnd_)
-            call.onEnd_(generated(*transfer), transfer->target_);
+            call.onEnd_(generatedTokens(*transfer), transfer->target_);
     }
 
     void tick(const TargetList& list, MonotonicTime now)
@@ -407,21 +361,42 @@
         crashTracker_.tick(
             list,
             [this](const EndedConnection& ended) {
-                auto known = knownTargets_.find(ended.target_);
-                return known != knownTargets_.end()
-                    && outbound_.hasOpenConnectionFromBefore(known->second.address_, ended.at_);
+                auto address = targets_.addressOf(ended.target_);
+                return address && outbound_.hasOpenConnectionFromBefore(*address, ended.at_);
             },
             now);
         refuseQueuedQuarantined();
-        endStatements(statements_, list, now);
+        targets_.tick(list, now);
+        resumeReading();
+        refuseRemoved(removeHopeless(pool_, now),
+            "the rates that the targets have named leave no time for the request");
+        endOverdue(now);
+        dispatchAll();
+    }
+
+    void resumeReading()
+    {
+        for (const auto& [id, transfer] : transfers_) {
+            if (!transfer->isPaused_ || transfer->call_.reply_->pendingBytes() > maxUnsentBytes / 2)
+                continue;
+            transfer->isPaused_ = false;
+            transfer->exchange_->pauseReading(false);
+        }
+    }
+
+    void endOverdue(MonotonicTime now)
+    {
+        std::map<ServiceId, Milliseconds> timeToRun;
         std::vector<TransferPtr> overdue;
         for (const auto& [id, transfer] : transfers_) {
-            if (now >= transfer->call_.deadline_)
+            const ForwardedCall& call = transfer->call_;
+            auto [needed, isNew] = timeToRun.emplace(call.service_.id_, 0);
+            if (isNew)
+                needed->second = minTimeToRun(pool_, toQueuedCall(call));
+            bool isTooLate
+                = now + (transfer->isQueued_ ? needed->second : Milliseconds { 0 }) >= call.deadline_;
+            if (isTooLate)
                 overdue.push_back(transfer);
-            else if (transfer->isPaused_ && transfer->call_.reply_->pendingBytes() <= maxUnsentBytes / 2) {
-                transfer->isPaused_ = false;
-                transfer->exchange_->pauseReading(false);
-            }
         }
         for (const TransferPtr& transfer : overdue) {
             if (transfer->isFinished_)
@@ -431,27 +406,21 @@
             if (wasSent || transfer->possibleRuns_ > 0)
                 fail(transfer, gatewayTimeout, "deadline exceeded while the request was in flight");
             else
-                refuse(transfer, "deadline exceeded before a target had a free slot", retryAfterFailure);
+                refuse(transfer, "no target had a free slot in time for the deadline", retryAfterFailure);
         }
-        dispatchAll();
     }
 
     void setTargets(const TargetList& list, const ServingConfig& config)
     {
-        knownTargets_.clear();
-        for (const auto& [id, entry] : list.entries_) {
-            if (auto address = parseEndpoint(entry.address_))
-                knownTargets_[id] = { *address, entry.startedAt_ };
-        }
-        fescue::setTargets(pool_, poolTargets(list, config, statements_.leaving_));
+        targets_.set(list, config);
         refuseUnserved();
         dispatchAll();
     }
 };
 
-CallForwarder::CallForwarder(asio::io_context& io, platform::StoreClient& store, const ZoneId& zone,
-    const WriterId& writer, std::uint64_t seed)
-    : impl_(std::make_shared<Impl>(io, store, zone, writer, seed))
+CallForwarder::CallForwarder(asio::io_context& io, platform::StoreClient& store, PeerExchange& exchange,
+    const ZoneId& zone, const WriterId& writer, std::uint64_t seed)
+    : impl_(std::make_shared<Impl>(io, store, exchange, zone, writer, seed))
 {
 }
 
--- a/src/CallForwarder.h
+++ b/src/CallForwarder.h
@@ -11,6 +11,7 @@
 
 #include "ForwardedCall.h"
 #include "OutboundPool.h"
+#include "PeerExchange.h"
 #include "TargetList.h"
 #include "TargetPool.h"
 
@@ -26,9 +27,9 @@
 /** Forwards requests. Confined to the thread of the event loop. */
 class CallForwarder {
 public:
-    /** Precondition: `store` outlives the forwarder. */
-    CallForwarder(asio::io_context& io, platform::StoreClient& store, const ZoneId& zone,
-        const WriterId& writer, std::uint64_t seed);
+    /** Precondition: `store` and `exchange` outlive the forwarder, and `exchange` serves no call after it. */
+    CallForwarder(asio::io_context& io, platform::StoreClient& store, PeerExchange& exchange,
+        const ZoneId& zone, const WriterId& writer, std::uint64_t seed);
     ~CallForwarder();
 
     void setTargets(const TargetList& list, const ServingConfig& config);
--- a/src/CborMessage.cpp
+++ b/src/CborMessage.cpp
@@ -67,4 +67,30 @@
     return std::nullopt;
 }
 
+std::optional<json> parseCborArray(const std::string& bytes, std::size_t count)
+{
+    auto document = parseCborMessage(bytes);
+    if (document && (!document->is_array() || document->size() != count))
+        document.reset();
+    return document;
+}
+
+bool areNonNegativeIntegers(const json& fields, std::size_t from, std::size_t to)
+{
+    for (std::size_t i = from; i < to; ++i) {
+        if (!fields[i].is_number_integer() || fields[i].get<std::int64_t>() < 0)
+            return false;
+    }
+    return true;
+}
+
+bool areStrings(const json& fields, std::size_t from, std::size_t to)
+{
+    for (std::size_t i = from; i < to; ++i) {
+        if (!fields[i].is_string())
+            return false;
+    }
+    return true;
+}
+
 } // namespace fescue
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -75,8 +75,8 @@
     StoreHealth health_;
     platform::StoreClient store_;
     WriterId writer_;
-    CallForwarder forwarder_;
     PeerExchange exchange_;
+    CallForwarder forwarder_;
     TurnBroker broker_;
     TurnAdmission admission_;
     StoreFollower follower_;
@@ -95,8 +95,8 @@
         , random_(options_.seed_)
         , store_(io_, *parseEndpoint(options_.settings_.store_.address_))
         , writer_(makeWriterId(options_.settings_.vm_))
-        , forwarder_(io_, store_, options_.settings_.zone_, writer_, options_.seed_)
         , exchange_(io_, options_.settings_.vm_, options_.settings_.peerAddress_)
+        , forwarder_(io_, store_, exchange_, options_.settings_.zone_, writer_, options_.seed_)
         , broker_(exchange_, store_, health_, brokerOptions(options_.settings_, writer_))
         , admission_(broker_, forwarder_, health_, random_)
         , follower_(store_, health_, followIntervals(options_.settings_),
--- a/src/Members.cpp
+++ b/src/Members.cpp
@@ -7,11 +7,6 @@
 
 namespace {
 
-    struct ScoredMember {
-        std::uint64_t score_;
-        const Member* member_;
-    };
-
     std::uint64_t scoreOf(const Member& member, const std::string& key)
     {
         std::string text = key + "@" + member.vm_.value_;
@@ -20,20 +15,32 @@
 
 } // namespace
 
+Members rankMembers(const Members& members, const std::string& key)
+{
+    std::vector<std::pair<std::uint64_t, const Member*>> scored;
+    scored.reserve(members.size());
+    for (const Member& member : members)
+        scored.emplace_back(scoreOf(member, key), &member);
+    std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
+        return a.first == b.first ? a.second->vm_ < b.second->vm_ : a.first > b.first;
+    });
+    Members ranked;
+    for (const auto& [score, member] : scored)
+        ranked.push_back(*member);
+    return ranked;
+}
+
 std::optional<Member> expectedMember(
     const Members& members, const ZoneId& zone, const std::string& key, std::size_t rank)
 {
-    std::vector<ScoredMember> scored;
+    Members usable;
     for (const Member& member : members) {
         if (member.zone_ == zone && !member.isLeaving_ && member.isReachable_)
-            scored.push_back({ scoreOf(member, key), &member });
+            usable.push_back(member);
     }
-    if (rank >= scored.size())
+    if (rank >= usable.size())
         return std::nullopt;
-    std::sort(scored.begin(), scored.end(), [](const ScoredMember& a, const ScoredMember& b) {
-        return a.score_ == b.score_ ? a.member_->vm_ < b.member_->vm_ : a.score_ > b.score_;
-    });
-    return *scored[rank].member_;
+    return rankMembers(usable, key)[rank];
 }
 
 std::optional<Member> expectedOwner(const Members& members, const ShardKey& shard, std::size_t rank)
--- a/src/Members.h
+++ b/src/Members.h
@@ -33,6 +33,9 @@
 
 using Members = std::vector<Member>;
 
+/** Returns members in the order of their rendezvous hashes with a key. Pure. */
+Members rankMembers(const Members& members, const std::string& key);
+
 /** Returns the VM of a zone that is expected to own a key; nothing if the zone has no usable VM. Pure.
  *
  * Skips VMs that are leaving or unreachable. `rank` 1 selects the second choice, and so on. */
--- a/src/PeerList.cpp
+++ b/src/PeerList.cpp
@@ -14,14 +14,6 @@
     constexpr Milliseconds initialBackoff { 1000 };
     constexpr Milliseconds maxBackoff { 8000 };
 
-    bool isUsable(const PeerList& list, const VmId& vm, MonotonicTime now)
-    {
-        if (vm == list.own_)
-            return list.isStoreReachable_;
-        auto backoff = list.backoffs_.find(vm);
-        return backoff == list.backoffs_.end() || now >= backoff->second.retryAt_;
-    }
-
 } // namespace
 
 std::string peerValue(const PeerEntry& peer)
@@ -43,6 +35,14 @@
         { document[2].get<std::string>() } };
 }
 
+bool isUsable(const PeerList& list, const VmId& vm, MonotonicTime now)
+{
+    if (vm == list.own_)
+        return list.isStoreReachable_;
+    auto backoff = list.backoffs_.find(vm);
+    return backoff == list.backoffs_.end() || now >= backoff->second.retryAt_;
+}
+
 void recordPeerOutcome(PeerList& list, const VmId& peer, bool isAnswered, MonotonicTime now)
 {
     if (isAnswered) {
@@ -81,6 +81,21 @@
     return peers;
 }
 
+std::vector<PeerEntry> rankedVms(const PeerList& list, const ZoneId& zone, const std::string& key)
+{
+    bool hasZone = std::any_of(list.peers_.begin(), list.peers_.end(),
+        [&zone](const auto& entry) { return entry.second.zone_ == zone; });
+    Members members;
+    for (const auto& [vm, peer] : list.peers_) {
+        if (!hasZone || peer.zone_ == zone)
+            members.push_back({ vm, zone, peer.address_ });
+    }
+    std::vector<PeerEntry> ranked;
+    for (const Member& member : rankMembers(members, key))
+        ranked.push_back(list.peers_.at(member.vm_));
+    return ranked;
+}
+
 std::optional<PeerEntry> findPeerByWriter(const PeerList& list, const WriterId& writer, MonotonicTime now)
 {
     for (const auto& [vm, peer] : list.peers_) {
--- a/src/PeerList.h
+++ b/src/PeerList.h
@@ -52,6 +52,13 @@
 std::vector<PeerEntry> peersFor(
     const PeerList& list, const ZoneId& zone, const std::string& key, std::size_t count, MonotonicTime now);
 
+/** Returns the VMs of a zone in the order in which they rank for a key, whether they are usable or not; those
+ * of all zones if the zone has none. Pure. */
+std::vector<PeerEntry> rankedVms(const PeerList& list, const ZoneId& zone, const std::string& key);
+
+/** Whether a VM may be called now. Pure. */
+bool isUsable(const PeerList& list, const VmId& vm, MonotonicTime now);
+
 /** Returns the peer whose current process has this writer id, unless it is in backoff. Pure. */
 std::optional<PeerEntry> findPeerByWriter(const PeerList& list, const WriterId& writer, MonotonicTime now);
 
--- a/src/PeerTurns.cpp
+++ b/src/PeerTurns.cpp
@@ -4,29 +4,7 @@
 
 namespace fescue {
 
-namespace {
-
-    using nlohmann::json;
-
-    // Decodes the message as an array of `count` fields.
-    std::optional<json> decodeArray(const std::string& bytes, std::size_t count)
-    {
-        auto document = parseCborMessage(bytes);
-        if (document && (!document->is_array() || document->size() != count))
-            document.reset();
-        return document;
-    }
-
-    bool areNonNegativeIntegers(const json& document, std::size_t from, std::size_t to)
-    {
-        for (std::size_t i = from; i < to; ++i) {
-            if (!document[i].is_number_integer() || document[i].get<std::int64_t>() < 0)
-                return false;
-        }
-        return true;
-    }
-
-} // namespace
+using nlohmann::json;
 
 std::string encode(const TurnRequest& message)
 {
@@ -53,7 +31,7 @@
 std::optional<TurnRequest> parseTurnRequest(const std::string& bytes)
 {
     constexpr std::size_t fieldCount = 6;
-    auto document = decodeArray(bytes, fieldCount);
+    auto document = parseCborArray(bytes, fieldCount);
     if (!document || !(*document)[0].is_string() || !areNonNegativeIntegers(*document, 1, fieldCount))
         return std::nullopt;
     const json& list = *document;
@@ -71,7 +49,7 @@
 {
     constexpr std::size_t fieldCount = 7;
     constexpr std::size_t numbersEnd = 6;
-    auto document = decodeArray(bytes, fieldCount);
+    auto document = parseCborArray(bytes, fieldCount);
     if (!document || !(*document)[0].is_array() || !areNonNegativeIntegers(*document, 1, numbersEnd)
         || !(*document)[numbersEnd].is_string())
         return std::nullopt;
@@ -98,7 +76,7 @@
 {
     constexpr std::size_t fieldCount = 3;
     constexpr std::size_t numbersEnd = 2;
-    auto document = decodeArray(bytes, fieldCount);
+    auto document = parseCborArray(bytes, fieldCount);
     if (!document || !areNonNegativeIntegers(*document, 0, numbersEnd)
         || !(*document)[numbersEnd].is_string())
         return std::nullopt;
--- a/src/RateLimits.cpp
+++ b/src/RateLimits.cpp
@@ -2,21 +2,30 @@
 
 namespace fescue {
 
-bool recordRate(RateLimits& limits, const TargetId& target, Milliseconds startedAt,
-    const std::optional<RequestRate>& rate, MonotonicTime now)
+bool recordRate(
+    RateLimits& limits, const TargetStart& start, const RateObservation& observation, MonotonicTime now)
 {
-    if (rateOf(limits, target, startedAt) == rate)
+    const RateObservation* last = lastObservation(limits, start);
+    if (last ? observation.observedAt_ < last->observedAt_ : !observation.rate_)
         return false;
-    if (!rate)
-        return limits.beliefs_.erase(target) > 0;
-    putBelief(limits.beliefs_, target, RateLimit { { startedAt, now, now }, *rate });
+    if (last && last->rate_ == observation.rate_) {
+        limits.beliefs_[start.target_].last_ = observation;
+        return false;
+    }
+    putBelief(limits.beliefs_, start.target_, RateLimit { { start.startedAt_, now, now }, observation });
     return true;
 }
 
-std::optional<RequestRate> rateOf(const RateLimits& limits, const TargetId& target, Milliseconds startedAt)
+const RateObservation* lastObservation(const RateLimits& limits, const TargetStart& start)
+{
+    const RateLimit* limit = findBelief(limits.beliefs_, start.target_, start.startedAt_);
+    return limit ? &limit->last_ : nullptr;
+}
+
+std::optional<RequestRate> rateOf(const RateLimits& limits, const TargetStart& start)
 {
-    const RateLimit* limit = findBelief(limits.beliefs_, target, startedAt);
-    return limit ? std::optional(limit->rate_) : std::nullopt;
+    const RateObservation* last = lastObservation(limits, start);
+    return last ? last->rate_ : std::nullopt;
 }
 
 } // namespace fescue
--- a/src/RateLimits.h
+++ b/src/RateLimits.h
@@ -4,7 +4,8 @@
  * RateLimits: the rates that targets have named in their answers.
  *
  * A target in need names the requests a second that it takes from all VMs together, for as long as it says
- * so: an answer that names none ends the limit.
+ * so: an answer that names none ends the limit. VMs pass on what they have heard, so an observation has a
+ * time, and the latest one counts.
  */
 
 #include "TargetBeliefs.h"
@@ -16,22 +17,37 @@
 /** Requests per second. */
 using RequestRate = Quantity<struct RequestRateTag, double>;
 
-/** The limit of one start of a target. */
+/** One start of a target. */
+struct TargetStart {
+    TargetId target_;
+    Milliseconds startedAt_ { 0 }; ///< Of its process, from its entry.
+};
+
+/** What an answer of a target has said of its rate. */
+struct RateObservation {
+    std::optional<RequestRate> rate_; ///< For all VMs together; nothing if the answer named none.
+    MonotonicTime observedAt_;
+};
+
+/** The last observation of one start of a target. */
 struct RateLimit : TargetBelief {
-    RequestRate rate_; ///< For all VMs together.
+    RateObservation last_;
 };
 
-/** What answers have said. */
+/** What answers have said. Targets that never named a rate are not in it. */
 struct RateLimits {
     BeliefMap<RateLimit> beliefs_;
 };
 
-/** Records what an answer of a target says; no rate means that it names none. Returns whether this changes
- * what is known. Not thread-safe. */
-bool recordRate(RateLimits& limits, const TargetId& target, Milliseconds startedAt,
-    const std::optional<RequestRate>& rate, MonotonicTime now);
+/** Records an observation unless a later one is known. Returns whether the known rate changes. Not
+ * thread-safe. */
+bool recordRate(
+    RateLimits& limits, const TargetStart& start, const RateObservation& observation, MonotonicTime now);
+
+/** The last observation of this start of a target; null if it never named a rate. Pure. */
+const RateObservation* lastObservation(const RateLimits& limits, const TargetStart& start);
 
 /** The rate that this start of a target has named last; nothing if it has no limit. Pure. */
-std::optional<RequestRate> rateOf(const RateLimits& limits, const TargetId& target, Milliseconds startedAt);
+std::optional<RequestRate> rateOf(const RateLimits& limits, const TargetStart& start);
 
 } // namespace fescue
--- a/src/SharedTargets.cpp
+++ b/src/SharedTargets.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <xxhash.h>
 
 namespace fescue {
@@ -21,7 +22,7 @@
 
 double sharedCostMs(const SharedTarget& target, TokenCount ownPrompt, const SharedOptions& options)
 {
-    double slots = std::max(1U, target.slots_);
+    double slots = std::max(1.0, target.slots_);
     double callMs = target.callMs_ * target.slowdown_;
     double excess = std::max(0.0, target.calls_ + 1 - slots);
     double wait = excess * callMs / slots;
@@ -33,10 +34,13 @@
     return wait + callMs + batchDelay + migration + (target.isOtherZone_ ? options.otherZoneMs_ : 0);
 }
 
-std::uint64_t rendezvousScore(const std::string& program, const TargetId& target)
+double rendezvousScore(const std::string& program, const TargetId& target, double weight)
 {
     std::uint64_t seed = XXH64(program.data(), program.size(), 0);
-    return XXH64(target.value_.data(), target.value_.size(), seed);
+    std::uint64_t hash = XXH64(target.value_.data(), target.value_.size(), seed);
+    // Uniform in (0, 1). The logarithm gives each target a share in proportion to its weight.
+    double uniform = (static_cast<double>(hash) + 0.5) * std::ldexp(1.0, -64);
+    return -weight / std::log(std::min(uniform, 1 - std::numeric_limits<double>::epsilon()));
 }
 
 } // namespace fescue
--- a/src/SharedTargets.h
+++ b/src/SharedTargets.h
@@ -38,6 +38,8 @@
     /** Fraction of a call's time that is added for a target without the prompt: once a program has moved, its
      * prompt is cached there, so its later turns and sub-agents have to move as well. */
     double migrationShare_ = 0.5;
+    /** How long a call may wait for a permit of the target that suits it best while others have room. */
+    Milliseconds maxPermitWait_ { 150 };
     /** Calls beyond the slots that may queue at a target, so that no slot stays idle. */
     double maxWaitingAtTarget_ = 2;
 };
@@ -49,7 +51,7 @@
 /** Inputs of the cost of a target. */
 struct SharedTarget {
     double calls_ = 0; ///< Estimated calls of all VMs.
-    std::uint32_t slots_ = 0;
+    double slots_ = 0;
     double callMs_ = 0; ///< Mean duration of a call at the service's targets.
     double slowdown_ = 1; ///< Time per token relative to the mean of the service's targets.
     bool hasPromptCached_ = false; ///< The prompt, except its newest part, is cached there or expected to be.
@@ -59,9 +61,9 @@
 /** Whether the target's slots and its queue are full. Pure. */
 bool isSaturated(const SharedTarget& target, const SharedOptions& options);
 
-/** Rendezvous hash of a program whose last target is unknown; it prefers the target with the highest. Pure.
- */
-std::uint64_t rendezvousScore(const std::string& program, const TargetId& target);
+/** Weighted rendezvous hash of a program whose last target is unknown; it prefers the target with the
+ * highest. Pure. Precondition: `weight` is positive. */
+double rendezvousScore(const std::string& program, const TargetId& target, double weight);
 
 /** Cost of one more call with `ownPrompt` prompt tokens that only its program uses. Pure. */
 double sharedCostMs(const SharedTarget& target, TokenCount ownPrompt, const SharedOptions& options);
--- a/src/TargetChoice.cpp
+++ b/src/TargetChoice.cpp
@@ -1,6 +1,7 @@
 #include "TargetChoice.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fescue {
 
@@ -64,9 +65,20 @@
         return candidate;
     }
 
+    // The calls that a target runs at once: its slots, or those that it keeps busy if it gets as many calls
+    // as its rate allows.
+    double usableSlots(const TargetPool& pool, const TargetState& state, double callMs)
+    {
+        double slots = state.target_.slots_ == 0 ? pool.options_.shared_.defaultSlots_ : state.target_.slots_;
+        if (!state.gate_.rate_)
+            return slots;
+        constexpr double msPerSecond = 1000;
+        return std::clamp(state.gate_.rate_->value_ * callMs / msPerSecond, 1.0, std::max(1.0, slots));
+    }
+
     // Means over the targets that serve a call.
     struct ServiceMeans {
-        double otherVmCalls_ = 0; ///< Calls of other VMs.
+        double otherVmCallsPerSlot_ = 0; ///< Calls of other VMs.
         double callMs_ = 0;
         double tokenMs_ = 0;
     };
@@ -74,53 +86,55 @@
     ServiceMeans serviceMeans(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
     {
         ServiceMeans means;
-        double reports = 0;
         double targetsWithSpeed = 0;
         for (const auto& [id, state] : pool.targets_) {
-            if (!servesCall(state.target_, call))
+            if (!servesCall(state.target_, call) || state.load_.speed_.samples_ < minSpeedSamples)
                 continue;
-            if (state.otherVmLoad_.reportedAt_ != MonotonicTime {}) {
-                means.otherVmCalls_ += estimateOtherVmCalls(state.otherVmLoad_, 0, reportDecayMs, now);
-                reports += 1;
-            }
-            if (state.load_.speed_.samples_ >= minSpeedSamples) {
-                means.callMs_ += state.load_.speed_.callMs_;
-                means.tokenMs_ += state.load_.speed_.tokenMs_;
-                targetsWithSpeed += 1;
-            }
+            means.callMs_ += state.load_.speed_.callMs_;
+            means.tokenMs_ += state.load_.speed_.tokenMs_;
+            targetsWithSpeed += 1;
         }
-        means.otherVmCalls_ /= std::max(1.0, reports);
         means.callMs_ = targetsWithSpeed == 0 ? defaultCallMs : means.callMs_ / targetsWithSpeed;
         means.tokenMs_ /= std::max(1.0, targetsWithSpeed);
+        double slots = 0;
+        for (const auto& [id, state] : pool.targets_) {
+            if (!servesCall(state.target_, call) || state.otherVmLoad_.reportedAt_ == MonotonicTime {})
+                continue;
+            means.otherVmCallsPerSlot_ += estimateOtherVmCalls(state.otherVmLoad_, 0, reportDecayMs, now);
+            slots += usableSlots(pool, state, means.callMs_);
+        }
+        means.otherVmCallsPerSlot_ /= std::max(1.0, slots);
         return means;
     }
 
     SharedTarget sharedTarget(
         const TargetPool& pool, const TargetState& state, const ServiceMeans& means, MonotonicTime now)
     {
-        const SharedOptions& options = pool.options_.shared_;
         const TargetSpeed& speed = state.load_.speed_;
         SharedTarget target;
         target.callMs_ = means.callMs_;
         if (speed.samples_ >= minSpeedSamples && means.tokenMs_ > 0)
             target.slowdown_ = speed.tokenMs_ / means.tokenMs_;
-        target.calls_ = state.inFlight_
-            + estimateOtherVmCalls(state.otherVmLoad_, means.otherVmCalls_, target.callMs_, now);
-        target.slots_ = state.target_.slots_ == 0 ? options.defaultSlots_ : state.target_.slots_;
+        target.slots_ = usableSlots(pool, state, target.callMs_);
+        target.calls_ = state.inFlight_ + state.gate_.waiting_
+            + estimateOtherVmCalls(
+                state.otherVmLoad_, means.otherVmCallsPerSlot_ * target.slots_, target.callMs_, now);
         target.isOtherZone_ = state.target_.zone_ != pool.zone_;
         return target;
     }
 
     // The target of the own zone that every VM prefers for this program while the target that has its prompt
     // cached is unknown.
-    TargetId preferredTarget(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
+    TargetId preferredTarget(
+        const TargetPool& pool, const QueuedCall& call, const ServiceMeans& means, MonotonicTime now)
     {
         TargetId best;
-        std::uint64_t bestScore = 0;
+        double bestScore = 0;
         for (const auto& [id, state] : pool.targets_) {
             if (state.target_.zone_ != pool.zone_ || !canRun(pool, state, call, now))
                 continue;
-            std::uint64_t score = rendezvousScore(call.program_.value_, id);
+            double weight = sharedTarget(pool, state, means, now).slots_;
+            double score = rendezvousScore(call.program_.value_, id, weight);
             if (best.empty() || score > bestScore) {
                 best = id;
                 bestScore = score;
@@ -129,28 +143,39 @@
         return best;
     }
 
+    // Time until the call may get a permit for a target.
+    Milliseconds permitWait(const TargetState& state, MonotonicTime now)
+    {
+        return isHeld(state.gate_, now) ? state.gate_.heldUntil_ - now : Milliseconds { 0 };
+    }
+
     Choice chooseShared(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
     {
         ServiceMeans means = serviceMeans(pool, call, now);
         TargetId cachingTarget = call.cachingTarget_;
         if (!pool.targets_.count(cachingTarget) && !call.model_.empty() && !call.program_.empty())
-            cachingTarget = preferredTarget(pool, call, now);
+            cachingTarget = preferredTarget(pool, call, means, now);
+        bool canWaitForPermit = now < call.arrived_ + pool.options_.shared_.maxPermitWait_;
         TargetId best;
         double bestCost = 0;
         for (const auto& [id, state] : pool.targets_) {
-            if (!canRun(pool, state, call, now))
+            if (!canRun(pool, state, call, now) || (isHeld(state.gate_, now) && !canWaitForPermit))
                 continue;
             SharedTarget target = sharedTarget(pool, state, means, now);
             target.hasPromptCached_ = id == cachingTarget;
             if (isSaturated(target, pool.options_.shared_))
                 continue;
-            double cost = sharedCostMs(target, call.promptTokens_, pool.options_.shared_);
+            double cost = sharedCostMs(target, call.promptTokens_, pool.options_.shared_)
+                + static_cast<double>(permitWait(state, now).count());
             if (best.empty() || cost < bestCost) {
                 best = id;
                 bestCost = cost;
             }
         }
-        return best.empty() ? Choice {} : Choice { Choice::Kind::Run, best };
+        if (best.empty())
+            return {};
+        bool canPass = isOpen(pool.targets_.at(best).gate_, now);
+        return { canPass ? Choice::Kind::Run : Choice::Kind::WaitForTarget, best };
     }
 } // namespace
 
@@ -183,6 +208,21 @@
     return std::max(TokenCount { 0 }, call.promptTokens_ - prefix->second.tokens_);
 }
 
+Milliseconds minTimeToRun(const TargetPool& pool, const QueuedCall& call)
+{
+    // Half of the mean, since the length of calls varies.
+    constexpr double shareOfMean = 0.5;
+    double callMs = 0;
+    double targets = 0;
+    for (const auto& [id, state] : pool.targets_) {
+        if (!servesCall(state.target_, call) || state.load_.speed_.samples_ < minSpeedSamples)
+            continue;
+        callMs += state.load_.speed_.callMs_;
+        targets += 1;
+    }
+    return Milliseconds { static_cast<std::int64_t>(shareOfMean * callMs / std::max(1.0, targets)) };
+}
+
 Choice chooseTargetFor(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
 {
     if (pool.options_.shared_.isEnabled_)
--- a/src/TargetChoice.h
+++ b/src/TargetChoice.h
@@ -21,6 +21,9 @@
 /** Number of prompt tokens that a target would have to compute. */
 TokenCount uncachedAt(const TargetPool& pool, const QueuedCall& call, const TargetId& target);
 
+/** The time that a call needs at least at a target, as far as known. */
+Milliseconds minTimeToRun(const TargetPool& pool, const QueuedCall& call);
+
 /** Chooses the target of a call, or decides that the call waits. */
 Choice chooseTargetFor(const TargetPool& pool, const QueuedCall& call, MonotonicTime now);
 
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -1,5 +1,6 @@
 #include "TargetPool.h"
 
+#include "QueueWait.h"
 #include "TargetChoice.h"
 
 #include <algorithm>
@@ -43,50 +44,6 @@
         state.backoffUntil_ = now + Milliseconds { jitter(random) };
     }
 
-    bool isSameKind(const QueuedCall& a, const QueuedCall& b)
-    {
-        return a.model_ == b.model_ && a.service_ == b.service_;
-    }
-
-    // Estimates the rate at which slots become free by Little's law. Unlike a rate of past completions, it is
-    // valid from the first call on and after idle periods.
-    Milliseconds expectedWaitBehind(
-        const TargetPool& pool, const QueuedCall& call, std::ptrdiff_t callsAhead, MonotonicTime now)
-    {
-        constexpr double minEndsPerMs = 0.0002;
-        double endsPerMs = 0;
-        double freeSlots = 0;
-        for (const auto& [id, state] : pool.targets_) {
-            if (!acceptsNewCalls(pool, state, now) || !servesCall(state.target_, call))
-                continue;
-            endsPerMs += state.window_.size_ / std::max(1.0, state.load_.speed_.callMs_);
-            freeSlots += std::max(0.0, state.window_.size_ - state.inFlight_);
-        }
-        double waiting = std::max(0.0, static_cast<double>(callsAhead) - freeSlots);
-        double wait = waiting / std::max(minEndsPerMs, endsPerMs);
-        return Milliseconds { static_cast<std::int64_t>(wait) };
-    }
-
-    // Expected wait of a call that arrives now, behind the calls with a lower rank.
-    Milliseconds expectedWait(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
-    {
-        double rank = rankOf(pool.queue_, call, now);
-        const auto& calls = pool.queue_.calls_;
-        auto callsAhead = std::count_if(calls.begin(), calls.end(), [&](const QueuedCall& other) {
-            return isSameKind(other, call) && rankOf(pool.queue_, other, now) <= rank;
-        });
-        return expectedWaitBehind(pool, call, callsAhead, now);
-    }
-
-    // Expected wait of a call behind all queued calls.
-    Milliseconds expectedWaitAtEnd(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
-    {
-        const auto& calls = pool.queue_.calls_;
-        auto callsAhead = std::count_if(
-            calls.begin(), calls.end(), [&call](const QueuedCall& other) { return isSameKind(other, call); });
-        return expectedWaitBehind(pool, call, callsAhead, now);
-    }
-
     Problem makeRefusal(ProblemKind kind, const std::string& detail, Milliseconds wait, Random& random)
     {
         auto middle = std::clamp(wait, 2 * minRetryAfter, maxRetryAfter);
@@ -203,6 +160,8 @@
 std::vector<Dispatch> nextDispatches(TargetPool& pool, MonotonicTime now, Random&)
 {
     std::vector<Dispatch> dispatches;
+    for (auto& [id, state] : pool.targets_)
+        state.gate_.waiting_ = 0;
     if (pool.queue_.calls_.empty() || !hasRoom(pool, now))
         return dispatches;
     if (pool.options_.ordersByProgram_)
@@ -214,6 +173,8 @@
     for (auto call = calls.begin(); call != calls.end();) {
         Choice choice = chooseTargetFor(pool, *call, now);
         if (choice.kind_ != Choice::Kind::Run) {
+            if (choice.kind_ == Choice::Kind::WaitForTarget)
+                ++pool.targets_[choice.target_].gate_.waiting_;
             ++call;
             continue;
         }
@@ -221,6 +182,7 @@
         if (state.inFlight_ == 0)
             state.lastOutput_ = now;
         ++state.inFlight_;
+        passGate(state.gate_);
         TokenCount uncached = uncachedAt(pool, *call, choice.target_);
         Milliseconds expected { static_cast<std::int64_t>(firstTokenMs(state.load_, uncached)) };
         recordSentCall(state.load_, uncached, now);
@@ -286,6 +248,33 @@
         backOff(pool.zones_[state.target_.zone_], options.maxBackoff_, now, random);
 }
 
+void setRate(TargetPool& pool, const TargetId& target, const std::optional<RequestRate>& rate)
+{
+    auto found = pool.targets_.find(target);
+    if (found != pool.targets_.end())
+        setRate(found->second.gate_, rate);
+}
+
+std::map<TargetId, std::uint32_t> takeWantedPermits(TargetPool& pool, MonotonicTime now)
+{
+    std::map<TargetId, std::uint32_t> wanted;
+    for (auto& [id, state] : pool.targets_) {
+        if (state.gate_.waiting_ == 0 || state.gate_.isAsked_ || isHeld(state.gate_, now))
+            continue;
+        wanted[id] = state.gate_.waiting_;
+        state.gate_.isAsked_ = true;
+    }
+    return wanted;
+}
+
+void addPermits(TargetPool& pool, const TargetId& target, std::uint32_t granted, Milliseconds retryAfter,
+    const std::optional<RequestRate>& expected, MonotonicTime now)
+{
+    auto found = pool.targets_.find(target);
+    if (found != pool.targets_.end())
+        addPermits(found->second.gate_, granted, retryAfter, expected, now);
+}
+
 void markLeaving(TargetPool& pool, const TargetId& target)
 {
     auto found = pool.targets_.find(target);
@@ -358,6 +347,14 @@
     return overdue;
 }
 
+std::vector<DispatchId> removeHopeless(TargetPool& pool, MonotonicTime now)
+{
+    std::vector<DispatchId> hopeless = hopelessCalls(pool, now);
+    for (DispatchId id : hopeless)
+        removeQueued(pool, id);
+    return hopeless;
+}
+
 std::vector<DispatchId> removeExpired(TargetPool& pool, MonotonicTime now)
 {
     std::vector<DispatchId> expired;
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -22,6 +22,7 @@
 #include "Manifest.h"
 #include "Placement.h"
 #include "Quarantine.h"
+#include "RateGate.h"
 #include "RetryBudget.h"
 #include "SharedTargets.h"
 #include "TargetLoad.h"
@@ -44,6 +45,7 @@
     AdmissionWindow window_;
     TargetLoad load_;
     OtherVmLoad otherVmLoad_; ///< Used if the targets are shared with other VMs.
+    RateGate gate_; ///< Open unless the target has named a rate.
     MonotonicTime backoffUntil_; ///< No new calls before this time.
     /** From `failuresBeforeBackoff_` on, only one call at a time probes the target. */
     std::uint32_t consecutiveFailures_ = 0;
@@ -157,6 +159,17 @@
 void completeDispatch(
     TargetPool& pool, DispatchId id, const DispatchResult& result, MonotonicTime now, Random& random);
 
+/** Sets the rate that a target has named; nothing if it has no limit. */
+void setRate(TargetPool& pool, const TargetId& target, const std::optional<RequestRate>& rate);
+
+/** Permits to ask for: the number for each target that waiting calls have chosen. Each of these targets
+ * counts as asked until `addPermits`. */
+std::map<TargetId, std::uint32_t> takeWantedPermits(TargetPool& pool, MonotonicTime now);
+
+/** Takes in permits for a target; unknown targets are ignored. */
+void addPermits(TargetPool& pool, const TargetId& target, std::uint32_t granted, Milliseconds retryAfter,
+    const std::optional<RequestRate>& expected, MonotonicTime now);
+
 /** Marks a target as leaving: it gets no new calls. */
 void markLeaving(TargetPool& pool, const TargetId& target);
 
@@ -183,6 +196,10 @@
 /** Returns calls at hung targets, which the caller cancels and completes as `Hung`. Pure. */
 std::vector<DispatchId> hungDispatches(const TargetPool& pool, MonotonicTime now);
 
+/** Removes and returns the queued calls that targets with a named rate will not take in time, since a rate
+ * may have been named, or lowered, after they were queued. */
+std::vector<DispatchId> removeHopeless(TargetPool& pool, MonotonicTime now);
+
 /** Removes and returns the queued calls whose deadline has passed. */
 std::vector<DispatchId> removeExpired(TargetPool& pool, MonotonicTime now);
 
--- a/src/TargetStatements.cpp
+++ b/src/TargetStatements.cpp
@@ -27,23 +27,32 @@
         return true;
     }
 
+    bool takeRate(RateLimits& limits, const TargetStart& start, const RateObservation& observation,
+        const LogFields& source, MonotonicTime now)
+    {
+        std::optional<RequestRate> before = rateOf(limits, start);
+        if (!recordRate(limits, start, observation, now))
+            return false;
+        static Counter rateChanges("target_rate_changes_total");
+        rateChanges.add();
+        LogFields fields { { "target", start.target_.value_ }, { "per_second", rateText(observation.rate_) },
+            { "before", rateText(before) },
+            { "age_ms", std::to_string((now - observation.observedAt_).count()) } };
+        fields.insert(fields.end(), source.begin(), source.end());
+        logEvent("target-rate", fields);
+        return true;
+    }
+
     bool readRate(RateLimits& limits, const TargetStart& start, const AnswerTags& tags, MonotonicTime now)
     {
         // An answer of an intermediary says nothing about the target, not even that it names no limit.
         if (!tags.rateLimit_ && !tags.isStamped_ && !tags.wasNotRun_)
             return false;
-        std::optional<RequestRate> rate;
+        RateObservation observation { std::nullopt, now };
         if (tags.rateLimit_)
-            rate = RequestRate { *tags.rateLimit_ };
-        std::optional<RequestRate> before = rateOf(limits, start.target_, start.startedAt_);
-        if (!recordRate(limits, start.target_, start.startedAt_, rate, now))
-            return false;
-        static Counter rateChanges("target_rate_changes_total");
-        rateChanges.add();
-        logEvent("target-rate",
-            { { "target", start.target_.value_ }, { "request", tags.attempt_.value_ },
-                { "per_second", rateText(rate) }, { "before", rateText(before) }, { "source", "answer" } });
-        return true;
+            observation.rate_ = RequestRate { *tags.rateLimit_ };
+        return takeRate(
+            limits, start, observation, { { "source", "answer" }, { "request", tags.attempt_.value_ } }, now);
     }
 
     void logEnds(const char* event, const std::vector<EndedBelief>& ended, MonotonicTime now)
@@ -65,6 +74,12 @@
         readRate(statements.rates_, start, tags, now) };
 }
 
+bool readPeerObservation(TargetStatements& statements, const TargetStart& start,
+    const RateObservation& observation, MonotonicTime now)
+{
+    return takeRate(statements.rates_, start, observation, { { "source", "peer" } }, now);
+}
+
 void endStatements(TargetStatements& statements, const TargetList& list, MonotonicTime now)
 {
     logEnds("target-leaving-ended", endBeliefs(statements.leaving_.beliefs_, list, now), now);
--- a/src/TargetStatements.h
+++ b/src/TargetStatements.h
@@ -23,16 +23,15 @@
     bool changesRate_ = false;
 };
 
-/** One start of a target. */
-struct TargetStart {
-    TargetId target_;
-    Milliseconds startedAt_ { 0 }; ///< Of its process, from its entry.
-};
-
 /** Takes in the head of a target's answer. Not thread-safe. */
 StatementChange readStatements(
     TargetStatements& statements, const TargetStart& start, const AnswerTags& tags, MonotonicTime now);
 
+/** Takes in what another VM has heard of a target's rate. Returns whether the known rate changes. Not
+ * thread-safe. */
+bool readPeerObservation(TargetStatements& statements, const TargetStart& start,
+    const RateObservation& observation, MonotonicTime now);
+
 /** Ends the beliefs about targets that have started again, or that left the list long ago. Not thread-safe.
  */
 void endStatements(TargetStatements& statements, const TargetList& list, MonotonicTime now);
--- /dev/null
+++ b/src/Transfer.h
@@ -0,0 +1,48 @@
+#pragma once
+
+/** \file
+ * Transfer: a request that is queued for, or in flight at, a target, and its log lines.
+ */
+
+#include "AnswerRelay.h"
+#include "ForwardedCall.h"
+#include "OutboundPool.h"
+
+#include <memory>
+#include <set>
+
+namespace fescue {
+
+/** A request on its way. */
+struct Transfer {
+    ForwardedCall call_;
+    ContentDigest digest_;
+    DispatchId id_; ///< In the pool; a new id for each send.
+    TargetId target_;
+    SoftwareVersion version_; ///< Of `target_`.
+    Milliseconds targetStartedAt_ { 0 };
+    std::shared_ptr<OutboundCall> exchange_;
+    std::set<TargetId> avoid_;
+    std::uint32_t sends_ = 0;
+    std::uint32_t possibleRuns_ = 0; ///< Sends that may have run.
+    AnswerRelay relay_;
+    OutboundResult::ConnectionEnd connectionEnd_ = OutboundResult::ConnectionEnd::Open; ///< Of the last send.
+    MonotonicTime sentAt_;
+    bool isQueued_ = false;
+    bool isRefusal_ = false; ///< The target states that it has not run the request.
+    bool isPaused_ = false;
+    bool isFinished_ = false;
+    bool needsNewConnection_ = false;
+};
+
+/** Tokens that were passed on to the caller. Pure. */
+TokenCount generatedTokens(const Transfer& transfer);
+
+/** Logs that a request is sent; `load` describes the target. */
+void logSend(const Transfer& transfer, const std::string& load);
+
+/** Logs the final outcome of a request. */
+void logFinish(
+    const Transfer& transfer, const char* outcome, int status, const std::string& reason, MonotonicTime now);
+
+} // namespace fescue
--- a/test/failure/TargetRates.cpp
+++ b/test/failure/TargetRates.cpp
@@ -73,10 +73,10 @@
 // Callers at all VMs.
 class Load {
 public:
-    Load(EntryVmHarness& vms, std::string method, std::string path, Milliseconds interval)
+    Load(EntryVmHarness& vms, const std::string& method, const std::string& path, Milliseconds interval,
+        int callersPerVm = 3)
         : vms_(vms)
     {
-        constexpr int callersPerVm = 3;
         for (std::size_t vm = 0; vm < vms.vmCount(); ++vm) {
             for (int caller = 0; caller < callersPerVm; ++caller)
                 threads_.emplace_back(
@@ -200,7 +200,9 @@
         LimitedTarget first("10");
         LimitedTarget second("10");
         EntryVmHarness vms({ first.script(), second.script() }, true, vmCount);
-        Load load(vms, "GET", "/read/1", callInterval);
+        // Each caller waits for its answer, so there are more of them than can wait for the rate.
+        constexpr int callersPerVm = 16;
+        Load load(vms, "GET", "/read/1", callInterval, callersPerVm);
         MonotonicTime begin = bootNow();
         sleepFor(settleTime + 2 * window);
         load.stop();
