Send requests through other VMs while this one has no links to targets

Cause: a VM had one way to a target, its own connections. Each request learned anew that they fail, target by target, until its time was up. To be not ready would not help callers on open connections, nor a zone of which most VMs are affected.

A request that has not run now goes through another VM (CallRelay), one hop only, once this VM believes that its links are gone (three targets of its zone fail, no new connection since), or once two targets could not be reached for it. The other VM sends it like its own, so rates, leaving targets and crashes are noted where they are seen; it says which target answered, or how many runs cannot be excluded, so at-most-once, attempts and the version of a stream hold over both VMs. The caller's disconnect and the deadline pass through. VMs that have no links either say so and are skipped. Probes, not requests, find the way back.

--- a/src/CallForwarder.h
+++ b/src/CallForwarder.h
@@ -43,6 +43,11 @@
     /** Calls at a service's engines divided by their slots, as far as known; above 1, calls wait for a slot.
      */
     double occupancy(const ServiceId& service) const;
+    /** Whether this VM cannot open connections to targets. */
+    bool isStranded() const;
+    /** Sets the handler of calls that other VMs relay through this one; it gets a call with its reply, and of
+     * its service only the id. */
+    void serveRelayed(std::function<void(ForwardedCall)> handler);
     /** Requests that are queued or in flight. */
     std::size_t openCallCount() const;
     std::size_t queuedCallCount() const;
--- /dev/null
+++ b/src/CallForwarderImpl.h
@@ -0,0 +1,476 @@
+#pragma once
+
+/** \file
+ * CallForwarderImpl: the state of a `CallForwarder`, for its two source files only.
+ *
+ * `RelayedTransfers.cpp` has what concerns requests that go through other VMs.
+ */
+
+#include "CallForwarder.h"
+
+#include "BootClock.h"
+#include "CallRelay.h"
+#include "CrashTracker.h"
+#include "EventLog.h"
+#include "Headers.h"
+#include "KnownTargets.h"
+#include "LinkWatch.h"
+#include "Metrics.h"
+#include "RefuseCall.h"
+#include "RequestDigest.h"
+#include "TargetChoice.h"
+#include "Transfer.h"
+
+namespace fescue {
+
+constexpr int misdirectedRequest = 421; ///< Another target has the address now.
+constexpr int badGateway = 502;
+constexpr int unavailable = 503;
+constexpr int gatewayTimeout = 504;
+// Reading from the target pauses while the caller has not read this much of the stream.
+constexpr std::size_t maxUnsentBytes = 256 * 1024;
+// Maximum sends of one request, whatever their outcome; bounds repeated refusals.
+constexpr std::uint32_t maxSends = 8;
+constexpr Milliseconds retryAfterFailure { 200 };
+// Links are probed somewhat more often.
+constexpr Milliseconds retryAfterLostLinks { 500 };
+// Crashes expire after minutes; the content is refused until then.
+constexpr Milliseconds retryAfterQuarantine { 30000 };
+// Calls of many VMs run beside each other at a shared target, so two crashes of one call may be chance.
+constexpr std::uint32_t sharedCrashesToQuarantine = 3;
+
+/** Confined to the thread of the event loop, like the forwarder. */
+struct CallForwarder::Impl : std::enable_shared_from_this<CallForwarder::Impl> {
+    using TransferPtr = std::shared_ptr<Transfer>;
+
+    OutboundPool outbound_;
+    TargetPool pool_;
+    Random random_;
+    CrashTracker crashTracker_;
+    KnownTargets targets_;
+    LinkWatch links_;
+    CallRelay callRelay_;
+    std::map<DispatchId, TransferPtr> transfers_;
+    std::uint64_t lastId_ = 0;
+    Counter answered_ { "calls_total", { "outcome", "answered" } };
+    Counter refused_ { "calls_total", { "outcome", "refused" } };
+    Counter failed_ { "calls_total", { "outcome", "failed" } };
+    Counter gone_ { "calls_total", { "outcome", "caller-gone" } };
+    Counter relayed_ { "calls_relayed_total" };
+    Counter retries_ { "call_retries_total" };
+
+    Impl(asio::io_context& io, platform::StoreClient& store, PeerExchange& exchange, const ZoneId& zone,
+        const WriterId& writer, std::uint64_t seed)
+        : outbound_(io)
+        , random_(seed)
+        , crashTracker_(pool_.quarantine_, store, writer)
+        , targets_(io, exchange, pool_, [this] { dispatchAll(); })
+        , links_(outbound_, targets_, zone, random_)
+        , callRelay_(exchange, zone, random_)
+    {
+        pool_.options_.tracksCrashes_ = false;
+        pool_.quarantine_.threshold_ = sharedCrashesToQuarantine;
+        pool_.zone_ = zone;
+        pool_.options_.releasesStalePrefixes_ = false;
+        pool_.options_.shared_.isEnabled_ = true;
+        // A service may have few targets, so one lost answer must not back a target off.
+        pool_.options_.failuresBeforeBackoff_ = 3;
+        pool_.options_.maxBackoff_ = Milliseconds { 1000 };
+        pool_.options_.backsOffWholeZone_ = false;
+    }
+
+    QueuedCall queuedCall(const Transfer& transfer) const
+    {
+        QueuedCall queued = toQueuedCall(transfer.call_);
+        queued.id_ = transfer.id_;
+        queued.digest_ = transfer.digest_;
+        queued.avoid_ = transfer.avoid_;
+        return queued;
+    }
+
+    void forward(ForwardedCall call)
+    {
+        auto transfer = std::make_shared<Transfer>();
+        transfer->call_ = std::move(call);
+        transfer->digest_ = digestOf(transfer->call_.request_.head_, transfer->call_.request_.body_);
+        transfer->relay_.reply_ = transfer->call_.reply_;
+        transfer->relay_.isStream_ = transfer->call_.route_.isStream_;
+        transfer->relay_.maxEvents_
+            = maxEventsOf(transfer->call_.tags_.maxTokens_, transfer->call_.service_.tokensPerEvent_);
+        transfer->call_.reply_->onDisconnect([weak = weak_from_this(), transfer] {
+            if (auto self = weak.lock())
+                self->handleCallerDisconnect(transfer);
+        });
+        route(transfer);
+        dispatchAll();
+    }
+
+    // Queues a request, or gives it to another VM if this one cannot reach targets.
+    void route(const TransferPtr& transfer)
+    {
+        if (needsRelay(*transfer) && relay(transfer))
+            return;
+        bool isHopeless = links_.isStranded() && transfer->possibleRuns_ == 0
+            && !isAcceptedByAny(pool_, queuedCall(*transfer), bootNow());
+        if (isHopeless)
+            return refuse(transfer, "neither this VM nor another that could be asked reaches targets",
+                retryAfterLostLinks);
+        enqueue(transfer);
+    }
+
+    // Defined in RelayedTransfers.cpp.
+    bool needsRelay(const Transfer& transfer) const;
+    bool relay(const TransferPtr& transfer);
+    void handleRelayedHead(const TransferPtr& transfer, const HttpHead& peerHead);
+    void handleRelayedEnd(const TransferPtr& transfer, const OutboundResult& end);
+    void handleRelayRefusal(const TransferPtr& transfer);
+    void relayQueued();
+
+    void enqueue(const TransferPtr& transfer)
+    {
+        transfer->id_ = { ++lastId_ };
+        auto queued = enqueueCall(pool_, queuedCall(*transfer), bootNow(), random_);
+        if (!queued) {
+            const Problem& problem = queued.error();
+            if (problem.kind_ == ProblemKind::Quarantined)
+                return refuseQuarantined(transfer);
+            if (transfer->possibleRuns_ > 0)
+                return fail(transfer, badGateway, "no other target can run the request");
+            return refuse(transfer, problem.detail_, problem.retryAfter_.value_or(retryAfterFailure));
+        }
+        transfer->isQueued_ = true;
+        transfers_[transfer->id_] = transfer;
+    }
+
+    // The statement that it has not run covers this attempt only.
+    void refuseQuarantined(const TransferPtr& transfer)
+    {
+        constexpr const char* reason = "each target that ran this request crashed; change its content";
+        if (transfer->possibleRuns_ > 0)
+            return fail(transfer, badGateway, reason);
+        refuse(transfer, reason, retryAfterQuarantine);
+    }
+
+    // Refuses calls that were queued before their content was quarantined.
+    void refuseQueuedQuarantined()
+    {
+        if (pool_.quarantine_.quarantined_.empty())
+            return;
+        std::vector<TransferPtr> refused;
+        for (const auto& [id, transfer] : transfers_) {
+            if (transfer->isQueued_ && isQuarantined(pool_.quarantine_, transfer->digest_, bootNow()))
+                refused.push_back(transfer);
+        }
+        for (const TransferPtr& transfer : refused) {
+            cancelTransfer(transfer);
+            refuseQuarantined(transfer);
+        }
+    }
+
+    void dispatchAll()
+    {
+        for (const Dispatch& dispatch : nextDispatches(pool_, bootNow(), random_)) {
+            auto found = transfers_.find(dispatch.id_);
+            if (found != transfers_.end())
+                send(found->second, dispatch.target_);
+        }
+        targets_.requestPermits();
+    }
+
+    void send(const TransferPtr& transfer, const Target& target)
+    {
+        transfer->isQueued_ = false;
+        transfer->relayPeer_ = {};
+        transfer->target_ = target.id_;
+        transfer->version_ = target.version_;
+        transfer->targetStartedAt_ = targets_.startOf(target.id_).startedAt_;
+        transfer->isRefusal_ = false;
+        transfer->sentAt_ = bootNow();
+        ++transfer->sends_;
+        const ForwardedCall& call = transfer->call_;
+        Milliseconds remaining = call.deadline_ - transfer->sentAt_;
+        logSend(*transfer, describeLoad(pool_, target.id_, transfer->sentAt_));
+        OutboundRequest request { targets_.addressOf(target.id_).value_or(asio::ip::tcp::endpoint()),
+            platform::encodeTargetRequest(call.request_.head_, remaining, target.id_), call.request_.body_ };
+        request.needsNewConnection_ = transfer->needsNewConnection_;
+        request.acceptsUnframed_ = true;
+        OutboundCallbacks callbacks;
+        callbacks.matchesRequest_ = [transfer](const HttpHead& head) {
+            AttemptId answers = platform::decodeAnswerTags(head).attempt_;
+            return answers.empty() || answers == transfer->call_.tags_.attempt_;
+        };
+        callbacks.onConnect_ = [this, id = target.id_] { links_.recordConnected(id); };
+        callbacks.onHead_ = [this, transfer](const HttpHead& head) { handleHead(transfer, head); };
+        callbacks.onBody_ = [this, transfer](std::string part) { handleBody(transfer, std::move(part)); };
+        callbacks.onEnd_ = [this, transfer](const OutboundResult& end) { handleEnd(transfer, end); };
+        transfer->exchange_ = outbound_.send(std::move(request), std::move(callbacks));
+    }
+
+    void handleHead(const TransferPtr& transfer, const HttpHead& head)
+    {
+        AnswerTags tags = platform::decodeAnswerTags(head);
+        if (tags.load_)
+            recordLoadReport(
+                pool_, transfer->target_, { tags.load_->running_, tags.load_->waiting_, {} }, bootNow());
+        TargetStart start { transfer->target_, transfer->targetStartedAt_ };
+        if (targets_.readAnswer(start, tags))
+            refuseUnserved();
+        takeHead(transfer->relay_, head);
+        transfer->isRefusal_ = tags.wasNotRun_;
+        if (tags.wasNotRun_)
+            return;
+        if (isSuccess(head) && (!tags.isStamped_ || tags.isEncoded_)) {
+            transfer->exchange_->cancel();
+            return handleLostAnswer(transfer, false,
+                "the answer does not come from the target's application, or has a content encoding");
+        }
+        recordOutput(pool_, transfer->id_, bootNow());
+        if (transfer->call_.relayOutcome_)
+            *transfer->call_.relayOutcome_ = { transfer->target_, transfer->version_, 0, false };
+        if (isSuccess(head) && transfer->call_.route_.isStream_)
+            startRelay(transfer->relay_);
+    }
+
+    void refuseUnserved()
+    {
+        refuseRemoved(removeUnserved(pool_), "all targets that could run the request have left");
+    }
+
+    // Refuses calls that were removed from the queue.
+    void refuseRemoved(const std::vector<DispatchId>& removed, const char* reason)
+    {
+        for (DispatchId id : removed) {
+            auto entry = transfers_.extract(id);
+            if (entry.empty())
+                continue;
+            const TransferPtr& transfer = entry.mapped();
+            if (transfer->possibleRuns_ > 0)
+                fail(transfer, badGateway, "no other target can run the request");
+            else
+                refuse(transfer, reason, retryAfterFailure);
+        }
+    }
+
+    void handleBody(const TransferPtr& transfer, std::string part)
+    {
+        if (transfer->isRefusal_)
+            return;
+        if (transfer->relay_.hasStarted_ && transfer->call_.onBegin_)
+            std::exchange(transfer->call_.onBegin_, nullptr)(transfer->version_);
+        if (const char* excess = relayBody(transfer->relay_, std::move(part))) {
+            transfer->exchange_->cancel();
+            return handleLostAnswer(transfer, false, excess);
+        }
+        if (transfer->call_.reply_->pendingBytes() > maxUnsentBytes && !transfer->isPaused_) {
+            transfer->isPaused_ = true;
+            transfer->exchange_->pauseReading(true);
+        }
+    }
+
+    void handleEnd(const TransferPtr& transfer, const OutboundResult& end)
+    {
+        if (end.outcome_ == OutboundResult::Outcome::NotSent) {
+            ++transfer->linkFailures_;
+            links_.recordFailure(transfer->target_, end.reason_);
+            endDispatch(transfer, DispatchOutcome::Unreachable);
+            return retry(transfer, end.reason_);
+        }
+        transfer->connectionEnd_ = end.connectionEnd_;
+        bool isAnswered = end.outcome_ == OutboundResult::Outcome::Answered;
+        const char* lossReason = isAnswered ? findBreak(transfer->relay_) : end.reason_;
+        if (lossReason && end.connectionEnd_ != OutboundResult::ConnectionEnd::Open)
+            crashTracker_.onConnectionEnded(
+                { transfer->digest_, transfer->target_, transfer->targetStartedAt_, bootNow() });
+        if (lossReason)
+            return handleLostAnswer(transfer, end.wasReused_ && !end.hadHead_, lossReason);
+        if (transfer->isRefusal_) {
+            endDispatch(transfer, DispatchOutcome::Refused);
+            if (transfer->relay_.head_.status_ == misdirectedRequest)
+                transfer->avoid_.insert(transfer->target_);
+            return retry(transfer, "the target refused the request");
+        }
+        handleAnswer(transfer);
+    }
+
+    void handleAnswer(const TransferPtr& transfer)
+    {
+        if (isSuccess(transfer->relay_.head_))
+            crashTracker_.onCompleted(transfer->digest_);
+        endDispatch(transfer, DispatchOutcome::Answered);
+        finishRelay(transfer->relay_);
+        answered_.add();
+        observeLatency("call_seconds", bootNow() - transfer->call_.request_.arrived_);
+        finish(transfer, "answered", transfer->relay_.head_.status_, "");
+        dispatchAll();
+    }
+
+    void endDispatch(const TransferPtr& transfer, DispatchOutcome outcome)
+    {
+        DispatchResult result { outcome };
+        result.prompt_ = ownPromptTokens(transfer->call_.tags_);
+        result.completion_ = generatedTokens(*transfer);
+        completeDispatch(pool_, transfer->id_, result, bootNow(), random_);
+        transfers_.erase(transfer->id_);
+        if (!transfer->relayPeer_.empty())
+            callRelay_.release(transfer->relayPeer_);
+    }
+
+    // Handles a request that may have run and whose answer is lost.
+    void handleLostAnswer(const TransferPtr& transfer, bool maybeNeverReceived, const char* reason)
+    {
+        ++transfer->possibleRuns_;
+        endDispatch(transfer, DispatchOutcome::ConnectionLost);
+        const Route& route = transfer->call_.route_;
+        bool canRetry = route.repeatability_ == Repeatability::Repeatable && !transfer->relay_.hasStarted_;
+        if (canRetry && transfer->possibleRuns_ < route.maxAttempts_) {
+            // A reused connection that closes without a byte was usually closed before the request arrived,
+            // which does not indicate a fault of the target.
+            if (maybeNeverReceived && !transfer->needsNewConnection_)
+                transfer->needsNewConnection_ = true;
+            else
+                transfer->avoid_.insert(transfer->target_);
+            return retry(transfer, reason);
+        }
+        fail(transfer, badGateway, reason);
+    }
+
+    void retry(const TransferPtr& transfer, const char* reason)
+    {
+        logEvent("send-again",
+            { { "request", transfer->call_.tags_.attempt_.value_ }, { "target", transfer->target_.value_ },
+                { "reason", reason }, { "may_have_run", std::to_string(transfer->possibleRuns_) } });
+        retries_.add();
+        if (transfer->sends_ >= maxSends) {
+            if (transfer->possibleRuns_ > 0)
+                return fail(transfer, badGateway, reason);
+            return refuse(transfer, "too many targets refused the request", retryAfterFailure);
+        }
+        route(transfer);
+        dispatchAll();
+    }
+
+    // Tells a VM that relays through this one that the answer is not a target's.
+    static void setRefused(const Transfer& transfer)
+    {
+        if (transfer.call_.relayOutcome_)
+            *transfer.call_.relayOutcome_ = { {}, {}, transfer.possibleRuns_, false };
+    }
+
+    void refuse(const TransferPtr& transfer, const std::string& reason, Milliseconds retryAfter)
+    {
+        refused_.add();
+        setRefused(*transfer);
+        refuseCall(*transfer->call_.reply_, transfer->call_.tags_.attempt_, unavailable, reason, retryAfter);
+        finish(transfer, "refused", unavailable, reason);
+    }
+
+    void fail(const TransferPtr& transfer, int status, const char* reason)
+    {
+        failed_.add();
+        setRefused(*transfer);
+        if (transfer->relay_.hasStarted_)
+            transfer->call_.reply_->abort();
+        else
+            refuseCall(*transfer->call_.reply_, transfer->call_.tags_.attempt_, status, reason, std::nullopt);
+        finish(transfer, "failed", status, reason);
+    }
+
+    void handleCallerDisconnect(const TransferPtr& transfer)
+    {
+        if (transfer->isFinished_)
+            return;
+        cancelTransfer(transfer);
+        gone_.add();
+        finish(transfer, "caller-gone", 0, "the caller closed its connection");
+        dispatchAll();
+    }
+
+    // Removes a request from the queue, or cancels it at its target.
+    void cancelTransfer(const TransferPtr& transfer)
+    {
+        if (transfer->isQueued_) {
+            removeQueued(pool_, transfer->id_);
+            transfers_.erase(transfer->id_);
+            return;
+        }
+        if (transfer->exchange_)
+            transfer->exchange_->cancel();
+        endDispatch(transfer, DispatchOutcome::Cancelled);
+    }
+
+    void finish(const TransferPtr& transfer, const char* outcome, int status, const std::string& reason)
+    {
+        transfer->isFinished_ = true;
+        logFinish(*transfer, outcome, status, reason, bootNow());
+        const ForwardedCall& call = transfer->call_;
+        if (call.onEnd_)
+            call.onEnd_(generatedTokens(*transfer), transfer->target_);
+    }
+
+    void tick(const TargetList& list, MonotonicTime now)
+    {
+        outbound_.tick(now);
+        crashTracker_.tick(
+            list,
+            [this](const EndedConnection& ended) {
+                auto address = targets_.addressOf(ended.target_);
+                return address && outbound_.hasOpenConnectionFromBefore(*address, ended.at_);
+            },
+            now);
+        refuseQueuedQuarantined();
+        targets_.tick(list, now);
+        links_.tick(now);
+        relayQueued();
+        resumeReading();
+        refuseRemoved(removeHopeless(pool_, now),
+            "the rates that the targets have named leave no time for the request");
+        endOverdue(now);
+        dispatchAll();
+    }
+
+    void resumeReading()
+    {
+        for (const auto& [id, transfer] : transfers_) {
+            if (!transfer->isPaused_ || transfer->call_.reply_->pendingBytes() > maxUnsentBytes / 2)
+                continue;
+            transfer->isPaused_ = false;
+            transfer->exchange_->pauseReading(false);
+        }
+    }
+
+    void endOverdue(MonotonicTime now)
+    {
+        std::map<ServiceId, Milliseconds> timeToRun;
+        std::vector<TransferPtr> overdue;
+        for (const auto& [id, transfer] : transfers_) {
+            const ForwardedCall& call = transfer->call_;
+            auto [needed, isNew] = timeToRun.emplace(call.service_.id_, 0);
+            if (isNew)
+                needed->second = minTimeToRun(pool_, toQueuedCall(call));
+            bool isTooLate
+                = now + (transfer->isQueued_ ? needed->second : Milliseconds { 0 }) >= call.deadline_;
+            if (isTooLate)
+                overdue.push_back(transfer);
+        }
+        for (const TransferPtr& transfer : overdue) {
+            if (transfer->isFinished_)
+                continue;
+            bool wasSent = !transfer->isQueued_;
+            cancelTransfer(transfer);
+            if (wasSent || transfer->possibleRuns_ > 0)
+                fail(transfer, gatewayTimeout, "deadline exceeded while the request was in flight");
+            else
+                refuse(transfer, "no target had a free slot in time for the deadline", retryAfterFailure);
+        }
+    }
+
+    void setTargets(const TargetList& list, const ServingConfig& config)
+    {
+        targets_.set(list, config);
+        links_.setTargets(list);
+        refuseUnserved();
+        dispatchAll();
+    }
+};
+
+} // namespace fescue
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -2,6 +2,7 @@
 
 #include "BootClock.h"
 #include "CallForwarder.h"
+#include "CallRelay.h"
 #include "EventLog.h"
 #include "FrontServer.h"
 #include "Headers.h"
@@ -118,6 +119,7 @@
               },
               [](int, const char*, const HttpHead*) {})
     {
+        forwarder_.serveRelayed([this](ForwardedCall call) { handleRelayed(std::move(call)); });
         if (!options_.metricsAddress_.empty())
             metricsServer_ = std::make_unique<FrontServer>(
                 io_, options_.metricsAddress_,
@@ -161,6 +163,7 @@
             { "config_version", {}, static_cast<double>(config_ ? config_->version_ : 0) },
             { "config_age_seconds", {}, age ? std::chrono::duration<double>(*age).count() : -1 },
             { "store_up", {}, health_.isUp_ ? 1.0 : 0.0 },
+            { "links_lost", {}, forwarder_.isStranded() ? 1.0 : 0.0 },
             { "store_calls", {}, static_cast<double>(store_.calls()) },
             { "target_connections_made", {}, static_cast<double>(forwarder_.connectionsMade()) } };
     }
@@ -244,6 +247,21 @@
         admit(std::move(call));
     }
 
+    // Sends a request of another VM that cannot reach targets; that VM has admitted it.
+    void handleRelayed(ForwardedCall call)
+    {
+        lastRequest_ = bootNow();
+        call.tags_ = platform::decodeCallTags(call.request_.head_);
+        if (!config_ || !config_->services_.count(call.service_.id_))
+            return refuseRelay(call, "the service is not in the configuration of this VM");
+        if (forwarder_.isStranded())
+            return refuseRelay(call, "this VM has lost its links to targets, too");
+        if (drainStartedAt_ && call.deadline_ > drainDeadline())
+            return refuseRelay(call, "this VM shuts down before the deadline of the request");
+        call.service_ = traitsOf(call.service_.id_);
+        forwarder_.forward(std::move(call));
+    }
+
     // Binds a stream that its caller takes up again to the version that began it.
     void resume(ForwardedCall call)
     {
--- a/src/ForwardedCall.h
+++ b/src/ForwardedCall.h
@@ -14,6 +14,15 @@
 
 namespace fescue {
 
+/** What became of a relayed request. */
+struct RelayOutcome {
+    /** The target that sent the answer; empty if the answer is the peer's own refusal. */
+    TargetId target_;
+    SoftwareVersion version_; ///< Of the target.
+    std::uint32_t possibleRuns_ = 0; ///< Sends that may have run; 0 means that it has not run.
+    bool isUnavailable_ = false; ///< The peer cannot relay now.
+};
+
 /** An admitted request. */
 struct ForwardedCall {
     FrontRequest request_;
@@ -26,6 +35,8 @@
     std::optional<SoftwareVersion> version_;
     /** Called before the first bytes of a stream are passed on, with the version that made them. Optional. */
     std::function<void(const SoftwareVersion&)> onBegin_;
+    /** Set if the call came from another VM, which is told what becomes of it. */
+    std::shared_ptr<RelayOutcome> relayOutcome_;
     TargetId cachingTarget_; ///< Target that ran the program's last turn; empty if unknown.
     /** Called once, with the number of tokens that were forwarded and the last target that the request was
      * sent to, if any. */
--- a/src/OutboundPool.cpp
+++ b/src/OutboundPool.cpp
@@ -83,6 +83,8 @@
                 sendRequest();
         }
 
+        void probe(std::function<void(bool)> done) { onProbed_ = std::move(done); }
+
         void cancel()
         {
             state_->connecting_.erase(shared_from_this());
@@ -99,6 +101,7 @@
         {
             if (!isConnected_ && now > connectDeadline_) {
                 link_->close(true);
+                endProbe(false);
                 finish(OutboundResult::Outcome::NotSent, "connection timed out");
             }
         }
@@ -123,8 +126,21 @@
             isConnected_ = true;
             connectedAt_ = bootNow();
             state_->established_[peer_].push_back(weak_from_this());
-            if (isBusy_)
-                sendRequest();
+            if (onProbed_)
+                returnToPool(state_->limits_.idleTimeout_);
+            endProbe(true);
+            if (!isBusy_)
+                return;
+            if (callbacks_.onConnect_)
+                callbacks_.onConnect_();
+            sendRequest();
+        }
+
+        void endProbe(bool isConnected)
+        {
+            state_->connecting_.erase(shared_from_this());
+            if (onProbed_)
+                std::exchange(onProbed_, nullptr)(isConnected);
         }
 
         void sendRequest()
@@ -241,7 +257,7 @@
         void handleEnd(CloseReason how)
         {
             auto self = shared_from_this();
-            state_->connecting_.erase(self);
+            endProbe(false);
             if (!isBusy_)
                 return removeFromIdle();
             if (how != CloseReason::ConnectFailed)
@@ -280,6 +296,7 @@
         std::shared_ptr<TcpLink> link_;
         HttpReader reader_;
         OutboundCallbacks callbacks_;
+        std::function<void(bool)> onProbed_; ///< Of a connection that is opened without a request.
         std::string request_;
         MonotonicTime connectDeadline_;
         MonotonicTime connectedAt_;
@@ -391,6 +408,13 @@
     return call;
 }
 
+void OutboundPool::probe(const tcp::endpoint& peer, std::function<void(bool isConnected)> done)
+{
+    auto connection = std::make_shared<Connection>(impl_, peer);
+    connection->probe(std::move(done));
+    connection->connect(OutboundRequest {}.connectTimeout_);
+}
+
 void OutboundPool::tick(MonotonicTime now)
 {
     auto connecting = impl_->connecting_;
--- a/src/OutboundPool.h
+++ b/src/OutboundPool.h
@@ -56,6 +56,7 @@
 struct OutboundCallbacks {
     /** Whether a response belongs to this request; other responses are skipped. Optional. */
     std::function<bool(const HttpHead&)> matchesRequest_;
+    std::function<void()> onConnect_; ///< A new connection was established for the exchange. Optional.
     std::function<void(const HttpHead&)> onHead_;
     std::function<void(std::string)> onBody_;
     std::function<void(const OutboundResult&)> onEnd_; ///< Called once, unless the exchange is cancelled.
@@ -89,6 +90,9 @@
     ~OutboundPool();
 
     std::shared_ptr<OutboundCall> send(OutboundRequest request, OutboundCallbacks callbacks);
+    /** Opens a connection without a request and keeps it for later ones. `done` is called once with whether
+     * the peer accepted it. */
+    void probe(const asio::ip::tcp::endpoint& peer, std::function<void(bool isConnected)> done);
     /** Fails connection attempts that time out and closes idle connections. To be called periodically. */
     void tick(MonotonicTime now);
     /** Closes all idle connections: after a pause of the VM their peers may have closed them unnoticed. */
--- a/src/TargetChoice.cpp
+++ b/src/TargetChoice.cpp
@@ -197,6 +197,14 @@
         && (state.consecutiveFailures_ < pool.options_.failuresBeforeBackoff_ || state.inFlight_ == 0);
 }
 
+bool isAcceptedByAny(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
+{
+    return std::any_of(pool.targets_.begin(), pool.targets_.end(), [&](const auto& entry) {
+        return servesCall(entry.second.target_, call) && acceptsNewCalls(pool, entry.second, now)
+            && !call.avoid_.count(entry.first);
+    });
+}
+
 TokenCount uncachedAt(const TargetPool& pool, const QueuedCall& call, const TargetId& target)
 {
     auto program = pool.cachedPrefixes_.find(call.program_);
--- a/src/TargetChoice.h
+++ b/src/TargetChoice.h
@@ -18,6 +18,9 @@
 /** Whether a target accepts new calls now: it is neither leaving nor in backoff. */
 bool acceptsNewCalls(const TargetPool& pool, const TargetState& state, MonotonicTime now);
 
+/** Whether any target that may run a call accepts new calls now. */
+bool isAcceptedByAny(const TargetPool& pool, const QueuedCall& call, MonotonicTime now);
+
 /** Number of prompt tokens that a target would have to compute. */
 TokenCount uncachedAt(const TargetPool& pool, const QueuedCall& call, const TargetId& target);
 
--- a/src/Transfer.cpp
+++ b/src/Transfer.cpp
@@ -27,6 +27,16 @@
             { "left_ms", msText(call.deadline_ - transfer.sentAt_) }, { "load", load } });
 }
 
+void logRelay(const Transfer& transfer, const char* reason)
+{
+    const ForwardedCall& call = transfer.call_;
+    logEvent("relay",
+        { { "request", call.tags_.attempt_.value_ }, { "peer", transfer.relayPeer_.value_ },
+            { "attempt", std::to_string(transfer.sends_) },
+            { "link_failures", std::to_string(transfer.linkFailures_) },
+            { "left_ms", msText(call.deadline_ - transfer.sentAt_) }, { "reason", reason } });
+}
+
 void logFinish(
     const Transfer& transfer, const char* outcome, int status, const std::string& reason, MonotonicTime now)
 {
@@ -36,7 +46,7 @@
             { "program", call.tags_.program_.value_ }, { "route", call.route_.name_ },
             { "service", call.service_.id_.value_ }, { "outcome", outcome },
             { "status", std::to_string(status) }, { "reason", reason }, { "target", transfer.target_.value_ },
-            { "sends", std::to_string(transfer.sends_) },
+            { "relay", transfer.relayPeer_.value_ }, { "sends", std::to_string(transfer.sends_) },
             { "may_have_run", std::to_string(transfer.possibleRuns_) },
             { "total_ms", msText(now - call.request_.arrived_) },
             { "tokens", std::to_string(generatedTokens(transfer).value_) },
--- a/src/Transfer.h
+++ b/src/Transfer.h
@@ -28,6 +28,10 @@
     AnswerRelay relay_;
     OutboundResult::ConnectionEnd connectionEnd_ = OutboundResult::ConnectionEnd::Open; ///< Of the last send.
     MonotonicTime sentAt_;
+    std::uint32_t linkFailures_ = 0; ///< Targets that could not be reached.
+    std::set<VmId> relaysTried_;
+    VmId relayPeer_; ///< The VM through which the request is in flight; empty if it was sent directly.
+    std::optional<RelayOutcome> relayOutcome_; ///< What that VM has answered.
     bool isQueued_ = false;
     bool isRefusal_ = false; ///< The target states that it has not run the request.
     bool isPaused_ = false;
@@ -41,6 +45,9 @@
 /** Logs that a request is sent; `load` describes the target. */
 void logSend(const Transfer& transfer, const std::string& load);
 
+/** Logs that a request is given to another VM. */
+void logRelay(const Transfer& transfer, const char* reason);
+
 /** Logs the final outcome of a request. */
 void logFinish(
     const Transfer& transfer, const char* outcome, int status, const std::string& reason, MonotonicTime now);
--- a/standin/PlatformStore.cpp
+++ b/standin/PlatformStore.cpp
@@ -6,6 +6,7 @@
 #include <boost/archive/iterators/transform_width.hpp>
 #include <charconv>
 #include <fmt/format.h>
+#include <list>
 #include <nlohmann/json.hpp>
 
 namespace fescue::standin {
@@ -105,16 +106,36 @@
         std::uint64_t from_;
         MonotonicTime deadline_;
         std::shared_ptr<FrontReply> reply_;
+        const View* view_;
     };
 
+    asio::io_context& io_;
     StoreFaults faults_;
     std::map<PartitionId, Partition> partitions_;
     std::vector<WaitingRead> waitingReads_;
     std::vector<std::shared_ptr<FrontReply>> unanswered_;
     std::uint64_t appends_ = 0;
-    std::unique_ptr<FrontServer> server_;
+    std::list<std::pair<View, std::unique_ptr<FrontServer>>> servers_; ///< The first one is the store's own.
 
-    void handle(const FrontRequest& request, std::shared_ptr<FrontReply> reply)
+    explicit Impl(asio::io_context& io)
+        : io_(io)
+    {
+        addServer([](const std::string&, const std::string& value) { return value; });
+    }
+
+    std::uint16_t addServer(View view)
+    {
+        auto& server = servers_.emplace_back(std::move(view), nullptr);
+        server.second = std::make_unique<FrontServer>(
+            io_, "127.0.0.1:0",
+            [this, view = &server.first](const FrontRequest& request, std::shared_ptr<FrontReply> reply) {
+                handle(request, std::move(reply), view);
+            },
+            [](int, const char*, const HttpHead*) {});
+        return server.second->port();
+    }
+
+    void handle(const FrontRequest& request, std::shared_ptr<FrontReply> reply, const View* view)
     {
         if (faults_.isSilent_) {
             unanswered_.push_back(std::move(reply));
@@ -127,9 +148,9 @@
         if (target.rfind("/log-append", 0) == 0)
             append(id, request, std::move(reply));
         else if (target.rfind("/log-read", 0) == 0)
-            read(id, target, std::move(reply));
+            read(id, target, std::move(reply), view);
         else if (target.rfind("/log-newest", 0) == 0)
-            readNewest(id, target, *reply);
+            readNewest(id, target, *reply, *view);
         else
             answer(*reply, 404, "");
     }
@@ -171,7 +192,8 @@
         }
     }
 
-    void read(const PartitionId& id, const std::string& target, std::shared_ptr<FrontReply> reply)
+    void read(
+        const PartitionId& id, const std::string& target, std::shared_ptr<FrontReply> reply, const View* view)
     {
         const Partition& partition = partitions_[id];
         std::uint64_t from = queryNumber(target, "from");
@@ -179,32 +201,34 @@
             return answer(*reply, 410, json { { "first-offset", partition.first_ } }.dump());
         std::uint64_t wait = queryNumber(target, "wait-ms");
         if (from >= partition.end() && wait > 0) {
-            waitingReads_.push_back({ id, from, bootNow() + Milliseconds { wait }, std::move(reply) });
+            waitingReads_.push_back({ id, from, bootNow() + Milliseconds { wait }, std::move(reply), view });
             return;
         }
-        answerRead(partition, from, *reply);
+        answerRead(id, from, *reply, *view);
     }
 
-    static void answerRead(const Partition& partition, std::uint64_t from, FrontReply& reply)
+    void answerRead(const PartitionId& id, std::uint64_t from, FrontReply& reply, const View& view)
     {
+        const Partition& partition = partitions_[id];
         std::string body
             = encodeBigEndian(partition.end(), offsetBytes) + encodeBigEndian(partition.first_, offsetBytes);
         for (std::uint64_t at = from; at < partition.end(); ++at) {
             const Record& record = partition.records_[at - partition.first_];
-            body += encodeBigEndian(1 + record.key_.size() + record.value_.size(), lengthBytes);
-            body += encodeBigEndian(record.key_.size(), 1) + record.key_ + record.value_;
+            std::string value = record.value_.empty() ? std::string() : view(id.first, record.value_);
+            body += encodeBigEndian(1 + record.key_.size() + value.size(), lengthBytes);
+            body += encodeBigEndian(record.key_.size(), 1) + record.key_ + value;
         }
         answer(reply, 200, body);
     }
 
-    void readNewest(const PartitionId& id, const std::string& target, FrontReply& reply)
+    void readNewest(const PartitionId& id, const std::string& target, FrontReply& reply, const View& view)
     {
         const Partition& partition = partitions_[id];
         json items = json::array();
         std::string after = queryValue(target, "after");
         auto at = after.empty() ? partition.newest_.begin() : partition.newest_.upper_bound(after);
         for (; at != partition.newest_.end() && items.size() < pageSize; ++at)
-            items.push_back({ { "key", at->first }, { "value", toBase64(at->second.second) },
+            items.push_back({ { "key", at->first }, { "value", toBase64(view(id.first, at->second.second)) },
                 { "offset", at->second.first } });
         bool hasMore = at != partition.newest_.end();
         answer(reply, 200,
@@ -217,7 +241,7 @@
         waitingReads_.clear();
         for (WaitingRead& entry : waiting) {
             if (entry.partition_ == id)
-                answerRead(partitions_[id], entry.from_, *entry.reply_);
+                answerRead(id, entry.from_, *entry.reply_, *entry.view_);
             else
                 waitingReads_.push_back(std::move(entry));
         }
@@ -225,19 +249,15 @@
 };
 
 PlatformStore::PlatformStore(asio::io_context& io)
-    : impl_(std::make_shared<Impl>())
+    : impl_(std::make_shared<Impl>(io))
 {
-    impl_->server_ = std::make_unique<FrontServer>(
-        io, "127.0.0.1:0",
-        [impl = impl_.get()](const FrontRequest& request, std::shared_ptr<FrontReply> reply) {
-            impl->handle(request, std::move(reply));
-        },
-        [](int, const char*, const HttpHead*) {});
 }
 
 PlatformStore::~PlatformStore() = default;
 
-std::uint16_t PlatformStore::port() const { return impl_->server_->port(); }
+std::uint16_t PlatformStore::port() const { return impl_->servers_.front().second->port(); }
+
+std::uint16_t PlatformStore::addView(View view) { return impl_->addServer(std::move(view)); }
 
 StoreFaults& PlatformStore::faults() { return impl_->faults_; }
 
@@ -280,11 +300,12 @@
     impl_->waitingReads_.clear();
     for (Impl::WaitingRead& entry : waiting) {
         if (now >= entry.deadline_)
-            Impl::answerRead(impl_->partitions_[entry.partition_], entry.from_, *entry.reply_);
+            impl_->answerRead(entry.partition_, entry.from_, *entry.reply_, *entry.view_);
         else
             impl_->waitingReads_.push_back(std::move(entry));
     }
-    impl_->server_->tick(now);
+    for (auto& server : impl_->servers_)
+        server.second->tick(now);
 }
 
 } // namespace fescue::standin
--- a/standin/PlatformStore.h
+++ b/standin/PlatformStore.h
@@ -11,6 +11,7 @@
 #include "OutboundPool.h"
 
 #include <asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -34,6 +35,10 @@
     ~PlatformStore();
 
     std::uint16_t port() const;
+    /** Serves the same records at another port, with each value of a topic as `view` returns it. Returns the
+     * port. */
+    using View = std::function<std::string(const std::string& topic, const std::string& value)>;
+    std::uint16_t addView(View view);
     StoreFaults& faults();
     /** Writes a record like the operator or a target. An empty value deletes the key. */
     void put(const std::string& topic, const std::string& key, const std::string& value);
--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -150,6 +150,23 @@
     return true;
 }
 
+BlackHole::BlackHole(asio::io_context& io)
+    : acceptor_(io)
+{
+    acceptor_.open(tcp::v4());
+    acceptor_.bind(tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    acceptor_.listen(0);
+    constexpr int queued = 4; // The queue of a listening socket holds one connection more than its size.
+    for (int i = 0; i < queued; ++i) {
+        waiting_.emplace_back(io);
+        waiting_.back().open(tcp::v4());
+        waiting_.back().native_non_blocking(true);
+        // Not through Asio, which would wait until the connection is established.
+        auto address = acceptor_.local_endpoint();
+        ::connect(waiting_.back().native_handle(), address.data(), static_cast<socklen_t>(address.size()));
+    }
+}
+
 std::string stampedHead(const HttpHead& request, const std::string& framing, int status)
 {
     const std::string* id = findHeader(request, "Fescuewinch-Request-Id");
@@ -180,6 +197,8 @@
 
 EntryVmHarness::EntryVmHarness(std::vector<ScriptedTarget::Script> scripts, bool hasConfig, std::size_t vms)
     : store_(std::make_unique<standin::PlatformStore>(io_))
+    , closedPort_(findFreePort(io_))
+    , blackHole_(std::make_unique<BlackHole>(io_))
     , eventsFolder_(makeEventsFolder())
 {
     for (auto& script : scripts)
@@ -218,6 +237,11 @@
     vm.callerPort_ = findFreePort(io_);
     vm.readyPort_ = findFreePort(io_);
     vm.peerPort_ = findFreePort(io_);
+    vm.links_ = std::make_shared<LinkFault>(LinkFault::None);
+    int storePort
+        = store_->addView([this, links = vm.links_](const std::string& topic, const std::string& value) {
+              return topic == "keyed.servers" ? viewWith(value, *links) : value;
+          });
     vm.settingsFile_ = fmt::format("/tmp/fescue-entry-test-{}-{}.yaml", ::getpid(), vm.callerPort_);
     std::ofstream(vm.settingsFile_) << fmt::format(
         "node-name: {}\nip: 127.0.0.1\nzone: z\nport-range: [ {}, 0 ]\nheartbeat-ms: {}\n"
@@ -225,10 +249,31 @@
         "limits: {{ cpu-quota: 1, memory-mb: 100 }}\n"
         "bounds: {{ drain-ms: 2000, grace-s: 6, config-apply-ms: 2000, settle-ms: 1000 }}\n"
         "platform: {{ address: '127.0.0.1:{}', parts: 2 }}\n",
-        vm.name_, vm.peerPort_, heartbeatInterval.count(), vm.callerPort_, vm.readyPort_, store_->port());
+        vm.name_, vm.peerPort_, heartbeatInterval.count(), vm.callerPort_, vm.readyPort_, storePort);
     return vm;
 }
 
+// The entry of a target as a VM sees it whose connections fail.
+std::string EntryVmHarness::viewWith(const std::string& targetEntry, LinkFault fault) const
+{
+    if (fault == LinkFault::None)
+        return targetEntry;
+    constexpr std::string_view host = "127.0.0.1:";
+    std::size_t port = targetEntry.find(host) + host.size();
+    std::size_t end = targetEntry.find('"', port);
+    int failing = fault == LinkFault::Refused ? closedPort_ : blackHole_->port();
+    return targetEntry.substr(0, port) + std::to_string(failing) + targetEntry.substr(end);
+}
+
+void EntryVmHarness::setLinks(std::size_t vm, LinkFault fault)
+{
+    runOnStore([&](standin::PlatformStore&) {
+        *vms_[vm].links_ = fault;
+        for (std::size_t i = 0; i < targets_.size(); ++i)
+            publishTarget(i, targets_[i]->startName(), true);
+    });
+}
+
 void EntryVmHarness::startProcess(Vm& vm)
 {
     std::string output
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -80,6 +80,17 @@
 /** Headers of a turn of a program, which may use 300 tokens. */
 std::string programHeaders(const std::string& program, const std::string& budget);
 
+/** A port at which connections are never established. */
+class BlackHole {
+public:
+    explicit BlackHole(asio::io_context& io);
+    int port() const { return acceptor_.local_endpoint().port(); }
+
+private:
+    asio::ip::tcp::acceptor acceptor_;
+    std::vector<asio::ip::tcp::socket> waiting_; ///< They fill the queue of the listening socket.
+};
+
 /** What a target states about itself in the store. */
 struct Announcement {
     std::string version_ = "v1";
@@ -101,6 +112,11 @@
     ScriptedTarget& target(std::size_t index) { return *targets_[index]; }
     /** Starts one more VM and waits until it is ready. */
     void addVm();
+    /** How a VM's new connections to targets fail. */
+    enum class LinkFault { None, Refused, Hanging };
+    /** From now on a VM's new connections to all targets fail, or work again; it notices within a heartbeat
+     * of the targets. Those that it has are not used any more. */
+    void setLinks(std::size_t vm, LinkFault fault);
     /** Kills a VM, and starts it again. */
     void restartVm(std::size_t vm);
     std::size_t vmCount() const { return vms_.size(); }
@@ -131,6 +147,7 @@
         int callerPort_ = 0;
         int readyPort_ = 0;
         int peerPort_ = 0;
+        std::shared_ptr<LinkFault> links_; ///< Used on the thread of the stand-ins.
         std::unique_ptr<Process> process_;
     };
 
@@ -142,7 +159,11 @@
     void stop();
 
     asio::io_context io_ { 1 };
+    std::string viewWith(const std::string& targetEntry, LinkFault fault) const;
+
     std::unique_ptr<standin::PlatformStore> store_;
+    int closedPort_ = 0; ///< Nobody listens there.
+    std::unique_ptr<BlackHole> blackHole_;
     std::string eventsFolder_;
     std::vector<std::unique_ptr<ScriptedTarget>> targets_;
     std::vector<Announcement> announcements_; ///< Used on the thread of the stand-ins.
