Never call a relayed request not run that was in flight at its deadline

Where the relaying VM saw the deadline first, it answered 504 and stated no possible run, since what is in flight is not counted yet; the VM of the caller then answered 503, which promises that the call has not run. A failed request now counts as one possible run at least. The caller also gets the Retry-After of the relaying VM, and answers are matched by their attempt on that connection, too.

--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -105,6 +105,15 @@
         dispatchAll();
     }
 
+    // Tells the answer to a request from others on its connection.
+    static std::function<bool(const HttpHead&)> matcherFor(const TransferPtr& transfer)
+    {
+        return [attempt = transfer->call_.tags_.attempt_](const HttpHead& head) {
+            AttemptId answers = platform::decodeAnswerTags(head).attempt_;
+            return answers.empty() || answers == attempt;
+        };
+    }
+
     // Queues a request, or gives it to another VM if this one cannot reach targets.
     void route(const TransferPtr& transfer)
     {
@@ -195,10 +204,7 @@
         request.needsNewConnection_ = transfer->needsNewConnection_;
         request.acceptsUnframed_ = true;
         OutboundCallbacks callbacks;
-        callbacks.matchesRequest_ = [transfer](const HttpHead& head) {
-            AttemptId answers = platform::decodeAnswerTags(head).attempt_;
-            return answers.empty() || answers == transfer->call_.tags_.attempt_;
-        };
+        callbacks.matchesRequest_ = matcherFor(transfer);
         callbacks.onConnect_ = [this, id = target.id_] { links_.recordConnected(id); };
         callbacks.onHead_ = [this, transfer](const HttpHead& head) { handleHead(transfer, head); };
         callbacks.onBody_ = [this, transfer](std::string part) { handleBody(transfer, std::move(part)); };
@@ -349,17 +355,18 @@
         dispatchAll();
     }
 
-    // Tells a VM that relays through this one that the answer is not a target's.
-    static void setRefused(const Transfer& transfer)
+    // Tells a VM that relays through this one that the answer is not a target's, and how often the request
+    // may have run.
+    static void setRefused(const Transfer& transfer, std::uint32_t possibleRuns)
     {
         if (transfer.call_.relayOutcome_)
-            *transfer.call_.relayOutcome_ = { {}, {}, transfer.possibleRuns_, false };
+            *transfer.call_.relayOutcome_ = { {}, {}, possibleRuns, false };
     }
 
     void refuse(const TransferPtr& transfer, const std::string& reason, Milliseconds retryAfter)
     {
         refused_.add();
-        setRefused(*transfer);
+        setRefused(*transfer, 0);
         refuseCall(*transfer->call_.reply_, transfer->call_.tags_.attempt_, unavailable, reason, retryAfter);
         finish(transfer, "refused", unavailable, reason);
     }
@@ -367,7 +374,8 @@
     void fail(const TransferPtr& transfer, int status, const char* reason)
     {
         failed_.add();
-        setRefused(*transfer);
+        // What is in flight does not count as a possible run yet.
+        setRefused(*transfer, std::max(1U, transfer->possibleRuns_));
         if (transfer->relay_.hasStarted_)
             transfer->call_.reply_->abort();
         else
--- a/src/RelayedTransfers.cpp
+++ b/src/RelayedTransfers.cpp
@@ -1,5 +1,8 @@
 #include "CallForwarderImpl.h"
 
+#include <algorithm>
+#include <charconv>
+
 namespace fescue {
 
 namespace {
@@ -9,6 +12,19 @@
     // Of one request, from which on another VM is more likely to reach a target than this one.
     constexpr std::uint32_t minLinkFailures = 2;
 
+    // The time that the relaying VM has named.
+    std::optional<Milliseconds> retryAfterOf(const HttpHead& refusal)
+    {
+        const std::string* value = findHeader(refusal, "Retry-After");
+        double seconds = 0;
+        if (!value
+            || std::from_chars(value->data(), value->data() + value->size(), seconds).ec != std::errc())
+            return std::nullopt;
+        constexpr double msPerSecond = 1000;
+        constexpr double maxSeconds = 60;
+        return Milliseconds { static_cast<std::int64_t>(std::clamp(seconds, 0.0, maxSeconds) * msPerSecond) };
+    }
+
 } // namespace
 
 bool CallForwarder::Impl::needsRelay(const Transfer& transfer) const
@@ -22,6 +38,7 @@
     if (isQuarantined(pool_.quarantine_, transfer->digest_, bootNow()))
         return false;
     OutboundCallbacks callbacks;
+    callbacks.matchesRequest_ = matcherFor(transfer);
     callbacks.onHead_ = [this, transfer](const HttpHead& head) { handleRelayedHead(transfer, head); };
     callbacks.onBody_ = [this, transfer](std::string part) { handleBody(transfer, std::move(part)); };
     callbacks.onEnd_ = [this, transfer](const OutboundResult& end) { handleRelayedEnd(transfer, end); };
@@ -88,7 +105,8 @@
         return retry(transfer, "the other VM cannot relay now");
     if (transfer->possibleRuns_ > 0)
         return fail(transfer, badGateway, "no other target can run the request");
-    refuse(transfer, "the relaying VM found no target for the request", retryAfterFailure);
+    refuse(transfer, "the relaying VM found no target for the request",
+        retryAfterOf(transfer->relay_.head_).value_or(retryAfterFailure));
 }
 
 // Gives queued requests to other VMs once the links are lost.
--- a/test/failure/LostLinks.cpp
+++ b/test/failure/LostLinks.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(streamsAndTurnsGoThroughAnotherVm);
     CPPUNIT_TEST(callThatRunsOnceRunsOnce);
     CPPUNIT_TEST(lossOfTheRelayingVmLeavesTheOutcomeOfACallUnknown);
+    CPPUNIT_TEST(callInFlightAtItsDeadlineIsNotCalledNotRun);
     CPPUNIT_TEST(callersDisconnectReachesTheTarget);
     CPPUNIT_TEST(targetsAreUsedDirectlyOnceLinksAreBack);
     CPPUNIT_TEST(requestsAreRefusedAtOnceWhenNoVmHasLinks);
@@ -111,6 +112,29 @@
         CHECK_EQUAL(1, vms.targetRequests());
     }
 
+    // Either VM may see the deadline first.
+    void callInFlightAtItsDeadlineIsNotCalledNotRun()
+    {
+        EntryVmHarness vms(
+            targetsThat([](const HttpHead&, const std::string&) { return TargetAction {}; }), true, 2);
+        vms.setLinks(0, LinkFault::Refused);
+        sleepFor(noticeTime);
+        constexpr int calls = 24;
+        std::vector<std::thread> callers;
+        std::atomic<int> unknown { 0 };
+        for (int i = 0; i < calls; ++i) {
+            callers.emplace_back([&vms, &unknown, i] {
+                std::this_thread::sleep_for(std::chrono::milliseconds(7 * i));
+                int status = statusOf(vms.request("POST", "/call/1", requestHeaders, "pay"));
+                unknown += status == 502 || status == 504 ? 1 : 0;
+            });
+        }
+        for (std::thread& caller : callers)
+            caller.join();
+        CHECK_EQUAL(calls, vms.targetRequests());
+        CHECK_EQUAL(calls, unknown.load());
+    }
+
     void callersDisconnectReachesTheTarget()
     {
         EntryVmHarness vms(
