--- a/test/correctness/LeavingBeliefs.cpp
+++ b/test/correctness/LeavingBeliefs.cpp
@@ -62,9 +62,9 @@
     void beliefOutlivesALapsedEntry()
     {
         CHECK(endBeliefs(leaving_.beliefs_, {}, now + Milliseconds { 60000 }).empty());
-        CHECK(
-            endBeliefs(leaving_.beliefs_, listOf({ entryOf("i-1", Milliseconds { 7 }) }), now + Milliseconds { 61000 })
-                .empty());
+        CHECK(endBeliefs(
+            leaving_.beliefs_, listOf({ entryOf("i-1", Milliseconds { 7 }) }), now + Milliseconds { 61000 })
+                  .empty());
         CHECK(hasSaidItLeaves(leaving_, { "i-1" }, Milliseconds { 7 }));
         auto ended = endBeliefs(leaving_.beliefs_, {}, now + Milliseconds { 900000 });
         CHECK_EQUAL(std::size_t { 1 }, ended.size());
--- a/test/failure/LostLinks.cpp
+++ b/test/failure/LostLinks.cpp
@@ -121,6 +121,7 @@
         sleepFor(noticeTime);
         constexpr int calls = 24;
         std::vector<std::thread> callers;
+        callers.reserve(calls);
         std::atomic<int> unknown { 0 };
         for (int i = 0; i < calls; ++i) {
             callers.emplace_back([&vms, &unknown, i] {
--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -4,6 +4,7 @@
 #include "FreePort.h"
 
 #include <asio/post.hpp>
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -163,7 +164,10 @@
         waiting_.back().native_non_blocking(true);
         // Not through Asio, which would wait until the connection is established.
         auto address = acceptor_.local_endpoint();
-        ::connect(waiting_.back().native_handle(), address.data(), static_cast<socklen_t>(address.size()));
+        int result = ::connect(
+            waiting_.back().native_handle(), address.data(), static_cast<socklen_t>(address.size()));
+        if (result != 0 && errno != EINPROGRESS)
+            throw std::runtime_error("cannot fill the queue of a listening socket");
     }
 }
 
