--- a/src/PeerStreams.cpp
+++ b/src/PeerStreams.cpp
@@ -2,8 +2,6 @@
 
 #include "CborMessage.h"
 
-#include <algorithm>
-
 namespace fescue {
 
 namespace {
@@ -13,9 +11,7 @@
     // An array of `count` strings.
     bool isStrings(const json& document, std::size_t count)
     {
-        return document.is_array() && document.size() == count
-            && std::all_of(
-                document.begin(), document.end(), [](const json& field) { return field.is_string(); });
+        return document.is_array() && document.size() == count && areStrings(document, 0, count);
     }
 
     json toArray(const std::optional<StreamOrigin>& origin)
