--- a/src/AnswerRelay.cpp
+++ b/src/AnswerRelay.cpp
@@ -68,6 +68,8 @@
     }
     if (relay.isStream_)
         relay.events_.feed(part);
+    if (relay.data_)
+        relay.data_->feed(part);
     const char* excess = findExcess(relay);
     if (!excess)
         relay.reply_->write(part);
--- a/src/AnswerRelay.h
+++ b/src/AnswerRelay.h
@@ -13,9 +13,11 @@
  */
 
 #include "EventCounter.h"
+#include "EventData.h"
 #include "FrontServer.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace fescue {
@@ -28,6 +30,7 @@
     HttpHead head_; ///< Of the target's last answer.
     std::string buffered_;
     EventCounter events_; ///< Passed on.
+    std::optional<EventData> data_; ///< Of these events; nothing if it is not needed.
     bool hasStarted_ = false; ///< The head was sent to the caller.
 };
 
--- a/src/BudgetStore.cpp
+++ b/src/BudgetStore.cpp
@@ -3,8 +3,6 @@
 #include "BootClock.h"
 #include "EventLog.h"
 #include "Metrics.h"
-#include "StoreClient.h"
-#include "StoreThrottle.h"
 
 #include <algorithm>
 #include <chrono>
@@ -18,13 +16,13 @@
 
     // Number of topics that programs are hashed to, so that each partition holds few programs.
     constexpr std::uint64_t topicCount = 32;
-    constexpr int httpTooManyRequests = 429;
     // A queued claim that no turn waits for is dropped after this time. Until then the next turn of its
     // running program may need it.
     constexpr Milliseconds claimStaleAfter { 300 };
     // A turn that the throttle would delay for longer is refused at once; another VM can serve it sooner.
     constexpr double maxClaimWaitSeconds = 0.5;
     constexpr double callsPerClaim = 2; // A write and a read.
+    constexpr const char* storeUser = "budget"; // In logs.
     // Records of other writers are deleted this long after their expiry.
     constexpr std::int64_t foreignExpiryGraceSeconds = 300;
 
@@ -60,27 +58,20 @@
 } // namespace
 
 struct BudgetStore::Impl : std::enable_shared_from_this<BudgetStore::Impl> {
-    platform::StoreClient& store_;
-    StoreHealth& health_;
+    PacedStore& store_;
     std::uint32_t partitions_;
     OnDecision decide_;
     BudgetEscrow escrow_;
     std::map<platform::StorePartition, PartitionQueue> partitionQueues_;
     std::deque<platform::StorePartition> urgent_; ///< Queues with a call to send that turns wait for.
     std::deque<platform::StorePartition> deferrable_; ///< Other queues with a call to send.
-    StoreThrottle throttle_;
-    Random random_;
     Counter writes_ { "budget_writes_total" };
     Counter reads_ { "budget_reads_total" };
-    Counter overRate_ { "budget_calls_over_rate_total" };
 
-    Impl(platform::StoreClient& store, StoreHealth& health, const WriterId& writer, std::uint32_t partitions,
-        OnDecision decide)
+    Impl(PacedStore& store, std::uint32_t partitions, OnDecision decide)
         : store_(store)
-        , health_(health)
         , partitions_(partitions)
         , decide_(std::move(decide))
-        , random_(XXH64(writer.value_.data(), writer.value_.size(), 0))
     {
     }
 
@@ -101,7 +92,12 @@
             else if (const auto* drop = std::get_if<DropClaim>(&effect))
                 enqueue({ drop->program_, {}, false, true, bootNow() });
         }
-        if (!health_.isUp_)
+        refuseWaitingTurnsIfDown();
+    }
+
+    void refuseWaitingTurnsIfDown()
+    {
+        if (!store_.health().isUp_)
             refuseWaitingTurns();
     }
 
@@ -152,7 +148,7 @@
     // Sends the calls that the throttle allows.
     void sendScheduled()
     {
-        while (canCallStore(throttle_, bootNow()) && !(urgent_.empty() && deferrable_.empty())) {
+        while (store_.canCall() && !(urgent_.empty() && deferrable_.empty())) {
             auto& scheduled = urgent_.empty() ? deferrable_ : urgent_;
             platform::StorePartition partition = scheduled.front();
             scheduled.pop_front();
@@ -197,7 +193,7 @@
     bool isOverloaded() const
     {
         return static_cast<double>(urgent_.size()) * callsPerClaim
-            > throttle_.rate_.value_ * maxClaimWaitSeconds;
+            > store_.throttle().rate_.value_ * maxClaimWaitSeconds;
     }
 
     void onTurnRequested(
@@ -234,16 +230,11 @@
     void sendAppend(const platform::StorePartition& partition, PartitionQueue& queue)
     {
         writes_.add();
-        onStoreCallStarted(throttle_, bootNow());
-        store_.append(partition, queue.records_, { escrow_.writer_, queue.nextSequence_ },
-            storeTimeout(throttle_),
-            [weak = weak_from_this(), partition, startedAt = bootNow()](
-                tl::expected<std::uint64_t, platform::StoreError> offset) {
-                auto self = weak.lock();
-                if (!self)
-                    return;
-                self->recordLatency(startedAt, offset ? nullptr : &offset.error());
-                self->onAppended(partition, offset);
+        platform::StoreWriter writer { escrow_.writer_, queue.nextSequence_ };
+        store_.append(partition, queue.records_, writer, storeUser,
+            [weak = weak_from_this(), partition](tl::expected<std::uint64_t, platform::StoreError> offset) {
+                if (auto self = weak.lock())
+                    self->onAppended(partition, offset);
             });
     }
 
@@ -251,7 +242,7 @@
         const tl::expected<std::uint64_t, platform::StoreError>& offset)
     {
         PartitionQueue& queue = partitionQueues_[partition];
-        recordOutcome(offset ? nullptr : &offset.error());
+        refuseWaitingTurnsIfDown();
         if (!offset) {
             if (offset.error().failure_ == platform::StoreFailure::OutOfSequence) {
                 // The store has applied a later append of this writer and accepts only the next number.
@@ -287,30 +278,19 @@
     void sendRead(const platform::StorePartition& partition, const std::string& after)
     {
         reads_.add();
-        onStoreCallStarted(throttle_, bootNow());
-        store_.readNewest(partition, after, storeTimeout(throttle_),
-            [weak = weak_from_this(), partition, startedAt = bootNow()](
+        store_.readNewest(partition, after, storeUser,
+            [weak = weak_from_this(), partition](
                 tl::expected<platform::NewestPage, platform::StoreError> page) {
-                auto self = weak.lock();
-                if (!self)
-                    return;
-                self->recordLatency(startedAt, page ? nullptr : &page.error());
-                self->onPageRead(partition, page);
+                if (auto self = weak.lock())
+                    self->onPageRead(partition, page);
             });
     }
 
-    // Refusals are faster than regular answers and would distort the latency estimate.
-    void recordLatency(MonotonicTime startedAt, const platform::StoreError* error)
-    {
-        if (!error)
-            recordStoreLatency(throttle_, bootNow() - startedAt);
-    }
-
     void onPageRead(const platform::StorePartition& partition,
         const tl::expected<platform::NewestPage, platform::StoreError>& page)
     {
         PartitionQueue& queue = partitionQueues_[partition];
-        recordOutcome(page ? nullptr : &page.error());
+        refuseWaitingTurnsIfDown();
         if (!page) {
             queue.readClaims_.clear();
             return schedule(partition, queue);
@@ -371,48 +351,24 @@
                 { "others_claimed", std::to_string(claimed.value_) } });
     }
 
-    static StoreCallOutcome outcomeOf(const platform::StoreError& error)
-    {
-        if (error.status_ == httpTooManyRequests)
-            return StoreCallOutcome::OverRate;
-        bool hasAnswer = error.failure_ != platform::StoreFailure::NoAnswer || error.status_ != 0;
-        return hasAnswer ? StoreCallOutcome::Refused : StoreCallOutcome::TimedOut;
-    }
-
-    void recordOutcome(const platform::StoreError* error)
-    {
-        // A rejected sequence number or truncated history is an answer of a working store.
-        bool isAnswered = !error || error->failure_ == platform::StoreFailure::OutOfSequence
-            || error->failure_ == platform::StoreFailure::HistoryTruncated;
-        int status = error ? error->status_ : 0;
-        onStoreCallEnded(throttle_, error ? outcomeOf(*error) : StoreCallOutcome::Served, bootNow(), random_);
-        // The store works but is over its rate limit. Reads show whether it refuses this VM altogether.
-        if (status == httpTooManyRequests) {
-            overRate_.add();
-            logEvent("store-over-rate",
-                { { "calls_per_s", fmt::format("{:.0f}", throttle_.rate_.value_) },
-                    { "pauses", std::to_string(throttle_.failures_) } });
-            return;
-        }
-        if (recordStoreOutcome(health_, isAnswered, "budget", status, bootNow()) && !health_.isUp_)
-            refuseWaitingTurns();
-    }
-
     void tick(bool isDraining, MonotonicTime now)
     {
-        if (!health_.isUp_ || isStoreFailing(throttle_, now))
+        if (store_.isFailing())
             refuseWaitingTurns();
         sendScheduled();
-        if (health_.isUp_)
+        if (store_.health().isUp_)
             applyEffects(tickEscrow(escrow_, isDraining, now));
     }
 };
 
-BudgetStore::BudgetStore(platform::StoreClient& store, StoreHealth& health, WriterId writer,
-    std::uint32_t partitions, OnDecision decide)
-    : impl_(std::make_shared<Impl>(store, health, writer, partitions, std::move(decide)))
+BudgetStore::BudgetStore(PacedStore& store, WriterId writer, std::uint32_t partitions, OnDecision decide)
+    : impl_(std::make_shared<Impl>(store, partitions, std::move(decide)))
 {
     impl_->escrow_.writer_ = std::move(writer);
+    store.onCallEnded([weak = std::weak_ptr(impl_)] {
+        if (auto self = weak.lock())
+            self->sendScheduled();
+    });
 }
 
 BudgetStore::~BudgetStore() = default;
@@ -451,7 +407,7 @@
     if (!budget->isWriting_)
         return "other turns of the program";
     return fmt::format("a claim, {} calls of the store under way, {:.0f} a second allowed, {} lanes wait",
-        impl_->throttle_.inFlight_, impl_->throttle_.rate_.value_,
+        impl_->store_.throttle().inFlight_, impl_->store_.throttle().rate_.value_,
         impl_->urgent_.size() + impl_->deferrable_.size());
 }
 
--- a/src/BudgetStore.h
+++ b/src/BudgetStore.h
@@ -9,15 +9,11 @@
  */
 
 #include "BudgetEscrow.h"
-#include "StoreHealth.h"
+#include "PacedStore.h"
 
 #include <functional>
 #include <memory>
 
-namespace fescue::platform {
-class StoreClient;
-}
-
 namespace fescue {
 
 /** The token budgets of an entry VM. Not thread-safe; to be used on the thread of the event loop only. */
@@ -25,9 +21,8 @@
 public:
     using OnDecision = std::function<void(TurnId, TurnDecision)>;
 
-    /** Precondition: `store` and `health` outlive this object. `partitions` is the number per topic. */
-    BudgetStore(platform::StoreClient& store, StoreHealth& health, WriterId writer, std::uint32_t partitions,
-        OnDecision decide);
+    /** Precondition: `store` outlives this object. `partitions` is the number per topic. */
+    BudgetStore(PacedStore& store, WriterId writer, std::uint32_t partitions, OnDecision decide);
     ~BudgetStore();
 
     /** Requests tokens for a turn; the decision may be reported before this returns. */
--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -38,7 +38,7 @@
     impl_->callRelay_.serve(std::move(handler));
 }
 
-std::size_t CallForwarder::openCallCount() const { return impl_->transfers_.size(); }
+std::size_t CallForwarder::openCallCount() const { return impl_->transfers_.size() + impl_->held_.size(); }
 
 std::size_t CallForwarder::queuedCallCount() const { return impl_->pool_.queue_.calls_.size(); }
 
--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -51,6 +51,7 @@
     LinkWatch links_;
     CallRelay callRelay_;
     std::map<DispatchId, TransferPtr> transfers_;
+    std::set<TransferPtr> held_; ///< Streams that are complete but for their end, which waits for `onWhole_`.
     std::uint64_t lastId_ = 0;
     Counter answered_ { "calls_total", { "outcome", "answered" } };
     Counter refused_ { "calls_total", { "outcome", "refused" } };
@@ -95,6 +96,8 @@
         transfer->digest_ = digestOf(transfer->call_.request_.head_, transfer->call_.request_.body_);
         transfer->relay_.reply_ = transfer->call_.reply_;
         transfer->relay_.isStream_ = transfer->call_.route_.isStream_;
+        if (transfer->call_.onWhole_)
+            transfer->relay_.data_.emplace();
         transfer->relay_.maxEvents_
             = maxEventsOf(transfer->call_.tags_.maxTokens_, transfer->call_.service_.tokensPerEvent_);
         transfer->call_.reply_->onDisconnect([weak = weak_from_this(), transfer] {
@@ -303,6 +306,29 @@
         if (isSuccess(transfer->relay_.head_))
             crashTracker_.onCompleted(transfer->digest_);
         endDispatch(transfer, DispatchOutcome::Answered);
+        if (transfer->call_.onWhole_ && isSuccess(transfer->relay_.head_))
+            return holdEnd(transfer);
+        finishAnswer(transfer);
+    }
+
+    void holdEnd(const TransferPtr& transfer)
+    {
+        held_.insert(transfer);
+        std::exchange(transfer->call_.onWhole_, nullptr)(
+            transfer->relay_.data_->text(), [weak = weak_from_this(), transfer](bool isKept) {
+                auto self = weak.lock();
+                if (!self || self->held_.erase(transfer) == 0)
+                    return; // The caller has gone.
+                if (isKept)
+                    self->finishAnswer(transfer);
+                else
+                    self->fail(transfer, gatewayTimeout, "the turn could not be kept before its deadline");
+            });
+        dispatchAll();
+    }
+
+    void finishAnswer(const TransferPtr& transfer)
+    {
         finishRelay(transfer->relay_);
         answered_.add();
         observeLatency("call_seconds", bootNow() - transfer->call_.request_.arrived_);
@@ -387,7 +413,8 @@
     {
         if (transfer->isFinished_)
             return;
-        cancelTransfer(transfer);
+        if (held_.erase(transfer) == 0)
+            cancelTransfer(transfer);
         gone_.add();
         finish(transfer, "caller-gone", 0, "the caller closed its connection");
         dispatchAll();
--- a/src/CallTags.h
+++ b/src/CallTags.h
@@ -29,6 +29,7 @@
     /** The attempt that brought the first event of the stream that this request resumes; empty if the caller
      * does not state it. */
     AttemptId resumes_;
+    AttemptId previousTurn_; ///< The turn that this one continues from; empty at the start of a conversation.
     std::string lastEvent_; ///< Id of the last event that the caller holds; empty if it resumes no stream.
     std::optional<Milliseconds> deadline_; ///< How long the caller waits, counted from arrival.
     ProgramId program_;
--- /dev/null
+++ b/src/ConversationStore.cpp
@@ -0,0 +1,529 @@
+#include "ConversationStore.h"
+
+#include "BootClock.h"
+#include "EventLog.h"
+#include "Metrics.h"
+#include "TurnArchive.h"
+
+#include <algorithm>
+#include <list>
+#include <set>
+
+namespace fescue {
+
+namespace {
+
+    constexpr const char* chainPath = "/conversations/chain";
+    constexpr const char* copyPath = "/conversations/copies";
+    constexpr const char* keepPath = "/conversations/keep";
+    constexpr int httpOk = 200;
+    constexpr int httpUnavailable = 503;
+    // A directory answers from memory; a failed one costs each turn this time until it is in backoff.
+    constexpr Milliseconds directoryTimeout { 80 };
+    // A read of the store by this VM or a peer; longer than the read of a slow but working store.
+    constexpr Milliseconds storeReadTimeout { 500 };
+    // Beyond the time that the peer has for its read.
+    constexpr Milliseconds peerMargin { 100 };
+    // A write that has no acknowledgement by then is also given to a peer.
+    constexpr Milliseconds peerKeepDelay { 200 };
+    constexpr Milliseconds peerKeepTimeout { 600 };
+    constexpr std::size_t maxPeersToRead = 2;
+    constexpr std::size_t maxPeersToKeep = 3;
+    // Records live longer than the retention, so that turns of programs that go on need no second write.
+    constexpr int lifeMarginDivisor = 4;
+    // Turns of a program follow each other within seconds.
+    constexpr Milliseconds cacheTimeToLive { 120000 };
+    // Room in a record for ids, ancestors and the output of a turn.
+    constexpr std::size_t maxInputDivisor = 2;
+
+} // namespace
+
+struct ConversationStore::Impl : std::enable_shared_from_this<ConversationStore::Impl> {
+    // A search for a chain, one source after the other.
+    struct Search {
+        enum class Stage { Directory, Store, Peers };
+        ChainSearch query_;
+        OnFound done_;
+        bool isForPeer_ = false; ///< Reads the store, and asks nobody.
+        Stage stage_ = Stage::Directory;
+        MonotonicTime startedAt_;
+        std::shared_ptr<OutboundCall> call_;
+        VmId peer_; ///< That `call_` was sent to.
+        MonotonicTime callDeadline_;
+        std::set<VmId> peersAsked_;
+        std::map<AttemptId, StoredTurn> read_; ///< From the store or memory.
+        std::size_t unread_ = 0;
+        bool isIncomplete_ = false; ///< An ancestor could not be read.
+    };
+    using SearchPtr = std::shared_ptr<Search>;
+
+    // Turns that are being written.
+    struct Write {
+        TurnChain turns_;
+        Milliseconds life_ { 0 };
+        MonotonicTime deadline_;
+        std::function<void(const char* source)> done_; ///< With null if they could not be written.
+        std::vector<TurnArchive::WriteId> writes_;
+        std::size_t unwritten_ = 0;
+        bool canAskPeers_ = true;
+        std::shared_ptr<OutboundCall> call_;
+        VmId peer_; ///< That `call_` was sent to.
+        MonotonicTime callDeadline_;
+        MonotonicTime askPeerAt_;
+        std::set<VmId> peersAsked_;
+    };
+    using WritePtr = std::shared_ptr<Write>;
+
+    PacedStore& store_;
+    PeerExchange& exchange_;
+    ConversationOptions options_;
+    TurnArchive archive_;
+    ConversationCache cache_;
+    std::list<SearchPtr> searches_;
+    std::list<WritePtr> writes_;
+    bool isDraining_ = false;
+    Counter found_ { "turn_searches_total", { "outcome", "found" } };
+    Counter absent_ { "turn_searches_total", { "outcome", "absent" } };
+    Counter unknown_ { "turn_searches_total", { "outcome", "unknown" } };
+    Counter kept_ { "turns_kept_total", { "outcome", "kept" } };
+    Counter lost_ { "turns_kept_total", { "outcome", "not-kept" } };
+    Counter keptByPeer_ { "turns_kept_by_peers_total" };
+
+    Impl(PacedStore& store, PeerExchange& exchange, const ConversationOptions& options)
+        : store_(store)
+        , exchange_(exchange)
+        , options_(options)
+        , archive_(store, { options.writer_, options.partitions_, options.maxRecordBytes_ })
+    {
+        cache_.maxBytes_ = options.cacheBytes_;
+        exchange_.serve(chainPath, [this](const FrontRequest& request, std::shared_ptr<FrontReply> reply) {
+            handleChainQuery(request, std::move(reply));
+        });
+        exchange_.serve(
+            copyPath, [this](const FrontRequest& request, const std::shared_ptr<FrontReply>& reply) {
+                handleCopies(request, *reply);
+            });
+        exchange_.serve(keepPath, [this](const FrontRequest& request, std::shared_ptr<FrontReply> reply) {
+            handleKeep(request, std::move(reply));
+        });
+    }
+
+    // The VM that has the turns of a program in memory; nothing if that is this VM.
+    std::optional<PeerEntry> directoryOf(const ProgramId& program) const
+    {
+        const PeerList& list = exchange_.peers();
+        for (PeerEntry& peer : rankedVms(list, {}, program.value_)) {
+            if (peer.vm_ == options_.vm_)
+                return std::nullopt;
+            if (isUsable(list, peer.vm_, bootNow()))
+                return std::move(peer);
+        }
+        return std::nullopt;
+    }
+
+    // Peers that may reach the store if this VM does not; a zone may have lost it as a whole.
+    std::optional<PeerEntry> otherPeer(const AttemptId& turn, const std::set<VmId>& asked) const
+    {
+        const PeerList& list = exchange_.peers();
+        std::vector<PeerEntry> ranked = rankedVms(list, {}, turn.value_);
+        std::stable_partition(ranked.begin(), ranked.end(),
+            [this](const PeerEntry& peer) { return peer.zone_ != options_.zone_; });
+        for (PeerEntry& peer : ranked) {
+            if (peer.vm_ != options_.vm_ && !asked.count(peer.vm_) && isUsable(list, peer.vm_, bootNow()))
+                return std::move(peer);
+        }
+        return std::nullopt;
+    }
+
+    void find(const ChainSearch& query, OnFound done)
+    {
+        auto search = std::make_shared<Search>();
+        search->query_ = query;
+        search->done_ = std::move(done);
+        search->startedAt_ = bootNow();
+        if (auto chain = findChain(cache_, query.turn_, bootNow()))
+            return finish(search, { ChainStatus::Found, std::move(*chain) }, "memory");
+        searches_.push_back(search);
+        if (auto directory = directoryOf(query.program_))
+            return askForChain(search, *directory, Milliseconds { 0 });
+        readStore(search);
+    }
+
+    // `storeTime` is how long the peer may read the store.
+    void askForChain(const SearchPtr& search, const PeerEntry& peer, Milliseconds storeTime)
+    {
+        search->peer_ = peer.vm_;
+        search->callDeadline_
+            = bootNow() + (storeTime.count() > 0 ? storeTime + peerMargin : directoryTimeout);
+        auto body = std::make_shared<std::string>();
+        OutboundCallbacks callbacks;
+        callbacks.onBody_ = [body](std::string part) { *body += part; };
+        callbacks.onEnd_ = [weak = weak_from_this(), search, body](const OutboundResult& end) {
+            auto self = weak.lock();
+            if (!self || !search->done_)
+                return;
+            search->call_ = nullptr;
+            bool isAnswered = end.outcome_ == OutboundResult::Outcome::Answered;
+            self->handleChainReply(search, isAnswered ? parseChainReply(*body, bootNow()) : std::nullopt);
+        };
+        search->call_ = exchange_.post(
+            peer, chainPath, encode(ChainQuery { search->query_.turn_, storeTime }), std::move(callbacks));
+        if (!search->call_)
+            handleChainReply(search, std::nullopt);
+    }
+
+    void handleChainReply(const SearchPtr& search, const std::optional<ChainReply>& reply)
+    {
+        recordPeerOutcome(exchange_.peers(), search->peer_, reply.has_value(), bootNow());
+        bool isDirectory = search->stage_ == Search::Stage::Directory;
+        if (reply && reply->status_ == ChainStatus::Found) {
+            cacheTurns(reply->chain_);
+            return finish(search, *reply, isDirectory ? "directory" : "store, by a peer");
+        }
+        if (reply && reply->status_ == ChainStatus::Absent)
+            return finish(search, *reply, "store, by a peer");
+        if (isDirectory)
+            return readStore(search);
+        askNextPeer(search);
+    }
+
+    void readStore(const SearchPtr& search)
+    {
+        search->stage_ = Search::Stage::Store;
+        if (store_.isFailing())
+            return askNextPeer(search);
+        archive_.read(search->query_.turn_, storeDeadline(*search),
+            [weak = weak_from_this(), search](ChainStatus status, const KeptTurnPtr& turn) {
+                auto self = weak.lock();
+                if (self && search->done_)
+                    self->handleTurnRead(search, status, turn);
+            });
+    }
+
+    static MonotonicTime storeDeadline(const Search& search)
+    {
+        return std::min(search.query_.deadline_, bootNow() + storeReadTimeout);
+    }
+
+    void handleTurnRead(const SearchPtr& search, ChainStatus status, const KeptTurnPtr& turn)
+    {
+        if (status == ChainStatus::Absent)
+            return finish(search, { ChainStatus::Absent, {} }, "store");
+        if (status == ChainStatus::Unknown)
+            return askNextPeer(search);
+        // How long the store retains the turn is known only to the VM that wrote it.
+        search->read_[turn->id_] = { turn, bootNow() };
+        std::vector<AttemptId> unread;
+        for (const AttemptId& ancestor : turn->ancestors_) {
+            if (const StoredTurn* cached = findTurn(cache_, ancestor, bootNow()))
+                search->read_[ancestor] = *cached;
+            else
+                unread.push_back(ancestor);
+        }
+        search->unread_ = unread.size();
+        if (unread.empty())
+            return handleAllRead(search);
+        for (const AttemptId& ancestor : unread)
+            readAncestor(search, ancestor);
+    }
+
+    void readAncestor(const SearchPtr& search, const AttemptId& ancestor)
+    {
+        archive_.read(ancestor, storeDeadline(*search),
+            [weak = weak_from_this(), search, ancestor](ChainStatus status, const KeptTurnPtr& turn) {
+                auto self = weak.lock();
+                if (!self || !search->done_)
+                    return;
+                if (turn)
+                    search->read_[ancestor] = { turn, bootNow() };
+                else
+                    search->isIncomplete_ = true;
+                if (status == ChainStatus::Absent)
+                    logWarning("turn-incomplete",
+                        "the store has a turn but not one that it continues from; the caller has to begin a "
+                        "new conversation",
+                        { { "turn", search->query_.turn_.value_ }, { "ancestor", ancestor.value_ } });
+                if (--search->unread_ == 0)
+                    self->handleAllRead(search);
+            });
+    }
+
+    void handleAllRead(const SearchPtr& search)
+    {
+        if (search->isIncomplete_)
+            return askNextPeer(search);
+        const AttemptId& id = search->query_.turn_;
+        TurnChain chain;
+        for (const AttemptId& ancestor : search->read_.at(id).turn_->ancestors_)
+            chain.push_back(search->read_.at(ancestor));
+        chain.push_back(search->read_.at(id));
+        cacheTurns(chain);
+        if (!search->isForPeer_)
+            sendCopies(search->query_.program_, chain);
+        finish(search, { ChainStatus::Found, std::move(chain) }, "store");
+    }
+
+    void askNextPeer(const SearchPtr& search)
+    {
+        search->stage_ = Search::Stage::Peers;
+        MonotonicTime now = bootNow();
+        auto peer = search->isForPeer_ || search->peersAsked_.size() >= maxPeersToRead
+                || now >= search->query_.deadline_
+            ? std::nullopt
+            : otherPeer(search->query_.turn_, search->peersAsked_);
+        if (!peer)
+            return finish(search, {}, "none");
+        search->peersAsked_.insert(peer->vm_);
+        askForChain(search, *peer, std::min(storeReadTimeout, search->query_.deadline_ - now));
+    }
+
+    void finish(const SearchPtr& search, const ChainReply& reply, const char* source)
+    {
+        (reply.status_ == ChainStatus::Found           ? found_
+                : reply.status_ == ChainStatus::Absent ? absent_
+                                                       : unknown_)
+            .add();
+        std::size_t bytes = 0;
+        for (const StoredTurn& stored : reply.chain_)
+            bytes += stored.turn_->input_.size() + stored.turn_->output_.size();
+        logEvent("turn-search",
+            { { "request", search->query_.request_.value_ }, { "turn", search->query_.turn_.value_ },
+                { "program", search->query_.program_.value_ }, { "outcome", nameOf(reply.status_) },
+                { "source", source }, { "peer", search->peer_.value_ },
+                { "turns", std::to_string(reply.chain_.size()) }, { "bytes", std::to_string(bytes) },
+                { "took_ms", std::to_string((bootNow() - search->startedAt_).count()) } });
+        searches_.remove(search);
+        OnFound done = std::move(search->done_);
+        search->done_ = nullptr;
+        done(reply);
+    }
+
+    void cacheTurns(const TurnChain& turns)
+    {
+        for (const StoredTurn& stored : turns)
+            storeTurn(cache_, stored, bootNow());
+    }
+
+    // A lost copy is not sent again: the store has the turns.
+    void sendCopies(const ProgramId& program, const TurnChain& turns)
+    {
+        auto directory = directoryOf(program);
+        if (!directory)
+            return;
+        OutboundCallbacks callbacks;
+        callbacks.onEnd_ = [weak = weak_from_this(), vm = directory->vm_](const OutboundResult& end) {
+            if (auto self = weak.lock())
+                recordPeerOutcome(self->exchange_.peers(), vm,
+                    end.outcome_ == OutboundResult::Outcome::Answered, bootNow());
+        };
+        exchange_.post(*directory, copyPath, encode(turns, bootNow()), std::move(callbacks));
+    }
+
+    void keep(const AnsweredTurn& answered, OnKept done)
+    {
+        MonotonicTime now = bootNow();
+        Milliseconds life = answered.retention_ + answered.retention_ / lifeMarginDivisor;
+        TurnChain turns;
+        for (const StoredTurn& ancestor : answered.ancestors_) {
+            if (ancestor.keptUntil_ < now + answered.retention_)
+                turns.push_back({ ancestor.turn_, now + life });
+        }
+        turns.push_back({ answered.turn_, now + life });
+        write(turns, life, answered.deadline_, true,
+            [this, answered, turns, now, done = std::move(done)](const char* source) {
+                logEvent("turn-kept",
+                    { { "request", answered.turn_->id_.value_ }, { "program", answered.program_.value_ },
+                        { "outcome", source ? "kept" : "not-kept" }, { "by", source ? source : "" },
+                        { "turns", std::to_string(turns.size()) },
+                        { "bytes",
+                            std::to_string(answered.turn_->input_.size() + answered.turn_->output_.size()) },
+                        { "took_ms", std::to_string((bootNow() - now).count()) } });
+                (source ? kept_ : lost_).add();
+                if (source) {
+                    cacheTurns(turns);
+                    sendCopies(answered.program_, turns);
+                }
+                done(source != nullptr);
+            });
+    }
+
+    void write(TurnChain turns, Milliseconds life, MonotonicTime deadline, bool canAskPeers,
+        std::function<void(const char*)> done)
+    {
+        auto write = std::make_shared<Write>();
+        write->turns_ = std::move(turns);
+        write->life_ = life;
+        write->deadline_ = deadline;
+        write->done_ = std::move(done);
+        write->canAskPeers_ = canAskPeers;
+        write->askPeerAt_ = bootNow() + (store_.isFailing() ? Milliseconds { 0 } : peerKeepDelay);
+        write->unwritten_ = write->turns_.size();
+        writes_.push_back(write);
+        for (const StoredTurn& stored : write->turns_)
+            write->writes_.push_back(archive_.write(
+                stored.turn_, life, deadline, [weak = weak_from_this(), write](bool isWritten) {
+                    auto self = weak.lock();
+                    if (!self || !write->done_)
+                        return;
+                    if (!isWritten)
+                        return self->finish(write, nullptr);
+                    if (--write->unwritten_ == 0)
+                        self->finish(write, "store");
+                }));
+        askDuePeer(write, bootNow());
+    }
+
+    void askDuePeer(const WritePtr& write, MonotonicTime now)
+    {
+        if (!write->canAskPeers_ || write->call_ || now < write->askPeerAt_ || now >= write->deadline_
+            || write->peersAsked_.size() >= maxPeersToKeep)
+            return;
+        auto peer = otherPeer(write->turns_.back().turn_->id_, write->peersAsked_);
+        if (!peer)
+            return;
+        write->peersAsked_.insert(peer->vm_);
+        write->peer_ = peer->vm_;
+        write->callDeadline_ = now + peerKeepTimeout;
+        auto status = std::make_shared<int>(0);
+        OutboundCallbacks callbacks;
+        callbacks.onHead_ = [status](const HttpHead& head) { *status = head.status_; };
+        callbacks.onEnd_ = [weak = weak_from_this(), write, status](const OutboundResult& end) {
+            auto self = weak.lock();
+            if (!self || !write->done_)
+                return;
+            write->call_ = nullptr;
+            bool isAnswered = end.outcome_ == OutboundResult::Outcome::Answered;
+            recordPeerOutcome(self->exchange_.peers(), write->peer_, isAnswered, bootNow());
+            if (!isAnswered || *status != httpOk)
+                return self->askDuePeer(write, bootNow());
+            self->keptByPeer_.add();
+            self->finish(write, write->peer_.value_.c_str());
+        };
+        Milliseconds timeLeft = std::min(peerKeepTimeout, Milliseconds(write->deadline_ - now));
+        write->call_ = exchange_.post(*peer, keepPath,
+            encode(KeepRequest { write->turns_, write->life_, timeLeft }, now), std::move(callbacks));
+    }
+
+    void finish(const WritePtr& write, const char* source)
+    {
+        if (write->call_)
+            write->call_->cancel();
+        for (TurnArchive::WriteId id : write->writes_)
+            archive_.cancel(id);
+        writes_.remove(write);
+        auto done = std::move(write->done_);
+        write->done_ = nullptr;
+        done(source);
+    }
+
+    void handleChainQuery(const FrontRequest& request, std::shared_ptr<FrontReply> reply)
+    {
+        auto query = parseChainQuery(request.body_);
+        if (!query)
+            return refuseMalformed(*reply, request);
+        auto chain = findChain(cache_, query->turn_, bootNow());
+        if (chain || query->storeTime_.count() == 0) {
+            ChainReply message;
+            if (chain)
+                message = { ChainStatus::Found, std::move(*chain) };
+            return answerPeer(*reply, httpOk, encode(message, bootNow()));
+        }
+        auto search = std::make_shared<Search>();
+        search->query_ = { query->turn_, {}, {}, bootNow() + query->storeTime_ };
+        search->isForPeer_ = true;
+        search->startedAt_ = bootNow();
+        auto isGone = std::make_shared<bool>(false);
+        reply->onDisconnect([isGone] { *isGone = true; });
+        search->done_ = [reply, isGone](const ChainReply& found) {
+            if (!*isGone)
+                answerPeer(*reply, httpOk, encode(found, bootNow()));
+        };
+        searches_.push_back(search);
+        readStore(search);
+    }
+
+    void handleCopies(const FrontRequest& request, FrontReply& reply)
+    {
+        auto turns = parseTurns(request.body_, bootNow());
+        if (!turns)
+            return refuseMalformed(reply, request);
+        cacheTurns(*turns);
+        answerPeer(reply, httpOk, "");
+    }
+
+    void handleKeep(const FrontRequest& request, std::shared_ptr<FrontReply> reply)
+    {
+        auto keep = parseKeepRequest(request.body_, bootNow());
+        if (!keep)
+            return refuseMalformed(*reply, request);
+        if (isDraining_ || store_.isFailing())
+            return answerPeer(*reply, httpUnavailable, "");
+        auto isGone = std::make_shared<bool>(false);
+        reply->onDisconnect([isGone] { *isGone = true; });
+        write(std::move(keep->turns_), keep->life_, bootNow() + keep->timeLeft_, false,
+            [reply, isGone](const char* source) {
+                if (!*isGone)
+                    answerPeer(*reply, source ? httpOk : httpUnavailable, "");
+            });
+    }
+
+    void tick(bool isDraining, MonotonicTime now)
+    {
+        isDraining_ = isDraining;
+        archive_.tick(now);
+        std::vector<SearchPtr> unanswered;
+        for (const SearchPtr& search : searches_) {
+            if (search->call_ && now >= search->callDeadline_)
+                unanswered.push_back(search);
+        }
+        for (const SearchPtr& search : unanswered) {
+            search->call_->cancel();
+            search->call_ = nullptr;
+            handleChainReply(search, std::nullopt);
+        }
+        for (const WritePtr& write : std::list<WritePtr>(writes_)) {
+            if (write->call_ && now >= write->callDeadline_) {
+                write->call_->cancel();
+                write->call_ = nullptr;
+                recordPeerOutcome(exchange_.peers(), write->peer_, false, now);
+            }
+            askDuePeer(write, now);
+        }
+        evictUnused(cache_, now - cacheTimeToLive);
+    }
+};
+
+ConversationStore::ConversationStore(
+    PacedStore& store, PeerExchange& exchange, const ConversationOptions& options)
+    : impl_(std::make_shared<Impl>(store, exchange, options))
+{
+}
+
+ConversationStore::~ConversationStore() = default;
+
+void ConversationStore::find(const ChainSearch& search, OnFound done)
+{
+    impl_->find(search, std::move(done));
+}
+
+void ConversationStore::keep(const AnsweredTurn& answered, OnKept done)
+{
+    impl_->keep(answered, std::move(done));
+}
+
+bool ConversationStore::canKeep(std::size_t inputBytes) const
+{
+    return inputBytes <= impl_->options_.maxRecordBytes_ / maxInputDivisor;
+}
+
+void ConversationStore::tick(bool isDraining, MonotonicTime now) { impl_->tick(isDraining, now); }
+
+bool ConversationStore::isIdle() const { return impl_->writes_.empty(); }
+
+std::size_t ConversationStore::cachedTurns() const { return impl_->cache_.entries_.size(); }
+
+std::size_t ConversationStore::cachedBytes() const { return impl_->cache_.bytes_; }
+
+std::size_t ConversationStore::records() const { return impl_->archive_.records(); }
+
+} // namespace fescue
--- a/src/CrashTracker.cpp
+++ b/src/CrashTracker.cpp
@@ -247,7 +247,8 @@
         if (unconfirmed_.empty())
             return;
         isWriting_ = true;
-        store_.append(StoreFollower::vmPartition(), unconfirmed_, { producer_, sequence_ }, writeTimeout,
+        store_.append(StoreFollower::vmPartition(), unconfirmed_,
+            platform::StoreWriter { producer_, sequence_ }, writeTimeout,
             [weak = weak_from_this()](tl::expected<std::uint64_t, platform::StoreError> offset) {
                 if (auto self = weak.lock())
                     self->onWritten(offset ? nullptr : &offset.error());
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -13,6 +13,7 @@
 #include "StreamResumption.h"
 #include "TcpLink.h"
 #include "TurnAdmission.h"
+#include "TurnContinuation.h"
 
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -42,6 +43,9 @@
     constexpr Milliseconds maxStreamRetention { 120000 };
     // The caller begins anew, so it has to wait only for its own sake.
     constexpr Milliseconds unknownOriginRetryAfter { 50 };
+    constexpr std::size_t bytesPerMb = 1024 * 1024;
+    // Part of the VM's memory for the text of recent turns.
+    constexpr std::size_t conversationMemoryDivisor = 4;
     constexpr Milliseconds notReadyRetryAfter { 300 };
     constexpr Milliseconds otherVmRetryAfter { 50 }; // Another VM can accept the request immediately.
 
@@ -76,10 +80,13 @@
     StoreHealth health_;
     platform::StoreClient store_;
     WriterId writer_;
+    PacedStore pacedStore_;
     PeerExchange exchange_;
     CallForwarder forwarder_;
     TurnBroker broker_;
     TurnAdmission admission_;
+    ConversationStore conversations_;
+    TurnContinuation continuation_;
     StoreFollower follower_;
     StreamResumption resumption_;
     FrontServer callerServer_;
@@ -96,10 +103,13 @@
         , random_(options_.seed_)
         , store_(io_, *parseEndpoint(options_.settings_.store_.address_))
         , writer_(makeWriterId(options_.settings_.vm_))
+        , pacedStore_(store_, health_, XXH64(writer_.value_.data(), writer_.value_.size(), 0))
         , exchange_(io_, options_.settings_.vm_, options_.settings_.peerAddress_)
         , forwarder_(io_, store_, exchange_, options_.settings_.zone_, writer_, options_.seed_)
-        , broker_(exchange_, store_, health_, brokerOptions(options_.settings_, writer_))
+        , broker_(exchange_, pacedStore_, brokerOptions(options_.settings_, writer_))
         , admission_(broker_, forwarder_, health_, random_)
+        , conversations_(pacedStore_, exchange_, conversationOptions(options_.settings_, writer_))
+        , continuation_(conversations_)
         , follower_(store_, health_, followIntervals(options_.settings_),
               { [this](const ServingConfig& config) { applyConfig(config); },
                   [this](const TargetList& list) { applyTargets(list); },
@@ -134,6 +144,13 @@
         return { settings.vm_, settings.zone_, writer, settings.store_.partitions_ };
     }
 
+    static ConversationOptions conversationOptions(const VmSettings& settings, const WriterId& writer)
+    {
+        auto memoryBytes = static_cast<std::size_t>(settings.memoryMb_) * bytesPerMb;
+        return { settings.vm_, settings.zone_, writer, settings.store_.partitions_,
+            memoryBytes / conversationMemoryDivisor, settings.store_.maxRecordBytes_ };
+    }
+
     static FollowIntervals followIntervals(const VmSettings& settings)
     {
         FollowIntervals followIntervals;
@@ -159,6 +176,9 @@
             { "calls_waiting", {}, static_cast<double>(forwarder_.queuedCallCount()) },
             { "turns_waiting_for_budget", {}, static_cast<double>(admission_.waitingCount()) },
             { "programs", {}, static_cast<double>(broker_.programs()) },
+            { "turns_cached", {}, static_cast<double>(conversations_.cachedTurns()) },
+            { "turns_cached_bytes", {}, static_cast<double>(conversations_.cachedBytes()) },
+            { "turn_records", {}, static_cast<double>(conversations_.records()) },
             { "targets", {}, static_cast<double>(follower_.targets().entries_.size()) },
             { "config_version", {}, static_cast<double>(config_ ? config_->version_ : 0) },
             { "config_age_seconds", {}, age ? std::chrono::duration<double>(*age).count() : -1 },
@@ -237,6 +257,9 @@
         if (drainStartedAt_ && call.deadline_ > drainDeadline())
             return rejectCall(call, serviceUnavailable,
                 "this VM shuts down before the deadline of the request", otherVmRetryAfter);
+        if (route->keepsTurns_)
+            return continuation_.begin(std::move(call), config_->limits_.maxBodyBytes_,
+                [this](ForwardedCall complete) { admit(std::move(complete)); });
         if (route->isStream_ && !call.tags_.lastEvent_.empty())
             return resume(std::move(call));
         if (route->isStream_ && route->repeatability_ == Repeatability::Repeatable)
@@ -346,6 +369,7 @@
         exchange_.tick(now);
         resumption_.tick(now);
         broker_.tick(drainStartedAt_.has_value(), now);
+        conversations_.tick(drainStartedAt_.has_value(), now);
         callerServer_.tick(now);
         readinessServer_.tick(now);
         if (metricsServer_)
@@ -397,7 +421,7 @@
         bool isTrafficStopped
             = now > *drainStartedAt_ + balancerDetectionTime && now > lastRequest_ + minTimeWithoutRequests;
         return isTrafficStopped && forwarder_.openCallCount() == 0 && admission_.waitingCount() == 0
-            && broker_.isIdle();
+            && broker_.isIdle() && conversations_.isIdle();
     }
 
     void shutDown()
--- a/src/ForwardedCall.h
+++ b/src/ForwardedCall.h
@@ -35,6 +35,9 @@
     std::optional<SoftwareVersion> version_;
     /** Called before the first bytes of a stream are passed on, with the version that made them. Optional. */
     std::function<void(const SoftwareVersion&)> onBegin_;
+    /** Called with the data of the events of a successful stream that is complete; its end is passed on once
+     * `done` has been called with true, and with false it is broken off. Optional. */
+    std::function<void(const std::string& output, std::function<void(bool isKept)> done)> onWhole_;
     /** Set if the call came from another VM, which is told what becomes of it. */
     std::shared_ptr<RelayOutcome> relayOutcome_;
     TargetId cachingTarget_; ///< Target that ran the program's last turn; empty if unknown.
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -297,7 +297,8 @@
         announceAt_.reset();
         platform::KeyedRecord record { own_->vm_.value_, isWithdrawn_ ? std::string() : peerValue(*own_) };
         Sequence sequence = announceSequence_;
-        store_.append(peers_.partition_, { record }, { own_->writer_, sequence }, announceTimeout,
+        store_.append(peers_.partition_, { record }, platform::StoreWriter { own_->writer_, sequence },
+            announceTimeout,
             [weak = weak_from_this(), sequence](tl::expected<std::uint64_t, platform::StoreError> offset) {
                 auto self = weak.lock();
                 if (!self)
--- a/src/TurnBroker.cpp
+++ b/src/TurnBroker.cpp
@@ -61,7 +61,7 @@
     };
 
     TurnBrokerOptions options_;
-    StoreHealth& health_;
+    const StoreHealth& health_;
     BudgetStore budgets_;
     PeerExchange& exchange_;
     PeerList& peers_; ///< Of the exchange.
@@ -76,11 +76,10 @@
     Counter peerFailures_ { "peer_failures_total" };
     Counter expired_ { "peer_grants_expired_total" };
 
-    Impl(PeerExchange& exchange, platform::StoreClient& store, StoreHealth& health,
-        const TurnBrokerOptions& options)
+    Impl(PeerExchange& exchange, PacedStore& store, const TurnBrokerOptions& options)
         : options_(options)
-        , health_(health)
-        , budgets_(store, health, options.writer_, options.partitions_,
+        , health_(store.health())
+        , budgets_(store, options.writer_, options.partitions_,
               [this](TurnId turn, TurnDecision decision) { onLocalDecision(turn, decision); })
         , exchange_(exchange)
         , peers_(exchange.peers())
@@ -432,9 +431,8 @@
     }
 };
 
-TurnBroker::TurnBroker(PeerExchange& exchange, platform::StoreClient& store, StoreHealth& health,
-    const TurnBrokerOptions& options)
-    : impl_(std::make_shared<Impl>(exchange, store, health, options))
+TurnBroker::TurnBroker(PeerExchange& exchange, PacedStore& store, const TurnBrokerOptions& options)
+    : impl_(std::make_shared<Impl>(exchange, store, options))
 {
 }
 
--- a/src/TurnBroker.h
+++ b/src/TurnBroker.h
@@ -41,10 +41,8 @@
 public:
     using OnGrant = std::function<void(const TurnGrant&)>;
 
-    /** Precondition: `exchange`, `store` and `health` outlive the broker, and `exchange` serves no call after
-     * it. */
-    TurnBroker(PeerExchange& exchange, platform::StoreClient& store, StoreHealth& health,
-        const TurnBrokerOptions& options);
+    /** Precondition: `exchange` and `store` outlive the broker, and `exchange` serves no call after it. */
+    TurnBroker(PeerExchange& exchange, PacedStore& store, const TurnBrokerOptions& options);
     ~TurnBroker();
 
     /** Requests tokens. `done` is called at most once, possibly before this returns. */
--- a/src/VmSettings.h
+++ b/src/VmSettings.h
@@ -15,6 +15,7 @@
 struct StoreSettings {
     std::string address_; ///< `ip:port`.
     std::uint32_t partitions_ = 1; ///< Partitions of each topic.
+    std::size_t maxRecordBytes_ = 256 * 1024;
 };
 
 /** Settings of one entry VM. */
--- a/standin/PlatformStore.cpp
+++ b/standin/PlatformStore.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <list>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace fescue::standin {
 
@@ -109,13 +110,20 @@
         const View* view_;
     };
 
+    // A port that serves the records.
+    struct Server {
+        View view_;
+        StoreFaults faults_; ///< In addition to those of the store.
+        std::unique_ptr<FrontServer> front_;
+    };
+
     asio::io_context& io_;
     StoreFaults faults_;
     std::map<PartitionId, Partition> partitions_;
     std::vector<WaitingRead> waitingReads_;
     std::vector<std::shared_ptr<FrontReply>> unanswered_;
     std::uint64_t appends_ = 0;
-    std::list<std::pair<View, std::unique_ptr<FrontServer>>> servers_; ///< The first one is the store's own.
+    std::list<Server> servers_; ///< The first one is the store's own.
 
     explicit Impl(asio::io_context& io)
         : io_(io)
@@ -125,24 +133,28 @@
 
     std::uint16_t addServer(View view)
     {
-        auto& server = servers_.emplace_back(std::move(view), nullptr);
-        server.second = std::make_unique<FrontServer>(
+        Server& server = servers_.emplace_back();
+        server.view_ = std::move(view);
+        server.front_ = std::make_unique<FrontServer>(
             io_, "127.0.0.1:0",
-            [this, view = &server.first](const FrontRequest& request, std::shared_ptr<FrontReply> reply) {
-                handle(request, std::move(reply), view);
+            [this, &server](const FrontRequest& request, std::shared_ptr<FrontReply> reply) {
+                handle(request, std::move(reply), server);
             },
             [](int, const char*, const HttpHead*) {});
-        return server.second->port();
+        return server.front_->port();
     }
 
-    void handle(const FrontRequest& request, std::shared_ptr<FrontReply> reply, const View* view)
+    void handle(const FrontRequest& request, std::shared_ptr<FrontReply> reply, Server& server)
     {
-        if (faults_.isSilent_) {
-            unanswered_.push_back(std::move(reply));
-            return;
+        for (const StoreFaults* faults : { &faults_, &server.faults_ }) {
+            if (faults->isSilent_) {
+                unanswered_.push_back(std::move(reply));
+                return;
+            }
+            if (faults->isDown_)
+                return answer(*reply, faults->downStatus_, "");
         }
-        if (faults_.isDown_)
-            return answer(*reply, faults_.downStatus_, "");
+        const View* view = &server.view_;
         const std::string& target = request.head_.target_;
         PartitionId id { queryValue(target, "topic"), queryValue(target, "part") };
         if (target.rfind("/log-append", 0) == 0)
@@ -162,13 +174,18 @@
         std::uint64_t sequence = queryNumber(request.head_.target_, "seq");
         auto known = partition.writers_.find(writer);
         bool isRepeat = known != partition.writers_.end() && known->second.first == sequence;
+        if (writer.empty()) {
+            known = partition.writers_.end(); // Each append without a writer is applied.
+            isRepeat = false;
+        }
         if (known != partition.writers_.end() && !isRepeat && sequence != known->second.first + 1)
             return answer(*reply, 409, json { { "why", "seq" } }.dump());
         std::uint64_t offset = isRepeat ? known->second.second : partition.end();
         if (!isRepeat) {
             ++appends_;
             addRecords(partition, request.body_);
-            partition.writers_[writer] = { sequence, offset };
+            if (!writer.empty())
+                partition.writers_[writer] = { sequence, offset };
         }
         if (faults_.answersToDrop_ > 0) {
             --faults_.answersToDrop_;
@@ -255,12 +272,21 @@
 
 PlatformStore::~PlatformStore() = default;
 
-std::uint16_t PlatformStore::port() const { return impl_->servers_.front().second->port(); }
+std::uint16_t PlatformStore::port() const { return impl_->servers_.front().front_->port(); }
 
 std::uint16_t PlatformStore::addView(View view) { return impl_->addServer(std::move(view)); }
 
 StoreFaults& PlatformStore::faults() { return impl_->faults_; }
 
+StoreFaults& PlatformStore::faultsAt(std::uint16_t port)
+{
+    for (Impl::Server& server : impl_->servers_) {
+        if (server.front_->port() == port)
+            return server.faults_;
+    }
+    throw std::logic_error("no server of the stand-in store has this port");
+}
+
 void PlatformStore::put(const std::string& topic, const std::string& key, const std::string& value)
 {
     Impl::PartitionId id { topic, "0" };
@@ -305,7 +331,7 @@
             impl_->waitingReads_.push_back(std::move(entry));
     }
     for (auto& server : impl_->servers_)
-        server.second->tick(now);
+        server.front_->tick(now);
 }
 
 } // namespace fescue::standin
--- a/standin/PlatformStore.h
+++ b/standin/PlatformStore.h
@@ -40,6 +40,8 @@
     using View = std::function<std::string(const std::string& topic, const std::string& value)>;
     std::uint16_t addView(View view);
     StoreFaults& faults();
+    /** Faults that only calls to one port see, in addition. Precondition: `port` is one of the store's. */
+    StoreFaults& faultsAt(std::uint16_t port);
     /** Writes a record like the operator or a target. An empty value deletes the key. */
     void put(const std::string& topic, const std::string& key, const std::string& value);
     /** Drops all records of a topic except the newest of each key. */
--- a/test/correctness/BudgetLanes.cpp
+++ b/test/correctness/BudgetLanes.cpp
@@ -31,6 +31,7 @@
     std::unique_ptr<asio::io_context> io_;
     std::unique_ptr<PlatformStore> store_;
     std::unique_ptr<platform::StoreClient> client_;
+    std::unique_ptr<PacedStore> paced_;
     std::unique_ptr<BudgetStore> budgets_;
     StoreHealth health_;
     std::map<TurnId, ProgramId> asked_;
@@ -78,13 +79,15 @@
         asio::ip::tcp::endpoint address(asio::ip::make_address_v4("127.0.0.1"), store_->port());
         client_ = std::make_unique<platform::StoreClient>(*io_, address);
         // One partition per topic, so that programs share partition queues.
-        budgets_ = std::make_unique<BudgetStore>(*client_, health_, WriterId { "vm-a#1" }, 1,
+        paced_ = std::make_unique<PacedStore>(*client_, health_, 1);
+        budgets_ = std::make_unique<BudgetStore>(*paced_, WriterId { "vm-a#1" }, 1,
             [this](TurnId turn, TurnDecision decision) { decided_[asked_.at(turn)] = decision; });
     }
 
     void tearDown() override
     {
         budgets_.reset();
+        paced_.reset();
         client_.reset();
         store_.reset();
         io_.reset();
--- a/test/correctness/HomeAnswers.cpp
+++ b/test/correctness/HomeAnswers.cpp
@@ -36,6 +36,7 @@
         VmId id_;
         StoreHealth health_;
         std::unique_ptr<platform::StoreClient> store_;
+        std::unique_ptr<PacedStore> pacedStore_;
         std::unique_ptr<PeerExchange> exchange_;
         std::unique_ptr<TurnBroker> broker_;
     };
@@ -67,10 +68,11 @@
         vm.id_ = { name };
         asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(), store_->port());
         vm.store_ = std::make_unique<platform::StoreClient>(*io_, address);
+        vm.pacedStore_ = std::make_unique<PacedStore>(*vm.store_, vm.health_, 1);
         TurnBrokerOptions options { { name }, { "z" }, { name + "#1" }, 1 };
         std::string peerAddress = fmt::format("127.0.0.1:{}", fescue::test::findFreePort(*io_));
         vm.exchange_ = std::make_unique<PeerExchange>(*io_, vm.id_, peerAddress);
-        vm.broker_ = std::make_unique<TurnBroker>(*vm.exchange_, *vm.store_, vm.health_, options);
+        vm.broker_ = std::make_unique<TurnBroker>(*vm.exchange_, *vm.pacedStore_, options);
         peers_[vm.id_] = { vm.id_, { "z" }, peerAddress, options.writer_ };
     }
 
--- a/test/error/BadPeerMessages.cpp
+++ b/test/error/BadPeerMessages.cpp
@@ -31,8 +31,8 @@
         EntryVmHarness vm({ [](const HttpHead& request, const std::string&) {
             return TargetAction { stampedResponse(request, "served") };
         } });
-        for (const char* path :
-            { "/turns", "/turns/ended", "/streams", "/streams/origin", "/permits", "/relay" }) {
+        for (const char* path : { "/turns", "/turns/ended", "/streams", "/streams/origin", "/permits",
+                 "/relay", "/conversations/chain", "/conversations/copies", "/conversations/keep" }) {
             for (const std::string& message : badMessages()) {
                 RawConnection peer(vm.peerPort());
                 peer.send(fmt::format("POST {} HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n"
--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -24,6 +24,8 @@
     constexpr const char* config = R"({"version":5,"routes":[
 {"name":"turns","host":"h.example","path-prefix":"/turn/","type":"streaming","timeout-ms":3000,"service":"llm",
  "max-attempts":1,"retained":false,"retention-s":60.0,"resumable":true,"priority":1},
+{"name":"conversations","host":"h.example","path-prefix":"/kept/","type":"streaming","timeout-ms":3000,"service":"llm",
+ "max-attempts":1,"retained":true,"retention-s":60.0,"priority":1},
 {"name":"reads","host":"h.example","path-prefix":"/read/","type":"idempotent","timeout-ms":2000,"service":"app",
  "max-attempts":2},
 {"name":"calls","host":"h.example","path-prefix":"/call/","type":"non_idempotent","timeout-ms":1500,"service":"app",
@@ -304,7 +306,8 @@
 
 void EntryVmHarness::restartVm(std::size_t vm)
 {
-    vms_[vm].process_->signalAndWait(SIGKILL);
+    if (vms_[vm].process_->isRunning())
+        vms_[vm].process_->signalAndWait(SIGKILL);
     startProcess(vms_[vm]);
     waitUntil("the VM is ready again", [this, vm] { return readinessStatus(vm) == 200; });
 }
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -117,7 +117,7 @@
     /** From now on a VM's new connections to all targets fail, or work again; it notices within a heartbeat
      * of the targets. Those that it has are not used any more. */
     void setLinks(std::size_t vm, LinkFault fault);
-    /** Kills a VM, and starts it again. */
+    /** Kills a VM unless it has ended, and starts it again. */
     void restartVm(std::size_t vm);
     std::size_t vmCount() const { return vms_.size(); }
     Process& process(std::size_t vm = 0) { return *vms_[vm].process_; }
