--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -1,9 +1,10 @@
 #pragma once
 
 /** \file
- * CallForwarderImpl: the state of a `CallForwarder`, for its two source files only.
+ * CallForwarderImpl: the state of a `CallForwarder`, for its source files only.
  *
- * `RelayedTransfers.cpp` has what concerns requests that go through other VMs.
+ * `RelayedTransfers.cpp` has what concerns requests that go through other VMs, and `HeldTransfers.cpp` what
+ * concerns streams whose end waits.
  */
 
 #include "CallForwarder.h"
@@ -311,21 +312,7 @@
         finishAnswer(transfer);
     }
 
-    void holdEnd(const TransferPtr& transfer)
-    {
-        held_.insert(transfer);
-        std::exchange(transfer->call_.onWhole_, nullptr)(
-            transfer->relay_.data_->text(), [weak = weak_from_this(), transfer](bool isKept) {
-                auto self = weak.lock();
-                if (!self || self->held_.erase(transfer) == 0)
-                    return; // The caller has gone.
-                if (isKept)
-                    self->finishAnswer(transfer);
-                else
-                    self->fail(transfer, gatewayTimeout, "the turn could not be kept before its deadline");
-            });
-        dispatchAll();
-    }
+    void holdEnd(const TransferPtr& transfer); // Defined in HeldTransfers.cpp.
 
     void finishAnswer(const TransferPtr& transfer)
     {
--- a/src/ConversationStore.cpp
+++ b/src/ConversationStore.cpp
@@ -1,9 +1,11 @@
 #include "ConversationStore.h"
 
 #include "BootClock.h"
+#include "ConversationPeers.h"
 #include "EventLog.h"
 #include "Metrics.h"
 #include "TurnArchive.h"
+#include "TurnWriter.h"
 
 #include <algorithm>
 #include <list>
@@ -15,20 +17,14 @@
 
     constexpr const char* chainPath = "/conversations/chain";
     constexpr const char* copyPath = "/conversations/copies";
-    constexpr const char* keepPath = "/conversations/keep";
     constexpr int httpOk = 200;
-    constexpr int httpUnavailable = 503;
     // A directory answers from memory; a failed one costs each turn this time until it is in backoff.
     constexpr Milliseconds directoryTimeout { 80 };
     // A read of the store by this VM or a peer; longer than the read of a slow but working store.
     constexpr Milliseconds storeReadTimeout { 500 };
     // Beyond the time that the peer has for its read.
     constexpr Milliseconds peerMargin { 100 };
-    // A write that has no acknowledgement by then is also given to a peer.
-    constexpr Milliseconds peerKeepDelay { 200 };
-    constexpr Milliseconds peerKeepTimeout { 600 };
     constexpr std::size_t maxPeersToRead = 2;
-    constexpr std::size_t maxPeersToKeep = 3;
     // Records live longer than the retention, so that turns of programs that go on need no second write.
     constexpr int lifeMarginDivisor = 4;
     // Turns of a program follow each other within seconds.
@@ -57,43 +53,25 @@
     };
     using SearchPtr = std::shared_ptr<Search>;
 
-    // Turns that are being written.
-    struct Write {
-        TurnChain turns_;
-        Milliseconds life_ { 0 };
-        MonotonicTime deadline_;
-        std::function<void(const char* source)> done_; ///< With null if they could not be written.
-        std::vector<TurnArchive::WriteId> writes_;
-        std::size_t unwritten_ = 0;
-        bool canAskPeers_ = true;
-        std::shared_ptr<OutboundCall> call_;
-        VmId peer_; ///< That `call_` was sent to.
-        MonotonicTime callDeadline_;
-        MonotonicTime askPeerAt_;
-        std::set<VmId> peersAsked_;
-    };
-    using WritePtr = std::shared_ptr<Write>;
-
     PacedStore& store_;
     PeerExchange& exchange_;
     ConversationOptions options_;
     TurnArchive archive_;
+    TurnWriter writer_;
     ConversationCache cache_;
     std::list<SearchPtr> searches_;
-    std::list<WritePtr> writes_;
-    bool isDraining_ = false;
     Counter found_ { "turn_searches_total", { "outcome", "found" } };
     Counter absent_ { "turn_searches_total", { "outcome", "absent" } };
     Counter unknown_ { "turn_searches_total", { "outcome", "unknown" } };
     Counter kept_ { "turns_kept_total", { "outcome", "kept" } };
     Counter lost_ { "turns_kept_total", { "outcome", "not-kept" } };
-    Counter keptByPeer_ { "turns_kept_by_peers_total" };
 
     Impl(PacedStore& store, PeerExchange& exchange, const ConversationOptions& options)
         : store_(store)
         , exchange_(exchange)
         , options_(options)
         , archive_(store, { options.writer_, options.partitions_, options.maxRecordBytes_ })
+        , writer_(store, archive_, exchange, options.zone_)
     {
         cache_.maxBytes_ = options.cacheBytes_;
         exchange_.serve(chainPath, [this](const FrontRequest& request, std::shared_ptr<FrontReply> reply) {
@@ -103,36 +81,6 @@
             copyPath, [this](const FrontRequest& request, const std::shared_ptr<FrontReply>& reply) {
                 handleCopies(request, *reply);
             });
-        exchange_.serve(keepPath, [this](const FrontRequest& request, std::shared_ptr<FrontReply> reply) {
-            handleKeep(request, std::move(reply));
-        });
-    }
-
-    // The VM that has the turns of a program in memory; nothing if that is this VM.
-    std::optional<PeerEntry> directoryOf(const ProgramId& program) const
-    {
-        const PeerList& list = exchange_.peers();
-        for (PeerEntry& peer : rankedVms(list, {}, program.value_)) {
-            if (peer.vm_ == options_.vm_)
-                return std::nullopt;
-            if (isUsable(list, peer.vm_, bootNow()))
-                return std::move(peer);
-        }
-        return std::nullopt;
-    }
-
-    // Peers that may reach the store if this VM does not; a zone may have lost it as a whole.
-    std::optional<PeerEntry> otherPeer(const AttemptId& turn, const std::set<VmId>& asked) const
-    {
-        const PeerList& list = exchange_.peers();
-        std::vector<PeerEntry> ranked = rankedVms(list, {}, turn.value_);
-        std::stable_partition(ranked.begin(), ranked.end(),
-            [this](const PeerEntry& peer) { return peer.zone_ != options_.zone_; });
-        for (PeerEntry& peer : ranked) {
-            if (peer.vm_ != options_.vm_ && !asked.count(peer.vm_) && isUsable(list, peer.vm_, bootNow()))
-                return std::move(peer);
-        }
-        return std::nullopt;
     }
 
     void find(const ChainSearch& query, OnFound done)
@@ -144,7 +92,7 @@
         if (auto chain = findChain(cache_, query.turn_, bootNow()))
             return finish(search, { ChainStatus::Found, std::move(*chain) }, "memory");
         searches_.push_back(search);
-        if (auto directory = directoryOf(query.program_))
+        if (auto directory = directoryOf(exchange_.peers(), query.program_, bootNow()))
             return askForChain(search, *directory, Milliseconds { 0 });
         readStore(search);
     }
@@ -270,7 +218,8 @@
         auto peer = search->isForPeer_ || search->peersAsked_.size() >= maxPeersToRead
                 || now >= search->query_.deadline_
             ? std::nullopt
-            : otherPeer(search->query_.turn_, search->peersAsked_);
+            : peerWithStore(
+                exchange_.peers(), options_.zone_, search->query_.turn_, search->peersAsked_, now);
         if (!peer)
             return finish(search, {}, "none");
         search->peersAsked_.insert(peer->vm_);
@@ -307,7 +256,7 @@
     // A lost copy is not sent again: the store has the turns.
     void sendCopies(const ProgramId& program, const TurnChain& turns)
     {
-        auto directory = directoryOf(program);
+        auto directory = directoryOf(exchange_.peers(), program, bootNow());
         if (!directory)
             return;
         OutboundCallbacks callbacks;
@@ -329,91 +278,27 @@
                 turns.push_back({ ancestor.turn_, now + life });
         }
         turns.push_back({ answered.turn_, now + life });
-        write(turns, life, answered.deadline_, true,
-            [this, answered, turns, now, done = std::move(done)](const char* source) {
-                logEvent("turn-kept",
-                    { { "request", answered.turn_->id_.value_ }, { "program", answered.program_.value_ },
-                        { "outcome", source ? "kept" : "not-kept" }, { "by", source ? source : "" },
-                        { "turns", std::to_string(turns.size()) },
-                        { "bytes",
-                            std::to_string(answered.turn_->input_.size() + answered.turn_->output_.size()) },
-                        { "took_ms", std::to_string((bootNow() - now).count()) } });
-                (source ? kept_ : lost_).add();
-                if (source) {
+        writer_.write(turns, life, answered.deadline_,
+            [this, answered, turns, now, done = std::move(done)](const VmId* writer) {
+                logKept(answered, turns.size(), writer, bootNow() - now);
+                if (writer) {
                     cacheTurns(turns);
                     sendCopies(answered.program_, turns);
                 }
-                done(source != nullptr);
+                done(writer != nullptr);
             });
     }
 
-    void write(TurnChain turns, Milliseconds life, MonotonicTime deadline, bool canAskPeers,
-        std::function<void(const char*)> done)
+    void logKept(const AnsweredTurn& answered, std::size_t turns, const VmId* writer, Milliseconds took)
     {
-        auto write = std::make_shared<Write>();
-        write->turns_ = std::move(turns);
-        write->life_ = life;
-        write->deadline_ = deadline;
-        write->done_ = std::move(done);
-        write->canAskPeers_ = canAskPeers;
-        write->askPeerAt_ = bootNow() + (store_.isFailing() ? Milliseconds { 0 } : peerKeepDelay);
-        write->unwritten_ = write->turns_.size();
-        writes_.push_back(write);
-        for (const StoredTurn& stored : write->turns_)
-            write->writes_.push_back(archive_.write(
-                stored.turn_, life, deadline, [weak = weak_from_this(), write](bool isWritten) {
-                    auto self = weak.lock();
-                    if (!self || !write->done_)
-                        return;
-                    if (!isWritten)
-                        return self->finish(write, nullptr);
-                    if (--write->unwritten_ == 0)
-                        self->finish(write, "store");
-                }));
-        askDuePeer(write, bootNow());
-    }
-
-    void askDuePeer(const WritePtr& write, MonotonicTime now)
-    {
-        if (!write->canAskPeers_ || write->call_ || now < write->askPeerAt_ || now >= write->deadline_
-            || write->peersAsked_.size() >= maxPeersToKeep)
-            return;
-        auto peer = otherPeer(write->turns_.back().turn_->id_, write->peersAsked_);
-        if (!peer)
-            return;
-        write->peersAsked_.insert(peer->vm_);
-        write->peer_ = peer->vm_;
-        write->callDeadline_ = now + peerKeepTimeout;
-        auto status = std::make_shared<int>(0);
-        OutboundCallbacks callbacks;
-        callbacks.onHead_ = [status](const HttpHead& head) { *status = head.status_; };
-        callbacks.onEnd_ = [weak = weak_from_this(), write, status](const OutboundResult& end) {
-            auto self = weak.lock();
-            if (!self || !write->done_)
-                return;
-            write->call_ = nullptr;
-            bool isAnswered = end.outcome_ == OutboundResult::Outcome::Answered;
-            recordPeerOutcome(self->exchange_.peers(), write->peer_, isAnswered, bootNow());
-            if (!isAnswered || *status != httpOk)
-                return self->askDuePeer(write, bootNow());
-            self->keptByPeer_.add();
-            self->finish(write, write->peer_.value_.c_str());
-        };
-        Milliseconds timeLeft = std::min(peerKeepTimeout, Milliseconds(write->deadline_ - now));
-        write->call_ = exchange_.post(*peer, keepPath,
-            encode(KeepRequest { write->turns_, write->life_, timeLeft }, now), std::move(callbacks));
-    }
-
-    void finish(const WritePtr& write, const char* source)
-    {
-        if (write->call_)
-            write->call_->cancel();
-        for (TurnArchive::WriteId id : write->writes_)
-            archive_.cancel(id);
-        writes_.remove(write);
-        auto done = std::move(write->done_);
-        write->done_ = nullptr;
-        done(source);
+        (writer ? kept_ : lost_).add();
+        const KeptTurn& turn = *answered.turn_;
+        logEvent("turn-kept",
+            { { "request", turn.id_.value_ }, { "program", answered.program_.value_ },
+                { "outcome", writer ? "kept" : "not-kept" }, { "by_peer", writer ? writer->value_ : "" },
+                { "turns", std::to_string(turns) },
+                { "bytes", std::to_string(turn.input_.size() + turn.output_.size()) },
+                { "took_ms", std::to_string(took.count()) } });
     }
 
     void handleChainQuery(const FrontRequest& request, std::shared_ptr<FrontReply> reply)
@@ -451,26 +336,10 @@
         answerPeer(reply, httpOk, "");
     }
 
-    void handleKeep(const FrontRequest& request, std::shared_ptr<FrontReply> reply)
-    {
-        auto keep = parseKeepRequest(request.body_, bootNow());
-        if (!keep)
-            return refuseMalformed(*reply, request);
-        if (isDraining_ || store_.isFailing())
-            return answerPeer(*reply, httpUnavailable, "");
-        auto isGone = std::make_shared<bool>(false);
-        reply->onDisconnect([isGone] { *isGone = true; });
-        write(std::move(keep->turns_), keep->life_, bootNow() + keep->timeLeft_, false,
-            [reply, isGone](const char* source) {
-                if (!*isGone)
-                    answerPeer(*reply, source ? httpOk : httpUnavailable, "");
-            });
-    }
-
     void tick(bool isDraining, MonotonicTime now)
     {
-        isDraining_ = isDraining;
         archive_.tick(now);
+        writer_.tick(isDraining, now);
         std::vector<SearchPtr> unanswered;
         for (const SearchPtr& search : searches_) {
             if (search->call_ && now >= search->callDeadline_)
@@ -481,14 +350,6 @@
             search->call_ = nullptr;
             handleChainReply(search, std::nullopt);
         }
-        for (const WritePtr& write : std::list<WritePtr>(writes_)) {
-            if (write->call_ && now >= write->callDeadline_) {
-                write->call_->cancel();
-                write->call_ = nullptr;
-                recordPeerOutcome(exchange_.peers(), write->peer_, false, now);
-            }
-            askDuePeer(write, now);
-        }
         evictUnused(cache_, now - cacheTimeToLive);
     }
 };
@@ -518,7 +379,7 @@
 
 void ConversationStore::tick(bool isDraining, MonotonicTime now) { impl_->tick(isDraining, now); }
 
-bool ConversationStore::isIdle() const { return impl_->writes_.empty(); }
+bool ConversationStore::isIdle() const { return impl_->writer_.isIdle(); }
 
 std::size_t ConversationStore::cachedTurns() const { return impl_->cache_.entries_.size(); }
 
--- /dev/null
+++ b/src/TurnWriter.cpp
@@ -0,0 +1,189 @@
+#include "TurnWriter.h"
+
+#include "BootClock.h"
+#include "ConversationPeers.h"
+#include "Metrics.h"
+
+#include <algorithm>
+#include <list>
+#include <set>
+
+namespace fescue {
+
+namespace {
+
+    constexpr const char* keepPath = "/conversations/keep";
+    constexpr int httpOk = 200;
+    constexpr int httpUnavailable = 503;
+    // A write that has no acknowledgement by then is also given to a peer.
+    constexpr Milliseconds peerDelay { 200 };
+    constexpr Milliseconds peerTimeout { 600 };
+    constexpr std::size_t maxPeers = 3;
+
+} // namespace
+
+struct TurnWriter::Impl : std::enable_shared_from_this<TurnWriter::Impl> {
+    // Turns that are being written.
+    struct Write {
+        TurnChain turns_;
+        Milliseconds life_ { 0 };
+        MonotonicTime deadline_;
+        OnWritten done_;
+        std::vector<TurnArchive::WriteId> calls_;
+        std::size_t unwritten_ = 0;
+        bool isForPeer_ = false; ///< Not given to another peer.
+        std::shared_ptr<OutboundCall> peerCall_;
+        VmId peer_; ///< That `peerCall_` was sent to.
+        MonotonicTime peerDeadline_;
+        MonotonicTime askPeerAt_;
+        std::set<VmId> peersAsked_;
+    };
+    using WritePtr = std::shared_ptr<Write>;
+
+    PacedStore& store_;
+    TurnArchive& archive_;
+    PeerExchange& exchange_;
+    ZoneId zone_;
+    std::list<WritePtr> writes_;
+    bool isDraining_ = false;
+    Counter writtenByPeer_ { "turns_kept_by_peers_total" };
+
+    Impl(PacedStore& store, TurnArchive& archive, PeerExchange& exchange, const ZoneId& zone)
+        : store_(store)
+        , archive_(archive)
+        , exchange_(exchange)
+        , zone_(zone)
+    {
+        exchange_.serve(
+            keepPath, [this](const FrontRequest& request, const std::shared_ptr<FrontReply>& reply) {
+                handleKeep(request, reply);
+            });
+    }
+
+    void start(const WritePtr& write)
+    {
+        write->askPeerAt_ = bootNow() + (store_.isFailing() ? Milliseconds { 0 } : peerDelay);
+        write->unwritten_ = write->turns_.size();
+        writes_.push_back(write);
+        for (const StoredTurn& stored : write->turns_)
+            write->calls_.push_back(archive_.write(stored.turn_, write->life_, write->deadline_,
+                [weak = weak_from_this(), write](bool isWritten) {
+                    if (auto self = weak.lock())
+                        self->handleWritten(write, isWritten);
+                }));
+        askPeerIfDue(write, bootNow());
+    }
+
+    void handleWritten(const WritePtr& write, bool isWritten)
+    {
+        if (!write->done_)
+            return;
+        static const VmId thisVm;
+        if (!isWritten)
+            finish(write, nullptr);
+        else if (--write->unwritten_ == 0)
+            finish(write, &thisVm);
+    }
+
+    void askPeerIfDue(const WritePtr& write, MonotonicTime now)
+    {
+        if (write->isForPeer_ || write->peerCall_ || now < write->askPeerAt_ || now >= write->deadline_
+            || write->peersAsked_.size() >= maxPeers)
+            return;
+        auto peer = peerWithStore(
+            exchange_.peers(), zone_, write->turns_.back().turn_->id_, write->peersAsked_, now);
+        if (!peer)
+            return;
+        write->peersAsked_.insert(peer->vm_);
+        write->peer_ = peer->vm_;
+        write->peerDeadline_ = now + peerTimeout;
+        auto status = std::make_shared<int>(0);
+        OutboundCallbacks callbacks;
+        callbacks.onHead_ = [status](const HttpHead& head) { *status = head.status_; };
+        callbacks.onEnd_ = [weak = weak_from_this(), write, status](const OutboundResult& end) {
+            auto self = weak.lock();
+            if (self && write->done_)
+                self->handlePeerReply(write, end.outcome_ == OutboundResult::Outcome::Answered ? *status : 0);
+        };
+        Milliseconds timeLeft = std::min(peerTimeout, Milliseconds(write->deadline_ - now));
+        write->peerCall_ = exchange_.post(*peer, keepPath,
+            encode(KeepRequest { write->turns_, write->life_, timeLeft }, now), std::move(callbacks));
+    }
+
+    // `status` is 0 if the peer has not answered.
+    void handlePeerReply(const WritePtr& write, int status)
+    {
+        write->peerCall_ = nullptr;
+        recordPeerOutcome(exchange_.peers(), write->peer_, status != 0, bootNow());
+        if (status != httpOk)
+            return askPeerIfDue(write, bootNow());
+        writtenByPeer_.add();
+        finish(write, &write->peer_);
+    }
+
+    void finish(const WritePtr& write, const VmId* writer)
+    {
+        if (write->peerCall_)
+            write->peerCall_->cancel();
+        for (TurnArchive::WriteId call : write->calls_)
+            archive_.cancel(call);
+        writes_.remove(write);
+        std::exchange(write->done_, nullptr)(writer);
+    }
+
+    void handleKeep(const FrontRequest& request, const std::shared_ptr<FrontReply>& reply)
+    {
+        auto keep = parseKeepRequest(request.body_, bootNow());
+        if (!keep)
+            return refuseMalformed(*reply, request);
+        if (isDraining_ || store_.isFailing())
+            return answerPeer(*reply, httpUnavailable, "");
+        auto isGone = std::make_shared<bool>(false);
+        reply->onDisconnect([isGone] { *isGone = true; });
+        auto write = std::make_shared<Write>();
+        write->turns_ = std::move(keep->turns_);
+        write->life_ = keep->life_;
+        write->deadline_ = bootNow() + keep->timeLeft_;
+        write->isForPeer_ = true;
+        write->done_ = [reply, isGone](const VmId* writer) {
+            if (!*isGone)
+                answerPeer(*reply, writer ? httpOk : httpUnavailable, "");
+        };
+        start(write);
+    }
+
+    void tick(bool isDraining, MonotonicTime now)
+    {
+        isDraining_ = isDraining;
+        for (const WritePtr& write : std::list<WritePtr>(writes_)) {
+            if (write->peerCall_ && now >= write->peerDeadline_) {
+                write->peerCall_->cancel();
+                handlePeerReply(write, 0);
+            }
+            askPeerIfDue(write, now);
+        }
+    }
+};
+
+TurnWriter::TurnWriter(PacedStore& store, TurnArchive& archive, PeerExchange& exchange, const ZoneId& zone)
+    : impl_(std::make_shared<Impl>(store, archive, exchange, zone))
+{
+}
+
+TurnWriter::~TurnWriter() = default;
+
+void TurnWriter::write(TurnChain turns, Milliseconds life, MonotonicTime deadline, OnWritten done)
+{
+    auto write = std::make_shared<Impl::Write>();
+    write->turns_ = std::move(turns);
+    write->life_ = life;
+    write->deadline_ = deadline;
+    write->done_ = std::move(done);
+    impl_->start(write);
+}
+
+void TurnWriter::tick(bool isDraining, MonotonicTime now) { impl_->tick(isDraining, now); }
+
+bool TurnWriter::isIdle() const { return impl_->writes_.empty(); }
+
+} // namespace fescue
