Write turns in batches by one VM a partition, and read them by pointers

In each append the turns are now followed by small pointers that sort after all turns, so a read takes a page of pointers and one record at its offset.

--- a/src/ConversationMessages.cpp
+++ b/src/ConversationMessages.cpp
@@ -92,6 +92,11 @@
     return "unknown";
 }
 
+std::string encode(const TurnPointer& pointer)
+{
+    return toCborMessage(json::array({ pointer.distance_, pointer.bytes_, pointer.key_ }));
+}
+
 std::string encode(const KeptTurn& turn) { return toCborMessage(toArray(turn)); }
 
 std::string encode(const ChainQuery& query)
@@ -112,6 +117,16 @@
         json::array({ toArray(request.turns_, now), request.life_.count(), request.timeLeft_.count() }));
 }
 
+std::optional<TurnPointer> parseTurnPointer(const std::string& bytes)
+{
+    constexpr std::size_t fieldCount = 3;
+    auto document = parseCborArray(bytes, fieldCount);
+    if (!document || !areNonNegativeIntegers(*document, 0, 2) || !areStrings(*document, 2, fieldCount))
+        return std::nullopt;
+    return TurnPointer { (*document)[0].get<std::uint64_t>(), (*document)[1].get<std::uint64_t>(),
+        (*document)[2].get<std::string>() };
+}
+
 std::optional<KeptTurn> parseKeptTurn(const std::string& bytes)
 {
     auto document = parseCborMessage(bytes);
--- a/src/ConversationMessages.h
+++ b/src/ConversationMessages.h
@@ -43,6 +43,14 @@
     Milliseconds timeLeft_ { 0 }; ///< Until the answer is of no more use.
 };
 
+/** Where the record of a turn is, as seen from a record of the same append that points to it. */
+struct TurnPointer {
+    std::uint64_t distance_ = 0; ///< Subtracted from the offset of the pointing record.
+    std::uint64_t bytes_ = 0; ///< Of the turn's record.
+    std::string key_; ///< Of the turn's record.
+};
+
+std::string encode(const TurnPointer& pointer);
 std::string encode(const KeptTurn& turn);
 std::string encode(const ChainQuery& query);
 std::string encode(const ChainReply& reply, MonotonicTime now);
@@ -50,6 +58,7 @@
 std::string encode(const KeepRequest& request, MonotonicTime now);
 
 /** Parse messages; return nothing if the bytes are malformed. Pure, like the functions above. */
+std::optional<TurnPointer> parseTurnPointer(const std::string& bytes);
 std::optional<KeptTurn> parseKeptTurn(const std::string& bytes);
 std::optional<ChainQuery> parseChainQuery(const std::string& bytes);
 std::optional<ChainReply> parseChainReply(const std::string& bytes, MonotonicTime now);
--- a/src/ConversationPeers.cpp
+++ b/src/ConversationPeers.cpp
@@ -4,9 +4,9 @@
 
 namespace fescue {
 
-std::optional<PeerEntry> directoryOf(const PeerList& list, const ProgramId& program, MonotonicTime now)
+std::optional<PeerEntry> firstVmFor(const PeerList& list, const std::string& key, MonotonicTime now)
 {
-    for (PeerEntry& peer : rankedVms(list, {}, program.value_)) {
+    for (PeerEntry& peer : rankedVms(list, {}, key)) {
         if (peer.vm_ == list.own_)
             return std::nullopt;
         if (isUsable(list, peer.vm_, now))
--- a/src/ConversationPeers.h
+++ b/src/ConversationPeers.h
@@ -11,9 +11,10 @@
 
 namespace fescue {
 
-/** Returns the VM that has the turns of a program in memory: the first usable one in a ranking of all VMs.
- * Nothing if that is this VM. Pure. */
-std::optional<PeerEntry> directoryOf(const PeerList& list, const ProgramId& program, MonotonicTime now);
+/** Returns the first usable VM in the ranking of all VMs for a key: of a program, the one that has its turns
+ * in memory; of a partition of the store, the one that writes turns there. Nothing if that is this VM. Pure.
+ */
+std::optional<PeerEntry> firstVmFor(const PeerList& list, const std::string& key, MonotonicTime now);
 
 /** Returns a usable peer that may reach the store when this VM does not: one of another zone first, since a
  * zone may have lost it as a whole. Nothing if all have been asked. Pure. */
--- a/src/ConversationStore.cpp
+++ b/src/ConversationStore.cpp
@@ -66,11 +66,11 @@
     Counter kept_ { "turns_kept_total", { "outcome", "kept" } };
     Counter lost_ { "turns_kept_total", { "outcome", "not-kept" } };
 
-    Impl(PacedStore& store, PeerExchange& exchange, const ConversationOptions& options)
+    Impl(asio::io_context& io, PacedStore& store, PeerExchange& exchange, const ConversationOptions& options)
         : store_(store)
         , exchange_(exchange)
         , options_(options)
-        , archive_(store, { options.writer_, options.partitions_, options.maxRecordBytes_ })
+        , archive_(io, store, { options.writer_, options.partitions_, options.maxRecordBytes_ })
         , writer_(store, archive_, exchange, options.zone_)
     {
         cache_.maxBytes_ = options.cacheBytes_;
@@ -92,7 +92,7 @@
         if (auto chain = findChain(cache_, query.turn_, bootNow()))
             return finish(search, { ChainStatus::Found, std::move(*chain) }, "memory");
         searches_.push_back(search);
-        if (auto directory = directoryOf(exchange_.peers(), query.program_, bootNow()))
+        if (auto directory = firstVmFor(exchange_.peers(), query.program_.value_, bootNow()))
             return askForChain(search, *directory, Milliseconds { 0 });
         readStore(search);
     }
@@ -256,7 +256,7 @@
     // A lost copy is not sent again: the store has the turns.
     void sendCopies(const ProgramId& program, const TurnChain& turns)
     {
-        auto directory = directoryOf(exchange_.peers(), program, bootNow());
+        auto directory = firstVmFor(exchange_.peers(), program.value_, bootNow());
         if (!directory)
             return;
         OutboundCallbacks callbacks;
@@ -355,8 +355,8 @@
 };
 
 ConversationStore::ConversationStore(
-    PacedStore& store, PeerExchange& exchange, const ConversationOptions& options)
-    : impl_(std::make_shared<Impl>(store, exchange, options))
+    asio::io_context& io, PacedStore& store, PeerExchange& exchange, const ConversationOptions& options)
+    : impl_(std::make_shared<Impl>(io, store, exchange, options))
 {
 }
 
--- a/src/ConversationStore.h
+++ b/src/ConversationStore.h
@@ -54,8 +54,9 @@
     using OnFound = std::function<void(const ChainReply&)>;
     using OnKept = std::function<void(bool isKept)>;
 
-    /** Precondition: `store` and `exchange` outlive this object, and `exchange` serves no call after it. */
-    ConversationStore(PacedStore& store, PeerExchange& exchange, const ConversationOptions& options);
+    /** Precondition: the arguments outlive this object, and `exchange` serves no call after it. */
+    ConversationStore(
+        asio::io_context& io, PacedStore& store, PeerExchange& exchange, const ConversationOptions& options);
     ~ConversationStore();
 
     /** Finds a turn and its ancestors. `done` is called once, by about the deadline and possibly before this
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -108,7 +108,7 @@
         , forwarder_(io_, store_, exchange_, options_.settings_.zone_, writer_, options_.seed_)
         , broker_(exchange_, pacedStore_, brokerOptions(options_.settings_, writer_))
         , admission_(broker_, forwarder_, health_, random_)
-        , conversations_(pacedStore_, exchange_, conversationOptions(options_.settings_, writer_))
+        , conversations_(io_, pacedStore_, exchange_, conversationOptions(options_.settings_, writer_))
         , continuation_(conversations_)
         , follower_(store_, health_, followIntervals(options_.settings_),
               { [this](const ServingConfig& config) { applyConfig(config); },
--- a/src/PacedStore.cpp
+++ b/src/PacedStore.cpp
@@ -113,6 +113,14 @@
     impl_->store_.readNewest(partition, after, timeout, impl_->start(user, std::move(done)));
 }
 
+void PacedStore::readFrom(const platform::StorePartition& partition, std::uint64_t from, std::size_t maxBytes,
+    const char* user, platform::OnStore<platform::RecordPage> done)
+{
+    Milliseconds timeout = storeTimeout(impl_->throttle_);
+    impl_->store_.readFrom(
+        partition, from, maxBytes, Milliseconds { 0 }, timeout, impl_->start(user, std::move(done)));
+}
+
 void PacedStore::onCallEnded(std::function<void()> callback)
 {
     impl_->onCallEnded_.push_back(std::move(callback));
--- a/src/PacedStore.h
+++ b/src/PacedStore.h
@@ -33,7 +33,7 @@
     const StoreHealth& health() const;
     const StoreThrottle& throttle() const;
 
-    /** Precondition, also of `readNewest`: `canCall`. */
+    /** Precondition, also of the reads: `canCall`. */
     void append(const platform::StorePartition& partition, const std::vector<platform::KeyedRecord>& records,
         const std::optional<platform::StoreWriter>& writer, const char* user,
         platform::OnStore<std::uint64_t> done);
@@ -41,6 +41,10 @@
     void readNewest(const platform::StorePartition& partition, const std::string& after, const char* user,
         platform::OnStore<platform::NewestPage> done);
 
+    /** Reads records from an offset on, about `maxBytes` of them. */
+    void readFrom(const platform::StorePartition& partition, std::uint64_t from, std::size_t maxBytes,
+        const char* user, platform::OnStore<platform::RecordPage> done);
+
     /** Adds a callback that is called after each call has ended, since another one may start then.
      * Precondition: it is valid as long as this object makes calls. */
     void onCallEnded(std::function<void()> callback);
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -114,7 +114,7 @@
                 });
         }
         Milliseconds wait = pollWaitOf(cursor);
-        store_.readFrom(cursor.partition_, *cursor.next_, wait, wait + intervals_.timeout_,
+        store_.readFrom(cursor.partition_, *cursor.next_, 0, wait, wait + intervals_.timeout_,
             [weak, &cursor, generation](tl::expected<platform::RecordPage, platform::StoreError> page) {
                 auto self = weak.lock();
                 if (self && cursor.generation_ == generation)
--- a/src/TurnWriter.cpp
+++ b/src/TurnWriter.cpp
@@ -15,7 +15,9 @@
     constexpr const char* keepPath = "/conversations/keep";
     constexpr int httpOk = 200;
     constexpr int httpUnavailable = 503;
-    // A write that has no acknowledgement by then is also given to a peer.
+    // The VM that writes a partition answers within some 40 ms; the time-out bounds what a failed one costs.
+    constexpr Milliseconds partitionWriterTimeout { 150 };
+    // A write of this VM that has no acknowledgement by then is also given to a peer.
     constexpr Milliseconds peerDelay { 200 };
     constexpr Milliseconds peerTimeout { 600 };
     constexpr std::size_t maxPeers = 3;
@@ -32,6 +34,7 @@
         std::vector<TurnArchive::WriteId> calls_;
         std::size_t unwritten_ = 0;
         bool isForPeer_ = false; ///< Not given to another peer.
+        bool isAtPartitionWriter_ = false; ///< `peerCall_` went to it, and this VM does not write itself yet.
         std::shared_ptr<OutboundCall> peerCall_;
         VmId peer_; ///< That `peerCall_` was sent to.
         MonotonicTime peerDeadline_;
@@ -62,9 +65,24 @@
 
     void start(const WritePtr& write)
     {
+        writes_.push_back(write);
+        const AttemptId& turn = write->turns_.back().turn_->id_;
+        auto writer = write->isForPeer_
+            ? std::nullopt
+            : firstVmFor(exchange_.peers(), archive_.partitionOf(turn), bootNow());
+        if (!writer)
+            return writeItself(write);
+        write->isAtPartitionWriter_ = true;
+        askPeer(write, *writer, partitionWriterTimeout);
+        if (!write->peerCall_)
+            writeItself(write);
+    }
+
+    void writeItself(const WritePtr& write)
+    {
+        write->isAtPartitionWriter_ = false;
         write->askPeerAt_ = bootNow() + (store_.isFailing() ? Milliseconds { 0 } : peerDelay);
         write->unwritten_ = write->turns_.size();
-        writes_.push_back(write);
         for (const StoredTurn& stored : write->turns_)
             write->calls_.push_back(archive_.write(stored.turn_, write->life_, write->deadline_,
                 [weak = weak_from_this(), write](bool isWritten) {
@@ -95,8 +113,14 @@
         if (!peer)
             return;
         write->peersAsked_.insert(peer->vm_);
-        write->peer_ = peer->vm_;
-        write->peerDeadline_ = now + peerTimeout;
+        askPeer(write, *peer, peerTimeout);
+    }
+
+    void askPeer(const WritePtr& write, const PeerEntry& peer, Milliseconds timeout)
+    {
+        MonotonicTime now = bootNow();
+        write->peer_ = peer.vm_;
+        write->peerDeadline_ = now + timeout;
         auto status = std::make_shared<int>(0);
         OutboundCallbacks callbacks;
         callbacks.onHead_ = [status](const HttpHead& head) { *status = head.status_; };
@@ -106,7 +130,7 @@
                 self->handlePeerReply(write, end.outcome_ == OutboundResult::Outcome::Answered ? *status : 0);
         };
         Milliseconds timeLeft = std::min(peerTimeout, Milliseconds(write->deadline_ - now));
-        write->peerCall_ = exchange_.post(*peer, keepPath,
+        write->peerCall_ = exchange_.post(peer, keepPath,
             encode(KeepRequest { write->turns_, write->life_, timeLeft }, now), std::move(callbacks));
     }
 
@@ -114,9 +138,10 @@
     void handlePeerReply(const WritePtr& write, int status)
     {
         write->peerCall_ = nullptr;
-        recordPeerOutcome(exchange_.peers(), write->peer_, status != 0, bootNow());
+        // A VM that cannot write is passed over, too.
+        recordPeerOutcome(exchange_.peers(), write->peer_, status == httpOk, bootNow());
         if (status != httpOk)
-            return askPeerIfDue(write, bootNow());
+            return write->isAtPartitionWriter_ ? writeItself(write) : askPeerIfDue(write, bootNow());
         writtenByPeer_.add();
         finish(write, &write->peer_);
     }
@@ -160,7 +185,8 @@
                 write->peerCall_->cancel();
                 handlePeerReply(write, 0);
             }
-            askPeerIfDue(write, now);
+            if (write->done_ && !write->isAtPartitionWriter_)
+                askPeerIfDue(write, now);
         }
     }
 };
--- a/src/TurnWriter.h
+++ b/src/TurnWriter.h
@@ -1,10 +1,14 @@
 #pragma once
 
 /** \file
- * TurnWriter: writes turns to the platform's store, through a peer if the store does not serve this VM.
+ * TurnWriter: writes turns to the platform's store, as a rule through the VM that writes their partition.
  *
- * A store may serve some VMs and not others, and a write may take long. A write without an acknowledgement is
- * therefore given to peers, one after the other, while this VM goes on trying.
+ *     turn --> VM that writes the partition, in batches
+ *                | no success soon: this VM
+ *                | no success soon, or the store does not serve it: peers, one after the other
+ *
+ * Any VM may write any partition, so no agreement on who does is needed; one VM a partition makes the fewest
+ * calls.
  */
 
 #include "PeerExchange.h"
--- a/standin/PlatformStore.cpp
+++ b/standin/PlatformStore.cpp
@@ -296,9 +296,12 @@
 
 void PlatformStore::compact(const std::string& topic)
 {
-    Partition& partition = impl_->partitions_[{ topic, "0" }];
-    partition.first_ = partition.end();
-    partition.records_.clear();
+    for (auto& [id, partition] : impl_->partitions_) {
+        if (id.first != topic)
+            continue;
+        partition.first_ = partition.end();
+        partition.records_.clear();
+    }
 }
 
 std::map<std::string, std::string> PlatformStore::newest(const std::string& topic) const
