Soak: conversations over all VMs, and the loss of all VMs at once

Callers continue from any turn whose response has ended, also of other programs, and targets check the whole text that they receive. In every third seed with faults all VMs are killed at the same moment.

--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -73,6 +73,8 @@
     options.seed_ = seed;
     constexpr std::uint64_t plannedOnlyInterval = 4;
     options.hasOnlyPlannedOperations_ = seed % plannedOnlyInterval == 0;
+    constexpr std::uint64_t lossOfAllInterval = 3;
+    options.losesAllVms_ = !options.hasOnlyPlannedOperations_ && seed % lossOfAllInterval == 2;
     options.vms_ = readVms(options.vms_);
     options.folder_ = fmt::format("/tmp/fescue-soak-{}-{}", ::getpid(), seed);
     std::filesystem::create_directories(options.folder_);
--- a/test/soak/SoakComponents.cpp
+++ b/test/soak/SoakComponents.cpp
@@ -22,9 +22,26 @@
     {
         if (path.rfind("/turn/", 0) == 0)
             return SoakRequestKind::Turn;
+        if (path.rfind("/kept/", 0) == 0)
+            return SoakRequestKind::KeptTurn;
         return path.rfind("/call/", 0) == 0 ? SoakRequestKind::Call : SoakRequestKind::Read;
     }
 
+    const char* pathOf(SoakRequestKind kind)
+    {
+        switch (kind) {
+        case SoakRequestKind::Turn:
+            return "/turn/x";
+        case SoakRequestKind::KeptTurn:
+            return "/kept/x";
+        case SoakRequestKind::Call:
+            return "/call/x";
+        case SoakRequestKind::Read:
+            break;
+        }
+        return "/read/x";
+    }
+
     // Runs a function after a delay. The handler owns the timer until then.
     void runAfter(asio::io_context& io, Milliseconds time, std::function<void()> function)
     {
@@ -75,6 +92,8 @@
     return fmt::format(R"({{"version":{0},"routes":[
 {{"name":"turns","host":"h.example","path-prefix":"/turn/","type":"streaming","timeout-ms":{1},"service":"llm",
  "max-attempts":1,"retained":false,"retention-s":60.0,"resumable":true,"priority":{2}}},
+{{"name":"conversations","host":"h.example","path-prefix":"/kept/","type":"streaming","timeout-ms":{1},"service":"llm",
+ "max-attempts":1,"retained":true,"retention-s":60.0,"priority":{2}}},
 {{"name":"reads","host":"h.example","path-prefix":"/read/","type":"idempotent","timeout-ms":{1},"service":"app",
  "max-attempts":2}},
 {{"name":"calls","host":"h.example","path-prefix":"/call/","type":"non_idempotent","timeout-ms":{1},"service":"app",
@@ -84,20 +103,20 @@
         version, isOther ? 2000 : soakRouteTimeout.count(), isOther ? 1 : 0, soakTokensPerEvent);
 }
 
-OutboundRequest makeSoakRequest(int port, SoakRequestKind kind, const std::string& headers)
+OutboundRequest makeSoakRequest(
+    int port, SoakRequestKind kind, const std::string& id, const std::string& headers)
 {
     OutboundRequest request;
     request.peer_ = { asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port) };
     request.head_.method_ = kind == SoakRequestKind::Read ? "GET" : "POST";
-    request.head_.target_
-        = kind == SoakRequestKind::Turn ? "/turn/x" : (kind == SoakRequestKind::Call ? "/call/x" : "/read/x");
+    request.head_.target_ = pathOf(kind);
     request.head_.headers_.push_back({ "Host", "h.example" });
     std::istringstream lines(headers);
     for (std::string line; std::getline(lines, line);)
         request.head_.headers_.push_back(
             { line.substr(0, line.find(": ")), line.substr(line.find(": ") + 2) });
     if (kind != SoakRequestKind::Read)
-        request.body_ = "content of " + headers.substr(0, headers.find('\n'));
+        request.body_ = soakRequestBody(id);
     request.connectTimeout_ = Milliseconds { 1000 };
     request.acceptsUnframed_ = true;
     return request;
@@ -165,6 +184,8 @@
         return reply->answer(std::move(head), {});
     }
     recordTargetRun(history_, name, id_);
+    if (kindOf(request.head_.target_) == SoakRequestKind::KeptTurn)
+        checkKeptText(history_, name, request.body_);
     lastRun_ = bootNow();
     constexpr std::size_t abortPercent = 8;
     if (isFaulty_ && roll < abortPercent)
@@ -184,9 +205,10 @@
     constexpr std::size_t breakOffInterval = 12;
     HttpHead head = answerHead(200, request);
     head.headers_.push_back({ "Fescuewinch-Response-Stamp", "stamp-of-" + id_ });
-    if (kind != SoakRequestKind::Turn)
+    if (kind == SoakRequestKind::Read || kind == SoakRequestKind::Call)
         return reply->answer(std::move(head), soakResponseBody(request, kind));
-    recordStreamVersion(history_, request, version());
+    if (kind == SoakRequestKind::Turn)
+        recordStreamVersion(history_, request, version());
     bool breaksOff = isFaulty_ && random_() % breakOffInterval == 0;
     bool isUnframed = isFaulty_ && random_() % 3 == 0;
     head.framing_ = isUnframed ? BodyFraming::UntilClose : BodyFraming::Delimited;
--- a/test/soak/SoakComponents.h
+++ b/test/soak/SoakComponents.h
@@ -23,7 +23,8 @@
 std::string makeSoakConfig(std::uint64_t version, bool isOther);
 
 /** Builds a request to an entry VM; `headers` holds lines of the form `Name: value`. */
-OutboundRequest makeSoakRequest(int port, SoakRequestKind kind, const std::string& headers);
+OutboundRequest makeSoakRequest(
+    int port, SoakRequestKind kind, const std::string& id, const std::string& headers);
 
 /** A target behind a proxy. Runs the requests it receives and records them in the history. */
 class SoakTarget {
--- a/test/soak/SoakHarness.cpp
+++ b/test/soak/SoakHarness.cpp
@@ -25,15 +25,19 @@
     constexpr Milliseconds targetDrain { 2000 };
     constexpr std::size_t targetCount = 4;
     constexpr std::size_t callerCount = 12;
+    constexpr std::size_t conversationCallerCount = 6;
     constexpr double minSuccessShare = 0.75;
+    constexpr std::int64_t maxPauseMs = 40; // Of a caller between two requests.
 
     std::string attemptHeaders(const std::string& id, const SoakRequest& request, std::int64_t budget)
     {
         std::string headers = "Fescuewinch-Request-Id: " + id;
-        if (request.kind_ == SoakRequestKind::Turn)
+        if (request.kind_ == SoakRequestKind::Turn || request.kind_ == SoakRequestKind::KeptTurn)
             headers += fmt::format("\nFescuewinch-Program-Id: {}\nFescuewinch-Session-Id: {}\n"
                                    "Fescuewinch-Token-Budget: {}\nFescuewinch-Token-Count: 100,{}",
                 request.program_, request.program_, budget, soakMaxTurnTokens);
+        if (!request.previous_.empty())
+            headers += "\nFescuewinch-Previous-Turn: " + request.previous_;
         if (!request.resumes_.empty())
             headers += "\nResumes: " + request.resumes_ + "\nLast-Event-Id: 1";
         return headers;
@@ -44,6 +48,7 @@
         explicit Harness(const SoakOptions& options)
             : options_(options)
             , random_(options.seed_)
+            , conversationRandom_(options.seed_)
             , store_(io_)
         {
             for (std::size_t i = 0; i < targetCount; ++i)
@@ -54,6 +59,9 @@
                     io_, store_.port(), fmt::format("vm-{}", i), i % 3 == 0 ? "za" : "zb", options.folder_));
             for (std::size_t i = 0; i < callerCount + options_.vms_ / 3; ++i)
                 callers_.push_back({ std::make_unique<OutboundPool>(io_), {}, 0 });
+            // They draw from a generator of their own, so the faults of a seed do not depend on them.
+            for (std::size_t i = 0; i < conversationCallerCount; ++i)
+                callers_.push_back({ std::make_unique<OutboundPool>(io_), {}, 0, true });
         }
 
         SoakReport run()
@@ -82,6 +90,7 @@
             std::unique_ptr<OutboundPool> connections_;
             std::string program_;
             int turnsLeft_ = 0;
+            bool hasConversations_ = false; ///< Sends only kept turns.
         };
         struct Fault {
             MonotonicTime at_;
@@ -92,6 +101,10 @@
         {
             return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
         }
+        std::size_t pickForConversation(std::size_t count)
+        {
+            return std::uniform_int_distribution<std::size_t>(0, count - 1)(conversationRandom_);
+        }
         Milliseconds randomTime(std::int64_t min, std::int64_t max)
         {
             return Milliseconds { std::uniform_int_distribution<std::int64_t>(min, max)(random_) };
@@ -146,6 +159,17 @@
                 else
                     pick(4) == 0 ? scheduleOperation(at) : scheduleFault(at, duration);
             }
+            if (options_.losesAllVms_) {
+                constexpr Milliseconds earliest { 2000 };
+                constexpr std::size_t span = 3000;
+                MonotonicTime at = bootNow() + earliest
+                    + Milliseconds { static_cast<std::int64_t>(pickForConversation(span)) };
+                schedule(at, "SIGKILL all VMs", [this] {
+                    constexpr Milliseconds downtime { 500 };
+                    for (auto& vm : vms_)
+                        vm->kill(downtime);
+                });
+            }
             std::stable_sort(pendingFaults_.begin(), pendingFaults_.end(),
                 [](const Fault& a, const Fault& b) { return a.at_ < b.at_; });
         }
@@ -282,6 +306,8 @@
         void sendRequest(std::size_t index)
         {
             Caller& caller = callers_[index];
+            if (caller.hasConversations_)
+                return sendKeptTurn(index);
             SoakRequest request;
             request.kind_ = pick(2) == 0 ? SoakRequestKind::Turn
                                          : (pick(2) == 0 ? SoakRequestKind::Call : SoakRequestKind::Read);
@@ -299,9 +325,37 @@
             exchange(index, id, request);
         }
 
+        // Begins a conversation, or goes on from any turn whose response has ended, also one of another
+        // program.
+        void sendKeptTurn(std::size_t index)
+        {
+            Caller& caller = callers_[index];
+            constexpr std::size_t turnsOfProgram = 5;
+            if (caller.turnsLeft_ == 0) {
+                caller.program_ = fmt::format("k{}-{}", index, report_.requests_);
+                caller.turnsLeft_ = turnsOfProgram;
+                history_.programs_[caller.program_].budget_ = turnsOfProgram * soakMaxTurnTokens;
+            }
+            --caller.turnsLeft_;
+            SoakRequest request;
+            request.kind_ = SoakRequestKind::KeptTurn;
+            request.program_ = caller.program_;
+            constexpr std::size_t newConversationInterval = 6;
+            constexpr std::size_t recent = 8;
+            if (!keptTurns_.empty() && pickForConversation(newConversationInterval) > 0) {
+                std::size_t age = pickForConversation(
+                    pickForConversation(2) == 0 ? keptTurns_.size() : std::min(recent, keptTurns_.size()));
+                request.previous_ = keptTurns_[keptTurns_.size() - 1 - age];
+            }
+            std::string id = fmt::format("r{}-{}", options_.seed_, ++report_.requests_);
+            history_.requests_[id] = request;
+            exchange(index, id, request);
+        }
+
         void exchange(std::size_t index, const std::string& id, const SoakRequest& request)
         {
-            SoakVm* vm = vms_[pick(vms_.size())].get();
+            bool isKept = request.kind_ == SoakRequestKind::KeptTurn;
+            SoakVm* vm = vms_[isKept ? pickForConversation(vms_.size()) : pick(vms_.size())].get();
             history_.requests_[id].vm_ = vm->name();
             history_.requests_[id].sentAt_ = bootNow();
             auto body = std::make_shared<std::string>();
@@ -315,15 +369,19 @@
             callbacks.onBody_ = [body](std::string part) { *body += part; };
             callbacks.onEnd_ = [this, index, id, vm, head, body, sentAt](const OutboundResult& end) {
                 handleResult(id, *vm, end, *head, *body, sentAt);
-                bool isBrokenStream = end.outcome_ != OutboundResult::Outcome::Answered
+                bool isBrokenStream = !callers_[index].hasConversations_
+                    && end.outcome_ != OutboundResult::Outcome::Answered
                     && body->find("\n\n") != std::string::npos;
                 if (isBrokenStream && !isEnding_)
                     return resume(index, id);
-                scheduleRequest(index, randomTime(2, 40));
+                scheduleRequest(index,
+                    callers_[index].hasConversations_
+                        ? Milliseconds { static_cast<std::int64_t>(2 + pickForConversation(maxPauseMs)) }
+                        : randomTime(2, maxPauseMs));
             };
             std::string headers = attemptHeaders(id, request, history_.programs_[request.program_].budget_);
             callers_[index].connections_->send(
-                makeSoakRequest(vm->callerPort(), request.kind_, headers), std::move(callbacks));
+                makeSoakRequest(vm->callerPort(), request.kind_, id, headers), std::move(callbacks));
         }
 
         // Takes a stream up through any VM. Its first attempt stays the one that is named.
@@ -348,6 +406,8 @@
                 history_.violations_.push_back(
                     fmt::format("{} was answered after {} ms", id, elapsed.count()));
             if (end.outcome_ == OutboundResult::Outcome::Answered) {
+                if (head.status_ == 200 && history_.requests_[id].kind_ == SoakRequestKind::KeptTurn)
+                    keptTurns_.push_back(id);
                 report_.succeeded_ += head.status_ == 200 || head.status_ == 402 ? 1 : 0;
                 return recordAnswer(
                     history_, id, head.status_, findHeader(head, "Fescuewinch-Response-Stamp"), body);
@@ -375,6 +435,7 @@
 
         SoakOptions options_;
         std::mt19937_64 random_;
+        std::mt19937_64 conversationRandom_;
         asio::io_context io_ { 1 };
         standin::PlatformStore store_;
         SoakHistory history_;
@@ -383,6 +444,7 @@
         std::vector<std::unique_ptr<SoakVm>> vms_;
         std::vector<Caller> callers_;
         std::deque<Fault> pendingFaults_;
+        std::vector<std::string> keptTurns_; ///< Whose responses have ended, in this order.
         std::uint64_t version_ = 0;
         bool isEnding_ = false;
     };
--- a/test/soak/SoakHarness.h
+++ b/test/soak/SoakHarness.h
@@ -21,6 +21,7 @@
     std::uint64_t seed_ = 1;
     /** Injects only stops, reloads, configuration changes and target replacements. */
     bool hasOnlyPlannedOperations_ = false;
+    bool losesAllVms_ = false; ///< Kills all VMs at the same moment, once, as a loss of power would.
     std::size_t vms_ = 3; ///< Processes of entry VMs.
     std::string folder_; ///< Directory for settings files and logs of the processes.
 };
--- a/test/soak/SoakHistory.cpp
+++ b/test/soak/SoakHistory.cpp
@@ -16,9 +16,23 @@
         return events;
     }
 
+    bool isTurn(SoakRequestKind kind)
+    {
+        return kind == SoakRequestKind::Turn || kind == SoakRequestKind::KeptTurn;
+    }
+
+    std::string dataOf(const std::string& stream)
+    {
+        constexpr std::string_view field = "data: ";
+        std::string data;
+        for (std::size_t at = stream.find(field); at != std::string::npos; at = stream.find(field, at + 1))
+            data += stream.substr(at + field.size(), stream.find('\n', at) + 1 - at - field.size());
+        return data;
+    }
+
     void addDeliveredTokens(SoakHistory& history, const SoakRequest& request, const std::string& body)
     {
-        if (request.kind_ == SoakRequestKind::Turn)
+        if (isTurn(request.kind_))
             history.programs_[request.program_].deliveredTokens_ += eventsIn(body) * soakTokensPerEvent;
     }
 
@@ -33,7 +47,7 @@
 std::string soakResponseBody(const std::string& request, SoakRequestKind kind)
 {
     std::size_t seed = std::hash<std::string> {}(request);
-    if (kind != SoakRequestKind::Turn) {
+    if (!isTurn(kind)) {
         constexpr std::size_t maxPadding = 3000;
         return "result of " + request + std::string(seed % maxPadding, '.');
     }
@@ -43,6 +57,22 @@
     return body;
 }
 
+std::string soakRequestBody(const std::string& request) { return "content of " + request + "\n"; }
+
+void checkKeptText(SoakHistory& history, const std::string& id, const std::string& body)
+{
+    std::string expected = soakRequestBody(id);
+    std::string earlier = history.requests_[id].previous_;
+    while (!earlier.empty()) {
+        expected = soakRequestBody(earlier) + dataOf(soakResponseBody(earlier, SoakRequestKind::KeptTurn))
+            + expected;
+        earlier = history.requests_[earlier].previous_;
+    }
+    if (body != expected)
+        history.violations_.push_back(
+            fmt::format("{} ran with a text of {} bytes instead of {}", id, body.size(), expected.size()));
+}
+
 void recordArrival(SoakHistory& history, const std::string& id, const std::string& target)
 {
     constexpr Milliseconds drainTime { 2000 }; // `drain-ms` of the settings.
--- a/test/soak/SoakHistory.h
+++ b/test/soak/SoakHistory.h
@@ -18,6 +18,7 @@
     Read, ///< Idempotent; may run on two targets.
     Call, ///< May run at most once.
     Turn, ///< A stream; may run at most once and uses its program's budget.
+    KeptTurn, ///< A turn that the system puts the text of earlier ones before.
 };
 
 /** One request of a caller and its result. */
@@ -29,6 +30,8 @@
     bool wasRefusedAsNotRun_ = false;
     std::string vm_; ///< That it was sent to.
     MonotonicTime sentAt_;
+    std::string
+        previous_; ///< The kept turn that this one continues from; empty at the start of a conversation.
     std::string resumes_; ///< The request that began the stream; empty if this one does.
 };
 
@@ -58,6 +61,12 @@
 /** Returns the complete body of a target's answer, which depends only on the request. */
 std::string soakResponseBody(const std::string& request, SoakRequestKind kind);
 
+/** Returns the body that a caller sends with a request. */
+std::string soakRequestBody(const std::string& request);
+
+/** Checks that a target received a kept turn with the whole text of the earlier ones. */
+void checkKeptText(SoakHistory& history, const std::string& request, const std::string& body);
+
 /** Records that a request reached a target, and checks that the target had not said long before that it
  * leaves. */
 void recordArrival(SoakHistory& history, const std::string& request, const std::string& target);
