Prefer one target for the calls about an object

On routes with affinity, requests that concern one object carry the same cookie, and a target that has recently handled it is faster. All VMs prefer the same target for an object by rendezvous hashing, unless it is busy.

--- a/src/CallTags.h
+++ b/src/CallTags.h
@@ -34,6 +34,7 @@
     std::optional<Milliseconds> deadline_; ///< How long the caller waits, counted from arrival.
     ProgramId program_;
     SessionId session_;
+    std::string affinityKey_; ///< Names the object that the request concerns; empty if none is named.
     std::optional<Milliseconds> programDeadline_; ///< Time within which the whole program should finish.
     std::optional<TokenCount> programBudget_; ///< Maximum number of tokens that the program's turns generate.
     TokenCount promptTokens_;
--- a/src/ForwardedCall.cpp
+++ b/src/ForwardedCall.cpp
@@ -16,6 +16,8 @@
     queued.arrived_ = call.request_.arrived_;
     queued.deadline_ = call.deadline_;
     queued.cachingTarget_ = call.cachingTarget_;
+    if (call.route_.hasAffinity_)
+        queued.affinityKey_ = call.tags_.affinityKey_;
     queued.version_ = call.version_;
     return queued;
 }
--- a/src/ServingConfig.h
+++ b/src/ServingConfig.h
@@ -35,6 +35,7 @@
     Repeatability repeatability_ = Repeatability::AtMostOnce;
     bool isStream_ = false; ///< Responses are streams of server-sent events.
     bool isTurn_ = false; ///< Its requests are turns of programs.
+    bool hasAffinity_ = false; ///< A target that has recently handled the object of a request is faster.
     bool keepsTurns_ = false; ///< Turns have only new input; the system adds the text of earlier ones.
     Milliseconds timeout_ { 30000 }; ///< For the whole request.
     Milliseconds latencyObjective_ { 1000 }; ///< Until the response, or until the first event of a stream.
--- a/src/SharedTargets.h
+++ b/src/SharedTargets.h
@@ -12,6 +12,9 @@
  * prompt once for the call itself and once for each call that it stalls. If the last target is unknown, a
  * program prefers one by rendezvous hashing, the same one on every VM of a zone.
  *
+ * Calls of services that name an object run faster at a target that has recently handled it. All VMs prefer
+ * the same target for an object, unless it is so busy that the call runs sooner elsewhere.
+ *
  *     cost = wait for a slot + the call, slowed down by others in its batch + prefill of its uncached prompt
  */
 
@@ -54,7 +57,8 @@
     double slots_ = 0;
     double callMs_ = 0; ///< Mean duration of a call at the service's targets.
     double slowdown_ = 1; ///< Time per token relative to the mean of the service's targets.
-    bool hasPromptCached_ = false; ///< The prompt, except its newest part, is cached there or expected to be.
+    /** The prompt, except its newest part, or the object of the call, is cached there or expected to be. */
+    bool hasPromptCached_ = false;
     bool isOtherZone_ = false;
 };
 
--- a/src/TargetChoice.cpp
+++ b/src/TargetChoice.cpp
@@ -123,18 +123,17 @@
         return target;
     }
 
-    // The target of the own zone that every VM prefers for this program while the target that has its prompt
-    // cached is unknown.
-    TargetId preferredTarget(
-        const TargetPool& pool, const QueuedCall& call, const ServiceMeans& means, MonotonicTime now)
+    // The target that every VM prefers for a key: of all zones, or of the own one.
+    TargetId preferredTarget(const TargetPool& pool, const QueuedCall& call, const std::string& key,
+        bool isOfOwnZone, const ServiceMeans& means, MonotonicTime now)
     {
         TargetId best;
         double bestScore = 0;
         for (const auto& [id, state] : pool.targets_) {
-            if (state.target_.zone_ != pool.zone_ || !canRun(pool, state, call, now))
+            if ((isOfOwnZone && state.target_.zone_ != pool.zone_) || !canRun(pool, state, call, now))
                 continue;
             double weight = sharedTarget(pool, state, means, now).slots_;
-            double score = rendezvousScore(call.program_.value_, id, weight);
+            double score = rendezvousScore(key, id, weight);
             if (best.empty() || score > bestScore) {
                 best = id;
                 bestScore = score;
@@ -143,6 +142,20 @@
         return best;
     }
 
+    // The target that is faster for a call than others, known or by agreement of all VMs. Programs stay in a
+    // zone; the calls about an object come from all zones.
+    TargetId fasterTarget(
+        const TargetPool& pool, const QueuedCall& call, const ServiceMeans& means, MonotonicTime now)
+    {
+        if (pool.targets_.count(call.cachingTarget_))
+            return call.cachingTarget_;
+        if (!call.model_.empty() && !call.program_.empty())
+            return preferredTarget(pool, call, call.program_.value_, true, means, now);
+        if (!call.affinityKey_.empty())
+            return preferredTarget(pool, call, call.affinityKey_, false, means, now);
+        return {};
+    }
+
     // Time until the call may get a permit for a target.
     Milliseconds permitWait(const TargetState& state, MonotonicTime now)
     {
@@ -152,9 +165,7 @@
     Choice chooseShared(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
     {
         ServiceMeans means = serviceMeans(pool, call, now);
-        TargetId cachingTarget = call.cachingTarget_;
-        if (!pool.targets_.count(cachingTarget) && !call.model_.empty() && !call.program_.empty())
-            cachingTarget = preferredTarget(pool, call, means, now);
+        TargetId faster = fasterTarget(pool, call, means, now);
         bool canWaitForPermit = now < call.arrived_ + pool.options_.shared_.maxPermitWait_;
         TargetId best;
         double bestCost = 0;
@@ -162,7 +173,7 @@
             if (!canRun(pool, state, call, now) || (isHeld(state.gate_, now) && !canWaitForPermit))
                 continue;
             SharedTarget target = sharedTarget(pool, state, means, now);
-            target.hasPromptCached_ = id == cachingTarget;
+            target.hasPromptCached_ = id == faster;
             if (isSaturated(target, pool.options_.shared_))
                 continue;
             double cost = sharedCostMs(target, call.promptTokens_, pool.options_.shared_)
--- a/test/correctness/PlatformFormats.cpp
+++ b/test/correctness/PlatformFormats.cpp
@@ -170,6 +170,16 @@
         CHECK_EQUAL(std::size_t { 2 }, tags.prompt_.size());
         CHECK_EQUAL(std::int64_t { 4488 }, tags.programBudget_->value_);
         CHECK(!tags.deadline_.has_value());
+        CHECK(tags.previousTurn_.empty() && tags.affinityKey_.empty());
+        request.headers_ = { { "Fescuewinch-Previous-Turn", "7a02" },
+            { "Cookie", "a=b; fescuewinch-affinity-key=3;  Fescuewinch-Affinity-Key=17; c=d" } };
+        tags = platform::decodeCallTags(request);
+        CHECK_EQUAL(std::string("7a02"), tags.previousTurn_.value_);
+        CHECK_EQUAL(std::string("17"), tags.affinityKey_);
+        for (const char* cookie : { "", ";", "=;=", "Fescuewinch-Affinity-Key", "xFescuewinch-Affinity-Key=1" }) {
+            request.headers_ = { { "Cookie", cookie } };
+            CHECK(platform::decodeCallTags(request).affinityKey_.empty());
+        }
     }
 
     void answerTagsAreDecoded()
--- a/test/correctness/SharedPlacement.cpp
+++ b/test/correctness/SharedPlacement.cpp
@@ -1,6 +1,8 @@
 #include "Suite.h"
 #include "TargetPool.h"
 
+#include <set>
+
 using namespace fescue;
 
 namespace {
@@ -31,6 +33,7 @@
 class SharedPlacement : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(SharedPlacement);
     CPPUNIT_TEST(programPrefersTheSameTargetOnEveryVm);
+    CPPUNIT_TEST(callsAboutAnObjectPreferTheSameTargetInAllZones);
     CPPUNIT_TEST(turnReturnsToTheTargetThatCachesItsPrompt);
     CPPUNIT_TEST(turnMovesAwayFromAFullOrRemovedTarget);
     CPPUNIT_TEST(staleReportsDoNotBlockAService);
@@ -78,6 +81,54 @@
         }
     }
 
+    // Many calls about few objects, as during a legal hold: each runs where its object was handled, unless
+    // that target is full.
+    void callsAboutAnObjectPreferTheSameTargetInAllZones()
+    {
+        Manifest services;
+        for (std::size_t i = 0; i < targetCount; ++i) {
+            Target target;
+            target.id_ = targetName(i);
+            target.zone_ = { i % 2 == 0 ? "zone-a" : "zone-b" };
+            target.service_ = { "desk" };
+            target.slots_ = slots;
+            services.targets_[target.id_] = target;
+        }
+        setTargets(pool_, services);
+        // The detour to another zone costs less than what the target saves of such a call.
+        pool_.options_.shared_.otherZoneMs_ = 1;
+        TargetPool other = pool_;
+        other.zone_ = { "zone-b" };
+        std::set<TargetId> used;
+        for (int i = 0; i < 60; ++i) {
+            QueuedCall about;
+            about.id_ = { ++last_ };
+            about.service_ = { "desk" };
+            about.affinityKey_ = "object-" + std::to_string(i);
+            CHECK(enqueueCall(pool_, about, at(0), random_).has_value());
+            auto dispatches = nextDispatches(pool_, at(0), random_);
+            CHECK_EQUAL(std::size_t { 1 }, dispatches.size());
+            TargetId here = dispatches.at(0).target_.id_;
+            CHECK(enqueueCall(other, about, at(0), random_).has_value());
+            CHECK(nextDispatches(other, at(0), random_).at(0).target_.id_ == here);
+            used.insert(here);
+        }
+        CHECK(used.size() > targetCount / 2);
+        QueuedCall about;
+        about.id_ = { ++last_ };
+        about.service_ = { "desk" };
+        about.affinityKey_ = "object-0";
+        CHECK(enqueueCall(other, about, at(0), random_).has_value());
+        TargetId preferred = nextDispatches(other, at(0), random_).at(0).target_.id_;
+        for (std::size_t i = 0; i < targetCount; ++i) {
+            std::uint32_t load = targetName(i) == preferred ? slots : 0;
+            recordLoadReport(other, targetName(i), { load, load, {} }, at(0));
+        }
+        about.id_ = { ++last_ };
+        CHECK(enqueueCall(other, about, at(0), random_).has_value());
+        CHECK(nextDispatches(other, at(0), random_).at(0).target_.id_ != preferred);
+    }
+
     void turnReturnsToTheTargetThatCachesItsPrompt()
     {
         for (std::size_t i = 0; i < targetCount; ++i) {
