Pass over only lost writers of a partition, not slow ones

Change: a slow writer is waited for, 700 ms at most; peers are asked late while the store serves this VM; ends of turns call the store before new claims.

--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -83,9 +83,10 @@
     PacedStore pacedStore_;
     PeerExchange exchange_;
     CallForwarder forwarder_;
+    ConversationStore
+        conversations_; ///< Before the broker: what waits for a turn's end calls the store first.
     TurnBroker broker_;
     TurnAdmission admission_;
-    ConversationStore conversations_;
     TurnContinuation continuation_;
     StoreFollower follower_;
     StreamResumption resumption_;
@@ -106,9 +107,9 @@
         , pacedStore_(store_, health_, XXH64(writer_.value_.data(), writer_.value_.size(), 0))
         , exchange_(io_, options_.settings_.vm_, options_.settings_.peerAddress_)
         , forwarder_(io_, store_, exchange_, options_.settings_.zone_, writer_, options_.seed_)
+        , conversations_(io_, pacedStore_, exchange_, conversationOptions(options_.settings_, writer_))
         , broker_(exchange_, pacedStore_, brokerOptions(options_.settings_, writer_))
         , admission_(broker_, forwarder_, health_, random_)
-        , conversations_(io_, pacedStore_, exchange_, conversationOptions(options_.settings_, writer_))
         , continuation_(conversations_)
         , follower_(store_, health_, followIntervals(options_.settings_),
               { [this](const ServingConfig& config) { applyConfig(config); },
--- a/src/PacedStore.cpp
+++ b/src/PacedStore.cpp
@@ -36,6 +36,7 @@
     StoreHealth& health_;
     StoreThrottle throttle_;
     Random random_;
+    std::optional<MonotonicTime> servedAt_; ///< Time of the last served call.
     std::vector<std::function<void()>> onCallEnded_;
     Counter overRate_ { "store_calls_over_rate_total" };
 
@@ -64,8 +65,10 @@
     void recordEnd(const char* user, const platform::StoreError* error, MonotonicTime startedAt)
     {
         // Refusals are faster than regular answers and would distort the latency estimate.
-        if (!error)
+        if (!error) {
             recordStoreLatency(throttle_, bootNow() - startedAt);
+            servedAt_ = bootNow();
+        }
         int status = error ? error->status_ : 0;
         onStoreCallEnded(throttle_, outcomeOf(error), bootNow(), random_);
         // The store works but is over its rate limit. Reads show whether it refuses this VM altogether.
@@ -94,6 +97,11 @@
     return !impl_->health_.isUp_ || isStoreFailing(impl_->throttle_, bootNow());
 }
 
+bool PacedStore::wasServedWithin(Milliseconds time) const
+{
+    return impl_->servedAt_ && bootNow() <= *impl_->servedAt_ + time;
+}
+
 const StoreHealth& PacedStore::health() const { return impl_->health_; }
 
 const StoreThrottle& PacedStore::throttle() const { return impl_->throttle_; }
--- a/src/TurnWriter.cpp
+++ b/src/TurnWriter.cpp
@@ -15,10 +15,14 @@
     constexpr const char* keepPath = "/conversations/keep";
     constexpr int httpOk = 200;
     constexpr int httpUnavailable = 503;
-    // The VM that writes a partition answers within some 40 ms; the time-out bounds what a failed one costs.
-    constexpr Milliseconds partitionWriterTimeout { 150 };
-    // A write of this VM that has no acknowledgement by then is also given to a peer.
+    // The VM that writes a partition is slow while the store is at its rate. More writers would make that
+    // worse, so only a VM that is lost or suspended is passed over.
+    constexpr Milliseconds partitionWriterTimeout { 700 };
+    // A write of this VM that has no acknowledgement by then is also given to a peer: soon if the store has
+    // not served any call lately, and later if it has.
     constexpr Milliseconds peerDelay { 200 };
+    constexpr Milliseconds peerDelayWhileServed { 1000 };
+    constexpr Milliseconds servedLately { 500 };
     constexpr Milliseconds peerTimeout { 600 };
     constexpr std::size_t maxPeers = 3;
 
@@ -38,7 +42,7 @@
         std::shared_ptr<OutboundCall> peerCall_;
         VmId peer_; ///< That `peerCall_` was sent to.
         MonotonicTime peerDeadline_;
-        MonotonicTime askPeerAt_;
+        MonotonicTime startedAt_; ///< When this VM began to write itself.
         std::set<VmId> peersAsked_;
     };
     using WritePtr = std::shared_ptr<Write>;
@@ -81,7 +85,7 @@
     void writeItself(const WritePtr& write)
     {
         write->isAtPartitionWriter_ = false;
-        write->askPeerAt_ = bootNow() + (store_.isFailing() ? Milliseconds { 0 } : peerDelay);
+        write->startedAt_ = bootNow();
         write->unwritten_ = write->turns_.size();
         for (const StoredTurn& stored : write->turns_)
             write->calls_.push_back(archive_.write(stored.turn_, write->life_, write->deadline_,
@@ -103,10 +107,17 @@
             finish(write, &thisVm);
     }
 
+    Milliseconds delayOfPeers() const
+    {
+        if (store_.wasServedWithin(servedLately))
+            return peerDelayWhileServed;
+        return store_.isFailing() ? Milliseconds { 0 } : peerDelay;
+    }
+
     void askPeerIfDue(const WritePtr& write, MonotonicTime now)
     {
-        if (write->isForPeer_ || write->peerCall_ || now < write->askPeerAt_ || now >= write->deadline_
-            || write->peersAsked_.size() >= maxPeers)
+        if (write->isForPeer_ || write->peerCall_ || now < write->startedAt_ + delayOfPeers()
+            || now >= write->deadline_ || write->peersAsked_.size() >= maxPeers)
             return;
         auto peer = peerWithStore(
             exchange_.peers(), zone_, write->turns_.back().turn_->id_, write->peersAsked_, now);
--- a/test/correctness/PlatformFormats.cpp
+++ b/test/correctness/PlatformFormats.cpp
@@ -176,7 +176,8 @@
         tags = platform::decodeCallTags(request);
         CHECK_EQUAL(std::string("7a02"), tags.previousTurn_.value_);
         CHECK_EQUAL(std::string("17"), tags.affinityKey_);
-        for (const char* cookie : { "", ";", "=;=", "Fescuewinch-Affinity-Key", "xFescuewinch-Affinity-Key=1" }) {
+        for (const char* cookie :
+            { "", ";", "=;=", "Fescuewinch-Affinity-Key", "xFescuewinch-Affinity-Key=1" }) {
             request.headers_ = { { "Cookie", cookie } };
             CHECK(platform::decodeCallTags(request).affinityKey_.empty());
         }
--- a/test/failure/KeptConversations.cpp
+++ b/test/failure/KeptConversations.cpp
@@ -145,7 +145,7 @@
     {
         std::string text;
         for (const std::string& id : ids)
-            text += "in " + id + ";out " + id + "\n";
+            text += fmt::format("in {};out {}\n", id, id);
         return text;
     }
 
@@ -238,7 +238,8 @@
             faultsOf("vm-a").isSilent_ = isSilent;
             CHECK(answer("vm-a", id));
             faultsOf("vm-a") = {};
-            CHECK_EQUAL(std::size_t { 2 }, store_->newestOfAll("keyed.turns").size()); // A turn and its pointer.
+            CHECK_EQUAL(
+                std::size_t { 2 }, store_->newestOfAll("keyed.turns").size()); // A turn and its pointer.
             for (const char* vm : { "vm-a", "vm-b", "vm-c", "vm-d" })
                 killVm(vm);
             startVms();
