Probe a store that was failing also for other VMs and for reads; test the batches

Cause: a VM without writes of its own went on refusing turns of peers, and read turns through peers, after the store was back, since only its own writes probed the store. Found by KeptConversations with all VMs in turn without the store (red with the peers' writes switched off, and without this change when each VM writes for itself). Peers that have refused are asked again after a while.

--- a/src/ConversationStore.cpp
+++ b/src/ConversationStore.cpp
@@ -138,7 +138,7 @@
     void readStore(const SearchPtr& search)
     {
         search->stage_ = Search::Stage::Store;
-        if (store_.isFailing())
+        if (store_.isUnusable())
             return askNextPeer(search);
         archive_.read(search->query_.turn_, storeDeadline(*search),
             [weak = weak_from_this(), search](ChainStatus status, const KeptTurnPtr& turn) {
--- a/src/PacedStore.cpp
+++ b/src/PacedStore.cpp
@@ -97,6 +97,8 @@
     return !impl_->health_.isUp_ || isStoreFailing(impl_->throttle_, bootNow());
 }
 
+bool PacedStore::isUnusable() const { return isFailing() && !canCall(); }
+
 bool PacedStore::wasServedWithin(Milliseconds time) const
 {
     return impl_->servedAt_ && bootNow() <= *impl_->servedAt_ + time;
--- a/src/TurnArchive.cpp
+++ b/src/TurnArchive.cpp
@@ -1,5 +1,6 @@
 #include "TurnArchive.h"
 
+#include "AppendLane.h"
 #include "BootClock.h"
 #include "EventLog.h"
 #include "Metrics.h"
@@ -18,10 +19,6 @@
     // Pointers sort after turns.
     constexpr const char* turnPrefix = "d";
     constexpr const char* pointerPrefix = "t";
-    // Bounds the appends to a partition, and with it those of all VMs, whatever the number of turns.
-    constexpr Milliseconds appendInterval { 25 };
-    // Lost answers delay only the turns of their own batch.
-    constexpr std::uint32_t maxAppendsInFlight = 4;
     constexpr std::size_t maxBatchBytes = 512 * 1024;
     constexpr const char* storeUser = "turns"; // In logs.
     // Expired records are deleted with the next write to their partition, or alone after this time.
@@ -88,8 +85,7 @@
     struct Lane {
         std::deque<std::uint64_t> queue_;
         std::deque<Expiry> expiries_; ///< Of own records, earliest first.
-        std::uint32_t appendsInFlight_ = 0;
-        MonotonicTime nextAppendAt_;
+        AppendLane appends_;
     };
 
 } // namespace
@@ -155,12 +151,12 @@
         }
         std::optional<MonotonicTime> next;
         for (auto& [partition, lane] : lanes_) {
-            if (!lane.queue_.empty() && lane.appendsInFlight_ < maxAppendsInFlight) {
-                if (bootNow() >= lane.nextAppendAt_ && store_.canCall())
-                    sendBatch(partition, lane);
-                else
-                    next = std::min(next.value_or(lane.nextAppendAt_), lane.nextAppendAt_);
-            }
+            if (lane.queue_.empty() || !hasRoom(lane.appends_))
+                continue;
+            if (canAppend(lane.appends_, bootNow()) && store_.canCall())
+                sendBatch(partition, lane);
+            else
+                next = std::min(next.value_or(lane.appends_.nextAt_), lane.appends_.nextAt_);
         }
         if (next)
             sendAt(*next);
@@ -225,15 +221,14 @@
         std::function<void(const platform::StoreError*)> done)
     {
         writeCalls_.add();
-        ++lane.appendsInFlight_;
-        lane.nextAppendAt_ = bootNow() + appendInterval;
+        onAppendStarted(lane.appends_, bootNow());
         store_.append(partition, records, std::nullopt, storeUser,
             [weak = weak_from_this(), partition, done = std::move(done)](
                 tl::expected<std::uint64_t, platform::StoreError> offset) {
                 auto self = weak.lock();
                 if (!self)
                     return;
-                --self->lanes_[partition].appendsInFlight_;
+                onAppendEnded(self->lanes_[partition].appends_);
                 done(offset ? nullptr : &offset.error());
             });
     }
--- a/src/TurnWriter.cpp
+++ b/src/TurnWriter.cpp
@@ -117,12 +117,18 @@
     void askPeerIfDue(const WritePtr& write, MonotonicTime now)
     {
         if (write->isForPeer_ || write->peerCall_ || now < write->startedAt_ + delayOfPeers()
-            || now >= write->deadline_ || write->peersAsked_.size() >= maxPeers)
+            || now >= write->deadline_)
             return;
-        auto peer = peerWithStore(
-            exchange_.peers(), zone_, write->turns_.back().turn_->id_, write->peersAsked_, now);
-        if (!peer)
+        const AttemptId& turn = write->turns_.back().turn_->id_;
+        auto peer = write->peersAsked_.size() < maxPeers
+            ? peerWithStore(exchange_.peers(), zone_, turn, write->peersAsked_, now)
+            : std::nullopt;
+        if (!peer) {
+            // Peers that did not reach the store may do so by then.
+            if (now >= write->peerDeadline_)
+                write->peersAsked_.clear();
             return;
+        }
         write->peersAsked_.insert(peer->vm_);
         askPeer(write, *peer, peerTimeout);
     }
@@ -172,7 +178,7 @@
         auto keep = parseKeepRequest(request.body_, bootNow());
         if (!keep)
             return refuseMalformed(*reply, request);
-        if (isDraining_ || store_.isFailing())
+        if (isDraining_ || store_.isUnusable())
             return answerPeer(*reply, httpUnavailable, "");
         auto isGone = std::make_shared<bool>(false);
         reply->onDisconnect([isGone] { *isGone = true; });
--- a/test/failure/KeptConversations.cpp
+++ b/test/failure/KeptConversations.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(turnIsKeptOnceTheStoreIsBack);
     CPPUNIT_TEST(ancestorsAreRetainedAsLongAsTheLastTurn);
     CPPUNIT_TEST(cacheWithoutRoomCostsNoTurn);
+    CPPUNIT_TEST(turnsOfAllVmsShareAppends);
     CPPUNIT_TEST_SUITE_END();
 
     // An entry VM without its HTTP front end, and with its own port of the store.
@@ -230,23 +231,28 @@
         CHECK(find("vm-a", "1").status_ == ChainStatus::Unknown);
     }
 
+    // Each VM in turn, since some of them write the partitions.
     void vmWithoutTheStoreKeepsTurnsThroughPeers()
     {
-        for (bool isSilent : { false, true }) {
-            std::string id = isSilent ? "silent" : "refused";
-            faultsOf("vm-a").isDown_ = !isSilent;
-            faultsOf("vm-a").isSilent_ = isSilent;
-            CHECK(answer("vm-a", id));
-            faultsOf("vm-a") = {};
-            CHECK_EQUAL(
-                std::size_t { 2 }, store_->newestOfAll("keyed.turns").size()); // A turn and its pointer.
-            for (const char* vm : { "vm-a", "vm-b", "vm-c", "vm-d" })
-                killVm(vm);
-            startVms();
-            checkFound("vm-d", { id });
-            tearDown();
-            setUp();
+        std::vector<std::string> kept;
+        for (const char* vm : { "vm-a", "vm-b", "vm-c", "vm-d" }) {
+            for (bool isSilent : { false, true }) {
+                faultsOf(vm).isDown_ = !isSilent;
+                faultsOf(vm).isSilent_ = isSilent;
+                constexpr int turns = 4; // In both partitions.
+                for (int i = 0; i < turns; ++i) {
+                    kept.push_back(fmt::format("{}-{}-{}", vm, isSilent ? "silent" : "refused", i));
+                    CHECK(answer(vm, kept.back()));
+                }
+                faultsOf(vm) = {};
+                runFor(Milliseconds { 1700 }); // The VM probes the store at least this often.
+            }
         }
+        for (const char* vm : { "vm-a", "vm-b", "vm-c", "vm-d" })
+            killVm(vm);
+        startVms();
+        for (const std::string& turn : kept)
+            checkFound("vm-d", { turn });
     }
 
     void vmWithoutTheStoreFindsTurnsThroughPeers()
@@ -323,6 +329,26 @@
         checkFound("vm-d", ids);
     }
 
+    // One VM writes the turns of all VMs in a partition; if each wrote its own, there would be some 160
+    // appends.
+    void turnsOfAllVmsShareAppends()
+    {
+        constexpr int rounds = 50;
+        constexpr std::size_t maxAppends = 80;
+        std::size_t kept = 0;
+        for (int i = 0; i < rounds; ++i) {
+            for (auto& [name, vm] : vms_) {
+                auto turn
+                    = std::make_shared<KeptTurn>(KeptTurn { { fmt::format("{}-{}", name, i) }, {}, "", "" });
+                vm.conversations_->keep({ turn, {}, { name }, retention, bootNow() + patience },
+                    [&](bool isKept) { kept += isKept ? 1 : 0; });
+            }
+            runFor(Milliseconds { 10 });
+        }
+        runUntil([&] { return kept == rounds * vms_.size(); });
+        CHECK(store_->appends() <= maxAppends);
+    }
+
     void cacheWithoutRoomCostsNoTurn()
     {
         for (const char* vm : { "vm-a", "vm-b", "vm-c", "vm-d" })
