--- a/src/ConversationStore.cpp
+++ b/src/ConversationStore.cpp
@@ -25,8 +25,9 @@
     // Beyond the time that the peer has for its read.
     constexpr Milliseconds peerMargin { 100 };
     constexpr std::size_t maxPeersToRead = 2;
-    // Records live longer than the retention, so that turns of programs that go on need no second write.
-    constexpr int lifeMarginDivisor = 4;
+    // Records live longer than the retention, so that turns of programs that go on need no second write. The
+    // store frees their space later still.
+    constexpr int lifeFactor = 2;
     // Turns of a program follow each other within seconds.
     constexpr Milliseconds cacheTimeToLive { 120000 };
     // Room in a record for ids, ancestors and the output of a turn.
@@ -70,7 +71,7 @@
         : store_(store)
         , exchange_(exchange)
         , options_(options)
-        , archive_(io, store, { options.writer_, options.partitions_, options.maxRecordBytes_ })
+        , archive_(io, store, { options.writer_, options.partitions_ })
         , writer_(store, archive_, exchange, options.zone_)
     {
         cache_.maxBytes_ = options.cacheBytes_;
@@ -271,7 +272,7 @@
     void keep(const AnsweredTurn& answered, OnKept done)
     {
         MonotonicTime now = bootNow();
-        Milliseconds life = answered.retention_ + answered.retention_ / lifeMarginDivisor;
+        Milliseconds life = lifeFactor * answered.retention_;
         TurnChain turns;
         for (const StoredTurn& ancestor : answered.ancestors_) {
             if (ancestor.keptUntil_ < now + answered.retention_)
--- a/src/EntryVm.h
+++ b/src/EntryVm.h
@@ -3,12 +3,13 @@
 /** \file
  * EntryVm: the process that runs on each entry VM of the platform.
  *
- *     caller --> FrontServer --> route --> budget --> CallForwarder --> target
- *                                  |         |
- *                            StoreFollower  BudgetStore --> platform's store
+ *     caller --> FrontServer --> route --> earlier turns --> budget --> CallForwarder --> target
+ *                                  |             |              |
+ *                            StoreFollower  ConversationStore  BudgetStore --> platform's store
  *
  * The process is single-threaded, with one event loop. The state of a request stays on the VM that received
- * it; only the claims on its program's budget are shared, through the platform's store.
+ * it; only the claims on its program's budget and the text of kept turns are shared, through the platform's
+ * store.
  */
 
 #include "VmSettings.h"
--- a/src/PacedStore.h
+++ b/src/PacedStore.h
@@ -30,7 +30,8 @@
     bool canCall() const;
     /** Whether the latest calls show that the store does not serve this VM. */
     bool isFailing() const;
-    /** Whether a call should not be tried either: the store is failing, and it is not the time to probe it. */
+    /** Whether a call should not be tried either: the store is failing, and it is not the time to probe it.
+     */
     bool isUnusable() const;
     /** Whether a call has been served within this time, so that the store serves this VM, if slowly. */
     bool wasServedWithin(Milliseconds time) const;
--- a/src/TurnArchive.h
+++ b/src/TurnArchive.h
@@ -30,7 +30,6 @@
 struct TurnArchiveOptions {
     WriterId writer_;
     std::uint32_t partitions_ = 1; ///< Per topic.
-    std::size_t maxRecordBytes_ = 0;
 };
 
 /** Writes and reads kept turns. Confined to the thread of the event loop. */
--- a/test/correctness/TurnArchives.cpp
+++ b/test/correctness/TurnArchives.cpp
@@ -53,9 +53,7 @@
         vm.health_ = {};
         vm.client_ = std::make_unique<platform::StoreClient>(*io_, address);
         vm.store_ = std::make_unique<PacedStore>(*vm.client_, vm.health_, 1);
-        constexpr std::size_t maxRecordBytes = 256 * 1024;
-        vm.archive_ = std::make_unique<TurnArchive>(
-            *io_, *vm.store_, TurnArchiveOptions { { writer }, 2, maxRecordBytes });
+        vm.archive_ = std::make_unique<TurnArchive>(*io_, *vm.store_, TurnArchiveOptions { { writer }, 2 });
     }
 
     template <typename Condition> void runUntil(const Condition& holds)
--- a/test/failure/KeptConversations.cpp
+++ b/test/failure/KeptConversations.cpp
@@ -178,10 +178,11 @@
         CHECK(answer("vm-a", "1"));
         CHECK(answer("vm-b", "2", "1"));
         CHECK(answer("vm-c", "3", "2"));
+        CHECK(answer("vm-d", "4", "3"));
         runFor(Milliseconds { 20 }); // The last copy has arrived.
         store_->faults().isDown_ = true;
         for (const char* vm : { "vm-a", "vm-b", "vm-c", "vm-d" })
-            checkFound(vm, { "1", "2", "3" });
+            checkFound(vm, { "1", "2", "3", "4" });
     }
 
     void chainOutlivesAllVms()
@@ -315,7 +316,7 @@
         constexpr Milliseconds shortRetention { 1500 };
         CHECK(answer("vm-a", "1", "", shortRetention));
         std::vector<std::string> ids { "1" };
-        for (const char* id : { "2", "3", "4" }) {
+        for (const char* id : { "2", "3", "4", "5", "6" }) {
             runFor(shortRetention / 2);
             CHECK(answer("vm-a", id, ids.back(), shortRetention));
             ids.emplace_back(id);
