--- a/test/soak/SoakHistory.cpp
+++ b/test/soak/SoakHistory.cpp
@@ -64,8 +64,8 @@
     std::string expected = soakRequestBody(id);
     std::string earlier = history.requests_[id].previous_;
     while (!earlier.empty()) {
-        expected = soakRequestBody(earlier) + dataOf(soakResponseBody(earlier, SoakRequestKind::KeptTurn))
-            + expected;
+        std::string output = dataOf(soakResponseBody(earlier, SoakRequestKind::KeptTurn));
+        expected.insert(0, soakRequestBody(earlier).append(output));
         earlier = history.requests_[earlier].previous_;
     }
     if (body != expected)
