CrashingRequests: wait until both VMs reach the target again

Cause: the case waited until VM 1 answered anything but 503, which a request that timed out does as well, and then sent through VM 0. Not a fault of the programs. Now it waits until a probe through each VM has reached the target, which is stricter.

--- a/test/failure/CrashingRequests.cpp
+++ b/test/failure/CrashingRequests.cpp
@@ -202,8 +202,13 @@
                 + "Content-Length: 8\r\n\r\ninnocent");
             vms.waitUntil("the request runs", [&] { return vms.targetRequests() > before; });
             vms.requestAt(1, "POST", "/read/1", headers, crashBody);
-            vms.waitUntil("the target is back",
-                [&] { return statusOf(vms.requestAt(1, "POST", "/read/1", headers, "probe")) != 503; });
+            // Both VMs have to know its new start; what they answer says less than what reaches the target.
+            for (std::size_t vm = 0; vm < 2; ++vm)
+                vms.waitUntil("the target is back", [&] {
+                    int probesBefore = vms.targetRequests();
+                    vms.requestAt(vm, "POST", "/read/1", headers, "probe");
+                    return vms.targetRequests() > probesBefore;
+                });
         }
         while (vms.targetCrashes() < crashesBeforeSettling + 1 && crashing.nextVm_ < 40) {
             crashing.tryOnce();
