Share what kept turns had written again; rank VMs without copies

No change of behaviour, found by reading the change once more: - watchDisconnect, logCallerGone, textBytes, runLoopUntil (tests) and sendNew (soak) take the place of 4, 3, 4, 5 and 3 copies. The caller-gone lines of two sources now name the program, as the third did. - firstVmFor, called several times a turn, looked for the first of a ranking of all VMs by sorting and copying them; now one pass. A test compares it with the ranking. - Deletions of turns were sought among all records of a partition after each append; now among the expired ones at the front. - The stage of a search had three values, of which one was asked for.

--- a/src/Conversation.cpp
+++ b/src/Conversation.cpp
@@ -11,7 +11,7 @@
 
     std::size_t sizeOf(const KeptTurn& turn)
     {
-        std::size_t bytes = entryOverheadBytes + turn.input_.size() + turn.output_.size();
+        std::size_t bytes = entryOverheadBytes + textBytes(turn);
         for (const AttemptId& ancestor : turn.ancestors_)
             bytes += sizeof(AttemptId) + ancestor.value_.size();
         return bytes;
@@ -27,13 +27,20 @@
 
 } // namespace
 
-std::string textOf(const TurnChain& chain)
+std::size_t textBytes(const KeptTurn& turn) { return turn.input_.size() + turn.output_.size(); }
+
+std::size_t textBytes(const TurnChain& chain)
 {
-    std::size_t size = 0;
+    std::size_t bytes = 0;
     for (const StoredTurn& stored : chain)
-        size += stored.turn_->input_.size() + stored.turn_->output_.size();
+        bytes += textBytes(*stored.turn_);
+    return bytes;
+}
+
+std::string textOf(const TurnChain& chain)
+{
     std::string text;
-    text.reserve(size);
+    text.reserve(textBytes(chain));
     for (const StoredTurn& stored : chain) {
         text += stored.turn_->input_;
         text += stored.turn_->output_;
--- a/src/Conversation.h
+++ b/src/Conversation.h
@@ -47,6 +47,10 @@
 /** A turn and those that it continues from, oldest first. */
 using TurnChain = std::vector<StoredTurn>;
 
+/** Bytes of the text of a turn, and of a chain. Pure. */
+std::size_t textBytes(const KeptTurn& turn);
+std::size_t textBytes(const TurnChain& chain);
+
 /** The text that a target receives before the input of the next turn. Pure, like `idsOf`. */
 std::string textOf(const TurnChain& chain);
 std::vector<AttemptId> idsOf(const TurnChain& chain);
--- a/src/ConversationPeers.cpp
+++ b/src/ConversationPeers.cpp
@@ -6,13 +6,20 @@
 
 std::optional<PeerEntry> firstVmFor(const PeerList& list, const std::string& key, MonotonicTime now)
 {
-    for (PeerEntry& peer : rankedVms(list, {}, key)) {
-        if (peer.vm_ == list.own_)
-            return std::nullopt;
-        if (isUsable(list, peer.vm_, now))
-            return std::move(peer);
+    // Several times a turn, so without a copy of the list. Of equal ranks the first name counts, as in
+    // `rankMembers`.
+    const PeerEntry* first = nullptr;
+    std::uint64_t firstRank = 0;
+    for (const auto& [vm, peer] : list.peers_) {
+        if (vm != list.own_ && !isUsable(list, vm, now))
+            continue;
+        std::uint64_t rank = rankOf(vm, key);
+        if (!first || rank > firstRank) {
+            first = &peer;
+            firstRank = rank;
+        }
     }
-    return std::nullopt;
+    return first && first->vm_ != list.own_ ? std::optional(*first) : std::nullopt;
 }
 
 std::optional<PeerEntry> peerWithStore(const PeerList& list, const ZoneId& ownZone, const AttemptId& turn,
--- a/src/ConversationStore.cpp
+++ b/src/ConversationStore.cpp
@@ -38,12 +38,11 @@
 struct ConversationStore::Impl : std::enable_shared_from_this<ConversationStore::Impl> {
     // A search for a chain, one source after the other.
     struct Search {
-        enum class Stage { Directory, Store, Peers };
         ChainSearch query_;
         OnFound done_;
         bool isForPeer_ = false; ///< Reads the store, and asks nobody.
-        Stage stage_ = Stage::Directory;
         MonotonicTime startedAt_;
+        bool isAtDirectory_ = false; ///< `call_` went to the directory VM, which does not read the store.
         std::shared_ptr<OutboundCall> call_;
         VmId peer_; ///< That `call_` was sent to.
         MonotonicTime callDeadline_;
@@ -93,9 +92,11 @@
         if (auto chain = findChain(cache_, query.turn_, bootNow()))
             return finish(search, { ChainStatus::Found, std::move(*chain) }, "memory");
         searches_.push_back(search);
-        if (auto directory = firstVmFor(exchange_.peers(), query.program_.value_, bootNow()))
-            return askForChain(search, *directory, Milliseconds { 0 });
-        readStore(search);
+        auto directory = firstVmFor(exchange_.peers(), query.program_.value_, bootNow());
+        if (!directory)
+            return readStore(search);
+        search->isAtDirectory_ = true;
+        askForChain(search, *directory, Milliseconds { 0 });
     }
 
     // `storeTime` is how long the peer may read the store.
@@ -124,7 +125,7 @@
     void handleChainReply(const SearchPtr& search, const std::optional<ChainReply>& reply)
     {
         recordPeerOutcome(exchange_.peers(), search->peer_, reply.has_value(), bootNow());
-        bool isDirectory = search->stage_ == Search::Stage::Directory;
+        bool isDirectory = std::exchange(search->isAtDirectory_, false);
         if (reply && reply->status_ == ChainStatus::Found) {
             cacheTurns(reply->chain_);
             return finish(search, *reply, isDirectory ? "directory" : "store, by a peer");
@@ -138,7 +139,6 @@
 
     void readStore(const SearchPtr& search)
     {
-        search->stage_ = Search::Stage::Store;
         if (store_.isUnusable())
             return askNextPeer(search);
         archive_.read(search->query_.turn_, storeDeadline(*search),
@@ -214,7 +214,6 @@
 
     void askNextPeer(const SearchPtr& search)
     {
-        search->stage_ = Search::Stage::Peers;
         MonotonicTime now = bootNow();
         auto peer = search->isForPeer_ || search->peersAsked_.size() >= maxPeersToRead
                 || now >= search->query_.deadline_
@@ -233,18 +232,15 @@
                 : reply.status_ == ChainStatus::Absent ? absent_
                                                        : unknown_)
             .add();
-        std::size_t bytes = 0;
-        for (const StoredTurn& stored : reply.chain_)
-            bytes += stored.turn_->input_.size() + stored.turn_->output_.size();
         logEvent("turn-search",
             { { "request", search->query_.request_.value_ }, { "turn", search->query_.turn_.value_ },
                 { "program", search->query_.program_.value_ }, { "outcome", nameOf(reply.status_) },
                 { "source", source }, { "peer", search->peer_.value_ },
-                { "turns", std::to_string(reply.chain_.size()) }, { "bytes", std::to_string(bytes) },
+                { "turns", std::to_string(reply.chain_.size()) },
+                { "bytes", std::to_string(textBytes(reply.chain_)) },
                 { "took_ms", std::to_string((bootNow() - search->startedAt_).count()) } });
         searches_.remove(search);
-        OnFound done = std::move(search->done_);
-        search->done_ = nullptr;
+        OnFound done = std::exchange(search->done_, nullptr);
         done(reply);
     }
 
@@ -297,8 +293,7 @@
         logEvent("turn-kept",
             { { "request", turn.id_.value_ }, { "program", answered.program_.value_ },
                 { "outcome", writer ? "kept" : "not-kept" }, { "by_peer", writer ? writer->value_ : "" },
-                { "turns", std::to_string(turns) },
-                { "bytes", std::to_string(turn.input_.size() + turn.output_.size()) },
+                { "turns", std::to_string(turns) }, { "bytes", std::to_string(textBytes(turn)) },
                 { "took_ms", std::to_string(took.count()) } });
     }
 
@@ -318,8 +313,7 @@
         search->query_ = { query->turn_, {}, {}, bootNow() + query->storeTime_ };
         search->isForPeer_ = true;
         search->startedAt_ = bootNow();
-        auto isGone = std::make_shared<bool>(false);
-        reply->onDisconnect([isGone] { *isGone = true; });
+        auto isGone = watchDisconnect(*reply);
         search->done_ = [reply, isGone](const ChainReply& found) {
             if (!*isGone)
                 answerPeer(*reply, httpOk, encode(found, bootNow()));
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -290,15 +290,12 @@
     void resume(ForwardedCall call)
     {
         auto waiting = std::make_shared<ForwardedCall>(std::move(call));
-        auto isGone = std::make_shared<bool>(false);
-        waiting->reply_->onDisconnect([isGone] { *isGone = true; });
+        auto isGone = watchDisconnect(*waiting->reply_);
         resumption_.find(waiting->tags_.resumes_, waiting->service_.id_,
             [this, waiting, isGone](const std::optional<StreamOrigin>& origin) {
                 if (*isGone)
-                    return logEvent("request",
-                        { { "request", waiting->tags_.attempt_.value_ }, { "outcome", "caller-gone" },
-                            { "reason",
-                                "the caller disconnected while the origin of its stream was sought" } });
+                    return logCallerGone(
+                        *waiting, "the caller disconnected while the origin of its stream was sought");
                 if (!origin || !routeAllows(waiting->route_, origin->service_))
                     return rejectCall(*waiting, serviceUnavailable,
                         "the software version that began the stream is unknown or no longer in use on this "
--- a/src/FrontServer.cpp
+++ b/src/FrontServer.cpp
@@ -366,6 +366,13 @@
     }
 };
 
+std::shared_ptr<const bool> watchDisconnect(FrontReply& reply)
+{
+    auto isGone = std::make_shared<bool>(false);
+    reply.onDisconnect([isGone] { *isGone = true; });
+    return isGone;
+}
+
 FrontServer::FrontServer(
     asio::io_context& io, const std::string& address, FrontHandler handler, FrontRejectionHandler onRejected)
     : impl_(std::make_shared<Impl>(io))
--- a/src/FrontServer.h
+++ b/src/FrontServer.h
@@ -42,6 +42,10 @@
     virtual void onDisconnect(std::function<void()> callback) = 0;
 };
 
+/** Returns whether the caller has disconnected, kept up to date while the reply exists. Takes the place of
+ * the reply's callback. Must be used on the thread of the event loop. */
+std::shared_ptr<const bool> watchDisconnect(FrontReply& reply);
+
 /** A complete request. */
 struct FrontRequest {
     HttpHead head_;
--- a/src/Members.cpp
+++ b/src/Members.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-    std::uint64_t scoreOf(const Member& member, const std::string& key)
-    {
-        std::string text = key + "@" + member.vm_.value_;
-        return XXH3_64bits(text.data(), text.size());
-    }
-
     using MemberPointers = std::vector<const Member*>;
 
     MemberPointers rankPointers(const MemberPointers& members, const std::string& key)
@@ -20,7 +14,7 @@
         std::vector<std::pair<std::uint64_t, const Member*>> scored;
         scored.reserve(members.size());
         for (const Member* member : members)
-            scored.emplace_back(scoreOf(*member, key), member);
+            scored.emplace_back(rankOf(member->vm_, key), member);
         std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
             return a.first == b.first ? a.second->vm_ < b.second->vm_ : a.first > b.first;
         });
@@ -33,6 +27,12 @@
 
 } // namespace
 
+std::uint64_t rankOf(const VmId& vm, const std::string& key)
+{
+    std::string text = key + "@" + vm.value_;
+    return XXH3_64bits(text.data(), text.size());
+}
+
 Members rankMembers(const Members& members, const std::string& key)
 {
     MemberPointers pointers;
--- a/src/Members.h
+++ b/src/Members.h
@@ -33,6 +33,9 @@
 
 using Members = std::vector<Member>;
 
+/** The rendezvous hash by which VMs rank for a key; the highest is the first. Pure. */
+std::uint64_t rankOf(const VmId& vm, const std::string& key);
+
 /** Returns members in the order of their rendezvous hashes with a key. Pure. */
 Members rankMembers(const Members& members, const std::string& key);
 
--- a/src/RefuseCall.cpp
+++ b/src/RefuseCall.cpp
@@ -42,4 +42,12 @@
     refuseCall(*call.reply_, call.tags_.attempt_, status, reason, retryAfter);
 }
 
+void logCallerGone(const ForwardedCall& call, const char* reason, const LogFields& fields)
+{
+    LogFields all { { "request", call.tags_.attempt_.value_ }, { "program", call.tags_.program_.value_ },
+        { "outcome", "caller-gone" }, { "reason", reason } };
+    all.insert(all.end(), fields.begin(), fields.end());
+    logEvent("request", all);
+}
+
 } // namespace fescue
--- a/src/RefuseCall.h
+++ b/src/RefuseCall.h
@@ -22,4 +22,8 @@
 void rejectCall(ForwardedCall& call, int status, const std::string& reason,
     std::optional<Milliseconds> retryAfter, const LogFields& fields = {});
 
+/** Logs that the caller of a request has disconnected before it was forwarded; `fields` are added to the
+ * line. */
+void logCallerGone(const ForwardedCall& call, const char* reason, const LogFields& fields = {});
+
 } // namespace fescue
--- a/src/TurnAdmission.cpp
+++ b/src/TurnAdmission.cpp
@@ -64,14 +64,10 @@
         auto found = pendingTurns_.find(id);
         if (found == pendingTurns_.end())
             return;
-        const CallTags& tags = found->second.call_.tags_;
-        logEvent("request",
-            { { "request", tags.attempt_.value_ }, { "program", tags.program_.value_ },
-                { "outcome", "caller-gone" },
-                { "reason", "the caller disconnected while the turn waited for its program's budget" },
-                { "waited_for", found->second.turnId_ ? broker_.describe(*found->second.turnId_) : "" },
-                { "waited_ms",
-                    std::to_string((bootNow() - found->second.call_.request_.arrived_).count()) } });
+        const ForwardedCall& call = found->second.call_;
+        logCallerGone(call, "the caller disconnected while the turn waited for its program's budget",
+            { { "waited_for", found->second.turnId_ ? broker_.describe(*found->second.turnId_) : "" },
+                { "waited_ms", std::to_string((bootNow() - call.request_.arrived_).count()) } });
         if (found->second.turnId_)
             broker_.abandonTurn(*found->second.turnId_);
         pendingTurns_.erase(found);
--- a/src/TurnArchive.cpp
+++ b/src/TurnArchive.cpp
@@ -277,12 +277,14 @@
 
     void recordDeleted(Lane& lane, const std::vector<std::string>& keys)
     {
-        auto kept
-            = std::remove_if(lane.expiries_.begin(), lane.expiries_.end(), [&keys](const Expiry& expiry) {
-                  return std::find(keys.begin(), keys.end(), expiry.turnKey_) != keys.end();
-              });
-        auto count = static_cast<std::size_t>(std::distance(kept, lane.expiries_.end()));
-        lane.expiries_.erase(kept, lane.expiries_.end());
+        // What was deleted has expired, so it is at the front.
+        auto expiredEnd = std::find_if(lane.expiries_.begin(), lane.expiries_.end(),
+            [now = bootNow()](const Expiry& expiry) { return now < expiry.at_; });
+        auto kept = std::remove_if(lane.expiries_.begin(), expiredEnd, [&keys](const Expiry& expiry) {
+            return std::find(keys.begin(), keys.end(), expiry.turnKey_) != keys.end();
+        });
+        auto count = static_cast<std::size_t>(std::distance(kept, expiredEnd));
+        lane.expiries_.erase(kept, expiredEnd);
         records_ -= count;
         deleted_.add(count);
     }
@@ -297,6 +299,15 @@
         ++records_;
     }
 
+    // The callback of either read of a turn's record.
+    auto onRecords(std::uint64_t id, const ArchiveCallPtr& call)
+    {
+        return [weak = weak_from_this(), id, call](const auto& page) {
+            if (auto self = weak.lock())
+                self->handleRead(id, call, page ? &page->records_ : nullptr, page ? nullptr : &page.error());
+        };
+    }
+
     void sendRead(std::uint64_t id, const ArchiveCallPtr& call)
     {
         readCalls_.add();
@@ -306,13 +317,7 @@
         if (call->isReadByKey_)
             return readByKey(id, call);
         const Location& location = call->locations_.back();
-        store_.readFrom(call->partition_, location.offset_, location.bytes_, storeUser,
-            [weak = weak_from_this(), id, call](
-                const tl::expected<platform::RecordPage, platform::StoreError>& page) {
-                if (auto self = weak.lock())
-                    self->handleRead(
-                        id, call, page ? &page->records_ : nullptr, page ? nullptr : &page.error());
-            });
+        store_.readFrom(call->partition_, location.offset_, location.bytes_, storeUser, onRecords(id, call));
     }
 
     void readPointers(std::uint64_t id, const ArchiveCallPtr& call)
@@ -347,13 +352,8 @@
     void readByKey(std::uint64_t id, const ArchiveCallPtr& call)
     {
         // The page begins after that key, so with the record.
-        store_.readNewest(call->partition_, keyBefore(call->locations_.back().key_), storeUser,
-            [weak = weak_from_this(), id, call](
-                const tl::expected<platform::NewestPage, platform::StoreError>& page) {
-                if (auto self = weak.lock())
-                    self->handleRead(
-                        id, call, page ? &page->records_ : nullptr, page ? nullptr : &page.error());
-            });
+        store_.readNewest(
+            call->partition_, keyBefore(call->locations_.back().key_), storeUser, onRecords(id, call));
     }
 
     void handleRead(std::uint64_t id, const ArchiveCallPtr& call,
--- a/src/TurnContinuation.cpp
+++ b/src/TurnContinuation.cpp
@@ -48,17 +48,14 @@
     if (call.tags_.previousTurn_.empty())
         return complete(std::move(call), {}, maxBodyBytes, ready);
     auto waiting = std::make_shared<ForwardedCall>(std::move(call));
-    auto isGone = std::make_shared<bool>(false);
-    waiting->reply_->onDisconnect([isGone] { *isGone = true; });
+    auto isGone = watchDisconnect(*waiting->reply_);
     ChainSearch search { waiting->tags_.previousTurn_, waiting->tags_.attempt_, waiting->tags_.program_,
         std::min(waiting->deadline_, bootNow() + maxSearchTime) };
     conversations_.find(
         search, [this, waiting, isGone, maxBodyBytes, ready = std::move(ready)](const ChainReply& found) {
             if (*isGone)
-                return logEvent("request",
-                    { { "request", waiting->tags_.attempt_.value_ }, { "outcome", "caller-gone" },
-                        { "reason",
-                            "the caller disconnected while the turn that it continues from was sought" } });
+                return logCallerGone(
+                    *waiting, "the caller disconnected while the turn that it continues from was sought");
             if (found.status_ != ChainStatus::Found)
                 return rejectUnfound(*waiting, found.status_);
             complete(std::move(*waiting), found.chain_, maxBodyBytes, ready);
--- a/src/TurnWriter.cpp
+++ b/src/TurnWriter.cpp
@@ -180,8 +180,7 @@
             return refuseMalformed(*reply, request);
         if (isDraining_ || store_.isUnusable())
             return answerPeer(*reply, httpUnavailable, "");
-        auto isGone = std::make_shared<bool>(false);
-        reply->onDisconnect([isGone] { *isGone = true; });
+        auto isGone = watchDisconnect(*reply);
         auto write = std::make_shared<Write>();
         write->turns_ = std::move(keep->turns_);
         write->life_ = keep->life_;
--- a/test/correctness/BudgetLanes.cpp
+++ b/test/correctness/BudgetLanes.cpp
@@ -3,6 +3,7 @@
 
 #include "BootClock.h"
 #include "BudgetStore.h"
+#include "EventLoop.h"
 #include "PlatformStore.h"
 #include "StoreClient.h"
 #include "Suite.h"
@@ -47,15 +48,12 @@
 
     template <typename Condition> void runUntil(const Condition& holds)
     {
-        constexpr int maxRounds = 20000;
-        for (int round = 0; round < maxRounds && !holds(); ++round) {
-            io_->run_for(std::chrono::milliseconds(1));
-            io_->restart();
+        auto tick = [this] {
             client_->tick(bootNow());
             budgets_->tick(false, bootNow());
             store_->tick(bootNow());
-        }
-        CHECK(holds());
+        };
+        fescue::test::runLoopUntil(*io_, tick, holds);
     }
 
     std::set<ProgramId> programsInStore()
--- a/test/correctness/ConversationTexts.cpp
+++ b/test/correctness/ConversationTexts.cpp
@@ -1,6 +1,7 @@
 // The text of conversations: the data of event streams, and the bounded cache of turns.
 
 #include "Conversation.h"
+#include "ConversationPeers.h"
 #include "EventData.h"
 #include "Suite.h"
 
@@ -40,6 +41,7 @@
     CPPUNIT_TEST(chainWithAMissingAncestorIsNotFound);
     CPPUNIT_TEST(cacheStaysWithinItsBytesAndEvictsTheLeastRecentlyUsed);
     CPPUNIT_TEST(unusedTurnsAreEvicted);
+    CPPUNIT_TEST(vmForAKeyIsTheFirstUsableOneOfTheRanking);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -122,6 +124,34 @@
         CHECK_EQUAL(std::size_t { 0 }, cache.bytes_);
         CHECK(cache.entries_.empty());
     }
+
+    void vmForAKeyIsTheFirstUsableOneOfTheRanking()
+    {
+        PeerList list;
+        list.own_ = { "vm-0" };
+        constexpr int vms = 7;
+        for (int i = 0; i < vms; ++i) {
+            VmId vm { "vm-" + std::to_string(i) };
+            list.peers_[vm] = { vm, { i % 2 == 0 ? "z1" : "z2" }, "address", {} };
+        }
+        for (const char* lost : { "", "vm-3", "vm-5", "vm-6" }) {
+            if (*lost)
+                recordPeerOutcome(list, { lost }, false, start);
+            for (int key = 0; key < 50; ++key) {
+                std::optional<VmId> expected;
+                for (const PeerEntry& peer : rankedVms(list, {}, std::to_string(key))) {
+                    if (peer.vm_ != list.own_ && !isUsable(list, peer.vm_, start))
+                        continue;
+                    if (peer.vm_ != list.own_)
+                        expected = peer.vm_;
+                    break;
+                }
+                auto found = firstVmFor(list, std::to_string(key), start);
+                CHECK(expected.has_value() == found.has_value());
+                CHECK(!found || found->vm_ == *expected);
+            }
+        }
+    }
 };
 
 REGISTER_SUITE(ConversationTexts);
--- a/test/correctness/HomeAnswers.cpp
+++ b/test/correctness/HomeAnswers.cpp
@@ -1,6 +1,7 @@
 // Requests of a VM to a program's home while the store is faulty.
 
 #include "BootClock.h"
+#include "EventLoop.h"
 #include "FreePort.h"
 #include "PlatformStore.h"
 #include "StoreClient.h"
@@ -48,18 +49,15 @@
 
     template <typename Condition> void runUntil(const Condition& holds)
     {
-        constexpr int maxRounds = 20000;
-        for (int round = 0; round < maxRounds && !holds(); ++round) {
-            io_->run_for(std::chrono::milliseconds(1));
-            io_->restart();
+        auto tick = [this] {
             store_->tick(bootNow());
             for (auto& [id, vm] : vms_) {
                 vm.store_->tick(bootNow());
                 vm.exchange_->tick(bootNow());
                 vm.broker_->tick(false, bootNow());
             }
-        }
-        CHECK(holds());
+        };
+        fescue::test::runLoopUntil(*io_, tick, holds);
     }
 
     void addVm(const std::string& name)
--- a/test/correctness/StoreFollowing.cpp
+++ b/test/correctness/StoreFollowing.cpp
@@ -1,4 +1,5 @@
 #include "BootClock.h"
+#include "EventLoop.h"
 #include "PlatformStore.h"
 #include "StoreClient.h"
 #include "StoreFollower.h"
@@ -48,15 +49,12 @@
     // Runs the event loop until the condition holds; fails the test if it never does.
     template <typename Condition> void runUntil(const Condition& holds)
     {
-        constexpr int maxRounds = 20000;
-        for (int round = 0; round < maxRounds && !holds(); ++round) {
-            io_->run_for(std::chrono::milliseconds(1));
-            io_->restart();
+        auto tick = [this] {
             client_->tick(bootNow());
             follower_->tick(bootNow());
             store_->tick(bootNow());
-        }
-        CHECK(holds());
+        };
+        fescue::test::runLoopUntil(*io_, tick, holds);
     }
 
     bool knows(const std::string& target) const
--- a/test/correctness/TurnArchives.cpp
+++ b/test/correctness/TurnArchives.cpp
@@ -1,6 +1,7 @@
 // Kept turns in the platform's store while the store is faulty, and their deletion.
 
 #include "BootClock.h"
+#include "EventLoop.h"
 #include "PlatformStore.h"
 #include "Suite.h"
 #include "TurnArchive.h"
@@ -58,17 +59,14 @@
 
     template <typename Condition> void runUntil(const Condition& holds)
     {
-        constexpr int maxRounds = 20000;
-        for (int round = 0; round < maxRounds && !holds(); ++round) {
-            io_->run_for(std::chrono::milliseconds(1));
-            io_->restart();
+        auto tick = [this] {
             store_->tick(bootNow());
             for (Vm* vm : { &a_, &b_ }) {
                 vm->client_->tick(bootNow());
                 vm->archive_->tick(bootNow());
             }
-        }
-        CHECK(holds());
+        };
+        fescue::test::runLoopUntil(*io_, tick, holds);
     }
 
     bool write(Vm& vm, const KeptTurnPtr& turn, Milliseconds turnLife = life, Milliseconds timeout = patience)
--- a/test/failure/KeptConversations.cpp
+++ b/test/failure/KeptConversations.cpp
@@ -2,6 +2,7 @@
 
 #include "BootClock.h"
 #include "ConversationStore.h"
+#include "EventLoop.h"
 #include "FreePort.h"
 #include "PlatformStore.h"
 #include "Suite.h"
@@ -60,18 +61,15 @@
 
     template <typename Condition> void runUntil(const Condition& holds)
     {
-        constexpr int maxRounds = 20000;
-        for (int round = 0; round < maxRounds && !holds(); ++round) {
-            io_->run_for(std::chrono::milliseconds(1));
-            io_->restart();
+        auto tick = [this] {
             store_->tick(bootNow());
             for (auto& [name, vm] : vms_) {
                 vm.client_->tick(bootNow());
                 vm.exchange_->tick(bootNow());
                 vm.conversations_->tick(false, bootNow());
             }
-        }
-        CHECK(holds());
+        };
+        fescue::test::runLoopUntil(*io_, tick, holds);
     }
 
     void startVm(const std::string& name, const std::string& zone)
--- a/test/soak/SoakHarness.cpp
+++ b/test/soak/SoakHarness.cpp
@@ -320,9 +320,7 @@
             request.program_ = caller.program_;
             if (request.kind_ == SoakRequestKind::Turn)
                 --caller.turnsLeft_;
-            std::string id = fmt::format("r{}-{}", options_.seed_, ++report_.requests_);
-            history_.requests_[id] = request;
-            exchange(index, id, request);
+            sendNew(index, request);
         }
 
         // Begins a conversation, or goes on from any turn whose response has ended, also one of another
@@ -347,6 +345,11 @@
                     pickForConversation(2) == 0 ? keptTurns_.size() : std::min(recent, keptTurns_.size()));
                 request.previous_ = keptTurns_[keptTurns_.size() - 1 - age];
             }
+            sendNew(index, request);
+        }
+
+        void sendNew(std::size_t index, const SoakRequest& request)
+        {
             std::string id = fmt::format("r{}-{}", options_.seed_, ++report_.requests_);
             history_.requests_[id] = request;
             exchange(index, id, request);
@@ -392,9 +395,7 @@
             request.program_ = history_.requests_[broken].program_;
             request.resumes_
                 = history_.requests_[broken].resumes_.empty() ? broken : history_.requests_[broken].resumes_;
-            std::string id = fmt::format("r{}-{}", options_.seed_, ++report_.requests_);
-            history_.requests_[id] = request;
-            exchange(index, id, request);
+            sendNew(index, request);
         }
 
         void handleResult(const std::string& id, const SoakVm& vm, const OutboundResult& end,
