Log what makes a leaving target look usable: late reports, held removals, starts, the age of the list

The logs told none of the hypotheses apart. The line on a target names its start and the number of its report, a report that is older than the known one and a removal that is held back have lines of their own, and each send names the age of the list that it relied on.

--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -202,7 +202,8 @@
         ++transfer->sends_;
         const ForwardedCall& call = transfer->call_;
         Milliseconds remaining = call.deadline_ - transfer->sentAt_;
-        logSend(*transfer, describeLoad(pool_, target.id_, transfer->sentAt_));
+        logSend(*transfer, describeLoad(pool_, target.id_, transfer->sentAt_),
+            targets_.listAge(transfer->sentAt_));
         OutboundRequest request { targets_.addressOf(target.id_).value_or(asio::ip::tcp::endpoint()),
             platform::encodeTargetRequest(call.request_.head_, remaining, target.id_), call.request_.body_ };
         request.needsNewConnection_ = transfer->needsNewConnection_;
--- a/src/KnownTargets.cpp
+++ b/src/KnownTargets.cpp
@@ -31,6 +31,7 @@
 void KnownTargets::set(const TargetList& list, const ServingConfig& config)
 {
     targets_.clear();
+    listReadAt_ = list.readAt_;
     for (const auto& [id, entry] : list.entries_) {
         if (auto address = parseEndpoint(entry.address_))
             targets_[id] = { *address, entry.startedAt_ };
@@ -67,6 +68,7 @@
 
 void KnownTargets::tick(const TargetList& list, MonotonicTime now)
 {
+    listReadAt_ = list.readAt_;
     permits_.tick(now);
     endStatements(statements_, list, now);
 }
@@ -77,6 +79,8 @@
     return { target, known == targets_.end() ? Milliseconds { 0 } : known->second.startedAt_ };
 }
 
+Milliseconds KnownTargets::listAge(MonotonicTime now) const { return now - listReadAt_; }
+
 std::optional<asio::ip::tcp::endpoint> KnownTargets::addressOf(const TargetId& target) const
 {
     auto known = targets_.find(target);
--- a/src/KnownTargets.h
+++ b/src/KnownTargets.h
@@ -35,6 +35,8 @@
 
     /** The current start of a target; its time is 0 if the target is not known. */
     TargetStart startOf(const TargetId& target) const;
+    /** Time since the list was read to its end. */
+    Milliseconds listAge(MonotonicTime now) const;
     /** The address of a target; nothing if it is not known. */
     std::optional<asio::ip::tcp::endpoint> addressOf(const TargetId& target) const;
 
@@ -50,6 +52,7 @@
     TargetPool& pool_;
     std::function<void()> onPermits_;
     std::map<TargetId, Known> targets_;
+    MonotonicTime listReadAt_;
     TargetStatements statements_;
     PermitBroker permits_;
 };
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -32,6 +32,8 @@
         bool isReading_ = false;
     };
 
+    const char* stateOf(const TargetEntry& entry) { return entry.isLeaving_ ? "leaving" : "ready"; }
+
     bool isSameTarget(const TargetEntry& a, const TargetEntry& b)
     {
         return a.service_ == b.service_ && a.address_ == b.address_ && a.zone_ == b.zone_
@@ -256,13 +258,35 @@
     void applyTargetChanges(const std::vector<platform::KeyedRecord>& records)
     {
         for (const platform::KeyedRecord& record : records) {
-            if (!record.key_.empty())
-                applyTargetChange(targetList_, { record.key_ },
-                    platform::decodeTarget(record.key_, record.value_), bootNow());
+            if (record.key_.empty())
+                continue;
+            auto entry = platform::decodeTarget(record.key_, record.value_);
+            logOutOfOrder({ record.key_ }, entry);
+            applyTargetChange(targetList_, { record.key_ }, entry, bootNow());
         }
         reportTargets();
     }
 
+    // Says what a VM does not take from the list at once, since a target may be in use because of it.
+    void logOutOfOrder(const TargetId& id, const std::optional<TargetEntry>& entry) const
+    {
+        auto known = targetList_.entries_.find(id);
+        if (known == targetList_.entries_.end())
+            return;
+        if (entry && isOlderReport(*entry, known->second))
+            logEvent("target-report-late",
+                { { "target", id.value_ }, { "state", stateOf(*entry) },
+                    { "started_at", std::to_string(entry->startedAt_.count()) },
+                    { "report", std::to_string(entry->heartbeat_) }, { "known_state", stateOf(known->second) },
+                    { "known_started_at", std::to_string(known->second.startedAt_.count()) },
+                    { "known_report", std::to_string(known->second.heartbeat_) } });
+        if (!entry && isRemovalHeld(targetList_, bootNow()))
+            logEvent("target-removal-held",
+                { { "target", id.value_ },
+                    { "reconnected_ms",
+                        std::to_string((bootNow() - *targetList_.reconnectedAt_).count()) } });
+    }
+
     void applyAllPeers(const std::vector<platform::KeyedRecord>& records)
     {
         peerEntries_.clear();
@@ -323,7 +347,9 @@
                     { { "target", id.value_ }, { "service", entry.service_.value_ },
                         { "address", entry.address_ }, { "zone", entry.zone_.value_ },
                         { "version", entry.version_.value_ },
-                        { "state", entry.isLeaving_ ? "leaving" : "ready" } });
+                        { "state", stateOf(entry) },
+                        { "started_at", std::to_string(entry.startedAt_.count()) },
+                        { "report", std::to_string(entry.heartbeat_) } });
         }
         for (const auto& [id, entry] : reportedTargets_) {
             if (!targetList_.entries_.count(id))
--- a/src/TargetList.cpp
+++ b/src/TargetList.cpp
@@ -1,5 +1,7 @@
 #include "TargetList.h"
 
+#include <tuple>
+
 namespace fescue {
 
 namespace {
@@ -12,8 +14,7 @@
     {
         if (!list.entries_.count(id))
             return;
-        bool isInGracePeriod = list.reconnectedAt_ && now < *list.reconnectedAt_ + missingEntryGracePeriod;
-        if (isInGracePeriod)
+        if (isRemovalHeld(list, now))
             list.missingSince_.emplace(id, now);
         else
             list.entries_.erase(id);
@@ -31,6 +32,11 @@
     recordVersion(list.versions_, entry->service_, entry->version_, now);
 }
 
+bool isOlderReport(const TargetEntry& report, const TargetEntry& known)
+{
+    return std::tie(report.startedAt_, report.heartbeat_) < std::tie(known.startedAt_, known.heartbeat_);
+}
+
 void applyFullList(TargetList& list, const std::vector<TargetEntry>& entries, MonotonicTime now)
 {
     if (!list.isComplete_ || now > list.readAt_ + maxListAge)
@@ -80,10 +86,14 @@
 
 void recordStoreReconnect(TargetList& list, MonotonicTime now) { list.reconnectedAt_ = now; }
 
+bool isRemovalHeld(const TargetList& list, MonotonicTime now)
+{
+    return list.reconnectedAt_ && now < *list.reconnectedAt_ + missingEntryGracePeriod;
+}
+
 bool removeMissing(TargetList& list, MonotonicTime now)
 {
-    if (list.missingSince_.empty() || !list.reconnectedAt_
-        || now < *list.reconnectedAt_ + missingEntryGracePeriod)
+    if (list.missingSince_.empty() || isRemovalHeld(list, now))
         return false;
     for (const auto& [id, since] : list.missingSince_)
         list.entries_.erase(id);
--- a/src/TargetList.h
+++ b/src/TargetList.h
@@ -51,6 +51,10 @@
 void applyTargetChange(
     TargetList& list, const TargetId& id, const std::optional<TargetEntry>& entry, MonotonicTime now);
 
+/** Whether a report was written before the one that is known of the same target. Writes can be delayed, so the
+ * log may hold reports in another order than the target made them. Pure. */
+bool isOlderReport(const TargetEntry& report, const TargetEntry& known);
+
 /** Replaces the list by a full read of the store. */
 void applyFullList(TargetList& list, const std::vector<TargetEntry>& entries, MonotonicTime now);
 
@@ -66,6 +70,9 @@
 /** Records that the store has recovered from an outage. */
 void recordStoreReconnect(TargetList& list, MonotonicTime now);
 
+/** Whether a removal waits for the end of the grace period. Pure. */
+bool isRemovalHeld(const TargetList& list, MonotonicTime now);
+
 /** Removes entries still missing after the grace period. Returns whether any was removed. */
 bool removeMissing(TargetList& list, MonotonicTime now);
 
--- a/src/Transfer.cpp
+++ b/src/Transfer.cpp
@@ -16,7 +16,7 @@
     return { relayedEvents(transfer.relay_) * transfer.call_.service_.tokensPerEvent_.value_ };
 }
 
-void logSend(const Transfer& transfer, const std::string& load)
+void logSend(const Transfer& transfer, const std::string& load, Milliseconds listAge)
 {
     const ForwardedCall& call = transfer.call_;
     logEvent("send",
@@ -24,7 +24,8 @@
             { "target", transfer.target_.value_ }, { "version", transfer.version_.value_ },
             { "resumes", call.tags_.resumes_.value_ }, { "attempt", std::to_string(transfer.sends_) },
             { "waited_ms", msText(transfer.sentAt_ - call.request_.arrived_) },
-            { "left_ms", msText(call.deadline_ - transfer.sentAt_) }, { "load", load } });
+            { "left_ms", msText(call.deadline_ - transfer.sentAt_) }, { "load", load },
+            { "list_age_ms", msText(listAge) } });
 }
 
 void logRelay(const Transfer& transfer, const char* reason)
