Order the reports of a target by its start and their number

Callers' requests could go to a target that had said it leaves: a delayed older report, or one of an earlier start under the same id, stands behind the newer one in the store, and the list followed the order of the store. The target was ready again until its next report, or for good after its removal, and what an answer had said was forgotten, since the entry named another start.

Change: a report that is older than the known one, or than the last one of a removed entry, is ignored and logged (TargetList). Older reports that go on for four seconds while no newer one comes are taken, since the clock of a machine may have been set back between two starts.

--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -277,7 +277,8 @@
             logEvent("target-report-late",
                 { { "target", id.value_ }, { "state", stateOf(*entry) },
                     { "started_at", std::to_string(entry->startedAt_.count()) },
-                    { "report", std::to_string(entry->heartbeat_) }, { "known_state", stateOf(known->second) },
+                    { "report", std::to_string(entry->heartbeat_) },
+                    { "known_state", stateOf(known->second) },
                     { "known_started_at", std::to_string(known->second.startedAt_.count()) },
                     { "known_report", std::to_string(known->second.heartbeat_) } });
         if (!entry && isRemovalHeld(targetList_, bootNow()))
@@ -346,8 +347,7 @@
                 logEvent("target",
                     { { "target", id.value_ }, { "service", entry.service_.value_ },
                         { "address", entry.address_ }, { "zone", entry.zone_.value_ },
-                        { "version", entry.version_.value_ },
-                        { "state", stateOf(entry) },
+                        { "version", entry.version_.value_ }, { "state", stateOf(entry) },
                         { "started_at", std::to_string(entry.startedAt_.count()) },
                         { "report", std::to_string(entry.heartbeat_) } });
         }
--- a/src/TargetList.cpp
+++ b/src/TargetList.cpp
@@ -10,6 +10,18 @@
     // missed by a stream that it began.
     constexpr Milliseconds maxListAge { 1500 };
 
+    void drop(TargetList& list, const TargetId& id, MonotonicTime now)
+    {
+        auto entry = list.entries_.find(id);
+        if (entry == list.entries_.end())
+            return;
+        for (auto old = list.removed_.begin(); old != list.removed_.end();)
+            old = old->second.removedAt_ + lateReportRetention < now ? list.removed_.erase(old)
+                                                                     : std::next(old);
+        list.removed_[id] = { std::move(entry->second), now };
+        list.entries_.erase(entry);
+    }
+
     void remove(TargetList& list, const TargetId& id, MonotonicTime now)
     {
         if (!list.entries_.count(id))
@@ -17,7 +29,29 @@
         if (isRemovalHeld(list, now))
             list.missingSince_.emplace(id, now);
         else
-            list.entries_.erase(id);
+            drop(list, id, now);
+    }
+
+    // Whether the reports of a series have gone on for long enough to be no delayed ones.
+    bool isConfirmedRival(TargetList& list, const TargetEntry& report, MonotonicTime now)
+    {
+        RivalReports& rival = list.rivals_[report.id_];
+        bool continues = rival.startedAt_ == report.startedAt_ && rival.heartbeat_ < report.heartbeat_
+            && rival.heartbeat_ > 0;
+        rival = { report.startedAt_, report.heartbeat_, continues ? rival.since_ : now };
+        return now >= rival.since_ + rivalConfirmationTime;
+    }
+
+    bool isLate(TargetList& list, const TargetEntry& report, MonotonicTime now)
+    {
+        if (report.heartbeat_ == 0)
+            return false; // It has no number.
+        auto known = list.entries_.find(report.id_);
+        auto removed = list.removed_.find(report.id_);
+        bool isOlder = known != list.entries_.end() && isOlderReport(report, known->second);
+        // What lapsed comes back with a later report.
+        bool isOfRemoved = removed != list.removed_.end() && !isOlderReport(removed->second.entry_, report);
+        return (isOlder || isOfRemoved) && !isConfirmedRival(list, report, now);
     }
 
 } // namespace
@@ -27,9 +61,13 @@
 {
     if (!entry)
         return remove(list, id, now);
+    recordVersion(list.versions_, entry->service_, entry->version_, now);
+    if (isLate(list, *entry, now))
+        return;
     list.missingSince_.erase(id);
+    list.removed_.erase(id);
+    list.rivals_.erase(id);
     list.entries_[id] = *entry;
-    recordVersion(list.versions_, entry->service_, entry->version_, now);
 }
 
 bool isOlderReport(const TargetEntry& report, const TargetEntry& known)
@@ -96,7 +134,7 @@
     if (list.missingSince_.empty() || isRemovalHeld(list, now))
         return false;
     for (const auto& [id, since] : list.missingSince_)
-        list.entries_.erase(id);
+        drop(list, id, now);
     list.missingSince_.clear();
     return true;
 }
--- a/src/TargetList.h
+++ b/src/TargetList.h
@@ -6,6 +6,9 @@
  * Entries expire while the store is unavailable and reappear soon after it recovers. So an entry that is
  * removed right after an outage is dropped only if it is still missing after a grace period. In all other
  * cases the list follows the store at once: a target that leaves gets no more calls.
+ *
+ * A write of a target can be delayed, so the store may hold an older report behind a newer one. Reports are
+ * ordered by the start of the target's process and their number, not by their place in the store.
  */
 
 #include "Types.h"
@@ -32,6 +35,19 @@
     SoftwareVersion version_; ///< Empty when it states none.
 };
 
+/** The last report of an entry that was removed; a delayed older one may follow. */
+struct RemovedEntry {
+    TargetEntry entry_;
+    MonotonicTime removedAt_;
+};
+
+/** Reports that are older than the known one, but go on. */
+struct RivalReports {
+    Milliseconds startedAt_ { 0 };
+    std::uint64_t heartbeat_ = 0; ///< Of the last one.
+    MonotonicTime since_;
+};
+
 /** The announced targets. */
 struct TargetList {
     std::map<TargetId, TargetEntry> entries_;
@@ -41,18 +57,28 @@
     bool isComplete_ = false; ///< The full list has been read at least once.
     MonotonicTime readAt_; ///< When the store was last read to the end.
     VersionHistory versions_;
+    std::map<TargetId, RemovedEntry> removed_;
+    std::map<TargetId, RivalReports> rivals_; ///< No newer report has come since.
 };
 
 /** Time after a recovery of the store within which expired entries of live targets reappear, as documented by
  * the platform. */
 constexpr Milliseconds missingEntryGracePeriod { 2500 };
 
-/** Applies a change of one entry; no entry means that it was removed or is invalid. */
+/** Delayed writes of a target are carried out within seconds. */
+constexpr Milliseconds lateReportRetention { 60000 };
+
+/** Older reports that go on for this long, while no newer one comes, are those of a process whose clock or
+ * numbers began anew, not delayed ones. */
+constexpr Milliseconds rivalConfirmationTime { 4000 };
+
+/** Applies a change of one entry; no entry means that it was removed or is invalid. A report that is older
+ * than the last known one of its target is ignored. */
 void applyTargetChange(
     TargetList& list, const TargetId& id, const std::optional<TargetEntry>& entry, MonotonicTime now);
 
-/** Whether a report was written before the one that is known of the same target. Writes can be delayed, so the
- * log may hold reports in another order than the target made them. Pure. */
+/** Whether a report was written before the one that is known of the same target. Writes can be delayed, so
+ * the log may hold reports in another order than the target made them. Pure. */
 bool isOlderReport(const TargetEntry& report, const TargetEntry& known);
 
 /** Replaces the list by a full read of the store. */
--- a/src/Transfer.h
+++ b/src/Transfer.h
@@ -42,7 +42,8 @@
 /** Tokens that were passed on to the caller. Pure. */
 TokenCount generatedTokens(const Transfer& transfer);
 
-/** Logs that a request is sent; `load` describes the target, `listAge` is the age of the list that names it. */
+/** Logs that a request is sent; `load` describes the target, `listAge` is the age of the list that names it.
+ */
 void logSend(const Transfer& transfer, const std::string& load, Milliseconds listAge);
 
 /** Logs that a request is given to another VM. */
--- a/test/failure/LeavingEntries.cpp
+++ b/test/failure/LeavingEntries.cpp
@@ -1,5 +1,5 @@
-// Guards against work for a target that has said that it leaves, when what the VM knows of it comes late, in another order, or
-// through another VM.
+// Guards against work for a target that has said that it leaves, when what the VM knows of it comes late, in
+// another order, or through another VM.
 
 #include "BootClock.h"
 #include "EntryVmHarness.h"
@@ -120,7 +120,8 @@
         CHECK_EQUAL(0, setup.requestsWithin(Milliseconds { 500 }));
     }
 
-    // The target has started again under its id while the store was away, so the VM takes it for its earlier start.
+    // The target has started again under its id while the store was away, so the VM takes it for its earlier
+    // start.
     void answerOfAStartThatTheListDoesNotNameYetCounts()
     {
         Setup setup(respondLeaving);
