Hold removals back only after an outage in which entries can have lapsed

One failed read of the list counted as an outage of the store: the next read that was answered held all removals back for 2.5 s. With the interval of reads that let a VM use a target for up to 3.7 s after its removal; 2 s and 3 s are allowed.

An entry of a live target lapses after three silent heartbeat intervals, so removals wait only if the list could not be read for at least two of them, the third may have passed before. The interval is read from the settings.

--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -158,6 +158,8 @@
         // A leaving target must be noticed in time even if one read fails.
         followIntervals.targetInterval_
             = std::min(followIntervals.targetInterval_, settings.targetDrainTimeout_ / 3);
+        // An entry lapses after three heartbeat intervals of silence, one of which may have passed before.
+        followIntervals.minLapse_ = 2 * settings.targetHeartbeat_;
         return followIntervals;
     }
 
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -223,7 +223,7 @@
         // Only this topic is read without a long poll, so its first answer shows at once that the store is
         // back.
         if (hadFailed && &cursor == &targets_)
-            recordStoreReconnect(targetList_, bootNow());
+            recordStoreReconnect(targetList_, intervals_.minLapse_, bootNow());
     }
 
     void applyConfig(const std::vector<platform::KeyedRecord>& records)
--- a/src/StoreFollower.h
+++ b/src/StoreFollower.h
@@ -30,6 +30,7 @@
     Milliseconds minPollInterval_ { 120 }; ///< Between long-poll reads when changes come in quick succession.
     Milliseconds targetInterval_ { 600 }; ///< Poll interval of the targets' reports.
     Milliseconds peerPollWait_ { 5000 }; ///< Long-poll wait for the next change of a VM entry.
+    Milliseconds minLapse_ { 2400 }; ///< Shortest outage in which entries of live targets lapse.
     Milliseconds timeout_ { 500 }; ///< For an answer, in addition to the long-poll wait.
 };
 
--- a/src/TargetList.cpp
+++ b/src/TargetList.cpp
@@ -122,7 +122,11 @@
     return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
 }
 
-void recordStoreReconnect(TargetList& list, MonotonicTime now) { list.reconnectedAt_ = now; }
+void recordStoreReconnect(TargetList& list, Milliseconds minLapse, MonotonicTime now)
+{
+    if (now >= list.readAt_ + minLapse)
+        list.reconnectedAt_ = now;
+}
 
 bool isRemovalHeld(const TargetList& list, MonotonicTime now)
 {
--- a/src/TargetList.h
+++ b/src/TargetList.h
@@ -93,8 +93,9 @@
 std::optional<SoftwareVersion> soleVersion(
     const TargetList& list, const ServiceId& service, Milliseconds retention, MonotonicTime now);
 
-/** Records that the store has recovered from an outage. */
-void recordStoreReconnect(TargetList& list, MonotonicTime now);
+/** Records that the list could be read again after reads had failed. Only if that took so long that entries
+ * of live targets may have lapsed, their removals wait; `minLapse` is the shortest such outage. */
+void recordStoreReconnect(TargetList& list, Milliseconds minLapse, MonotonicTime now);
 
 /** Whether a removal waits for the end of the grace period. Pure. */
 bool isRemovalHeld(const TargetList& list, MonotonicTime now);
--- a/src/VmSettings.h
+++ b/src/VmSettings.h
@@ -33,6 +33,7 @@
     Milliseconds configApplyTimeout_ { 2000 };
     /** Maximum time until a draining target receives no new calls. */
     Milliseconds targetDrainTimeout_ { 2000 };
+    Milliseconds targetHeartbeat_ { 1200 }; ///< Time between two reports of a target.
 };
 
 } // namespace fescue
--- a/test/correctness/TargetEntries.cpp
+++ b/test/correctness/TargetEntries.cpp
@@ -7,6 +7,8 @@
 
 MonotonicTime at(std::int64_t ms) { return MonotonicTime(Milliseconds { 100000 + ms }); }
 
+constexpr Milliseconds minLapse { 2400 };
+
 TargetEntry entry(const std::string& id, bool isLeaving = false)
 {
     return { { id }, { "app" }, "10.0.0.1:80", { "zone-a" }, 6, isLeaving };
@@ -29,6 +31,7 @@
     CPPUNIT_TEST(entryMissingAfterTheGracePeriodIsRemoved);
     CPPUNIT_TEST(leavingTakesEffectDuringTheGracePeriod);
     CPPUNIT_TEST(removalAfterTheGracePeriodTakesEffectAtOnce);
+    CPPUNIT_TEST(removalAfterAFailureThatWasTooShortForALapseTakesEffectAtOnce);
     CPPUNIT_TEST(olderReportChangesNothing);
     CPPUNIT_TEST(olderReportDoesNotBringBackARemovedEntry);
     CPPUNIT_TEST(laterReportBringsBackARemovedEntry);
@@ -53,7 +56,7 @@
 
     void expiredEntryMayReappearAfterAnOutage()
     {
-        recordStoreReconnect(list_, at(5000));
+        recordStoreReconnect(list_, minLapse, at(5000));
         applyFullList(list_, { entry("i-2") }, at(5001));
         CHECK_EQUAL(std::size_t { 2 }, list_.entries_.size());
         applyTargetChange(list_, { "i-1" }, entry("i-1"), at(6000));
@@ -63,7 +66,7 @@
 
     void entryMissingAfterTheGracePeriodIsRemoved()
     {
-        recordStoreReconnect(list_, at(5000));
+        recordStoreReconnect(list_, minLapse, at(5000));
         applyFullList(list_, { entry("i-2") }, at(5001));
         CHECK(!removeMissing(list_, at(5000) + missingEntryGracePeriod - Milliseconds { 1 }));
         CHECK(removeMissing(list_, at(5000) + missingEntryGracePeriod));
@@ -72,18 +75,26 @@
 
     void leavingTakesEffectDuringTheGracePeriod()
     {
-        recordStoreReconnect(list_, at(5000));
+        recordStoreReconnect(list_, minLapse, at(5000));
         applyTargetChange(list_, { "i-1" }, entry("i-1", true), at(5001));
         CHECK(list_.entries_.at({ "i-1" }).isLeaving_);
     }
 
     void removalAfterTheGracePeriodTakesEffectAtOnce()
     {
-        recordStoreReconnect(list_, at(5000));
+        recordStoreReconnect(list_, minLapse, at(5000));
         applyTargetChange(list_, { "i-1" }, std::nullopt, at(5000) + missingEntryGracePeriod);
         CHECK_EQUAL(std::size_t { 1 }, list_.entries_.size());
     }
 
+    void removalAfterAFailureThatWasTooShortForALapseTakesEffectAtOnce()
+    {
+        list_.readAt_ = at(4000);
+        recordStoreReconnect(list_, minLapse, at(4000) + minLapse - Milliseconds { 1 });
+        applyTargetChange(list_, { "i-1" }, std::nullopt, at(6500));
+        CHECK(!list_.entries_.count({ "i-1" }));
+    }
+
     void olderReportChangesNothing()
     {
         applyTargetChange(list_, { "i-1" }, report(7, 5, true), at(100));
