Let a statement hold for a start of its target that is listed soon after it

An answer does not name the start of its target. A VM books it to the start that its list names, and after a target has started again under its id that may be the earlier one, for as long as the store is away. The belief ended with the next reading, and callers' requests went to the target again although it had said that it leaves.

If the list was followed all the while and the statement is older, the new start cannot have made it, and the belief ends at once as before.

--- a/src/KnownTargets.cpp
+++ b/src/KnownTargets.cpp
@@ -36,6 +36,7 @@
         if (auto address = parseEndpoint(entry.address_))
             targets_[id] = { *address, entry.startedAt_ };
     }
+    endStatements(statements_, list, bootNow());
     setTargets(pool_, poolTargets(list, config, statements_.leaving_));
     for (const auto& [id, known] : targets_)
         applyRate({ id, known.startedAt_ });
@@ -45,7 +46,7 @@
 {
     StatementChange change = readStatements(statements_, start, tags, bootNow());
     if (change.startsLeaving_)
-        markLeaving(pool_, start.target_);
+        setLeaving(pool_, start.target_, true);
     if (change.changesRate_) {
         applyRate(start);
         auto target = pool_.targets_.find(start.target_);
@@ -70,7 +71,11 @@
 {
     listReadAt_ = list.readAt_;
     permits_.tick(now);
-    endStatements(statements_, list, now);
+    for (const TargetId& target : endStatements(statements_, list, now)) {
+        auto entry = list.entries_.find(target);
+        if (entry != list.entries_.end())
+            setLeaving(pool_, target, entry->second.isLeaving_);
+    }
 }
 
 TargetStart KnownTargets::startOf(const TargetId& target) const
--- a/src/LeavingTargets.cpp
+++ b/src/LeavingTargets.cpp
@@ -4,8 +4,10 @@
 
 bool recordLeaving(LeavingTargets& leaving, const TargetId& target, Milliseconds startedAt, MonotonicTime now)
 {
-    if (hasSaidItLeaves(leaving, target, startedAt))
+    if (hasSaidItLeaves(leaving, target, startedAt)) {
+        leaving.beliefs_[target].assumedSinceReport_.reset();
         return false;
+    }
     putBelief(leaving.beliefs_, target, TargetBelief { startedAt, now, now });
     return true;
 }
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -180,7 +180,7 @@
     {
         cursor.currentAsOf_ = bootNow();
         if (&cursor == &targets_)
-            targetList_.readAt_ = *cursor.currentAsOf_;
+            markRead(targetList_, *cursor.currentAsOf_);
         bool isLongPoll = pollWaitOf(cursor).count() > 0;
         cursor.dueAt_
             = *cursor.currentAsOf_ + (isLongPoll ? intervals_.minPollInterval_ : intervals_.targetInterval_);
--- a/src/TargetBeliefs.h
+++ b/src/TargetBeliefs.h
@@ -5,6 +5,10 @@
  *
  * A belief belongs to one start of a target: another target at its address, or another start of it, is free
  * of it. An entry in the store may lapse and come back, so a belief outlives the entry for a while.
+ *
+ * An answer does not name the start of its target, and the list may still name an earlier one. So a start
+ * that is listed soon after a statement may be the one that made it: the belief holds for it until its
+ * reports show that it works on.
  */
 
 #include "TargetList.h"
@@ -20,6 +24,9 @@
     Milliseconds startedAt_ { 0 }; ///< Start of the target's process, from its entry.
     MonotonicTime since_;
     MonotonicTime lastListedAt_;
+    /** If it may have been made by an earlier start: the number of the report by which the present one was
+     * first seen. */
+    std::optional<std::uint64_t> assumedSinceReport_ {};
 };
 
 /** Beliefs of one kind, which derives from `TargetBelief`. */
@@ -55,6 +62,22 @@
     beliefs[target] = belief;
 }
 
+/** What becomes of a belief. */
+enum class BeliefFate {
+    Holds,
+    StartedAgain,
+    WorksOn, ///< The start that it was assumed of goes on reporting that it is ready.
+    LeftTheList,
+};
+
+/** Decides what becomes of a belief; `listed` is the entry of its target, null if there is none. Updates the
+ * belief. */
+BeliefFate judgeBelief(
+    TargetBelief& belief, const TargetEntry* listed, const TargetList& list, MonotonicTime now);
+
+/** Name for logs. Pure. */
+const char* nameOf(BeliefFate fate);
+
 /** Ends the beliefs about targets that have started again, or that left the list long ago. Not thread-safe.
  */
 template <typename Belief>
@@ -64,15 +87,13 @@
     for (auto entry = beliefs.begin(); entry != beliefs.end();) {
         auto& [target, belief] = *entry;
         auto listed = list.entries_.find(target);
-        bool isListed = listed != list.entries_.end();
-        bool hasStartedAgain = isListed && listed->second.startedAt_ != belief.startedAt_;
-        if (isListed)
-            belief.lastListedAt_ = now;
-        if (!hasStartedAgain && now <= belief.lastListedAt_ + unlistedRetention) {
+        BeliefFate fate
+            = judgeBelief(belief, listed == list.entries_.end() ? nullptr : &listed->second, list, now);
+        if (fate == BeliefFate::Holds) {
             ++entry;
             continue;
         }
-        ended.push_back({ target, belief, hasStartedAgain ? "started again" : "left the list" });
+        ended.push_back({ target, belief, nameOf(fate) });
         entry = beliefs.erase(entry);
     }
     return ended;
--- a/src/TargetList.cpp
+++ b/src/TargetList.cpp
@@ -122,6 +122,13 @@
     return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
 }
 
+void markRead(TargetList& list, MonotonicTime now)
+{
+    if (now > list.readAt_ + maxListAge)
+        list.followedSince_ = now;
+    list.readAt_ = now;
+}
+
 void recordStoreReconnect(TargetList& list, Milliseconds minLapse, MonotonicTime now)
 {
     if (now >= list.readAt_ + minLapse)
--- a/src/TargetList.h
+++ b/src/TargetList.h
@@ -56,6 +56,7 @@
     std::optional<MonotonicTime> reconnectedAt_; ///< When the store last recovered from an outage.
     bool isComplete_ = false; ///< The full list has been read at least once.
     MonotonicTime readAt_; ///< When the store was last read to the end.
+    MonotonicTime followedSince_; ///< From then on it was read to the end at short intervals.
     VersionHistory versions_;
     std::map<TargetId, RemovedEntry> removed_;
     std::map<TargetId, RivalReports> rivals_; ///< No newer report has come since.
@@ -93,6 +94,9 @@
 std::optional<SoftwareVersion> soleVersion(
     const TargetList& list, const ServiceId& service, Milliseconds retention, MonotonicTime now);
 
+/** Records that the store was read to the end. */
+void markRead(TargetList& list, MonotonicTime now);
+
 /** Records that the list could be read again after reads had failed. Only if that took so long that entries
  * of live targets may have lapsed, their removals wait; `minLapse` is the shortest such outage. */
 void recordStoreReconnect(TargetList& list, Milliseconds minLapse, MonotonicTime now);
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -275,11 +275,11 @@
         addPermits(found->second.gate_, granted, retryAfter, expected, now);
 }
 
-void markLeaving(TargetPool& pool, const TargetId& target)
+void setLeaving(TargetPool& pool, const TargetId& target, bool isLeaving)
 {
     auto found = pool.targets_.find(target);
     if (found != pool.targets_.end())
-        found->second.target_.isLeaving_ = true;
+        found->second.target_.isLeaving_ = isLeaving;
 }
 
 std::vector<DispatchId> removeUnserved(TargetPool& pool)
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -170,8 +170,8 @@
 void addPermits(TargetPool& pool, const TargetId& target, std::uint32_t granted, Milliseconds retryAfter,
     const std::optional<RequestRate>& expected, MonotonicTime now);
 
-/** Marks a target as leaving: it gets no new calls. */
-void markLeaving(TargetPool& pool, const TargetId& target);
+/** Sets whether a target leaves: if so, it gets no new calls. Unknown targets are ignored. */
+void setLeaving(TargetPool& pool, const TargetId& target, bool isLeaving);
 
 /** Removes and returns the queued calls that no target may run any more. */
 std::vector<DispatchId> removeUnserved(TargetPool& pool);
--- a/src/TargetStatements.cpp
+++ b/src/TargetStatements.cpp
@@ -80,10 +80,16 @@
     return takeRate(statements.rates_, start, observation, { { "source", "peer" } }, now);
 }
 
-void endStatements(TargetStatements& statements, const TargetList& list, MonotonicTime now)
+std::vector<TargetId> endStatements(TargetStatements& statements, const TargetList& list, MonotonicTime now)
 {
-    logEnds("target-leaving-ended", endBeliefs(statements.leaving_.beliefs_, list, now), now);
+    std::vector<EndedBelief> ended = endBeliefs(statements.leaving_.beliefs_, list, now);
+    logEnds("target-leaving-ended", ended, now);
     logEnds("target-rate-ended", endBeliefs(statements.rates_.beliefs_, list, now), now);
+    std::vector<TargetId> targets;
+    targets.reserve(ended.size());
+    for (const EndedBelief& end : ended)
+        targets.push_back(end.target_);
+    return targets;
 }
 
 } // namespace fescue
--- a/src/TargetStatements.h
+++ b/src/TargetStatements.h
@@ -32,8 +32,8 @@
 bool readPeerObservation(TargetStatements& statements, const TargetStart& start,
     const RateObservation& observation, MonotonicTime now);
 
-/** Ends the beliefs about targets that have started again, or that left the list long ago. Not thread-safe.
- */
-void endStatements(TargetStatements& statements, const TargetList& list, MonotonicTime now);
+/** Ends the beliefs about targets that have started again, or that left the list long ago. Returns the
+ * targets that are not believed to leave any more. Not thread-safe. */
+std::vector<TargetId> endStatements(TargetStatements& statements, const TargetList& list, MonotonicTime now);
 
 } // namespace fescue
