Bind taken-up turns of conversations to the version that began them; test the loss of all VMs

On a route on which the system keeps the text of turns, a stream that was taken up again went to any target: such requests took a path of their own, on which neither the begin of a stream was recorded nor its origin sought. Callers got text joined from two software versions. Now all streams pass the same step (beginOrResume).

failure/StreamVersions, resumedTurnOfAConversationKeepsItsVersion: failed before at its first stream, passes now.

The report of streams joined after all VMs had been killed at once: it does not happen here. Two new cases kill all VMs of a service with two versions, or whose old version has just left, and take the streams up again until their callers' deadlines: none is joined, on the code before this change either. They are red if a VM trusts the list from its start on (mutant of soleVersion without the retention).

--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -262,10 +262,16 @@
                 "this VM shuts down before the deadline of the request", otherVmRetryAfter);
         if (route->keepsTurns_)
             return continuation_.begin(std::move(call), config_->limits_.maxBodyBytes_,
-                [this](ForwardedCall complete) { admit(std::move(complete)); });
-        if (route->isStream_ && !call.tags_.lastEvent_.empty())
+                [this](ForwardedCall complete) { beginOrResume(std::move(complete)); });
+        beginOrResume(std::move(call));
+    }
+
+    void beginOrResume(ForwardedCall call)
+    {
+        const Route& route = call.route_;
+        if (route.isStream_ && !call.tags_.lastEvent_.empty())
             return resume(std::move(call));
-        if (route->isStream_ && route->repeatability_ == Repeatability::Repeatable)
+        if (route.isStream_ && route.repeatability_ == Repeatability::Repeatable)
             call.onBegin_ = [this, attempt = call.tags_.attempt_, service = call.service_.id_](
                                 const SoftwareVersion& version) {
                 resumption_.recordBegin({ attempt, { service, version } });
--- a/test/failure/StreamVersions.cpp
+++ b/test/failure/StreamVersions.cpp
@@ -57,6 +57,7 @@
     EntryVmHarness vms_;
     int attempts_ = 0;
     bool hasPrograms_ = true; ///< Whether streams are turns of programs, each of its own.
+    std::string path_ = "/turn/1";
 
     explicit Setup(std::size_t vms, bool hasTwoVersions = true)
         : vms_({ streams_.script(0), streams_.script(1), streams_.script(2), streams_.script(3) }, true, vms)
@@ -73,7 +74,7 @@
         std::size_t vm, const std::string& first, const std::string& attempt, const std::string& extra = "")
     {
         std::string program = "Fescuewinch-Program-Id: " + first + "\r\nFescuewinch-Token-Budget: 90000\r\n";
-        return vms_.requestAt(vm, "POST", "/turn/1",
+        return vms_.requestAt(vm, "POST", path_,
             "Fescuewinch-Request-Id: " + attempt + "\r\nFescuewinch-Deadline-Ms: 1200\r\n"
                 + "Fescuewinch-Token-Count: 100,300\r\n" + (hasPrograms_ ? program : "") + extra,
             "prompt of " + first);
@@ -127,6 +128,9 @@
     CPPUNIT_TEST(streamOfUnknownOriginIsRefusedAtOnce);
     CPPUNIT_TEST(streamWhoseVersionHasLeftIsRefusedAtOnce);
     CPPUNIT_TEST(streamOfUnknownOriginGoesOnIfThereWasOneVersion);
+    CPPUNIT_TEST(streamsAreNotJoinedOfTwoVersionsAfterTheLossOfAllVms);
+    CPPUNIT_TEST(streamsAreNotJoinedAfterTheirVersionHasLeftAndAllVmsAreLost);
+    CPPUNIT_TEST(resumedTurnOfAConversationKeepsItsVersion);
     CPPUNIT_TEST_SUITE_END();
 
     // Begins streams at the first VM and resumes each at another one. Returns how many went on.
@@ -162,6 +166,25 @@
         CHECK_EQUAL(runs, setup.streams_.runsOf(first).size());
     }
 
+    // Kills all VMs at once, starts them again, and takes all streams up again and again, as callers do until
+    // their deadlines.
+    static void loseAllVms(Setup& setup, const std::vector<std::string>& begun)
+    {
+        constexpr int rounds = 5;
+        constexpr Milliseconds betweenRounds { 400 };
+        for (std::size_t vm = 0; vm < setup.vms_.vmCount(); ++vm)
+            setup.vms_.process(vm).signalAndWait(SIGKILL);
+        for (std::size_t vm = 0; vm < setup.vms_.vmCount(); ++vm)
+            setup.vms_.restartVm(vm);
+        for (int round = 0; round < rounds; ++round) {
+            for (std::size_t i = 0; i < begun.size(); ++i) {
+                setup.resume(i % setup.vms_.vmCount(), begun[i]);
+                CHECK(setup.hasOneVersion(begun[i]));
+            }
+            std::this_thread::sleep_for(betweenRounds);
+        }
+    }
+
 public:
     void resumedStreamRunsAtTheVersionThatBeganIt()
     {
@@ -266,6 +289,37 @@
         setup.vms_.restartVm(1);
         CHECK_EQUAL(200, statusOf(setup.resume(1, "of-a-vm-that-has-ended")));
     }
+
+    void streamsAreNotJoinedOfTwoVersionsAfterTheLossOfAllVms()
+    {
+        Setup setup(3);
+        loseAllVms(setup, beginMany(setup));
+    }
+
+    // After their start the VMs find one version only, which began none of these streams.
+    void streamsAreNotJoinedAfterTheirVersionHasLeftAndAllVmsAreLost()
+    {
+        Setup setup(3);
+        std::vector<std::string> ofFirstVersion;
+        for (const std::string& first : beginMany(setup)) {
+            if (setup.streams_.runsOf(first).front() % 2 == 0)
+                ofFirstVersion.push_back(first);
+        }
+        CHECK(!ofFirstVersion.empty());
+        for (std::size_t even : { 0, 2 })
+            setup.vms_.announce(even, { "v1", false, false });
+        loseAllVms(setup, ofFirstVersion);
+    }
+
+    // The system puts the earlier turns before such a request, which is a path of its own.
+    void resumedTurnOfAConversationKeepsItsVersion()
+    {
+        Setup setup(3);
+        setup.path_ = "/again/1";
+        std::vector<std::string> begun = beginMany(setup);
+        setup.letOneOfEachVersionLeave();
+        CHECK_EQUAL(streamCount, resumeElsewhere(setup, begun));
+    }
 };
 
 REGISTER_SUITE(StreamVersions);
--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -26,6 +26,8 @@
  "max-attempts":1,"retained":false,"retention-s":60.0,"resumable":true,"priority":1},
 {"name":"conversations","host":"h.example","path-prefix":"/kept/","type":"streaming","timeout-ms":3000,"service":"llm",
  "max-attempts":1,"retained":true,"retention-s":60.0,"priority":1},
+{"name":"resumable-conversations","host":"h.example","path-prefix":"/again/","type":"streaming","timeout-ms":3000,
+ "service":"llm","max-attempts":1,"retained":true,"retention-s":60.0,"resumable":true,"priority":1},
 {"name":"reads","host":"h.example","path-prefix":"/read/","type":"idempotent","timeout-ms":2000,"service":"app",
  "max-attempts":2},
 {"name":"calls","host":"h.example","path-prefix":"/call/","type":"non_idempotent","timeout-ms":1500,"service":"app",
