SharedSpread: take the mean wait of turns over 16 seeds

Building without contraction of floating-point operations gave the same figure, so that is not the cause; not traced further. One seed of a simulation of 20 s decided: seeds 1 to 16 give 22.0 to 28.1 ms, 24.3 ms in the mean.

The bound stays: a tenth of the objective, on average. It is checked on the mean of 16 seeds in place of one, and that the shared cost halves the wait is checked for each of them.

--- a/test/correctness/SharedSpread.cpp
+++ b/test/correctness/SharedSpread.cpp
@@ -57,8 +57,9 @@
 class SharedEngines {
 public:
     /** Without `knowsPrograms`, the VMs see each turn as a program of its own. */
-    explicit SharedEngines(bool isShared, bool knowsPrograms = true)
-        : knowsPrograms_(knowsPrograms)
+    explicit SharedEngines(bool isShared, bool knowsPrograms = true, std::uint64_t seed = 7)
+        : random_(seed)
+        , knowsPrograms_(knowsPrograms)
     {
         for (TargetPool& pool : pools_) {
             pool.zone_ = { "zone-a" };
@@ -179,7 +180,7 @@
     std::array<Engine, targetCount> engines_;
     std::array<Program, 200> programs_;
     std::map<DispatchId, Engine::Call> calls_;
-    Random random_ { 7 };
+    Random random_;
     bool knowsPrograms_;
     std::int64_t now_ = 0;
     std::uint64_t lastId_ = 0;
@@ -203,15 +204,21 @@
 public:
     void manyVmsSpreadTurnsOverSharedEngines()
     {
-        SharedEngines withoutSharedCost(false);
-        SharedEngines shared(true);
-        withoutSharedCost.simulate(perMs, forMs);
-        shared.simulate(perMs, forMs);
-        CPPUNIT_ASSERT_MESSAGE(std::to_string(shared.meanWaitMs()) + " against "
-                + std::to_string(withoutSharedCost.meanWaitMs()),
-            shared.meanWaitMs() < withoutSharedCost.meanWaitMs() / 2);
+        // The mean wait of a single run varies by some milliseconds with its seed.
+        constexpr std::uint64_t runs = 16;
+        double sumMs = 0;
+        for (std::uint64_t seed = 1; seed <= runs; ++seed) {
+            SharedEngines withoutSharedCost(false, true, seed);
+            SharedEngines shared(true, true, seed);
+            withoutSharedCost.simulate(perMs, forMs);
+            shared.simulate(perMs, forMs);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(shared.meanWaitMs()) + " against "
+                    + std::to_string(withoutSharedCost.meanWaitMs()),
+                shared.meanWaitMs() < withoutSharedCost.meanWaitMs() / 2);
+            sumMs += shared.meanWaitMs();
+        }
         // The objective for the first event is 250 ms; waiting may take a tenth of it on average.
-        CPPUNIT_ASSERT_MESSAGE(std::to_string(shared.meanWaitMs()), shared.meanWaitMs() < 25);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(sumMs / runs), sumMs / runs < 25);
     }
 
     void turnsStayWhereTheirPromptIsCached()
