--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -4,6 +4,8 @@
 //     build/test/soak_tests Soak                                  runs the default seeds, as CI does
 //     FESCUE_SOAK_SEEDS=1-50 build/test/soak_tests Soak           runs other seeds
 //     FESCUE_SOAK_VMS=60 build/test/soak_tests Soak               runs as many VMs
+//     FESCUE_SOAK_OTHER=/path/to/fescue-entry build/test/soak_tests Soak    mixes VMs of another release with
+//                                                                 those of this one; see scripts/upgrade.sh
 
 #include "SoakHarness.h"
 #include "Suite.h"
@@ -76,15 +78,18 @@
     constexpr std::uint64_t lossOfAllInterval = 3;
     options.losesAllVms_ = !options.hasOnlyPlannedOperations_ && seed % lossOfAllInterval == 2;
     options.vms_ = readVms(options.vms_);
+    if (const char* other = std::getenv("FESCUE_SOAK_OTHER"))
+        options.otherRelease_ = other;
+    options.hasConversations_ = !std::getenv("FESCUE_SOAK_NO_CONVERSATIONS");
     options.folder_ = fmt::format("/tmp/fescue-soak-{}-{}", ::getpid(), seed);
     std::filesystem::create_directories(options.folder_);
     SoakReport report = runSoak(options);
     std::size_t unframed = countLogLines(options.folder_, R"("answer":"until-close, )");
     std::size_t brokenOff = countLogLines(options.folder_, R"("answer":"until-close, inside an event")");
     std::cout << fmt::format("seed {}: {} of {} requests served, {} unframed streams of which {} broke off, "
-                             "{} faults, {} violations\n",
+                             "{} faults, {} starts of this release, {} of another, {} violations\n",
         seed, report.succeeded_, report.requests_, unframed, brokenOff, report.injectedFaults_.size(),
-        report.violations_.size())
+        report.startsOfThisRelease_, report.startsOfOtherRelease_, report.violations_.size())
               << std::flush;
     if (report.violations_.empty()) {
         std::filesystem::remove_all(options.folder_);
--- a/test/soak/SoakComponents.cpp
+++ b/test/soak/SoakComponents.cpp
@@ -218,12 +218,13 @@
 }
 
 SoakVm::SoakVm(asio::io_context& io, std::uint16_t storePort, std::string name, const std::string& zone,
-    const std::string& folder)
+    const std::string& folder, ChooseProgram chooseProgram)
     : name_(std::move(name))
     , callerPort_(findFreePort(io))
     , storeProxy_(std::make_unique<SoakProxy>(io, storePort))
     , settingsFile_(folder + "/" + name_ + ".yaml")
     , logFile_(folder + "/" + name_ + ".log")
+    , chooseProgram_(std::move(chooseProgram))
 {
     std::ofstream(settingsFile_) << fmt::format(
         "node-name: {}\nip: 127.0.0.1\nzone: {}\nport-range: [ {}, 0 ]\nheartbeat-ms: 1000\n"
@@ -244,7 +245,7 @@
 {
     startAt_.reset();
     process_ = std::make_unique<Process>(
-        "fescue-entry", std::vector<std::string> { "--settings=" + settingsFile_ }, 0, logFile_);
+        chooseProgram_(), std::vector<std::string> { "--settings=" + settingsFile_ }, 0, logFile_);
 }
 
 void SoakVm::kill(Milliseconds downFor)
--- a/test/soak/SoakComponents.h
+++ b/test/soak/SoakComponents.h
@@ -11,6 +11,7 @@
 #include "SoakProxy.h"
 #include "SoakServer.h"
 
+#include <functional>
 #include <optional>
 #include <random>
 
@@ -60,8 +61,11 @@
 public:
     enum class Event { None, StopTimedOut, ExitedUnexpectedly };
 
+    /** Names the program to start; called before each start. */
+    using ChooseProgram = std::function<std::string()>;
+
     SoakVm(asio::io_context& io, std::uint16_t storePort, std::string name, const std::string& zone,
-        const std::string& folder);
+        const std::string& folder, ChooseProgram chooseProgram);
     ~SoakVm();
 
     void start();
@@ -88,6 +92,7 @@
     std::unique_ptr<SoakProxy> storeProxy_;
     std::string settingsFile_;
     std::string logFile_;
+    ChooseProgram chooseProgram_;
     std::unique_ptr<Process> process_;
     std::optional<MonotonicTime> startAt_;
     std::optional<MonotonicTime> resumeAt_;
--- a/test/soak/SoakHarness.cpp
+++ b/test/soak/SoakHarness.cpp
@@ -49,18 +49,20 @@
             : options_(options)
             , random_(options.seed_)
             , conversationRandom_(options.seed_)
+            , releaseRandom_(options.seed_)
+            , runsOtherRelease_(options.vms_, !options.otherRelease_.empty())
             , store_(io_)
         {
             for (std::size_t i = 0; i < targetCount; ++i)
                 addTarget();
             publishConfig();
             for (std::size_t i = 0; i < options_.vms_; ++i)
-                vms_.push_back(std::make_unique<SoakVm>(
-                    io_, store_.port(), fmt::format("vm-{}", i), i % 3 == 0 ? "za" : "zb", options.folder_));
+                vms_.push_back(std::make_unique<SoakVm>(io_, store_.port(), fmt::format("vm-{}", i),
+                    i % 3 == 0 ? "za" : "zb", options.folder_, [this, i] { return programOf(i); }));
             for (std::size_t i = 0; i < callerCount + options_.vms_ / 3; ++i)
                 callers_.push_back({ std::make_unique<OutboundPool>(io_), {}, 0 });
             // They draw from a generator of their own, so the faults of a seed do not depend on them.
-            for (std::size_t i = 0; i < conversationCallerCount; ++i)
+            for (std::size_t i = 0; options_.hasConversations_ && i < conversationCallerCount; ++i)
                 callers_.push_back({ std::make_unique<OutboundPool>(io_), {}, 0, true });
         }
 
@@ -101,6 +103,12 @@
         {
             return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
         }
+        std::string programOf(std::size_t vm)
+        {
+            bool isOther = runsOtherRelease_[vm];
+            ++(isOther ? report_.startsOfOtherRelease_ : report_.startsOfThisRelease_);
+            return isOther ? options_.otherRelease_ : "fescue-entry";
+        }
         std::size_t pickForConversation(std::size_t count)
         {
             return std::uniform_int_distribution<std::size_t>(0, count - 1)(conversationRandom_);
@@ -170,10 +178,45 @@
                         vm->kill(downtime);
                 });
             }
+            if (!options_.otherRelease_.empty())
+                scheduleUpgrade();
             std::stable_sort(pendingFaults_.begin(), pendingFaults_.end(),
                 [](const Fault& a, const Fault& b) { return a.at_ < b.at_; });
         }
 
+        // Replaces the VMs one after the other by this release. Some are replaced by the other one again, and
+        // some of these once more.
+        void scheduleUpgrade()
+        {
+            constexpr std::int64_t rounds = 3;
+            Milliseconds step = faultPhase / (rounds * static_cast<std::int64_t>(vms_.size()));
+            MonotonicTime at = bootNow();
+            auto draw = [this](int count) {
+                return std::uniform_int_distribution<int>(0, count - 1)(releaseRandom_);
+            };
+            for (std::int64_t round = 0; round < rounds; ++round) {
+                for (std::size_t i = 0; i < vms_.size(); ++i, at += step) {
+                    bool isLeftOut = round > 0 && draw(2) == 0;
+                    bool isKilled = draw(3) == 0;
+                    if (!isLeftOut)
+                        schedule(at,
+                            fmt::format(
+                                "{} and replace {}", isKilled ? "SIGKILL" : "SIGTERM", vms_[i]->name()),
+                            [this, i, isKilled] { replaceRelease(i, isKilled); });
+                }
+            }
+        }
+
+        void replaceRelease(std::size_t vm, bool isKilled)
+        {
+            constexpr Milliseconds downtime { 200 };
+            runsOtherRelease_[vm] = !runsOtherRelease_[vm];
+            if (isKilled)
+                vms_[vm]->kill(downtime);
+            else
+                vms_[vm]->stop();
+        }
+
         void schedule(MonotonicTime at, const std::string& what, std::function<void()> act)
         {
             pendingFaults_.push_back({ at, [this, what, act = std::move(act)] {
@@ -437,6 +480,8 @@
         SoakOptions options_;
         std::mt19937_64 random_;
         std::mt19937_64 conversationRandom_;
+        std::mt19937_64 releaseRandom_;
+        std::vector<bool> runsOtherRelease_; ///< By VM.
         asio::io_context io_ { 1 };
         standin::PlatformStore store_;
         SoakHistory history_;
--- a/test/soak/SoakHarness.h
+++ b/test/soak/SoakHarness.h
@@ -23,6 +23,10 @@
     bool hasOnlyPlannedOperations_ = false;
     bool losesAllVms_ = false; ///< Kills all VMs at the same moment, once, as a loss of power would.
     std::size_t vms_ = 3; ///< Processes of entry VMs.
+    /** Path of the entry VM's program of another release. If it is set, all VMs begin with it and are
+     * replaced one after the other by this release; some go back. */
+    std::string otherRelease_;
+    bool hasConversations_ = true; ///< Whether some callers send turns whose text the system keeps.
     std::string folder_; ///< Directory for settings files and logs of the processes.
 };
 
@@ -30,6 +34,8 @@
 struct SoakReport {
     std::vector<std::string> violations_;
     std::vector<std::string> injectedFaults_; ///< In the order of injection.
+    std::size_t startsOfThisRelease_ = 0; ///< Of VMs.
+    std::size_t startsOfOtherRelease_ = 0;
     std::size_t requests_ = 0;
     std::size_t succeeded_ = 0; ///< Requests answered with 200, or with 402 (budget exceeded).
 };
--- a/test/support/Process.cpp
+++ b/test/support/Process.cpp
@@ -23,7 +23,8 @@
     Child startChild(const std::string& program, const std::vector<std::string>& arguments,
         bool capturesStderr, const std::string& outputFile = {})
     {
-        std::string path = std::string(FESCUE_PROGRAMS) + "/" + program;
+        bool isAbsolute = !program.empty() && program.front() == '/';
+        std::string path = isAbsolute ? program : std::string(FESCUE_PROGRAMS) + "/" + program;
         std::vector<char*> argv { path.data() };
         std::vector<std::string> ownedArguments = arguments;
         for (std::string& argument : ownedArguments)
