Keep using a VM that does not know a message, such as one of an older release

During an upgrade a VM of the older release answers 404 to messages that came later. A VM that asked it for permits, for a conversation or to write a turn took it for lost and passed over it for one to eight seconds, for budgets, stream origins and relays as well: callers got 503 for programs whose budget it had, and budgets moved.

Cause: whether a peer has answered and whether its answer is of use were one question. Now any answer shows that the peer is there (PermitBroker, ConversationStore), and a 404 to a request to write a turn does (TurnWriter); what was asked for is still sought elsewhere.

--- a/src/ConversationStore.cpp
+++ b/src/ConversationStore.cpp
@@ -114,6 +114,8 @@
                 return;
             search->call_ = nullptr;
             bool isAnswered = end.outcome_ == OutboundResult::Outcome::Answered;
+            // One that answers something else, such as an older release, is not lost.
+            recordPeerOutcome(self->exchange_.peers(), search->peer_, isAnswered, bootNow());
             self->handleChainReply(search, isAnswered ? parseChainReply(*body, bootNow()) : std::nullopt);
         };
         search->call_ = exchange_.post(
@@ -124,7 +126,6 @@
 
     void handleChainReply(const SearchPtr& search, const std::optional<ChainReply>& reply)
     {
-        recordPeerOutcome(exchange_.peers(), search->peer_, reply.has_value(), bootNow());
         bool isDirectory = std::exchange(search->isAtDirectory_, false);
         if (reply && reply->status_ == ChainStatus::Found) {
             cacheTurns(reply->chain_);
--- a/src/PeerProtocol.cpp
+++ b/src/PeerProtocol.cpp
@@ -8,9 +8,12 @@
 namespace {
 
     constexpr const char* protocolHeader = "Fescue-Protocol";
+    constexpr int httpNotFound = 404;
 
 } // namespace
 
+bool isUnknownMessage(int status) { return status == httpNotFound; }
+
 void addProtocol(HttpHead& head)
 {
     head.headers_.push_back({ protocolHeader, std::to_string(ownPeerProtocol.version_) });
--- a/src/PeerProtocol.h
+++ b/src/PeerProtocol.h
@@ -27,6 +27,10 @@
 /** What this release speaks. */
 constexpr PeerProtocol ownPeerProtocol { 2 };
 
+/** Whether a reply says that its sender does not know the message: it is of a release from before it, and
+ * neither lost nor certain that what was asked for does not exist. Pure. */
+bool isUnknownMessage(int status);
+
 /** Names the own version in the head of a request or reply. */
 void addProtocol(HttpHead& head);
 
--- a/src/PermitBroker.cpp
+++ b/src/PermitBroker.cpp
@@ -173,8 +173,11 @@
                 return;
             pending->call_ = nullptr;
             bool isAnswered = end.outcome_ == OutboundResult::Outcome::Answered;
+            // One that answers something else, such as an older release, is not lost.
+            recordPeerOutcome(self->peers_, pending->peer_, isAnswered, bootNow());
             self->handleReply(pending,
-                isAnswered ? parsePermitReply(pending->replyBody_, bootNow()) : std::nullopt, end.reason_);
+                isAnswered ? parsePermitReply(pending->replyBody_, bootNow()) : std::nullopt,
+                isAnswered ? "it does not give out permits" : end.reason_);
         };
         pending->call_
             = exchange_.post(vm, permitsPath, encode(pending->request_, bootNow()), std::move(callbacks));
@@ -183,7 +186,6 @@
 
     void handleReply(const PendingPtr& pending, const std::optional<PermitReply>& reply, const char* reason)
     {
-        recordPeerOutcome(peers_, pending->peer_, reply.has_value(), bootNow());
         if (reply)
             return finish(pending, *reply);
         logEvent("peer-failed",
@@ -211,6 +213,7 @@
         for (const PendingPtr& pending : expired) {
             pending->call_->cancel();
             pending->call_ = nullptr;
+            recordPeerOutcome(peers_, pending->peer_, false, bootNow());
             handleReply(pending, std::nullopt, "timed out");
         }
         if (now < evictAt_)
--- a/src/TurnWriter.cpp
+++ b/src/TurnWriter.cpp
@@ -3,6 +3,7 @@
 #include "BootClock.h"
 #include "ConversationPeers.h"
 #include "Metrics.h"
+#include "PeerProtocol.h"
 
 #include <algorithm>
 #include <list>
@@ -156,7 +157,8 @@
     {
         write->peerCall_ = nullptr;
         // A VM that cannot write is passed over, too.
-        recordPeerOutcome(exchange_.peers(), write->peer_, status == httpOk, bootNow());
+        recordPeerOutcome(
+            exchange_.peers(), write->peer_, status == httpOk || isUnknownMessage(status), bootNow());
         if (status != httpOk)
             return write->isAtPartitionWriter_ ? writeItself(write) : askPeerIfDue(write, bootNow());
         writtenByPeer_.add();
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -109,7 +109,7 @@
     void runOnStore(const std::function<void(standin::PlatformStore&)>& action);
     /** Changes what a target states about itself from now on. */
     void announce(std::size_t target, const Announcement& announcement);
-    ScriptedTarget& target(std::size_t index) { return *targets_[index]; }
+    ScriptedTarget& target(std::size_t index) const { return *targets_[index]; }
     /** Starts one more VM and waits until it is ready. */
     void addVm();
     /** How a VM's new connections to targets fail. */
