Name the release in the start line, on the metrics address, in replies between VMs, and when a peer's changes

During an upgrade logs and metrics did not tell which release a VM runs. Replies between VMs name it and the version of the messages, except those to relayed requests, which older releases pass on to callers.

--- a/scripts/upgrade.sh
+++ b/scripts/upgrade.sh
@@ -12,7 +12,8 @@
 if [ ! -x "$folder/build/fescue-entry" ]; then
     mkdir -p "$folder/source"
     git archive "$old" | tar -x -C "$folder/source"
-    cmake -S "$folder/source" -B "$folder/build" -G Ninja -DCMAKE_BUILD_TYPE=Release -DFESCUE_ENTRY_ONLY=ON >/dev/null
+    cmake -S "$folder/source" -B "$folder/build" -G Ninja -DCMAKE_BUILD_TYPE=Release -DFESCUE_ENTRY_ONLY=ON \
+        -DFESCUE_RELEASE="${old:0:12}" >/dev/null
     ninja -C "$folder/build" fescue-entry
     rm -rf "$folder/source"
 fi
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -8,6 +8,7 @@
 #include "Headers.h"
 #include "Metrics.h"
 #include "RefuseCall.h"
+#include "Release.h"
 #include "StoreClient.h"
 #include "StoreFollower.h"
 #include "StreamResumption.h"
@@ -174,7 +175,8 @@
     std::vector<Gauge> gauges() const
     {
         auto age = follower_.configAge(bootNow());
-        return { { "connections", {}, static_cast<double>(callerServer_.connections()) },
+        return { { "release", { "commit", releaseName() }, 1 },
+            { "connections", {}, static_cast<double>(callerServer_.connections()) },
             { "calls_under_way", {}, static_cast<double>(forwarder_.openCallCount()) },
             { "calls_waiting", {}, static_cast<double>(forwarder_.queuedCallCount()) },
             { "turns_waiting_for_budget", {}, static_cast<double>(admission_.waitingCount()) },
@@ -476,8 +478,8 @@
 {
     const VmSettings& settings = impl_->options_.settings_;
     logEvent("start",
-        { { "listen", settings.callerAddress_ }, { "store", settings.store_.address_ },
-            { "memory_mb", std::to_string(settings.memoryMb_) },
+        { { "release", releaseName() }, { "listen", settings.callerAddress_ },
+            { "store", settings.store_.address_ }, { "memory_mb", std::to_string(settings.memoryMb_) },
             { "processor_share", fmt::format("{}", settings.cpuQuota_) } });
     impl_->follower_.announce({ settings.vm_, settings.zone_, settings.peerAddress_, impl_->writer_ });
     impl_->waitForSignal();
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -21,6 +21,7 @@
     PeerList peers_;
     std::unique_ptr<FrontServer> server_;
     std::map<std::string, Handler> handlers_; ///< By path.
+    std::map<VmId, std::string> releases_; ///< As VMs have named them last.
 
     Impl(asio::io_context& io, const VmId& own, const std::string& address)
         : outbound_(io)
@@ -38,6 +39,21 @@
             });
     }
 
+    // Replies to relayed requests name none, since older releases would pass it on to callers.
+    void readRelease(const VmId& vm, const HttpHead& reply)
+    {
+        std::string release = releaseOf(reply);
+        if (release.empty())
+            return;
+        std::string& known = releases_[vm];
+        if (known == release)
+            return;
+        logEvent("peer-release",
+            { { "peer", vm.value_ }, { "release", release }, { "before", known },
+                { "protocol", std::to_string(protocolOf(reply).version_) } });
+        known = release;
+    }
+
     void handleRequest(const FrontRequest& request, std::shared_ptr<FrontReply> reply)
     {
         auto handler = handlers_.find(request.head_.target_);
@@ -72,6 +88,12 @@
     head.target_ = path;
     head.headers_.push_back({ "Host", peer.address_ });
     addProtocol(head);
+    callbacks.onHead_
+        = [impl = impl_.get(), vm = peer.vm_, onHead = std::move(callbacks.onHead_)](const HttpHead& reply) {
+              impl->readRelease(vm, reply);
+              if (onHead)
+                  onHead(reply);
+          };
     OutboundRequest request { *address, std::move(head), std::move(body), peerConnectTimeout };
     return impl_->outbound_.send(std::move(request), std::move(callbacks));
 }
@@ -87,6 +109,8 @@
 {
     HttpHead head;
     head.status_ = status;
+    addProtocol(head);
+    addRelease(head);
     reply.answer(std::move(head), body);
 }
 
--- a/src/PeerProtocol.cpp
+++ b/src/PeerProtocol.cpp
@@ -1,5 +1,7 @@
 #include "PeerProtocol.h"
 
+#include "Release.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -8,6 +10,7 @@
 namespace {
 
     constexpr const char* protocolHeader = "Fescue-Protocol";
+    constexpr const char* releaseHeader = "Fescue-Release";
     constexpr int httpNotFound = 404;
 
 } // namespace
@@ -19,6 +22,14 @@
     head.headers_.push_back({ protocolHeader, std::to_string(ownPeerProtocol.version_) });
 }
 
+void addRelease(HttpHead& head) { head.headers_.push_back({ releaseHeader, releaseName() }); }
+
+std::string releaseOf(const HttpHead& head)
+{
+    const std::string* value = findHeader(head, releaseHeader);
+    return value ? *value : std::string();
+}
+
 PeerProtocol protocolOf(const HttpHead& head)
 {
     PeerProtocol protocol;
--- a/src/PeerProtocol.h
+++ b/src/PeerProtocol.h
@@ -11,6 +11,7 @@
 #include "HttpWire.h"
 
 #include <cstdint>
+#include <string>
 
 namespace fescue {
 
@@ -34,6 +35,12 @@
 /** Names the own version in the head of a request or reply. */
 void addProtocol(HttpHead& head);
 
+/** Names this release in the head of a reply. */
+void addRelease(HttpHead& head);
+
+/** The release that a head names; empty for those from before they named it. Pure. */
+std::string releaseOf(const HttpHead& head);
+
 /** The version that the sender of a head speaks. Pure. */
 PeerProtocol protocolOf(const HttpHead& head);
 
