--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -3,8 +3,8 @@
 /** \file
  * CallForwarderImpl: the state of a `CallForwarder`, for its source files only.
  *
- * `RelayedTransfers.cpp` has what concerns requests that go through other VMs, and `HeldTransfers.cpp` what
- * concerns streams whose end waits.
+ * `RelayedTransfers.cpp` has what concerns requests that go through other VMs, `HeldTransfers.cpp` what
+ * concerns streams whose end waits, and `OverdueTransfers.cpp` what ends requests at their deadlines.
  */
 
 #include "CallForwarder.h"
@@ -467,31 +467,7 @@
         }
     }
 
-    void endOverdue(MonotonicTime now)
-    {
-        std::map<ServiceId, Milliseconds> timeToRun;
-        std::vector<TransferPtr> overdue;
-        for (const auto& [id, transfer] : transfers_) {
-            const ForwardedCall& call = transfer->call_;
-            auto [needed, isNew] = timeToRun.emplace(call.service_.id_, 0);
-            if (isNew)
-                needed->second = minTimeToRun(pool_, toQueuedCall(call));
-            bool isTooLate
-                = now + (transfer->isQueued_ ? needed->second : Milliseconds { 0 }) >= call.deadline_;
-            if (isTooLate)
-                overdue.push_back(transfer);
-        }
-        for (const TransferPtr& transfer : overdue) {
-            if (transfer->isFinished_)
-                continue;
-            bool wasSent = !transfer->isQueued_;
-            cancelTransfer(transfer);
-            if (wasSent || transfer->possibleRuns_ > 0)
-                fail(transfer, gatewayTimeout, "deadline exceeded while the request was in flight");
-            else
-                refuse(transfer, "no target had a free slot in time for the deadline", retryAfterFailure);
-        }
-    }
+    void endOverdue(MonotonicTime now); // Defined in OverdueTransfers.cpp.
 
     void setTargets(const TargetList& list, const ServingConfig& config)
     {
--- a/test/soak/SoakComponents.cpp
+++ b/test/soak/SoakComponents.cpp
@@ -87,6 +87,20 @@
 
 } // namespace
 
+std::string soakHeaders(const std::string& id, const SoakRequest& request, std::int64_t budget)
+{
+    std::string headers = "Fescuewinch-Request-Id: " + id;
+    if (request.kind_ == SoakRequestKind::Turn || request.kind_ == SoakRequestKind::KeptTurn)
+        headers += fmt::format("\nFescuewinch-Program-Id: {}\nFescuewinch-Session-Id: {}\n"
+                               "Fescuewinch-Token-Budget: {}\nFescuewinch-Token-Count: 100,{}",
+            request.program_, request.program_, budget, soakMaxTurnTokens);
+    if (!request.previous_.empty())
+        headers += "\nFescuewinch-Previous-Turn: " + request.previous_;
+    if (!request.resumes_.empty())
+        headers += "\nResumes: " + request.resumes_ + "\nLast-Event-Id: 1";
+    return headers;
+}
+
 std::string makeSoakConfig(std::uint64_t version, bool isOther)
 {
     return fmt::format(R"({{"version":{0},"routes":[
--- a/test/soak/SoakComponents.h
+++ b/test/soak/SoakComponents.h
@@ -23,6 +23,9 @@
 /** Returns a version of the configuration. `isOther` selects different timeouts and priorities. */
 std::string makeSoakConfig(std::uint64_t version, bool isOther);
 
+/** Headers of an attempt, lines of the form `Name: value`; `budget` is that of its program, in tokens. */
+std::string soakHeaders(const std::string& id, const SoakRequest& request, std::int64_t budget);
+
 /** Builds a request to an entry VM; `headers` holds lines of the form `Name: value`. */
 OutboundRequest makeSoakRequest(
     int port, SoakRequestKind kind, const std::string& id, const std::string& headers);
--- a/test/soak/SoakHarness.cpp
+++ b/test/soak/SoakHarness.cpp
@@ -29,20 +29,6 @@
     constexpr double minSuccessShare = 0.75;
     constexpr std::int64_t maxPauseMs = 40; // Of a caller between two requests.
 
-    std::string attemptHeaders(const std::string& id, const SoakRequest& request, std::int64_t budget)
-    {
-        std::string headers = "Fescuewinch-Request-Id: " + id;
-        if (request.kind_ == SoakRequestKind::Turn || request.kind_ == SoakRequestKind::KeptTurn)
-            headers += fmt::format("\nFescuewinch-Program-Id: {}\nFescuewinch-Session-Id: {}\n"
-                                   "Fescuewinch-Token-Budget: {}\nFescuewinch-Token-Count: 100,{}",
-                request.program_, request.program_, budget, soakMaxTurnTokens);
-        if (!request.previous_.empty())
-            headers += "\nFescuewinch-Previous-Turn: " + request.previous_;
-        if (!request.resumes_.empty())
-            headers += "\nResumes: " + request.resumes_ + "\nLast-Event-Id: 1";
-        return headers;
-    }
-
     class Harness {
     public:
         explicit Harness(const SoakOptions& options)
@@ -425,7 +411,7 @@
                         ? Milliseconds { static_cast<std::int64_t>(2 + pickForConversation(maxPauseMs)) }
                         : randomTime(2, maxPauseMs));
             };
-            std::string headers = attemptHeaders(id, request, history_.programs_[request.program_].budget_);
+            std::string headers = soakHeaders(id, request, history_.programs_[request.program_].budget_);
             callers_[index].connections_->send(
                 makeSoakRequest(vm->callerPort(), request.kind_, id, headers), std::move(callbacks));
         }
--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -35,7 +35,8 @@
 "services":[{"name":"llm","engine":{"slots":12,"tokens-per-event":100}},{"name":"app"}],
 "limits":{"max-header-bytes":8192,"max-body-bytes":65536,"header-timeout-ms":3000,"idle-timeout-ms":15000}})";
 
-    // The settings name the interval of the platform; the stand-ins report more often, which keeps tests short.
+    // The settings name the interval of the platform; the stand-ins report more often, which keeps tests
+    // short.
     constexpr Milliseconds namedHeartbeatInterval { 1200 };
     constexpr Milliseconds heartbeatInterval { 300 };
     // Longer than three heartbeats, so that the entry of a crashed target is gone before it is back.
--- a/test/support/Process.h
+++ b/test/support/Process.h
@@ -14,9 +14,9 @@
 /** A child process that prints its ports first, in lines such as `http 41234`. The destructor kills it. */
 class Process {
 public:
-    /** Starts `program` from the build directory, unless it is an absolute path, and waits until it has printed `ports` ports. Throws
-     * `std::runtime_error` when it exits earlier. With `outputFile`, standard output is appended to that file
-     * and `ports` must be 0. */
+    /** Starts `program` from the build directory, unless it is an absolute path, and waits until it has
+     * printed `ports` ports. Throws `std::runtime_error` when it exits earlier. With `outputFile`, standard
+     * output is appended to that file and `ports` must be 0. */
     Process(const std::string& program, const std::vector<std::string>& arguments, std::size_t ports,
         const std::string& outputFile = {});
     ~Process();
