--- a/src/ConversationStore.cpp
+++ b/src/ConversationStore.cpp
@@ -121,7 +121,13 @@
         search->call_ = exchange_.post(
             peer, chainPath, encode(ChainQuery { search->query_.turn_, storeTime }), std::move(callbacks));
         if (!search->call_)
-            handleChainReply(search, std::nullopt);
+            handleNoAnswer(search);
+    }
+
+    void handleNoAnswer(const SearchPtr& search)
+    {
+        recordPeerOutcome(exchange_.peers(), search->peer_, false, bootNow());
+        handleChainReply(search, std::nullopt);
     }
 
     void handleChainReply(const SearchPtr& search, const std::optional<ChainReply>& reply)
@@ -344,7 +350,7 @@
         for (const SearchPtr& search : unanswered) {
             search->call_->cancel();
             search->call_ = nullptr;
-            handleChainReply(search, std::nullopt);
+            handleNoAnswer(search);
         }
         evictUnused(cache_, now - cacheTimeToLive);
     }
--- a/test/failure/OlderPeers.cpp
+++ b/test/failure/OlderPeers.cpp
@@ -21,6 +21,8 @@
         return [this](const HttpHead& request, const std::string&) -> TargetAction {
             if (request.target_ != "/turns") {
                 ++unknown_;
+                if (isSilent_)
+                    return {};
                 return { "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n" };
             }
             ++turns_;
@@ -31,6 +33,7 @@
         };
     }
 
+    std::atomic<bool> isSilent_ { false }; ///< Does not answer messages that it does not know.
     std::atomic<int> turns_ { 0 };
     std::atomic<int> unknown_ { 0 }; ///< Messages that it does not know.
 };
@@ -95,8 +98,23 @@
     CPPUNIT_TEST_SUITE(OlderPeers);
     CPPUNIT_TEST(peerThatGivesOutNoPermitsIsStillAskedForBudgets);
     CPPUNIT_TEST(peerThatKeepsNoConversationsIsStillAskedForBudgets);
+    CPPUNIT_TEST(peerThatDoesNotAnswerIsPassedOver);
     CPPUNIT_TEST_SUITE_END();
 
+    // Sends turns that continue from unknown ones until the older peer is asked for one.
+    static void askForConversation(Setup& setup)
+    {
+        int sent = 0;
+        setup.vms_.waitUntil("the peer has been asked for a conversation", [&setup, &sent] {
+            setup.vms_.request("POST", "/kept/1",
+                fmt::format("Fescuewinch-Request-Id: k{0}\r\nFescuewinch-Deadline-Ms: 1200\r\n"
+                            "Fescuewinch-Program-Id: k{0}\r\nFescuewinch-Previous-Turn: unknown-{0}\r\n",
+                    ++sent),
+                "x");
+            return setup.peer_.unknown_ > 0;
+        });
+    }
+
 public:
     void peerThatGivesOutNoPermitsIsStillAskedForBudgets()
     {
@@ -112,19 +130,20 @@
     void peerThatKeepsNoConversationsIsStillAskedForBudgets()
     {
         Setup setup;
-        int sent = 0;
-        setup.vms_.waitUntil("the peer has been asked for a conversation", [&setup, &sent] {
-            setup.vms_.request("POST", "/kept/1",
-                fmt::format("Fescuewinch-Request-Id: k{0}\r\nFescuewinch-Deadline-Ms: 1200\r\n"
-                            "Fescuewinch-Program-Id: k{0}\r\nFescuewinch-Previous-Turn: unknown-{0}\r\n",
-                    ++sent),
-                "x");
-            return setup.peer_.unknown_ > 0;
-        });
+        askForConversation(setup);
         int before = setup.peer_.turns_;
         setup.sendTurns();
         CHECK(setup.peer_.turns_ > before);
     }
+
+    void peerThatDoesNotAnswerIsPassedOver()
+    {
+        Setup setup;
+        setup.peer_.isSilent_ = true;
+        askForConversation(setup);
+        setup.sendTurns();
+        CHECK_EQUAL(0, setup.peer_.turns_.load());
+    }
 };
 
 REGISTER_SUITE(OlderPeers);
