Take a version for the only one only after a read of the list that began after the stream was taken up

Cause: VMs read the list of targets every 0.6 s at moments of their own, and a list of up to 1.5 s counted as current. A VM that had not read of a new version took streams that other VMs had begun there for streams of the only version that it knew.

Fix: StreamResumption reads the list when a stream is taken up, and trusts a read that started after that. The store's answers are linearizable and no VM uses a version before it is in the store, so such a read shows it. If the read fails, peers are asked. Peers also read their list before they name the only version, and mark the reply; unmarked ones (older releases) do not count. The age of a list counts from the start of its read, since an answer may have been received before a pause.

--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -117,7 +117,8 @@
                   [this](const TargetList& list) { applyTargets(list); },
                   [this](const std::map<VmId, PeerEntry>& peers) { exchange_.peers().peers_ = peers; },
                   [this](const auto& records, bool isAll) { forwarder_.applyCrashRecords(records, isAll); } })
-        , resumption_(exchange_, follower_.targets(), options_.settings_.zone_)
+        , resumption_(exchange_, follower_.targets(), options_.settings_.zone_,
+              [this](std::function<void(bool)> done) { follower_.refreshTargets(std::move(done)); })
         , callerServer_(
               io_, options_.settings_.callerAddress_,
               [this](FrontRequest request, std::shared_ptr<FrontReply> reply) {
--- a/src/PeerStreams.cpp
+++ b/src/PeerStreams.cpp
@@ -14,6 +14,12 @@
         return document.is_array() && document.size() == count && areStrings(document, 0, count);
     }
 
+    // A version, and 1.
+    bool isCurrentVersion(const json& document)
+    {
+        return document.is_array() && document.size() == 2 && document[0].is_string() && document[1] == 1;
+    }
+
     json toArray(const std::optional<StreamOrigin>& origin)
     {
         return origin ? json::array({ origin->service_.value_, origin->version_.value_ }) : json::array();
@@ -40,6 +46,9 @@
     json sole = json::array();
     if (reply.soleVersion_)
         sole.push_back(reply.soleVersion_->value_);
+    // Older releases do not read this form, and take such a reply for one that knows nothing.
+    if (reply.soleVersion_ && reply.isSoleCurrent_)
+        sole.push_back(1);
     return toCborMessage(json::array({ toArray(reply.origin_), sole }));
 }
 
@@ -76,10 +85,12 @@
     const json& origin = (*document)[0];
     const json& sole = (*document)[1];
     bool hasOrigin = isStrings(origin, 2);
-    bool hasSole = isStrings(sole, 1);
+    bool isCurrent = isCurrentVersion(sole);
+    bool hasSole = isCurrent || isStrings(sole, 1);
     if ((!hasOrigin && !isStrings(origin, 0)) || (!hasSole && !isStrings(sole, 0)))
         return std::nullopt;
     OriginReply reply;
+    reply.isSoleCurrent_ = isCurrent;
     if (hasOrigin)
         reply.origin_ = { { origin[0].get<std::string>() }, { origin[1].get<std::string>() } };
     if (hasSole)
--- a/src/PeerStreams.h
+++ b/src/PeerStreams.h
@@ -22,6 +22,9 @@
 struct OriginReply {
     std::optional<StreamOrigin> origin_; ///< If the peer knows the stream.
     std::optional<SoftwareVersion> soleVersion_; ///< See `VersionHistory`.
+    /** Whether the peer has read the list of targets since it got the query. Older releases do not; what they
+     * take for the only version may have been joined by another one. */
+    bool isSoleCurrent_ = false;
 };
 
 std::string encode(const std::vector<BegunStream>& streams);
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -25,7 +25,8 @@
         std::optional<std::uint64_t> next_; ///< Not set until the newest records have been read.
         std::vector<platform::KeyedRecord> pages_; ///< Newest records that were read so far.
         std::optional<std::uint64_t> pagesEnd_; ///< End of the partition at the time of the first page.
-        std::optional<MonotonicTime> currentAsOf_;
+        std::optional<MonotonicTime> currentAsOf_; ///< The last read that reached the end shows this time.
+        MonotonicTime startedAt_; ///< Start of the current read; of its first page for the newest records.
         MonotonicTime dueAt_;
         std::uint32_t failures_ = 0;
         std::uint64_t generation_ = 0; ///< Answers to reads of an earlier generation are ignored.
@@ -67,6 +68,9 @@
     std::uint64_t version_ = 0;
     TargetList targetList_;
     std::map<TargetId, TargetEntry> reportedTargets_; ///< The targets as last reported to the owner.
+    using OnRefreshed = std::function<void(bool isRead)>;
+    std::vector<OnRefreshed> refreshes_; ///< For the current read of the targets.
+    std::vector<OnRefreshed> nextRefreshes_; ///< Came during the current read, so the next one serves them.
     Counter reads_ { "store_reads_total" };
 
     Impl(platform::StoreClient& store, StoreHealth& health, const FollowIntervals& intervals,
@@ -103,6 +107,8 @@
     void read(Cursor& cursor)
     {
         cursor.isReading_ = true;
+        if (cursor.pages_.empty())
+            cursor.startedAt_ = bootNow();
         reads_.add();
         auto weak = weak_from_this();
         std::uint64_t generation = cursor.generation_;
@@ -124,6 +130,34 @@
             });
     }
 
+    void refreshTargets(OnRefreshed done)
+    {
+        if (targets_.isReading_) {
+            nextRefreshes_.push_back(std::move(done));
+            return;
+        }
+        refreshes_.push_back(std::move(done));
+        read(targets_);
+    }
+
+    void endRefreshes()
+    {
+        std::vector<OnRefreshed> ended = std::exchange(refreshes_, std::exchange(nextRefreshes_, {}));
+        if (!refreshes_.empty())
+            read(targets_);
+        for (const OnRefreshed& done : ended)
+            done(true);
+    }
+
+    void failRefreshes()
+    {
+        std::vector<OnRefreshed> failed = std::exchange(refreshes_, {});
+        std::move(nextRefreshes_.begin(), nextRefreshes_.end(), std::back_inserter(failed));
+        nextRefreshes_.clear();
+        for (const OnRefreshed& done : failed)
+            done(false);
+    }
+
     void onNewestPage(Cursor& cursor, tl::expected<platform::NewestPage, platform::StoreError>& page)
     {
         cursor.isReading_ = false;
@@ -147,6 +181,8 @@
         else
             applyAllTargets(records);
         markCurrent(cursor);
+        if (&cursor == &targets_)
+            endRefreshes();
     }
 
     void onPage(Cursor& cursor, tl::expected<platform::RecordPage, platform::StoreError>& page)
@@ -174,16 +210,19 @@
             applyTargetChanges(page->records_);
         if (!isAtEnd)
             cursor.dueAt_ = bootNow();
+        else if (&cursor == &targets_)
+            endRefreshes();
     }
 
     void markCurrent(Cursor& cursor)
     {
-        cursor.currentAsOf_ = bootNow();
+        bool isLongPoll = pollWaitOf(cursor).count() > 0;
+        // The store answers a long poll when its wait ends, and other reads at once. An answer may have been
+        // received before this VM was paused, so it shows the state at the start of its read.
+        cursor.currentAsOf_ = isLongPoll ? bootNow() : cursor.startedAt_;
         if (&cursor == &targets_)
             markRead(targetList_, *cursor.currentAsOf_);
-        bool isLongPoll = pollWaitOf(cursor).count() > 0;
-        cursor.dueAt_
-            = *cursor.currentAsOf_ + (isLongPoll ? intervals_.minPollInterval_ : intervals_.targetInterval_);
+        cursor.dueAt_ = bootNow() + (isLongPoll ? intervals_.minPollInterval_ : intervals_.targetInterval_);
     }
 
     static void resetCursor(Cursor& cursor)
@@ -213,6 +252,8 @@
                     cursor.currentAsOf_ ? std::to_string((bootNow() - *cursor.currentAsOf_).count())
                                         : "never" } });
         recordStoreOutcome(health_, false, cursor.partition_.topic_, error.status_, bootNow());
+        if (&cursor == &targets_)
+            failRefreshes();
     }
 
     void onReadAnswered(Cursor& cursor)
@@ -370,6 +411,11 @@
 
 void StoreFollower::tick(MonotonicTime now) { impl_->tick(now); }
 
+void StoreFollower::refreshTargets(std::function<void(bool isRead)> done)
+{
+    impl_->refreshTargets(std::move(done));
+}
+
 void StoreFollower::resync()
 {
     for (Cursor* cursor : { &impl_->config_, &impl_->targets_, &impl_->peers_ }) {
--- a/src/StoreFollower.h
+++ b/src/StoreFollower.h
@@ -52,6 +52,9 @@
 
     /** Starts the reads that are due; to be called at regular intervals. */
     void tick(MonotonicTime now);
+    /** Reads the targets at once. `done` is called once, with whether a read that started after this call
+     * reached the end of the list. */
+    void refreshTargets(std::function<void(bool isRead)> done);
     /** Marks all state as stale and reads it again, after the VM was suspended. */
     void resync();
     /** Returns the time since the configuration was last known to be current; nothing if it never was. */
--- a/src/StreamResumption.cpp
+++ b/src/StreamResumption.cpp
@@ -27,10 +27,12 @@
 } // namespace
 
 struct StreamResumption::Impl : std::enable_shared_from_this<StreamResumption::Impl> {
-    // A search for the origin of a stream at several peers.
+    // A search for the origin of a stream: in the list of targets, then at several peers.
     struct Search {
         OriginQuery query_;
         OnFound done_;
+        bool isReadingList_ = false;
+        std::optional<MonotonicTime> askedAt_; ///< When the peers were asked.
         std::vector<std::shared_ptr<OutboundCall>> calls_;
         std::size_t unanswered_ = 0;
         MonotonicTime startedAt_;
@@ -40,6 +42,7 @@
     PeerExchange& exchange_;
     ZoneId zone_;
     const TargetList& targets_;
+    RefreshTargets refresh_;
     Milliseconds retention_ { 10000 }; ///< How long after its begin a stream may be taken up.
     StreamOrigins streams_; ///< Of this VM, and copies of others'.
     std::map<AttemptId, StreamOrigin> uncopied_; ///< Of this VM.
@@ -49,10 +52,11 @@
     Counter found_ { "stream_origin_searches_total", { "outcome", "found" } };
     Counter unknown_ { "stream_origin_searches_total", { "outcome", "unknown" } };
 
-    Impl(PeerExchange& exchange, const TargetList& targets, const ZoneId& zone)
+    Impl(PeerExchange& exchange, const TargetList& targets, const ZoneId& zone, RefreshTargets refresh)
         : exchange_(exchange)
         , zone_(zone)
         , targets_(targets)
+        , refresh_(std::move(refresh))
     {
         exchange_.serve(
             copiesPath, [this](const FrontRequest& request, const std::shared_ptr<FrontReply>& reply) {
@@ -60,7 +64,7 @@
             });
         exchange_.serve(
             queryPath, [this](const FrontRequest& request, const std::shared_ptr<FrontReply>& reply) {
-                handleQuery(request, *reply);
+                handleQuery(request, reply);
             });
     }
 
@@ -74,14 +78,24 @@
         answerPeer(reply, httpOk, "");
     }
 
-    void handleQuery(const FrontRequest& request, FrontReply& reply)
+    void handleQuery(const FrontRequest& request, const std::shared_ptr<FrontReply>& reply)
     {
         auto query = parseOriginQuery(request.body_);
         if (!query)
-            return refuseMalformed(reply, request);
-        answerPeer(reply, httpOk,
-            encode(OriginReply { findOrigin(streams_, query->attempt_),
-                soleVersion(targets_, query->service_, retention_, bootNow()) }));
+            return refuseMalformed(*reply, request);
+        auto origin = findOrigin(streams_, query->attempt_);
+        if (origin || !listedVersion(query->service_))
+            return answerPeer(*reply, httpOk, encode(OriginReply { origin, std::nullopt }));
+        refresh_([weak = weak_from_this(), service = query->service_, reply](bool isRead) {
+            auto self = weak.lock();
+            auto version = self && isRead ? self->listedVersion(service) : std::nullopt;
+            answerPeer(*reply, httpOk, encode(OriginReply { std::nullopt, version, version.has_value() }));
+        });
+    }
+
+    std::optional<SoftwareVersion> listedVersion(const ServiceId& service) const
+    {
+        return soleVersion(targets_, service, retention_, bootNow());
     }
 
     void find(const AttemptId& attempt, const ServiceId& service, OnFound done)
@@ -92,13 +106,43 @@
         search->startedAt_ = bootNow();
         if (auto origin = findOrigin(streams_, attempt))
             return finish(search, origin, "own table");
-        if (auto version = soleVersion(targets_, service, retention_, bootNow()))
-            return finish(search, StreamOrigin { service, *version }, "only version");
         searches_.push_back(search);
-        for (const PeerEntry& peer : peersToAsk(attempt))
+        if (!listedVersion(service))
+            return askPeers(search);
+        search->isReadingList_ = true;
+        refresh_([weak = weak_from_this(), search](bool isRead) {
+            if (auto self = weak.lock())
+                self->handleList(search, isRead);
+        });
+    }
+
+    void handleList(const SearchPtr& search, bool isRead)
+    {
+        search->isReadingList_ = false;
+        if (!search->done_)
+            return;
+        const ServiceId& service = search->query_.service_;
+        auto version = isRead ? listedVersion(service) : std::nullopt;
+        if (version)
+            return finish(search, StreamOrigin { service, *version }, "only version");
+        if (!search->askedAt_)
+            return askPeers(search);
+        finishIfUnknown(search);
+    }
+
+    void askPeers(const SearchPtr& search)
+    {
+        search->askedAt_ = bootNow();
+        for (const PeerEntry& peer : peersToAsk(search->query_.attempt_))
             ask(search, peer);
-        if (search->unanswered_ == 0)
-            finish(search, std::nullopt, "no peer to ask");
+        finishIfUnknown(search);
+    }
+
+    void finishIfUnknown(const SearchPtr& search)
+    {
+        if (search->unanswered_ > 0 || search->isReadingList_)
+            return;
+        finish(search, std::nullopt, search->calls_.empty() ? "no peer to ask" : "no peer knows it");
     }
 
     std::vector<PeerEntry> peersToAsk(const AttemptId& attempt) const
@@ -143,8 +187,8 @@
     {
         if (reply && reply->origin_)
             return finish(search, reply->origin_, "a peer's table");
-        if (reply && reply->soleVersion_) {
-            // A peer that has not seen a version that this VM has is not up to date.
+        if (reply && reply->soleVersion_ && reply->isSoleCurrent_) {
+            // A version that this VM has seen may have left before the peer began to follow the list.
             std::set<SoftwareVersion> seen
                 = recentVersions(targets_, search->query_.service_, retention_, bootNow());
             seen.insert(*reply->soleVersion_);
@@ -152,8 +196,7 @@
                 return finish(search, StreamOrigin { search->query_.service_, *reply->soleVersion_ },
                     "only version at a peer");
         }
-        if (search->unanswered_ == 0)
-            finish(search, std::nullopt, "no peer knows it");
+        finishIfUnknown(search);
     }
 
     void finish(const SearchPtr& search, const std::optional<StreamOrigin>& origin, const char* source)
@@ -162,6 +205,7 @@
         logEvent("stream-origin",
             { { "resumes", search->query_.attempt_.value_ }, { "service", search->query_.service_.value_ },
                 { "version", origin ? origin->version_.value_ : "" }, { "source", source },
+                { "list_age_ms", std::to_string((bootNow() - targets_.readAt_).count()) },
                 { "took_ms", std::to_string((bootNow() - search->startedAt_).count()) } });
         searches_.remove(search);
         OnFound done = std::move(search->done_);
@@ -222,15 +266,24 @@
         exchange_.post(peer, copiesPath, std::move(body), std::move(callbacks));
     }
 
+    // Goes on with a search that has waited for too long. Reads of a slow store may still be answered.
+    void endStep(const SearchPtr& search)
+    {
+        if (!search->askedAt_)
+            askPeers(search);
+        else if (!search->isReadingList_)
+            finish(search, std::nullopt, "timed out");
+    }
+
     void tick(MonotonicTime now)
     {
         std::vector<SearchPtr> overdue;
         for (const SearchPtr& search : searches_) {
-            if (now >= search->startedAt_ + searchTimeout)
+            if (now >= search->askedAt_.value_or(search->startedAt_) + searchTimeout)
                 overdue.push_back(search);
         }
         for (const SearchPtr& search : overdue)
-            finish(search, std::nullopt, "timed out");
+            endStep(search);
         if (now < nextCopiesAt_)
             return;
         nextCopiesAt_ = now + copyInterval;
@@ -239,8 +292,9 @@
     }
 };
 
-StreamResumption::StreamResumption(PeerExchange& exchange, const TargetList& targets, const ZoneId& zone)
-    : impl_(std::make_shared<Impl>(exchange, targets, zone))
+StreamResumption::StreamResumption(
+    PeerExchange& exchange, const TargetList& targets, const ZoneId& zone, RefreshTargets refresh)
+    : impl_(std::make_shared<Impl>(exchange, targets, zone, std::move(refresh)))
 {
 }
 
--- a/src/StreamResumption.h
+++ b/src/StreamResumption.h
@@ -8,6 +8,10 @@
  *
  * The copies outlive the VM that began the stream. They are sent, in batches, only while a service has
  * several versions, or may have. What nobody knows is not guessed.
+ *
+ * VMs read of a new version at different times, so another VM may have begun the stream at a version that
+ * this one does not know yet. A version counts as the only one if that is so in a read of the list that
+ * started after the stream was taken up.
  */
 
 #include "PeerExchange.h"
@@ -23,9 +27,13 @@
 class StreamResumption {
 public:
     using OnFound = std::function<void(const std::optional<StreamOrigin>&)>;
+    /** Reads the list of targets; see `StoreFollower::refreshTargets`. */
+    using RefreshTargets = std::function<void(std::function<void(bool isRead)> done)>;
 
-    /** Precondition: `exchange` and `targets` outlive this object, and `exchange` serves no call after it. */
-    StreamResumption(PeerExchange& exchange, const TargetList& targets, const ZoneId& zone);
+    /** Precondition: `exchange` and `targets` outlive this object, `exchange` serves no call after it, and
+     * `refresh` updates `targets`. */
+    StreamResumption(
+        PeerExchange& exchange, const TargetList& targets, const ZoneId& zone, RefreshTargets refresh);
     ~StreamResumption();
 
     /** Sets how long after its begin a stream may be taken up. */
--- a/src/TargetList.cpp
+++ b/src/TargetList.cpp
@@ -122,11 +122,11 @@
     return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
 }
 
-void markRead(TargetList& list, MonotonicTime now)
+void markRead(TargetList& list, MonotonicTime startedAt)
 {
-    if (now > list.readAt_ + maxListAge)
-        list.followedSince_ = now;
-    list.readAt_ = now;
+    if (startedAt > list.readAt_ + maxListAge)
+        list.followedSince_ = startedAt;
+    list.readAt_ = startedAt;
 }
 
 void recordStoreReconnect(TargetList& list, Milliseconds minLapse, MonotonicTime now)
--- a/src/TargetList.h
+++ b/src/TargetList.h
@@ -55,7 +55,7 @@
     std::map<TargetId, MonotonicTime> missingSince_;
     std::optional<MonotonicTime> reconnectedAt_; ///< When the store last recovered from an outage.
     bool isComplete_ = false; ///< The full list has been read at least once.
-    MonotonicTime readAt_; ///< When the store was last read to the end.
+    MonotonicTime readAt_; ///< Start of the last read of the store that reached the end.
     MonotonicTime followedSince_; ///< From then on it was read to the end at short intervals.
     VersionHistory versions_;
     std::map<TargetId, RemovedEntry> removed_;
@@ -89,13 +89,14 @@
 std::set<SoftwareVersion> recentVersions(
     const TargetList& list, const ServiceId& service, Milliseconds retention, MonotonicTime now);
 
-/** The version of all targets of a service within the retention period. Nothing if there were several, or if
- * the list is old or was not followed for the whole period, so that one may have been missed. Pure. */
+/** The version of all targets of a service within the retention period, as of the last read. Nothing if there
+ * were several, or if the list is old or was not followed for the whole period, so that one may have been
+ * missed. Another VM may have used a newer version since that read. Pure. */
 std::optional<SoftwareVersion> soleVersion(
     const TargetList& list, const ServiceId& service, Milliseconds retention, MonotonicTime now);
 
-/** Records that the store was read to the end. */
-void markRead(TargetList& list, MonotonicTime now);
+/** Records that a read of the store which began at `startedAt` has reached the end. */
+void markRead(TargetList& list, MonotonicTime startedAt);
 
 /** Records that the list could be read again after reads had failed. Only if that took so long that entries
  * of live targets may have lapsed, their removals wait; `minLapse` is the shortest such outage. */
--- a/test/correctness/StoreFollowing.cpp
+++ b/test/correctness/StoreFollowing.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(compactedTopicIsReadAgain);
     CPPUNIT_TEST(removalAfterAnOutageTakesEffectAtOnce);
     CPPUNIT_TEST(unresponsiveStoreIsDetectedAndRecovers);
+    CPPUNIT_TEST(refreshShowsWhatWasWrittenBeforeIt);
+    CPPUNIT_TEST(refreshFailsWhileTheStoreIsAway);
     CPPUNIT_TEST(ownEntryIsWrittenAndRemoved);
     CPPUNIT_TEST(appendWithALostAnswerIsRetriedAndAppliedOnce);
     CPPUNIT_TEST(recordsOfCrashesArePassedOnAndNameNoVm);
@@ -172,6 +174,39 @@
         runUntil([this] { return health_.isUp_; });
     }
 
+    // A read that is under way may have been answered already, so it does not count.
+    void refreshShowsWhatWasWrittenBeforeIt()
+    {
+        runUntil([this] { return knows("i-1"); });
+        constexpr int rounds = 40;
+        for (int i = 2; i < rounds; ++i) {
+            std::string target = "i-" + std::to_string(i);
+            bool isKnown = false;
+            bool isDone = false;
+            follower_->tick(bootNow());
+            store_->put(platform::targetTopic, target, targetOf("ready"));
+            follower_->refreshTargets([&](bool isRead) {
+                isDone = isRead;
+                isKnown = knows(target);
+            });
+            runUntil([&] { return isDone; });
+            CHECK(isKnown);
+        }
+    }
+
+    void refreshFailsWhileTheStoreIsAway()
+    {
+        runUntil([this] { return knows("i-1"); });
+        for (bool isSilent : { false, true }) {
+            store_->faults().isDown_ = !isSilent;
+            store_->faults().isSilent_ = isSilent;
+            int failed = 0;
+            for (int i = 0; i < 3; ++i)
+                follower_->refreshTargets([&failed](bool isRead) { failed += isRead ? 0 : 1; });
+            runUntil([&failed] { return failed == 3; });
+        }
+    }
+
     void ownEntryIsWrittenAndRemoved()
     {
         follower_->announce({ { "vm-a" }, { "z" }, "127.0.0.1:7380", { "vm-a#1" } });
--- a/test/correctness/StreamOriginTables.cpp
+++ b/test/correctness/StreamOriginTables.cpp
@@ -147,8 +147,11 @@
         for (const auto& origin : { std::optional<StreamOrigin>(), std::optional(streams[0].origin_) }) {
             for (const auto& sole :
                 { std::optional<SoftwareVersion>(), std::optional(SoftwareVersion { "v3" }) }) {
-                auto reply = parseOriginReply(encode(OriginReply { origin, sole }));
-                CHECK(reply->origin_ == origin && reply->soleVersion_ == sole);
+                for (bool isCurrent : { false, true }) {
+                    auto reply = parseOriginReply(encode(OriginReply { origin, sole, isCurrent }));
+                    CHECK(reply->origin_ == origin && reply->soleVersion_ == sole);
+                    CHECK_EQUAL(isCurrent && sole, reply->isSoleCurrent_);
+                }
             }
         }
     }
--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -248,7 +248,7 @@
     vm.readyPort_ = findFreePort(io_);
     vm.peerPort_ = findFreePort(io_);
     vm.links_ = std::make_shared<LinkFault>(LinkFault::None);
-    int storePort
+    vm.storePort_
         = store_->addView([this, links = vm.links_](const std::string& topic, const std::string& value) {
               return topic == "keyed.servers" ? viewWith(value, *links) : value;
           });
@@ -259,7 +259,7 @@
         "limits: {{ cpu-quota: 1, memory-mb: 100 }}\n"
         "bounds: {{ drain-ms: 2000, grace-s: 6, config-apply-ms: 2000, settle-ms: 1000 }}\n"
         "platform: {{ address: '127.0.0.1:{}', parts: 2 }}\n",
-        vm.name_, vm.peerPort_, namedHeartbeatInterval.count(), vm.callerPort_, vm.readyPort_, storePort);
+        vm.name_, vm.peerPort_, namedHeartbeatInterval.count(), vm.callerPort_, vm.readyPort_, vm.storePort_);
     return vm;
 }
 
@@ -284,6 +284,12 @@
     });
 }
 
+void EntryVmHarness::setStoreRefuses(std::size_t vm, bool isRefusing)
+{
+    runOnStore(
+        [&](standin::PlatformStore& store) { store.faultsAt(vms_[vm].storePort_).isDown_ = isRefusing; });
+}
+
 void EntryVmHarness::startProcess(Vm& vm)
 {
     std::string output
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -117,6 +117,8 @@
     /** From now on a VM's new connections to all targets fail, or work again; it notices within a heartbeat
      * of the targets. Those that it has are not used any more. */
     void setLinks(std::size_t vm, LinkFault fault);
+    /** From now on the store refuses all calls of a VM, or answers them again. */
+    void setStoreRefuses(std::size_t vm, bool isRefusing);
     /** Kills a VM unless it has ended, and starts it again. */
     void restartVm(std::size_t vm);
     std::size_t vmCount() const { return vms_.size(); }
@@ -147,6 +149,7 @@
         int callerPort_ = 0;
         int readyPort_ = 0;
         int peerPort_ = 0;
+        std::uint16_t storePort_ = 0;
         std::shared_ptr<LinkFault> links_; ///< Used on the thread of the stand-ins.
         std::unique_ptr<Process> process_;
     };
