Never send a request again on a connection that has answered it

Cause: a refused request was sent again on the connection that had carried the refusal. A faulty target wrote the refusal once more there, and the id cannot tell this copy from the answer to the second send.

Fix: a connection remembers the requests that it has answered without success, and never carries one of them again; it is closed after 128. No answer that can come on a connection bears the id of its current request then, but the answer itself. The memory is the connection's, so it also holds for requests that are relayed twice through one VM.

--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -207,6 +207,7 @@
         OutboundRequest request { targets_.addressOf(target.id_).value_or(asio::ip::tcp::endpoint()),
             platform::encodeTargetRequest(call.request_.head_, remaining, target.id_), call.request_.body_ };
         request.needsNewConnection_ = transfer->needsNewConnection_;
+        request.repeatKey_ = call.tags_.attempt_.value_;
         request.acceptsUnframed_ = true;
         OutboundCallbacks callbacks;
         callbacks.matchesRequest_ = matcherFor(transfer);
--- a/src/OutboundPool.cpp
+++ b/src/OutboundPool.cpp
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <map>
 #include <set>
+#include <xxhash.h>
 
 namespace fescue {
 
@@ -31,6 +32,12 @@
         return Milliseconds { seconds * msPerSecond };
     }
 
+    constexpr int ok = 200;
+    constexpr int multipleChoices = 300;
+
+    // The hash of a request's key. Two keys with one hash cost a connection, no more.
+    std::uint64_t hashOf(const std::string& key) { return XXH64(key.data(), key.size(), 0); }
+
     class Connection;
 
     struct IdleConnection {
@@ -75,6 +82,9 @@
             callbacks_ = std::move(callbacks);
             isBusy_ = true;
             acceptsUnframed_ = request.acceptsUnframed_;
+            repeatKey_.reset();
+            if (!request.repeatKey_.empty())
+                repeatKey_ = hashOf(request.repeatKey_);
             skippedBytes_ = 0;
             request_ = serialize(request);
             if (request.head_.method_ == "HEAD")
@@ -107,6 +117,11 @@
         }
 
         void close() { link_->close(); }
+        bool hasAnswered(const std::string& key) const
+        {
+            return !answeredKeys_.empty()
+                && std::find(answeredKeys_.begin(), answeredKeys_.end(), hashOf(key)) != answeredKeys_.end();
+        }
         bool isUsable() const { return link_->isOpen() && !isBusy_; }
         bool isOpen() const { return link_->isOpen(); }
         MonotonicTime connectedAt() const { return connectedAt_; }
@@ -206,8 +221,11 @@
                     fail("received only a response to another request");
                 return;
             }
-            bool canReuse
-                = isDelimited() && reader_.head().keepsAlive_ && !hasMore && link_->queuedBytes() == 0;
+            bool isSuccess = reader_.head().status_ >= ok && reader_.head().status_ < multipleChoices;
+            if (repeatKey_ && !isSuccess)
+                answeredKeys_.push_back(*repeatKey_);
+            bool canReuse = isDelimited() && reader_.head().keepsAlive_ && !hasMore
+                && link_->queuedBytes() == 0 && answeredKeys_.size() < state_->limits_.maxAnsweredKeys_;
             Milliseconds idleTimeout = state_->limits_.idleTimeout_;
             if (auto announced = announcedIdleTimeout(reader_.head()))
                 idleTimeout = std::min(idleTimeout, *announced - state_->limits_.idleTimeoutMargin_);
@@ -298,6 +316,8 @@
         OutboundCallbacks callbacks_;
         std::function<void(bool)> onProbed_; ///< Of a connection that is opened without a request.
         std::string request_;
+        std::optional<std::uint64_t> repeatKey_; ///< Of the current request.
+        std::vector<std::uint64_t> answeredKeys_; ///< Of requests that may be sent again.
         MonotonicTime connectDeadline_;
         MonotonicTime connectedAt_;
         bool isConnected_ = false;
@@ -325,6 +345,26 @@
         }
     }
 
+    // Takes the most recently used connection that may carry a request; null if there is none.
+    std::shared_ptr<Connection> takeIdle(PoolState& state, const OutboundRequest& request)
+    {
+        auto found = state.idle_.find(request.peer_);
+        if (request.needsNewConnection_ || found == state.idle_.end())
+            return nullptr;
+        std::vector<IdleConnection>& idle = found->second;
+        for (std::size_t i = idle.size(); i-- > 0;) {
+            std::shared_ptr<Connection> connection = idle[i].connection_;
+            bool isUsable = connection->isUsable() && bootNow() < idle[i].expiresAt_;
+            if (isUsable && !request.repeatKey_.empty() && connection->hasAnswered(request.repeatKey_))
+                continue;
+            idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+            if (isUsable)
+                return connection;
+            connection->close();
+        }
+        return nullptr;
+    }
+
     class Call final : public OutboundCall {
     public:
         explicit Call(std::shared_ptr<Connection> connection)
@@ -378,17 +418,7 @@
 
 std::shared_ptr<OutboundCall> OutboundPool::send(OutboundRequest request, OutboundCallbacks callbacks)
 {
-    std::shared_ptr<Connection> connection;
-    auto idle = impl_->idle_.find(request.peer_);
-    while (
-        !request.needsNewConnection_ && !connection && idle != impl_->idle_.end() && !idle->second.empty()) {
-        IdleConnection candidate = std::move(idle->second.back());
-        idle->second.pop_back();
-        if (candidate.connection_->isUsable() && bootNow() < candidate.expiresAt_)
-            connection = std::move(candidate.connection_);
-        else
-            candidate.connection_->close();
-    }
+    std::shared_ptr<Connection> connection = takeIdle(*impl_, request);
     bool isNew = !connection;
     if (isNew)
         connection = std::make_shared<Connection>(impl_, request.peer_);
--- a/src/OutboundPool.h
+++ b/src/OutboundPool.h
@@ -6,6 +6,10 @@
  * The result of each exchange states whether a byte of the request may have left this process, since only
  * then may the request have run. The pool never retries. A connection is not reused after it has received
  * bytes that belong to no request, or a response that is not self-delimiting.
+ *
+ * A faulty peer may send a response once more, at the point where the next one is expected. The id of the
+ * request tells it from the response to another request, but not from the response to the next send of the
+ * same one. So a request that is sent again never takes a connection that has already answered it.
  */
 
 #include "HttpWire.h"
@@ -25,6 +29,8 @@
     std::string body_;
     Milliseconds connectTimeout_ { 300 };
     bool needsNewConnection_ = false;
+    /** Identifies a request that may be sent again unless a 2xx response ends it; empty if it never is. */
+    std::string repeatKey_;
     /** Whether a response may end with its connection. Otherwise such a response counts as lost, since its
      * end does not show that it is complete. */
     bool acceptsUnframed_ = false;
@@ -81,6 +87,8 @@
     HttpLimits message_ { 64 * 1024, 64 * 1024 * 1024 };
     /** Bytes of empty lines, interim responses and responses to other requests before the response. */
     std::size_t maxSkippedBytes_ = 256 * 1024;
+    /** Requests without a 2xx response that one connection may have answered; it is closed then. */
+    std::size_t maxAnsweredKeys_ = 128;
 };
 
 /** Connections to peers. Confined to the thread of the event loop. */
--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -79,7 +79,8 @@
         auto link = TcpLink::accepted(std::move(socket));
         links_.push_back(link);
         auto reader = std::make_shared<HttpReader>(HttpReader::Side::Requests, HttpLimits {});
-        auto onData = [this, link, reader](std::string_view data) {
+        auto late = std::make_shared<std::string>();
+        auto onData = [this, link, reader, late](std::string_view data) {
             while (!data.empty()) {
                 data.remove_prefix(reader->feed(data));
                 if (!reader->isComplete())
@@ -91,11 +92,14 @@
                     continue;
                 }
                 ++requests_;
+                link->send(std::exchange(*late, {}));
                 TargetAction action = script_(reader->head(), reader->takeBody());
                 reader->next();
                 if (action.crashes_)
                     return crash();
                 link->send(action.bytes_);
+                if (action.comesAgain_)
+                    *late = action.bytes_;
                 if (!action.endless_.empty())
                     endless_.emplace_back(link, action.endless_);
                 if (action.closesConnection_)
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -22,6 +22,7 @@
     std::string bytes_; ///< Sent unchanged.
     bool closesConnection_ = false; ///< After the bytes have been sent.
     bool crashes_ = false; ///< Resets all connections, and refuses new ones until the target is back.
+    bool comesAgain_ = false; ///< `bytes_` are sent once more when the next request comes on the connection.
     std::string endless_; ///< Sent again and again after `bytes_` until the other side closes the connection.
 };
 
