Number the grants of each process of a VM apart from those of its other processes

Cause: grants were numbered from 1 in each process, and the message that ends a turn names the VM and the number. Ends of turns that the killed process had granted released grants of the new one, so that their tokens were spent again, and the ends of those turns were not booked.

Fix: the numbers of a process begin at a hash of its writer id, which is new at each start, in the upper half of the number. The message keeps its form, so it also holds for ends that VMs of older releases send. An unknown end is counted and logged.

Test: correctness/HomeAnswers, endOfATurnThatTheHomeGrantedBeforeARestartReleasesNoOtherTurn, failed on the code before.

--- a/src/PeerTurns.h
+++ b/src/PeerTurns.h
@@ -27,7 +27,7 @@
 /** The reply to a `TurnRequest`. */
 struct TurnReply {
     TurnDecision decision_ = TurnDecision::Unavailable;
-    std::uint64_t grant_ = 0; ///< Number of the grant at the granting VM.
+    std::uint64_t grant_ = 0; ///< Number of the grant, unique among all processes of the granting VM.
     std::vector<WriterId> holders_; ///< Writers to ask next if the decision is `HeldElsewhere`.
     TokenCount spent_; ///< The home's view of the program, for logs; so are the next two.
     TokenCount claimed_;
--- a/src/TurnBroker.cpp
+++ b/src/TurnBroker.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <xxhash.h>
 
 namespace fescue {
 
@@ -26,6 +27,15 @@
     // Turns of a program follow each other faster than this; an older prompt may have been evicted.
     constexpr Milliseconds lastTargetRetention { 10000 };
 
+    // Where a process begins to number its grants. An end of a turn names its grant by the number alone, and
+    // may come after the process that granted it has ended. So each process has numbers of its own: a hash of
+    // its writer id in the upper half, below the sign bit, which not all readers take.
+    std::uint64_t grantNumbersOf(const WriterId& writer)
+    {
+        constexpr std::uint64_t upperHalf = 0x7fffffff00000000;
+        return XXH64(writer.value_.data(), writer.value_.size(), 0) & upperHalf;
+    }
+
 } // namespace
 
 struct TurnBroker::Impl : std::enable_shared_from_this<TurnBroker::Impl> {
@@ -70,11 +80,12 @@
     std::map<ProgramId, LastTarget> lastTargets_; ///< Of programs whose turns this VM granted.
     MonotonicTime evictLastTargetsAt_;
     std::uint64_t lastTurn_ = 0;
-    std::uint64_t lastGrant_ = 0;
+    std::uint64_t lastGrant_; ///< See `grantNumbersOf`.
     bool isDraining_ = false;
     Counter peerRequests_ { "peer_turns_asked_total" };
     Counter peerFailures_ { "peer_failures_total" };
     Counter expired_ { "peer_grants_expired_total" };
+    Counter unknown_ { "peer_grants_unknown_total" };
 
     Impl(PeerExchange& exchange, PacedStore& store, const TurnBrokerOptions& options)
         : options_(options)
@@ -83,6 +94,7 @@
               [this](TurnId turn, TurnDecision decision) { onLocalDecision(turn, decision); })
         , exchange_(exchange)
         , peers_(exchange.peers())
+        , lastGrant_(grantNumbersOf(options.writer_))
     {
         // The exchange serves calls for as long as this broker exists.
         exchange_.serve(turnPath, [this](const FrontRequest& request, std::shared_ptr<FrontReply> reply) {
@@ -345,14 +357,23 @@
         auto end = parseTurnEnd(request.body_);
         if (!end)
             return refuseMalformed(reply, request);
-        auto grant = grants_.find(end->grant_);
-        if (grant != grants_.end()) {
-            PeerGrant ended = grant->second;
-            grants_.erase(grant);
-            recordLastTarget(ended.program_, end->target_);
-            budgets_.onTurnEnded(ended.program_, ended.maxTokens_, end->usedTokens_);
-        }
         answerPeer(reply, httpOk, "");
+        auto grant = grants_.find(end->grant_);
+        if (grant == grants_.end())
+            return recordUnknownGrant(*end);
+        PeerGrant ended = grant->second;
+        grants_.erase(grant);
+        recordLastTarget(ended.program_, end->target_);
+        budgets_.onTurnEnded(ended.program_, ended.maxTokens_, end->usedTokens_);
+    }
+
+    // The grant has expired, and counts as fully used, or is of an earlier process, whose claim counts.
+    void recordUnknownGrant(const TurnEnd& end)
+    {
+        unknown_.add();
+        logEvent("turn-end-unknown",
+            { { "grant", std::to_string(end.grant_) }, { "used", std::to_string(end.usedTokens_.value_) },
+                { "grants", std::to_string(grants_.size()) } });
     }
 
     void recordLastTarget(const ProgramId& program, const TargetId& target)
--- a/test/correctness/HomeAnswers.cpp
+++ b/test/correctness/HomeAnswers.cpp
@@ -1,4 +1,4 @@
-// Requests of a VM to a program's home while the store is faulty.
+// Requests of a VM to a program's home, while the store is faulty or the home starts again.
 
 #include "BootClock.h"
 #include "EventLoop.h"
@@ -17,9 +17,11 @@
 
 constexpr Milliseconds retention { 60000 };
 
-TurnRequest makeRequest(const std::string& program)
+constexpr TokenCount maxTokens { 500 };
+
+TurnRequest makeRequest(const std::string& program, TokenCount budget = { 4000 })
 {
-    TurnRequest request { { program }, { 4000 }, { 500 }, retention };
+    TurnRequest request { { program }, budget, maxTokens, retention };
     request.timeLeft_ = Milliseconds { 5000 };
     return request;
 }
@@ -30,6 +32,7 @@
     CPPUNIT_TEST_SUITE(HomeAnswers);
     CPPUNIT_TEST(turnWaitsForAHomeThatIsWaitingForTheStore);
     CPPUNIT_TEST(homeReportsTheTargetOfTheLastTurn);
+    CPPUNIT_TEST(endOfATurnThatTheHomeGrantedBeforeARestartReleasesNoOtherTurn);
     CPPUNIT_TEST_SUITE_END();
 
     // An entry VM without its HTTP front end.
@@ -60,14 +63,14 @@
         fescue::test::runLoopUntil(*io_, tick, holds);
     }
 
-    void addVm(const std::string& name)
+    void addVm(const std::string& name, const std::string& incarnation = "1")
     {
         Vm& vm = vms_[{ name }];
         vm.id_ = { name };
         asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(), store_->port());
         vm.store_ = std::make_unique<platform::StoreClient>(*io_, address);
         vm.pacedStore_ = std::make_unique<PacedStore>(*vm.store_, vm.health_, 1);
-        TurnBrokerOptions options { { name }, { "z" }, { name + "#1" }, 1 };
+        TurnBrokerOptions options { { name }, { "z" }, { name + writerIdSeparator + incarnation }, 1 };
         std::string peerAddress = fmt::format("127.0.0.1:{}", fescue::test::findFreePort(*io_));
         vm.exchange_ = std::make_unique<PeerExchange>(*io_, vm.id_, peerAddress);
         vm.broker_ = std::make_unique<TurnBroker>(*vm.exchange_, *vm.pacedStore_, options);
@@ -75,27 +78,30 @@
     }
 
     // Returns a program with the given home.
-    std::string programWithHome(const VmId& home) const
+    std::string programWithHome(const VmId& home, const std::string& prefix = "program-") const
     {
         PeerList list;
         list.own_ = home;
         list.peers_ = peers_;
         for (int i = 0;; ++i) {
-            ProgramId program { "program-" + std::to_string(i) };
+            ProgramId program { prefix + std::to_string(i) };
             if (homeOf(list, { "z" }, program, bootNow())->vm_ == home)
                 return program.value_;
         }
     }
 
-    TurnGrant requestThroughOtherVm(
-        const std::string& program, const std::function<void()>& meanwhile = nullptr)
+    void introduceVms()
+    {
+        for (auto& [id, vm] : vms_)
+            vm.exchange_->peers().peers_ = peers_;
+    }
+
+    TurnGrant requestThroughOtherVm(const std::string& program) { return request(makeRequest(program)); }
+
+    TurnGrant request(const TurnRequest& turn)
     {
         std::optional<TurnGrant> grant;
-        vms_.at({ "vm-b" }).broker_->requestTurn(makeRequest(program), [&](const TurnGrant& granted) {
-            grant = granted;
-        });
-        if (meanwhile)
-            meanwhile();
+        vms_.at({ "vm-b" }).broker_->requestTurn(turn, [&](const TurnGrant& granted) { grant = granted; });
         runUntil([&] { return grant.has_value(); });
         return *grant;
     }
@@ -107,8 +113,7 @@
         store_ = std::make_unique<PlatformStore>(*io_);
         addVm("vm-a");
         addVm("vm-b");
-        for (auto& [id, vm] : vms_)
-            vm.exchange_->peers().peers_ = peers_;
+        introduceVms();
     }
 
     void tearDown() override
@@ -144,6 +149,22 @@
             last = requestThroughOtherVm(program).reply_.lastTarget_;
         CHECK(last == TargetId { "engine-7" });
     }
+
+    // Otherwise the released tokens are spent by one more turn, beyond the budget.
+    void endOfATurnThatTheHomeGrantedBeforeARestartReleasesNoOtherTurn()
+    {
+        constexpr TokenCount twoTurns { 2 * maxTokens.value_ };
+        TurnGrant beforeRestart = requestThroughOtherVm(programWithHome({ "vm-a" }));
+        vms_.erase({ "vm-a" });
+        addVm("vm-a", "2");
+        introduceVms();
+        TurnRequest turn = makeRequest(programWithHome({ "vm-a" }, "other-"), twoTurns);
+        for (int i = 0; i < 2; ++i)
+            CHECK(request(turn).reply_.decision_ == TurnDecision::Granted);
+        vms_.at({ "vm-b" }).broker_->endTurn(beforeRestart, { 0 }, {});
+        turn.timeLeft_ = Milliseconds { 600 };
+        CHECK(request(turn).reply_.decision_ != TurnDecision::Granted);
+    }
 };
 
 REGISTER_SUITE(HomeAnswers);
