Skip answers without an id on connections that have carried other requests

From the users' report of refusals written once more: a copy of an earlier refusal that bears no id was taken for the answer to a request that ran; it was sent again, or its caller was told 503. A copy that bears the id of its request was skipped before, too.

Cause: an answer without an id matched any request. Fix: it matches only the first request of a connection, which no second answer can precede; targets echo the id. Answers of VMs to relayed requests are taken as before. The test's targets echo the id in their 421, too, as the platform's do.

Test: failure/LateResponses, refusalOfAnEarlierRequestIsNotTakenForAnAnswer, failed on the code before (503 for 200).

--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -109,12 +109,13 @@
         dispatchAll();
     }
 
-    // Tells the answer to a request from others on its connection.
-    static std::function<bool(const HttpHead&)> matcherFor(const TransferPtr& transfer)
+    // Tells the answer to a request from others on its connection. An answer without an id may be a second
+    // one to an earlier request.
+    static std::function<bool(const HttpHead&, bool)> matcherFor(const TransferPtr& transfer)
     {
-        return [attempt = transfer->call_.tags_.attempt_](const HttpHead& head) {
+        return [attempt = transfer->call_.tags_.attempt_](const HttpHead& head, bool isFirst) {
             AttemptId answers = platform::decodeAnswerTags(head).attempt_;
-            return answers.empty() || answers == attempt;
+            return answers == attempt || (answers.empty() && isFirst);
         };
     }
 
--- a/src/OutboundPool.cpp
+++ b/src/OutboundPool.cpp
@@ -200,7 +200,7 @@
             if (!hasHead_ && !isInterim) {
                 hasHead_ = true;
                 isForOtherRequest_
-                    = callbacks_.matchesRequest_ && !callbacks_.matchesRequest_(reader_.head());
+                    = callbacks_.matchesRequest_ && !callbacks_.matchesRequest_(reader_.head(), !isReused_);
                 if (!isForOtherRequest_ && callbacks_.onHead_)
                     callbacks_.onHead_(reader_.head());
             }
--- a/src/OutboundPool.h
+++ b/src/OutboundPool.h
@@ -60,8 +60,9 @@
 
 /** Callbacks of an exchange. */
 struct OutboundCallbacks {
-    /** Whether a response belongs to this request; other responses are skipped. Optional. */
-    std::function<bool(const HttpHead&)> matchesRequest_;
+    /** Whether a response belongs to this request; other responses are skipped. `isFirst`: the connection
+     * has carried no other request. Optional. */
+    std::function<bool(const HttpHead&, bool isFirst)> matchesRequest_;
     std::function<void()> onConnect_; ///< A new connection was established for the exchange. Optional.
     std::function<void(const HttpHead&)> onHead_;
     std::function<void(std::string)> onBody_;
--- a/src/RelayedTransfers.cpp
+++ b/src/RelayedTransfers.cpp
@@ -38,7 +38,9 @@
     if (isQuarantined(pool_.quarantine_, transfer->digest_, bootNow()))
         return false;
     OutboundCallbacks callbacks;
-    callbacks.matchesRequest_ = matcherFor(transfer);
+    // What a VM answers itself may bear no id; it sends no second answers.
+    callbacks.matchesRequest_
+        = [matches = matcherFor(transfer)](const HttpHead& head, bool) { return matches(head, true); };
     callbacks.onHead_ = [this, transfer](const HttpHead& head) { handleRelayedHead(transfer, head); };
     callbacks.onBody_ = [this, transfer](std::string part) { handleBody(transfer, std::move(part)); };
     callbacks.onEnd_ = [this, transfer](const OutboundResult& end) { handleRelayedEnd(transfer, end); };
--- a/test/failure/LateResponses.cpp
+++ b/test/failure/LateResponses.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(requestThatWasRefusedOnceRunsOnce);
     CPPUNIT_TEST(requestThatRunsAtItsLastSendIsNotCalledRefused);
     CPPUNIT_TEST(connectionsAreKeptForOtherRequests);
+    CPPUNIT_TEST(refusalOfAnEarlierRequestIsNotTakenForAnAnswer);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int requestCount = 12;
@@ -96,6 +97,29 @@
         takeAll(vm, target, 200);
         CHECK(vm.target(0).closedConnections() <= maxClosed);
     }
+
+    // With the id of the earlier request, and without any.
+    void refusalOfAnEarlierRequestIsNotTakenForAnAnswer()
+    {
+        HttpHead earlier;
+        earlier.headers_.push_back({ "Fescuewinch-Request-Id", "r-0" });
+        for (const HttpHead& refused : { earlier, HttpHead {} }) {
+            std::atomic<int> sends { 0 };
+            EntryVmHarness vm({ [&](const HttpHead& request, const std::string&) {
+                std::string answer = stampedResponse(request, "done");
+                return TargetAction { ++sends == 1 ? answer : targetRefusal(refused) + answer };
+            } });
+            for (int i = 0; i < requestCount; ++i) {
+                int before = sends;
+                std::string answer = vm.request("POST", "/call/1",
+                    "Fescuewinch-Request-Id: r-" + std::to_string(i)
+                        + "\r\nFescuewinch-Deadline-Ms: 1200\r\n",
+                    "order");
+                CHECK_EQUAL(200, statusOf(answer));
+                CHECK_EQUAL(before + 1, sends.load());
+            }
+        }
+    }
 };
 
 REGISTER_SUITE(LateResponses);
--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -52,6 +52,13 @@
             1000 + startName.size());
     }
 
+    std::string refusalOf(const HttpHead& request, const char* status, const char* headers)
+    {
+        const std::string* id = findHeader(request, "Fescuewinch-Request-Id");
+        return fmt::format("HTTP/1.1 {}\r\nFescuewinch-Request-Id: {}\r\n{}Content-Length: 0\r\n\r\n", status,
+            id ? *id : "", headers);
+    }
+
 } // namespace
 
 ScriptedTarget::ScriptedTarget(asio::io_context& io, Script script)
@@ -86,9 +93,9 @@
                 if (!reader->isComplete())
                     return;
                 if (isForOtherStart(reader->head())) {
+                    link->send(refusalOf(reader->head(), "421 Misdirected Request", ""));
                     reader->takeBody();
                     reader->next();
-                    link->send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
                     continue;
                 }
                 ++requests_;
@@ -196,10 +203,7 @@
 
 std::string targetRefusal(const HttpHead& request)
 {
-    const std::string* id = findHeader(request, "Fescuewinch-Request-Id");
-    return fmt::format("HTTP/1.1 503 Service Unavailable\r\nFescuewinch-Request-Id: {}\r\n"
-                       "Fescuewinch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-        id ? *id : "");
+    return refusalOf(request, "503 Service Unavailable", "Fescuewinch-Not-Executed: 1\r\n");
 }
 
 std::string programHeaders(const std::string& program, const std::string& budget)
