Take no entry with numbers out of range for a target, and check all numbers from outside in one place

From the users' report of odd entries: an entry under a target's id with a number of reports or a start that is too large hid the target's own reports, so requests went on to a target that said it leaves (DRAIN). Nothing ended a process here.

Cause: reports are ordered by start and number, and a number of any size was taken. The conversion of such numbers was undefined, too.

Fix: fields of another type or out of range make an entry unreadable, as the platform defines it; it is counted and logged. One checked conversion serves settings, configuration, entries, headers and claims.

--- a/src/BudgetEscrow.cpp
+++ b/src/BudgetEscrow.cpp
@@ -1,5 +1,7 @@
 #include "BudgetEscrow.h"
 
+#include "NumberBounds.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -153,7 +155,7 @@
         || document.size() != fieldCount)
         return std::nullopt;
     for (const auto& field : document) {
-        if (!field.is_number_integer())
+        if (!field.is_number_integer() || !toBoundedInteger(field.get<double>()))
             return std::nullopt;
     }
     ClaimRecord record;
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -8,6 +8,7 @@
 #include "StoreClient.h"
 
 #include <algorithm>
+#include <set>
 
 namespace fescue {
 
@@ -18,6 +19,8 @@
     constexpr Milliseconds announceTimeout { 1000 };
     constexpr Milliseconds announceRetryDelay { 300 };
     constexpr const char* vmTopicName = "entry-vms";
+    // Bounds the memory of which unreadable entries have been logged.
+    constexpr std::size_t maxUnreadableLogged = 64;
 
     // The read position in one topic.
     struct Cursor {
@@ -71,7 +74,9 @@
     using OnRefreshed = std::function<void(bool isRead)>;
     std::vector<OnRefreshed> refreshes_; ///< For the current read of the targets.
     std::vector<OnRefreshed> nextRefreshes_; ///< Came during the current read, so the next one serves them.
+    std::set<std::string> unreadable_; ///< Keys of logged entries of targets that could not be read.
     Counter reads_ { "store_reads_total" };
+    Counter unreadableEntries_ { "target_entries_unreadable_total" };
 
     Impl(platform::StoreClient& store, StoreHealth& health, const FollowIntervals& intervals,
         Callbacks callbacks)
@@ -285,11 +290,29 @@
         }
     }
 
+    // Logs an entry that cannot be read once until it can be.
+    std::optional<TargetEntry> decodeTarget(const platform::KeyedRecord& record)
+    {
+        auto entry = platform::decodeTarget(record.key_, record.value_);
+        if (entry || record.value_.empty()) {
+            unreadable_.erase(record.key_);
+            return entry;
+        }
+        unreadableEntries_.add();
+        if (unreadable_.size() < maxUnreadableLogged && unreadable_.insert(record.key_).second)
+            logWarning("target-unreadable",
+                "an entry of a target has a field that is missing, of another type or out of range; it is "
+                "not used",
+                { { "target", record.key_ }, { "bytes", std::to_string(record.value_.size()) },
+                    { "offset", std::to_string(record.offset_) } });
+        return entry;
+    }
+
     void applyAllTargets(const std::vector<platform::KeyedRecord>& records)
     {
         std::vector<TargetEntry> entries;
         for (const platform::KeyedRecord& record : records) {
-            if (auto entry = platform::decodeTarget(record.key_, record.value_))
+            if (auto entry = decodeTarget(record))
                 entries.push_back(*entry);
         }
         applyFullList(targetList_, entries, bootNow());
@@ -301,7 +324,7 @@
         for (const platform::KeyedRecord& record : records) {
             if (record.key_.empty())
                 continue;
-            auto entry = platform::decodeTarget(record.key_, record.value_);
+            auto entry = decodeTarget(record);
             logOutOfOrder({ record.key_ }, entry);
             applyTargetChange(targetList_, { record.key_ }, entry, bootNow());
         }
--- a/test/correctness/PlatformFormats.cpp
+++ b/test/correctness/PlatformFormats.cpp
@@ -1,5 +1,6 @@
 #include "Documents.h"
 #include "Headers.h"
+#include "NumberBounds.h"
 #include "Suite.h"
 
 using namespace fescue;
@@ -58,6 +59,9 @@
     CPPUNIT_TEST(configurationIsDecoded);
     CPPUNIT_TEST(malformedConfigurationIsRejected);
     CPPUNIT_TEST(malformedEntriesAreNotDecodedAsTargets);
+    CPPUNIT_TEST(numbersOutOfRangeNameNoTarget);
+    CPPUNIT_TEST(largeNumbersInHeadersAreClamped);
+    CPPUNIT_TEST(largeNumbersInTheConfigurationAreClamped);
     CPPUNIT_TEST(callersCannotSetHeadersOfTheSystem);
     CPPUNIT_TEST(requestTagsAreDecoded);
     CPPUNIT_TEST(answerTagsAreDecoded);
@@ -122,6 +126,53 @@
         CHECK(!platform::decodeConfig(R"({"version":1,"routes":[{"name":"x"}]})").has_value());
     }
 
+    // Their conversion is undefined, and a number of reports that no process makes hides all later reports.
+    void numbersOutOfRangeNameNoTarget()
+    {
+        std::string good
+            = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v","slots":6,"state":"ready","seq":4,"born":5})";
+        CHECK(platform::decodeTarget("i-1", good).has_value());
+        for (const char* field : { "\"slots\":6", "\"seq\":4", "\"born\":5" }) {
+            std::string name(field, std::string_view(field).find(':') + 1);
+            for (const char* value : { "1e300", "-1", "18446744073709551615",
+                     "123456789012345678901234567890", "9007199254740993", "-1e300", "\"6\"", "null", "[6]" })
+                CHECK(!platform::decodeTarget("i-1", replaced(good, field, name + value)).has_value());
+        }
+        for (const char* port : { ":0", ":65536", ":-1", ":99999999999", ":", ":80x" })
+            CHECK(!platform::decodeTarget("i-1", replaced(good, ":80", port)).has_value());
+        CHECK(!platform::decodeTarget("i-1", replaced(good, "\"v\"", "7")).has_value());
+        CHECK(!platform::decodeTarget("i-1", replaced(good, "\"z\"", "7")).has_value());
+        for (const char* id : { "i 1", "i-1\r\nX: y", "\xff", "i\x7f" })
+            CHECK(!platform::decodeTarget(id, good).has_value());
+    }
+
+    void largeNumbersInHeadersAreClamped()
+    {
+        HttpHead head;
+        for (const char* name :
+            { "Fescuewinch-Deadline-Ms", "Fescuewinch-Program-Deadline-Ms", "Fescuewinch-Token-Budget" })
+            head.headers_.push_back({ name, "9223372036854775807" });
+        head.headers_.push_back({ "Fescuewinch-Token-Count", "9223372036854775807,9223372036854775807" });
+        CallTags tags = platform::decodeCallTags(head);
+        CHECK_EQUAL(maxForeignNumber, tags.programBudget_->value_);
+        CHECK_EQUAL(maxForeignNumber, tags.promptTokens_.value_);
+        CHECK(tags.deadline_->count() == maxForeignNumber);
+        HttpHead answer;
+        answer.headers_.push_back({ "Fescuewinch-Instance-Load", "4294967296,0,8" });
+        CHECK(!platform::decodeAnswerTags(answer).load_);
+    }
+
+    void largeNumbersInTheConfigurationAreClamped()
+    {
+        auto config = platform::decodeConfig(
+            R"({"version":1,"routes":[{"host":"h","path-prefix":"/","timeout-ms":1e300,"max-attempts":-1e300}],)"
+            R"("services":[{"name":"s","engine":{"slots":1e300,"kv-capacity":-1e300}}]})");
+        CHECK(config && config->routes_.front().timeout_ == Milliseconds { maxForeignNumber });
+        CHECK_EQUAL(1U, config->routes_.front().maxAttempts_);
+        CHECK(config->services_.at({ "s" }).slots_ > 0);
+        CHECK(config->services_.at({ "s" }).kvCapacity_ == TokenCount { 0 });
+    }
+
     void malformedEntriesAreNotDecodedAsTargets()
     {
         std::string good = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready"})";
