Count a version as in use until its last target is removed from the list

The other version was then the only one at once, though VMs had sent streams to both during the outage, and streams without a copy were joined.

Cause: a version was seen at the reports of its targets, not at their removal. Test: correctness/StreamOriginTables, versionThatLapsedInAnOutageCountsFromItsRemoval, failed on the code before.

--- a/src/TargetList.cpp
+++ b/src/TargetList.cpp
@@ -15,6 +15,8 @@
         auto entry = list.entries_.find(id);
         if (entry == list.entries_.end())
             return;
+        // Its targets were in use until now, however old its last report is.
+        recordVersion(list.versions_, entry->second.service_, entry->second.version_, now);
         for (auto old = list.removed_.begin(); old != list.removed_.end();)
             old = old->second.removedAt_ + lateReportRetention < now ? list.removed_.erase(old)
                                                                      : std::next(old);
--- a/test/correctness/StreamOriginTables.cpp
+++ b/test/correctness/StreamOriginTables.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(onlyVersionIsKnownAfterTheRetentionPeriod);
     CPPUNIT_TEST(versionThatHasLeftCountsForTheRetentionPeriod);
     CPPUNIT_TEST(outageOfTheStoreMissesNothing);
+    CPPUNIT_TEST(versionThatLapsedInAnOutageCountsFromItsRemoval);
     CPPUNIT_TEST(lostHistoryStartsThePeriodAgain);
     CPPUNIT_TEST(firstOriginOfAnAttemptHolds);
     CPPUNIT_TEST(tableIsBoundedInTimeAndSize);
@@ -99,6 +100,18 @@
         CHECK(!sole(list, 40200));
     }
 
+    // VMs send streams to its targets as long as they are listed, however old their last report is.
+    void versionThatLapsedInAnOutageCountsFromItsRemoval()
+    {
+        TargetList list;
+        follow(list, 0, 12000, { "v1", "v2" });
+        follow(list, 40000, 49800, { "v1" });
+        CHECK(!sole(list, 40000));
+        CHECK(!sole(list, 49800));
+        follow(list, 50400, 50400, { "v1" });
+        CHECK_EQUAL(std::string("v1"), sole(list, 50400)->value_);
+    }
+
     void lostHistoryStartsThePeriodAgain()
     {
         TargetList list;
