Keep a claim while its program goes on at any VM

Cause: a VM deleted its claim by its own view of the program, and claims in use expired without a write. Fix: claims in use are renewed, a VM reads the claims before it drops its own, and expired ones go only when none of the program's is in force.

--- a/src/BudgetEscrow.cpp
+++ b/src/BudgetEscrow.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace fescue {
 
@@ -38,6 +39,7 @@
         TokenCount claimed, bool isNeeded)
     {
         program.isWriting_ = true;
+        program.writtenAt_ = program.lastUsedAt_;
         program.recorded_ = std::max(program.recorded_, claimed);
         BudgetClaim claim { claimed, program.spent_, 0 };
         return { id, claim, program.retention_ + escrow.options_.expiryMargin_, isNeeded };
@@ -108,6 +110,31 @@
         program.waiting_ = std::move(kept);
     }
 
+    bool isBusy(const ProgramBudget& program)
+    {
+        return program.isWriting_ || program.reserved_.value_ > 0 || !program.waiting_.empty();
+    }
+
+    // Whether the program cannot resume at this VM.
+    bool isIdle(const BudgetEscrow& escrow, const ProgramBudget& program, MonotonicTime now)
+    {
+        return !isBusy(program)
+            && now > program.lastUsedAt_ + program.retention_ + escrow.options_.expiryMargin_;
+    }
+
+    bool isInForce(const BudgetEscrow& escrow, const BudgetClaim& claim, std::int64_t wallSeconds)
+    {
+        return wallSeconds <= claim.expiresAt_ + escrow.options_.expiryGraceSeconds_;
+    }
+
+    // Whether the program has been used for so long since the last write that its claim would expire too
+    // early.
+    bool needsRenewal(const BudgetEscrow& escrow, const ProgramBudget& program)
+    {
+        return program.recorded_.value_ > 0
+            && program.lastUsedAt_ > program.writtenAt_ + escrow.options_.expiryMargin_ / 2;
+    }
+
     // Grants the turns that fit. For the others it writes a claim, or refuses them if no claim could help.
     void advance(const BudgetEscrow& escrow, const ProgramId& id, ProgramBudget& program, bool hasFreshRead,
         EscrowEffects& effects)
@@ -263,11 +290,48 @@
     program.isWriting_ = false;
     // No other write is pending, so the stored claim equals the usable amount.
     program.recorded_ = program.usable_;
+    program.writtenAt_ = {};
     bool isUnused = program.recorded_.value_ == 0 && committed(program).value_ == 0;
     if (isUnused && program.waiting_.empty())
         escrow.programs_.erase(found);
 }
 
+EscrowEffects onClaimsRead(BudgetEscrow& escrow, const ProgramId& id, const std::vector<ClaimRecord>& others,
+    std::int64_t wallSeconds, MonotonicTime now)
+{
+    auto found = escrow.programs_.find(id);
+    if (found == escrow.programs_.end())
+        return {};
+    ProgramBudget& program = found->second;
+    program.isReadingClaims_ = false;
+    if (!isIdle(escrow, program, now))
+        return {};
+    bool goesOnElsewhere = std::any_of(others.begin(), others.end(),
+        [&](const ClaimRecord& other) { return isInForce(escrow, other.claim_, wallSeconds); });
+    if (goesOnElsewhere) {
+        program.readClaimsAt_ = now + program.retention_ + escrow.options_.expiryMargin_;
+        return {};
+    }
+    escrow.programs_.erase(found);
+    return { DropClaim { id } };
+}
+
+std::vector<std::string> expiredClaims(
+    const BudgetEscrow& escrow, const std::vector<ClaimRecord>& records, std::int64_t wallSeconds)
+{
+    std::set<ProgramId> living;
+    for (const ClaimRecord& record : records) {
+        if (escrow.programs_.count(record.program_) || isInForce(escrow, record.claim_, wallSeconds))
+            living.insert(record.program_);
+    }
+    std::vector<std::string> keys;
+    for (const ClaimRecord& record : records) {
+        if (record.writer_ != escrow.writer_ && !living.count(record.program_))
+            keys.push_back(claimKey(record.program_, record.writer_));
+    }
+    return keys;
+}
+
 EscrowEffects onStoreUnavailable(BudgetEscrow& escrow)
 {
     EscrowEffects effects;
@@ -288,20 +352,19 @@
 EscrowEffects tickEscrow(BudgetEscrow& escrow, bool isDraining, MonotonicTime now)
 {
     EscrowEffects effects;
-    const EscrowOptions& options = escrow.options_;
-    for (auto entry = escrow.programs_.begin(); entry != escrow.programs_.end();) {
-        ProgramBudget& program = entry->second;
-        bool isBusy = program.isWriting_ || program.reserved_.value_ > 0 || !program.waiting_.empty();
-        if (!isBusy && now > program.lastUsedAt_ + program.retention_ + options.expiryMargin_) {
-            effects.push_back(DropClaim { entry->first });
-            entry = escrow.programs_.erase(entry);
+    for (auto& [id, program] : escrow.programs_) {
+        if (isBusy(program))
             continue;
-        }
-        if (isDraining && !isBusy && program.recorded_ > program.spent_) {
+        if (isDraining && program.recorded_ > program.spent_) {
             program.usable_ = program.spent_;
-            effects.push_back(writeClaim(escrow, entry->first, program, program.spent_, false));
+            effects.push_back(writeClaim(escrow, id, program, program.spent_, false));
+        } else if (needsRenewal(escrow, program)) {
+            effects.push_back(writeClaim(escrow, id, program, program.usable_, false));
+        } else if (isIdle(escrow, program, now) && !program.isReadingClaims_
+            && now >= program.readClaimsAt_) {
+            program.isReadingClaims_ = true;
+            effects.push_back(ReadClaims { id });
         }
-        ++entry;
     }
     return effects;
 }
--- a/src/BudgetEscrow.h
+++ b/src/BudgetEscrow.h
@@ -16,7 +16,12 @@
  *
  * A claim includes headroom for the next turns, but at most half of the remaining budget: most turns then
  * need no write, and if this VM fails, other VMs can use the rest. A draining VM lowers its claims to what
- * was spent. This module does no I/O; `BudgetStore` applies its effects.
+ * was spent.
+ *
+ * Tokens count as spent for as long as any VM serves the program, so no claim may go before all VMs have
+ * stopped. A claim expires some time after the last turn at its own VM; a VM that goes on serving the program
+ * writes its claim again in time. Claims are deleted only when none of the program's claims is in force. This
+ * module does no I/O; `BudgetStore` applies its effects.
  */
 
 #include "Types.h"
@@ -86,6 +91,9 @@
     std::deque<WaitingTurn> waiting_;
     bool isWriting_ = false;
     MonotonicTime lastUsedAt_;
+    MonotonicTime writtenAt_; ///< The recorded claim expires no earlier than if written at this time.
+    MonotonicTime readClaimsAt_; ///< Earliest time to ask whether the program, idle here, goes on elsewhere.
+    bool isReadingClaims_ = false;
     Milliseconds retention_ { 0 };
 };
 
@@ -93,8 +101,12 @@
 struct EscrowOptions {
     int headroomDivisor_ = 2; ///< Headroom is the remaining budget divided by this: 2 for a half.
     int maxHeadroomTurns_ = 4; ///< Limits the headroom, which the other VMs lose when this VM fails.
-    /** Added to the time in which a program may resume; covers clock skew. */
+    /** Added to the time in which a program may resume; covers clock skew. A claim in use is written again
+     * after half of it. */
     Milliseconds expiryMargin_ { 120000 };
+    /** A claim counts as in force for this long after its expiry, since its VM may not have reached the
+     * store. */
+    std::int64_t expiryGraceSeconds_ = 300;
 };
 
 /** The budgets of all programs of a VM. */
@@ -118,12 +130,16 @@
 struct DropClaim {
     ProgramId program_;
 };
+/** Effect: read the claims of a program that is idle here and report them with `onClaimsRead`. */
+struct ReadClaims {
+    ProgramId program_;
+};
 /** Effect: report the decision to a waiting turn. */
 struct DecideTurn {
     TurnId turn_;
     TurnDecision decision_ = TurnDecision::Unavailable;
 };
-using EscrowEffect = std::variant<WriteClaim, DropClaim, DecideTurn>;
+using EscrowEffect = std::variant<WriteClaim, DropClaim, ReadClaims, DecideTurn>;
 using EscrowEffects = std::vector<EscrowEffect>;
 
 /** Requests tokens for a turn. The decision is one of the returned effects or of a later call's effects. */
@@ -149,12 +165,24 @@
  * Precondition: the store has definitely not applied it, and no turn waits for it. */
 void onClaimDropped(BudgetEscrow& escrow, const ProgramId& program);
 
+/** Reports the claims of other writers on a program that is idle at this VM. `wallSeconds` is the time since
+ * the epoch. */
+EscrowEffects onClaimsRead(BudgetEscrow& escrow, const ProgramId& program,
+    const std::vector<ClaimRecord>& others, std::int64_t wallSeconds, MonotonicTime now);
+
+/** Returns the keys of claims that may be deleted. `records` are all claims of some programs, with those of
+ * this VM. Pure. */
+std::vector<std::string> expiredClaims(
+    const BudgetEscrow& escrow, const std::vector<ClaimRecord>& records, std::int64_t wallSeconds);
+
 /** Refuses the turns that wait for the store, which is unreachable. Writes in flight continue. */
 EscrowEffects onStoreUnavailable(BudgetEscrow& escrow);
 /** Same for the turns of one program. */
 EscrowEffects onStoreUnavailable(BudgetEscrow& escrow, const ProgramId& program);
 
-/** Drops programs that cannot resume. With `isDraining`, also returns the unused tokens of idle programs. */
+/** Asks for the claims of programs that are idle here, since those that have ended everywhere are dropped,
+ * and renews the claims that are in use. With `isDraining`, also returns the unused tokens of idle programs.
+ */
 EscrowEffects tickEscrow(BudgetEscrow& escrow, bool isDraining, MonotonicTime now);
 
 } // namespace fescue
--- a/src/BudgetStore.cpp
+++ b/src/BudgetStore.cpp
@@ -23,8 +23,6 @@
     constexpr double maxClaimWaitSeconds = 0.5;
     constexpr double callsPerClaim = 2; // A write and a read.
     constexpr const char* storeUser = "budget"; // In logs.
-    // Records of other writers are deleted this long after their expiry.
-    constexpr std::int64_t foreignExpiryGraceSeconds = 300;
 
     std::int64_t wallSeconds()
     {
@@ -34,10 +32,15 @@
 
     // A claim that is queued or in flight.
     struct Write {
+        enum class Kind {
+            Claim,
+            Drop, ///< Deletes the claim.
+            ReadOnly, ///< Writes nothing, but reads the claims.
+        };
         ProgramId program_;
         BudgetClaim claim_;
         bool isNeeded_ = false;
-        bool isDrop_ = false;
+        Kind kind_ = Kind::Claim;
         MonotonicTime queuedAt_; ///< When it was queued.
     };
 
@@ -47,7 +50,7 @@
         std::vector<Write> inFlight_;
         std::vector<std::string> expiredKeys_; ///< Of expired records, to be deleted with the next write.
         std::vector<platform::KeyedRecord> records_; ///< Of the call in flight; a retry sends them unchanged.
-        std::vector<ClaimRecord> readClaims_;
+        std::vector<ClaimRecord> readClaims_; ///< With those of this VM.
         Sequence nextSequence_ { 1 };
         bool isBusy_ = false; ///< From the first call of a write until the end of its read.
         bool isScheduled_ = false; ///< Its next call waits for the throttle.
@@ -90,7 +93,9 @@
             else if (const auto* write = std::get_if<WriteClaim>(&effect))
                 enqueue(*write);
             else if (const auto* drop = std::get_if<DropClaim>(&effect))
-                enqueue({ drop->program_, {}, false, true, bootNow() });
+                enqueue({ drop->program_, {}, false, Write::Kind::Drop, bootNow() });
+            else if (const auto* read = std::get_if<ReadClaims>(&effect))
+                enqueue({ read->program_, {}, false, Write::Kind::ReadOnly, bootNow() });
         }
         refuseWaitingTurnsIfDown();
     }
@@ -116,7 +121,7 @@
         constexpr std::int64_t msPerSecond = 1000;
         BudgetClaim claim = effect.claim_;
         claim.expiresAt_ = wallSeconds() + effect.timeToLive_.count() / msPerSecond + 1;
-        enqueue({ effect.program_, claim, effect.isNeeded_, false, bootNow() });
+        enqueue({ effect.program_, claim, effect.isNeeded_, Write::Kind::Claim, bootNow() });
     }
 
     void enqueue(Write write)
@@ -145,6 +150,12 @@
         return std::any_of(writes.begin(), writes.end(), [](const Write& write) { return write.isNeeded_; });
     }
 
+    static bool needsRead(const std::vector<Write>& writes)
+    {
+        return std::any_of(writes.begin(), writes.end(),
+            [](const Write& write) { return write.isNeeded_ || write.kind_ == Write::Kind::ReadOnly; });
+    }
+
     // Sends the calls that the throttle allows.
     void sendScheduled()
     {
@@ -218,13 +229,19 @@
         queue.inFlight_ = std::move(queue.pending_);
         queue.pending_.clear();
         queue.records_.clear();
-        for (const Write& write : queue.inFlight_)
-            queue.records_.push_back({ claimKey(write.program_, escrow_.writer_),
-                write.isDrop_ ? std::string() : claimValue(write.claim_) });
+        for (const Write& write : queue.inFlight_) {
+            if (write.kind_ != Write::Kind::ReadOnly)
+                queue.records_.push_back({ claimKey(write.program_, escrow_.writer_),
+                    write.kind_ == Write::Kind::Drop ? std::string() : claimValue(write.claim_) });
+        }
         for (std::string& key : queue.expiredKeys_)
             queue.records_.push_back({ std::move(key), {} });
         queue.expiredKeys_.clear();
-        sendAppend(partition, queue);
+        if (!queue.records_.empty())
+            return sendAppend(partition, queue);
+        queue.readClaims_.clear();
+        queue.isWritten_ = true;
+        sendRead(partition, {});
     }
 
     void sendAppend(const platform::StorePartition& partition, PartitionQueue& queue)
@@ -261,7 +278,7 @@
         queue.nextSequence_.value_ += 1;
         queue.isOutcomeUnknown_ = false;
         queue.readClaims_.clear();
-        queue.isWritten_ = isNeeded(queue.inFlight_);
+        queue.isWritten_ = needsRead(queue.inFlight_);
         if (queue.isWritten_)
             return sendRead(partition, {});
         finishWrite(partition, queue, false);
@@ -295,14 +312,9 @@
             queue.readClaims_.clear();
             return schedule(partition, queue);
         }
-        std::int64_t now = wallSeconds();
         for (const platform::KeyedRecord& record : page->records_) {
-            auto claim = parseClaim(record.key_, record.value_);
-            if (claim && claim->writer_ != escrow_.writer_) {
-                if (now > claim->claim_.expiresAt_ + foreignExpiryGraceSeconds)
-                    queue.expiredKeys_.push_back(record.key_);
+            if (auto claim = parseClaim(record.key_, record.value_))
                 queue.readClaims_.push_back(std::move(*claim));
-            }
         }
         if (page->hasMore_ && !page->records_.empty())
             return sendRead(partition, page->records_.back().key_);
@@ -317,27 +329,34 @@
         queue.inFlight_.clear();
         queue.readClaims_.clear();
         queue.isWritten_ = false;
-        for (const Write& write : writes) {
-            if (write.isDrop_)
-                continue;
-            if (!wasRead || !write.isNeeded_) {
-                applyEffects(onClaimLowered(escrow_, write.program_));
-                continue;
-            }
-            std::vector<ClaimRecord> others;
-            for (const ClaimRecord& record : read) {
-                if (record.program_ == write.program_)
-                    others.push_back(record);
-            }
-            logClaim(write, others);
-            applyEffects(onClaimWritten(escrow_, write.program_, write.claim_, others, bootNow()));
-        }
+        if (wasRead)
+            queue.expiredKeys_ = expiredClaims(escrow_, read, wallSeconds());
+        for (const Write& write : writes)
+            finishWrite(write, read, wasRead);
         queue.isBusy_ = false;
         if (!queue.pending_.empty())
             return schedule(partition, queue);
         sendScheduled();
     }
 
+    void finishWrite(const Write& write, const std::vector<ClaimRecord>& read, bool wasRead)
+    {
+        if (write.kind_ == Write::Kind::Drop)
+            return;
+        bool isReadOnly = write.kind_ == Write::Kind::ReadOnly;
+        if (!wasRead || !(write.isNeeded_ || isReadOnly))
+            return applyEffects(onClaimLowered(escrow_, write.program_));
+        std::vector<ClaimRecord> others;
+        for (const ClaimRecord& record : read) {
+            if (record.program_ == write.program_ && record.writer_ != escrow_.writer_)
+                others.push_back(record);
+        }
+        if (isReadOnly)
+            return applyEffects(onClaimsRead(escrow_, write.program_, others, wallSeconds(), bootNow()));
+        logClaim(write, others);
+        applyEffects(onClaimWritten(escrow_, write.program_, write.claim_, others, bootNow()));
+    }
+
     void logClaim(const Write& write, const std::vector<ClaimRecord>& others) const
     {
         TokenCount claimed;
