Bound what a VM keeps about programs, and drop what concerns VMs and services that have gone

Memory of fescue-entry grew by 0.37 KB with each program ever seen (39.0 MB after 80,000 of them): attained service and cached prefixes of programs were never dropped there. Backoffs and releases of VMs and versions of services that have gone stayed, too.

Fix: PoolPrograms drops idle programs, and those idle the longest beyond a count; what concerns a VM goes with it. A program that had no claim is dropped without a read of the store.

--- a/src/BudgetEscrow.cpp
+++ b/src/BudgetEscrow.cpp
@@ -352,9 +352,16 @@
 EscrowEffects tickEscrow(BudgetEscrow& escrow, bool isDraining, MonotonicTime now)
 {
     EscrowEffects effects;
-    for (auto& [id, program] : escrow.programs_) {
+    for (auto entry = escrow.programs_.begin(); entry != escrow.programs_.end();) {
+        auto current = entry++;
+        auto& [id, program] = *current;
         if (isBusy(program))
             continue;
+        // The store holds no claim of this VM.
+        if (program.recorded_.value_ == 0 && isIdle(escrow, program, now)) {
+            escrow.programs_.erase(current);
+            continue;
+        }
         if (isDraining && program.recorded_ > program.spent_) {
             program.usable_ = program.spent_;
             effects.push_back(writeClaim(escrow, id, program, program.spent_, false));
--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -40,6 +40,8 @@
 
 std::size_t CallForwarder::openCallCount() const { return impl_->transfers_.size() + impl_->held_.size(); }
 
+std::size_t CallForwarder::knownProgramCount() const { return programCount(impl_->pool_); }
+
 std::size_t CallForwarder::queuedCallCount() const { return impl_->pool_.queue_.calls_.size(); }
 
 std::uint64_t CallForwarder::connectionsMade() const { return impl_->outbound_.connectionsMade(); }
--- a/src/CallForwarder.h
+++ b/src/CallForwarder.h
@@ -51,6 +51,8 @@
     /** Requests that are queued or in flight. */
     std::size_t openCallCount() const;
     std::size_t queuedCallCount() const;
+    /** Programs whose service or cached prefixes are known. */
+    std::size_t knownProgramCount() const;
     std::uint64_t connectionsMade() const;
 
 private:
--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -17,6 +17,7 @@
 #include "KnownTargets.h"
 #include "LinkWatch.h"
 #include "Metrics.h"
+#include "PoolPrograms.h"
 #include "RefuseCall.h"
 #include "RequestDigest.h"
 #include "TargetChoice.h"
@@ -39,6 +40,7 @@
 constexpr Milliseconds retryAfterQuarantine { 30000 };
 // Calls of many VMs run beside each other at a shared target, so two crashes of one call may be chance.
 constexpr std::uint32_t sharedCrashesToQuarantine = 3;
+constexpr Milliseconds programEvictionInterval { 5000 };
 
 /** Confined to the thread of the event loop, like the forwarder. */
 struct CallForwarder::Impl : std::enable_shared_from_this<CallForwarder::Impl> {
@@ -54,6 +56,7 @@
     std::map<DispatchId, TransferPtr> transfers_;
     std::set<TransferPtr> held_; ///< Streams that are complete but for their end, which waits for `onWhole_`.
     std::uint64_t lastId_ = 0;
+    MonotonicTime evictProgramsAt_;
     Counter answered_ { "calls_total", { "outcome", "answered" } };
     Counter refused_ { "calls_total", { "outcome", "refused" } };
     Counter failed_ { "calls_total", { "outcome", "failed" } };
@@ -456,9 +459,18 @@
         refuseRemoved(removeHopeless(pool_, now),
             "the rates that the targets have named leave no time for the request");
         endOverdue(now);
+        dropPrograms(now);
         dispatchAll();
     }
 
+    void dropPrograms(MonotonicTime now)
+    {
+        if (now < evictProgramsAt_ && !hasTooManyPrograms(pool_, {}))
+            return;
+        evictProgramsAt_ = now + programEvictionInterval;
+        evictPrograms(pool_, {}, now);
+    }
+
     void resumeReading()
     {
         for (const auto& [id, transfer] : transfers_) {
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -115,7 +115,7 @@
         , follower_(store_, health_, followIntervals(options_.settings_),
               { [this](const ServingConfig& config) { applyConfig(config); },
                   [this](const TargetList& list) { applyTargets(list); },
-                  [this](const std::map<VmId, PeerEntry>& peers) { exchange_.peers().peers_ = peers; },
+                  [this](const std::map<VmId, PeerEntry>& peers) { exchange_.setPeers(peers); },
                   [this](const auto& records, bool isAll) { forwarder_.applyCrashRecords(records, isAll); } })
         , resumption_(exchange_, follower_.targets(), options_.settings_.zone_,
               [this](std::function<void(bool)> done) { follower_.refreshTargets(std::move(done)); })
@@ -182,6 +182,8 @@
             { "calls_waiting", {}, static_cast<double>(forwarder_.queuedCallCount()) },
             { "turns_waiting_for_budget", {}, static_cast<double>(admission_.waitingCount()) },
             { "programs", {}, static_cast<double>(broker_.programs()) },
+            { "programs_placed", {}, static_cast<double>(forwarder_.knownProgramCount()) },
+            { "stream_origins", {}, static_cast<double>(resumption_.streams()) },
             { "turns_cached", {}, static_cast<double>(conversations_.cachedTurns()) },
             { "turns_cached_bytes", {}, static_cast<double>(conversations_.cachedBytes()) },
             { "turn_records", {}, static_cast<double>(conversations_.records()) },
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -14,6 +14,13 @@
     constexpr int httpNotFound = 404;
     constexpr Milliseconds peerConnectTimeout { 150 };
 
+    template <typename Value>
+    void dropAbsent(std::map<VmId, Value>& values, const std::map<VmId, PeerEntry>& peers)
+    {
+        for (auto value = values.begin(); value != values.end();)
+            value = peers.count(value->first) ? std::next(value) : values.erase(value);
+    }
+
 } // namespace
 
 struct PeerExchange::Impl {
@@ -72,6 +79,13 @@
 
 PeerList& PeerExchange::peers() { return impl_->peers_; }
 
+void PeerExchange::setPeers(const std::map<VmId, PeerEntry>& peers)
+{
+    impl_->peers_.peers_ = peers;
+    dropAbsent(impl_->peers_.backoffs_, peers);
+    dropAbsent(impl_->releases_, peers);
+}
+
 void PeerExchange::serve(const std::string& path, Handler handler)
 {
     impl_->handlers_[path] = std::move(handler);
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -25,6 +25,8 @@
     ~PeerExchange();
 
     PeerList& peers();
+    /** Replaces the known VMs. Those that have gone leave nothing behind. */
+    void setPeers(const std::map<VmId, PeerEntry>& peers);
     /** Serves the calls of peers to a path. Precondition: the handler outlives this object's use of it. */
     void serve(const std::string& path, Handler handler);
     /** Calls a peer. Returns null if its address is not valid; no callback follows then. */
--- a/src/StreamResumption.cpp
+++ b/src/StreamResumption.cpp
@@ -309,6 +309,8 @@
     impl_->find(attempt, service, std::move(done));
 }
 
+std::size_t StreamResumption::streams() const { return impl_->streams_.origins_.size(); }
+
 void StreamResumption::tick(MonotonicTime now) { impl_->tick(now); }
 
 } // namespace fescue
--- a/src/StreamResumption.h
+++ b/src/StreamResumption.h
@@ -43,6 +43,8 @@
     /** Finds what began a stream; `service` is where the request would be sent. `done` is called once,
      * possibly before this returns, with nothing if the origin is not known. */
     void find(const AttemptId& attempt, const ServiceId& service, OnFound done);
+    /** Streams whose origin is known. */
+    std::size_t streams() const;
     /** Sends copies and ends searches. To be called periodically. */
     void tick(MonotonicTime now);
 
--- a/src/TargetList.cpp
+++ b/src/TargetList.cpp
@@ -20,6 +20,10 @@
         for (auto old = list.removed_.begin(); old != list.removed_.end();)
             old = old->second.removedAt_ + lateReportRetention < now ? list.removed_.erase(old)
                                                                      : std::next(old);
+        for (auto old = list.rivals_.begin(); old != list.rivals_.end();)
+            old = list.entries_.count(old->first) || list.removed_.count(old->first)
+                ? std::next(old)
+                : list.rivals_.erase(old);
         list.removed_[id] = { std::move(entry->second), now };
         list.entries_.erase(entry);
     }
--- a/src/VersionHistory.cpp
+++ b/src/VersionHistory.cpp
@@ -8,10 +8,14 @@
     constexpr Milliseconds maxRetention { 300000 };
     constexpr std::size_t maxVersions = 64;
 
-    void dropOld(std::map<SoftwareVersion, MonotonicTime>& versions, MonotonicTime now)
+    void dropOld(VersionHistory& history, MonotonicTime now)
     {
-        for (auto version = versions.begin(); version != versions.end();)
-            version = version->second + maxRetention < now ? versions.erase(version) : std::next(version);
+        for (auto service = history.lastSeen_.begin(); service != history.lastSeen_.end();) {
+            auto& versions = service->second;
+            for (auto version = versions.begin(); version != versions.end();)
+                version = version->second + maxRetention < now ? versions.erase(version) : std::next(version);
+            service = versions.empty() ? history.lastSeen_.erase(service) : std::next(service);
+        }
     }
 
 } // namespace
@@ -19,10 +23,11 @@
 void recordVersion(
     VersionHistory& history, const ServiceId& service, const SoftwareVersion& version, MonotonicTime now)
 {
-    auto& versions = history.lastSeen_[service];
-    bool isNew = !versions.count(version);
+    auto known = history.lastSeen_.find(service);
+    bool isNew = known == history.lastSeen_.end() || !known->second.count(version);
     if (isNew)
-        dropOld(versions, now);
+        dropOld(history, now);
+    auto& versions = history.lastSeen_[service];
     // Beyond the limit the others still show that there are several.
     if (!isNew || versions.size() < maxVersions)
         versions[version] = now;
