Give programs with long or unusual ids a digest as id, so that their claims fit into the store's keys

The key of a claim holds the program's id and the writer, and its length is one byte.

Ids of up to 100 visible characters stay as they are, so that claims of older releases count.

--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -9,6 +9,7 @@
 #include "Metrics.h"
 #include "RefuseCall.h"
 #include "Release.h"
+#include "StorableId.h"
 #include "StoreClient.h"
 #include "StoreFollower.h"
 #include "StreamResumption.h"
@@ -245,11 +246,17 @@
             forwarder_.setTargets(list, *config_);
     }
 
+    static void readTags(ForwardedCall& call)
+    {
+        call.tags_ = platform::decodeCallTags(call.request_.head_);
+        call.tags_.program_ = storableId(call.tags_.program_);
+    }
+
     void handleRequest(FrontRequest request, std::shared_ptr<FrontReply> reply)
     {
         lastRequest_ = bootNow();
         ForwardedCall call { std::move(request), std::move(reply), {} };
-        call.tags_ = platform::decodeCallTags(call.request_.head_);
+        readTags(call);
         if (!config_ || !follower_.targets().isComplete_)
             return rejectCall(
                 call, serviceUnavailable, "the configuration has not been read yet", notReadyRetryAfter);
@@ -288,7 +295,7 @@
     void handleRelayed(ForwardedCall call)
     {
         lastRequest_ = bootNow();
-        call.tags_ = platform::decodeCallTags(call.request_.head_);
+        readTags(call);
         if (!config_ || !config_->services_.count(call.service_.id_))
             return refuseRelay(call, "the service is not in the configuration of this VM");
         if (forwarder_.isStranded())
