--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -4,7 +4,8 @@
  * CallForwarderImpl: the state of a `CallForwarder`, for its source files only.
  *
  * `RelayedTransfers.cpp` has what concerns requests that go through other VMs, `HeldTransfers.cpp` what
- * concerns streams whose end waits, and `OverdueTransfers.cpp` what ends requests at their deadlines.
+ * concerns streams whose end waits, `OverdueTransfers.cpp` what ends requests at their deadlines, and
+ * `QuarantinedTransfers.cpp` what ends those that have crashed targets.
  */
 
 #include "CallForwarder.h"
@@ -168,21 +169,7 @@
         refuse(transfer, reason, retryAfterQuarantine);
     }
 
-    // Refuses calls that were queued before their content was quarantined.
-    void refuseQueuedQuarantined()
-    {
-        if (pool_.quarantine_.quarantined_.empty())
-            return;
-        std::vector<TransferPtr> refused;
-        for (const auto& [id, transfer] : transfers_) {
-            if (transfer->isQueued_ && isQuarantined(pool_.quarantine_, transfer->digest_, bootNow()))
-                refused.push_back(transfer);
-        }
-        for (const TransferPtr& transfer : refused) {
-            cancelTransfer(transfer);
-            refuseQuarantined(transfer);
-        }
-    }
+    void refuseQueuedQuarantined(); // Defined in QuarantinedTransfers.cpp.
 
     void dispatchAll()
     {
