Do not pass on a refusal that does not say that an at-most-once request has not run

A target's 408, 421, 429 or 503 went to the caller with its status, though only its header says that the request has not run, and callers take these statuses for that promise (REFUSED). For requests that may run once it now counts as a lost answer, 502; others get it as before.

Test: failure/UnprovenRefusals, refusalThatDoesNotSayNotRunIsNotPassedOn, failed on the code before (408 for 502).

--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -27,6 +27,8 @@
 namespace fescue {
 
 constexpr int misdirectedRequest = 421; ///< Another target has the address now.
+constexpr int requestTimeout = 408;
+constexpr int tooManyRequests = 429;
 constexpr int badGateway = 502;
 constexpr int unavailable = 503;
 constexpr int gatewayTimeout = 504;
@@ -123,6 +125,13 @@
         };
     }
 
+    // Whether a caller takes a response for the statement that its request has not run and never will.
+    static bool saysNotRun(const HttpHead& head)
+    {
+        return head.status_ == requestTimeout || head.status_ == misdirectedRequest
+            || head.status_ == tooManyRequests || head.status_ == unavailable;
+    }
+
     // Queues a request, or gives it to another VM if this one cannot reach targets.
     void route(const TransferPtr& transfer)
     {
@@ -225,6 +234,11 @@
             return handleLostAnswer(transfer, false,
                 "the answer does not come from the target's application, or has a content encoding");
         }
+        if (saysNotRun(head) && transfer->call_.route_.repeatability_ == Repeatability::AtMostOnce) {
+            transfer->exchange_->cancel();
+            return handleLostAnswer(
+                transfer, false, "the target refused the request without stating that it has not run");
+        }
         recordOutput(pool_, transfer->id_, bootNow());
         if (transfer->call_.relayOutcome_)
             *transfer->call_.relayOutcome_ = { transfer->target_, transfer->version_, 0, false,
