Keep the connection of a caller that pauses, and wait for unsent bytes at a stop

A caller that read nothing for 0.8 s, with its buffer full, lost its connection and the rest of its answer, at a stop of the VM or without one. Cause: the limit on unacknowledged data that shows lost links to targets also held for callers' connections. These have ten seconds now, and a stopping VM waits for bytes that their connections have not taken, within its grace period.

--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -439,7 +439,7 @@
         bool isTrafficStopped
             = now > *drainStartedAt_ + balancerDetectionTime && now > lastRequest_ + minTimeWithoutRequests;
         return isTrafficStopped && forwarder_.openCallCount() == 0 && admission_.waitingCount() == 0
-            && broker_.isIdle() && conversations_.isIdle();
+            && broker_.isIdle() && conversations_.isIdle() && !callerServer_.hasUnsentBytes();
     }
 
     void shutDown()
--- a/src/FrontServer.cpp
+++ b/src/FrontServer.cpp
@@ -60,7 +60,21 @@
         FrontRejectionHandler onRejected_;
         FrontLimits limits_;
         std::set<std::shared_ptr<Session>> sessions_;
+        std::vector<std::weak_ptr<TcpLink>> closing_; ///< Connections that close once all bytes are sent.
         bool isDraining_ = false;
+
+        bool hasUnsentBytes() const;
+        void dropClosed()
+        {
+            closing_.erase(std::remove_if(closing_.begin(), closing_.end(),
+                               [](const auto& link) { return !isSending(link); }),
+                closing_.end());
+        }
+        static bool isSending(const std::weak_ptr<TcpLink>& weak)
+        {
+            auto link = weak.lock();
+            return link && link->isOpen() && link->queuedBytes() > 0;
+        }
     };
 
     class Reply;
@@ -289,6 +303,7 @@
         lastActive_ = bootNow();
         if (!keepsAlive) {
             link_->closeAfterFlush();
+            shared_->closing_.push_back(link_);
             return unregister();
         }
         link_->pauseReading(false);
@@ -317,6 +332,13 @@
         close(false);
     }
 
+    bool Shared::hasUnsentBytes() const
+    {
+        return std::any_of(sessions_.begin(), sessions_.end(), [](const auto& session) {
+            return session->link().queuedBytes() > 0;
+        }) || std::any_of(closing_.begin(), closing_.end(), isSending);
+    }
+
 } // namespace
 
 struct FrontServer::Impl : std::enable_shared_from_this<FrontServer::Impl> {
@@ -400,6 +422,7 @@
         impl_->acceptRetryAt_.reset();
         impl_->accept();
     }
+    impl_->shared_->dropClosed();
     auto sessions = impl_->shared_->sessions_;
     for (const auto& session : sessions)
         session->tick(now);
@@ -416,6 +439,8 @@
     }
 }
 
+bool FrontServer::hasUnsentBytes() const { return impl_->shared_->hasUnsentBytes(); }
+
 std::size_t FrontServer::connections() const { return impl_->shared_->sessions_.size(); }
 
 std::uint16_t FrontServer::port() const { return impl_->acceptor_.local_endpoint().port(); }
--- a/src/FrontServer.h
+++ b/src/FrontServer.h
@@ -74,6 +74,9 @@
     void drain();
     /** Closes the connections that have no request in flight. */
     void closeIdleConnections();
+    /** Whether callers have not read responses to the end, so that bytes of these would be lost with the
+     * process. */
+    bool hasUnsentBytes() const;
     std::size_t connections() const;
     std::uint16_t port() const;
 
--- a/src/TcpLink.cpp
+++ b/src/TcpLink.cpp
@@ -17,16 +17,19 @@
     // How long sent data may stay unacknowledged before the connection fails. Shorter than the shortest known
     // deadline of callers (1.2 s), so that a repeatable request can still be retried at another target.
     constexpr int userTimeoutMs = 800;
+    // The same for accepted connections. A caller that does not read for a while acknowledges nothing either,
+    // once its buffer is full, so this bounds how long its answer is kept.
+    constexpr int acceptedUserTimeoutMs = 10000;
     // The output buffer is compacted once more than this many of its bytes have been sent.
     constexpr std::size_t compactionThresholdBytes = 64 * 1024;
 
-    void setOptions(tcp::socket& socket)
+    void setOptions(tcp::socket& socket, int unacknowledgedMs)
     {
         ErrorCode ignored; // The socket works without these options, too.
         socket.set_option(tcp::no_delay(true), ignored);
         socket.non_blocking(true, ignored);
-        ::setsockopt(
-            socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
+        ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMs,
+            sizeof unacknowledgedMs);
     }
 
     bool wouldBlock(const ErrorCode& error)
@@ -50,7 +53,7 @@
 std::shared_ptr<TcpLink> TcpLink::accepted(tcp::socket socket)
 {
     std::shared_ptr<TcpLink> link(new TcpLink(std::move(socket)));
-    setOptions(link->socket_);
+    setOptions(link->socket_, acceptedUserTimeoutMs);
     link->isOpen_ = true;
     return link;
 }
@@ -68,7 +71,7 @@
     ErrorCode error;
     socket_.open(tcp::v4(), error);
     if (!error)
-        setOptions(socket_);
+        setOptions(socket_, userTimeoutMs);
     socket_.async_connect(peer, [self = shared_from_this()](const ErrorCode& failure) {
         if (!self->isOpen_)
             return;
