--- a/bench/ProgramMemory.cpp
+++ b/bench/ProgramMemory.cpp
@@ -50,6 +50,7 @@
     std::cout << fmt::format("{:>10} {:>12} {:>8}\n", "programs", "resident MB", "failed");
     for (int last = programsPerSample; last <= programs; last += programsPerSample) {
         std::vector<std::thread> threads;
+        threads.reserve(workers);
         for (int i = 0; i < workers; ++i)
             threads.emplace_back([&] { work(vm, next, last, failed); });
         for (std::thread& thread : threads)
--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -6,7 +6,9 @@
 sanitizer=$1
 pattern=${2:-.}
 directory=build-${sanitizer%%,*}
-scripts/build.sh "$directory" -DFESCUE_SANITIZE="$sanitizer" -DCMAKE_CXX_FLAGS_RELWITHDEBINFO="-O1 -g1"
+# GCC 12 takes empty optionals for uninitialized values in instrumented code.
+scripts/build.sh "$directory" -DFESCUE_SANITIZE="$sanitizer" -DCMAKE_CXX_FLAGS_RELWITHDEBINFO="-O1 -g1" \
+    -DCMAKE_CXX_FLAGS="-Wno-maybe-uninitialized"
 # A sanitizer report terminates the process, so that the test that uses the process fails.
 export TSAN_OPTIONS="halt_on_error=1 exitcode=66"
 export ASAN_OPTIONS="halt_on_error=1 exitcode=66 detect_leaks=0"
--- a/test/failure/ForeignEntries.cpp
+++ b/test/failure/ForeignEntries.cpp
@@ -55,6 +55,16 @@
         return statusOf(vm.request("POST", "/call/1", requestHeaders, "order"));
     }
 
+    static void checkThatALeavingTargetIsNotUsed(EntryVmHarness& vm)
+    {
+        vm.announce(0, { "v1", true });
+        std::this_thread::sleep_for(untilRead);
+        int before = vm.target(0).requests();
+        for (int i = 0; i < 20; ++i)
+            CHECK_EQUAL(200, statusOfCall(vm));
+        CHECK_EQUAL(before, vm.target(0).requests());
+    }
+
 public:
     void vmServesAndFollowsTheListBesideOddEntries()
     {
@@ -69,12 +79,7 @@
         CHECK_EQUAL(200, vm.readinessStatus());
         for (int i = 0; i < 20; ++i)
             CHECK_EQUAL(200, statusOfCall(vm));
-        vm.announce(0, { "v1", true });
-        std::this_thread::sleep_for(untilRead);
-        int before = vm.target(0).requests();
-        for (int i = 0; i < 20; ++i)
-            CHECK_EQUAL(200, statusOfCall(vm));
-        CHECK_EQUAL(before, vm.target(0).requests());
+        checkThatALeavingTargetIsNotUsed(vm);
         vm.restartVm(0);
         CHECK_EQUAL(200, statusOfCall(vm));
     }
@@ -91,12 +96,7 @@
             vm.runOnStore(
                 [&](standin::PlatformStore& store) { store.put("keyed.servers", "i-app-0", entry); });
             std::this_thread::sleep_for(untilRead);
-            vm.announce(0, { "v1", true });
-            std::this_thread::sleep_for(untilRead);
-            int before = vm.target(0).requests();
-            for (int i = 0; i < 20; ++i)
-                CHECK_EQUAL(200, statusOfCall(vm));
-            CHECK_EQUAL(before, vm.target(0).requests());
+            checkThatALeavingTargetIsNotUsed(vm);
         }
     }
 };
