Renew a claim by when it was last written, not by a write that was dropped

A claim that is dropped before it is sent, under overload, was taken for one that had never been written, and written again. Found by reading; the time of a write now counts once it has been applied.

--- a/src/BudgetEscrow.cpp
+++ b/src/BudgetEscrow.cpp
@@ -39,7 +39,7 @@
         TokenCount claimed, bool isNeeded)
     {
         program.isWriting_ = true;
-        program.writtenAt_ = program.lastUsedAt_;
+        program.writingSince_ = program.lastUsedAt_;
         program.recorded_ = std::max(program.recorded_, claimed);
         BudgetClaim claim { claimed, program.spent_, 0 };
         return { id, claim, program.retention_ + escrow.options_.expiryMargin_, isNeeded };
@@ -245,6 +245,7 @@
         return effects;
     ProgramBudget& program = found->second;
     program.isWriting_ = false;
+    program.writtenAt_ = program.writingSince_;
     program.recorded_ = claim.claimed_;
     program.othersClaimed_ = {};
     program.othersSpent_ = {};
@@ -275,6 +276,7 @@
         return effects;
     ProgramBudget& program = found->second;
     program.isWriting_ = false;
+    program.writtenAt_ = program.writingSince_;
     program.recorded_ = program.usable_;
     if (!program.waiting_.empty())
         advance(escrow, id, program, false, effects);
@@ -290,7 +292,6 @@
     program.isWriting_ = false;
     // No other write is pending, so the stored claim equals the usable amount.
     program.recorded_ = program.usable_;
-    program.writtenAt_ = {};
     bool isUnused = program.recorded_.value_ == 0 && committed(program).value_ == 0;
     if (isUnused && program.waiting_.empty())
         escrow.programs_.erase(found);
--- a/src/BudgetEscrow.h
+++ b/src/BudgetEscrow.h
@@ -91,6 +91,7 @@
     std::deque<WaitingTurn> waiting_;
     bool isWriting_ = false;
     MonotonicTime lastUsedAt_;
+    MonotonicTime writingSince_; ///< Last use when the write in flight was queued.
     MonotonicTime writtenAt_; ///< The recorded claim expires no earlier than if written at this time.
     MonotonicTime readClaimsAt_; ///< Earliest time to ask whether the program, idle here, goes on elsewhere.
     bool isReadingClaims_ = false;
