Log an answer that ends with its connection, and count errors of writes

The logs of the incident's hypotheses: whether other connections to the target were open when an answer without framing ended (unframed-end), and whether a write to a connection has failed (link_write_errors_total). No logic is changed, but that a connection counts as open only if the operating system says so.

--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -4,8 +4,9 @@
  * CallForwarderImpl: the state of a `CallForwarder`, for its source files only.
  *
  * `RelayedTransfers.cpp` has what concerns requests that go through other VMs, `HeldTransfers.cpp` what
- * concerns streams whose end waits, `OverdueTransfers.cpp` what ends requests at their deadlines, and
- * `QuarantinedTransfers.cpp` what ends those that have crashed targets.
+ * concerns streams whose end waits, `OverdueTransfers.cpp` what ends requests at their deadlines,
+ * `QuarantinedTransfers.cpp` what ends those that have crashed targets, and `TransferEnds.cpp` what the end
+ * of an exchange with a target says of its answer.
  */
 
 #include "CallForwarder.h"
@@ -290,30 +291,10 @@
         }
     }
 
-    void handleEnd(const TransferPtr& transfer, const OutboundResult& end)
-    {
-        if (end.outcome_ == OutboundResult::Outcome::NotSent) {
-            ++transfer->linkFailures_;
-            links_.recordFailure(transfer->target_, end.reason_);
-            endDispatch(transfer, DispatchOutcome::Unreachable);
-            return retry(transfer, end.reason_);
-        }
-        transfer->connectionEnd_ = end.connectionEnd_;
-        bool isAnswered = end.outcome_ == OutboundResult::Outcome::Answered;
-        const char* lossReason = isAnswered ? findBreak(transfer->relay_) : end.reason_;
-        if (lossReason && end.connectionEnd_ != OutboundResult::ConnectionEnd::Open)
-            crashTracker_.onConnectionEnded(
-                { transfer->digest_, transfer->target_, transfer->targetStartedAt_, bootNow() });
-        if (lossReason)
-            return handleLostAnswer(transfer, end.wasReused_ && !end.hadHead_, lossReason);
-        if (transfer->isRefusal_) {
-            endDispatch(transfer, DispatchOutcome::Refused);
-            if (transfer->relay_.head_.status_ == misdirectedRequest)
-                transfer->avoid_.insert(transfer->target_);
-            return retry(transfer, "the target refused the request");
-        }
-        handleAnswer(transfer);
-    }
+    // Defined in TransferEnds.cpp.
+    void handleEnd(const TransferPtr& transfer, const OutboundResult& end);
+    void handleLoss(const TransferPtr& transfer, bool maybeNeverReceived, const char* reason);
+    void logUnframedEnd(const Transfer& transfer) const;
 
     void handleAnswer(const TransferPtr& transfer)
     {
@@ -449,7 +430,7 @@
             list,
             [this](const EndedConnection& ended) {
                 auto address = targets_.addressOf(ended.target_);
-                return address && outbound_.hasOpenConnectionFromBefore(*address, ended.at_);
+                return address && outbound_.openConnectionsFromBefore(*address, ended.at_) > 0;
             },
             now);
         refuseQueuedQuarantined();
--- a/src/OutboundPool.cpp
+++ b/src/OutboundPool.cpp
@@ -124,6 +124,7 @@
         }
         bool isUsable() const { return link_->isOpen() && !isBusy_; }
         bool isOpen() const { return link_->isOpen(); }
+        bool isPeerOpen() const { return link_->isPeerOpen(); }
         MonotonicTime connectedAt() const { return connectedAt_; }
 
     private:
@@ -464,15 +465,16 @@
     }
 }
 
-bool OutboundPool::hasOpenConnectionFromBefore(const tcp::endpoint& peer, MonotonicTime time) const
+std::size_t OutboundPool::openConnectionsFromBefore(const tcp::endpoint& peer, MonotonicTime time) const
 {
     auto found = impl_->established_.find(peer);
     if (found == impl_->established_.end())
-        return false;
-    return std::any_of(found->second.begin(), found->second.end(), [time](const auto& entry) {
+        return 0;
+    auto open = std::count_if(found->second.begin(), found->second.end(), [time](const auto& entry) {
         auto connection = entry.lock();
-        return connection && connection->isOpen() && connection->connectedAt() < time;
+        return connection && connection->isPeerOpen() && connection->connectedAt() < time;
     });
+    return static_cast<std::size_t>(open);
 }
 
 void OutboundPool::closeIdle()
--- a/src/OutboundPool.h
+++ b/src/OutboundPool.h
@@ -106,9 +106,9 @@
     void tick(MonotonicTime now);
     /** Closes all idle connections: after a pause of the VM their peers may have closed them unnoticed. */
     void closeIdle();
-    /** Whether a connection that was established before `time` is still open. A process that has ended has no
-     * such connection. */
-    bool hasOpenConnectionFromBefore(const asio::ip::tcp::endpoint& peer, MonotonicTime time) const;
+    /** Connections that were established before `time` and that the peer has not closed. A process that has
+     * ended has no such connection. */
+    std::size_t openConnectionsFromBefore(const asio::ip::tcp::endpoint& peer, MonotonicTime time) const;
     /** Number of connections opened since the start. */
     std::uint64_t connectionsMade() const;
 
--- a/src/TcpLink.cpp
+++ b/src/TcpLink.cpp
@@ -1,10 +1,13 @@
 #include "TcpLink.h"
 
+#include "Metrics.h"
+
 #include <array>
 #include <asio/error.hpp>
 #include <charconv>
 #include <netinet/tcp.h>
 #include <optional>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace fescue {
@@ -139,8 +142,11 @@
             return awaitWritable();
         }
         // The failure is reported by the next read, since `send` must not invoke callbacks.
-        if (error)
+        if (error) {
+            static Counter writeErrors("link_write_errors_total");
+            writeErrors.add();
             break;
+        }
     }
     output_.clear();
     sent_ = 0;
@@ -164,6 +170,16 @@
     awaitReadable();
 }
 
+bool TcpLink::isPeerOpen()
+{
+    if (!isOpen_)
+        return false;
+    pollfd socket { socket_.native_handle(), POLLIN | POLLRDHUP, 0 };
+    constexpr int noWait = 0;
+    bool hasEvents = ::poll(&socket, 1, noWait) > 0;
+    return !hasEvents || (socket.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) == 0;
+}
+
 void TcpLink::closeAfterFlush()
 {
     isClosingAfterFlush_ = true;
--- /dev/null
+++ b/src/TransferEnds.cpp
@@ -0,0 +1,46 @@
+#include "CallForwarderImpl.h"
+
+namespace fescue {
+
+void CallForwarder::Impl::handleEnd(const TransferPtr& transfer, const OutboundResult& end)
+{
+    if (end.outcome_ == OutboundResult::Outcome::NotSent) {
+        ++transfer->linkFailures_;
+        links_.recordFailure(transfer->target_, end.reason_);
+        endDispatch(transfer, DispatchOutcome::Unreachable);
+        return retry(transfer, end.reason_);
+    }
+    transfer->connectionEnd_ = end.connectionEnd_;
+    bool isAnswered = end.outcome_ == OutboundResult::Outcome::Answered;
+    const char* lossReason = isAnswered ? findBreak(transfer->relay_) : end.reason_;
+    if (lossReason)
+        return handleLoss(transfer, end.wasReused_ && !end.hadHead_, lossReason);
+    if (transfer->isRefusal_) {
+        endDispatch(transfer, DispatchOutcome::Refused);
+        if (transfer->relay_.head_.status_ == misdirectedRequest)
+            transfer->avoid_.insert(transfer->target_);
+        return retry(transfer, "the target refused the request");
+    }
+    if (transfer->relay_.head_.framing_ == BodyFraming::UntilClose)
+        logUnframedEnd(*transfer);
+    handleAnswer(transfer);
+}
+
+void CallForwarder::Impl::handleLoss(const TransferPtr& transfer, bool maybeNeverReceived, const char* reason)
+{
+    if (transfer->connectionEnd_ != OutboundResult::ConnectionEnd::Open)
+        crashTracker_.onConnectionEnded(
+            { transfer->digest_, transfer->target_, transfer->targetStartedAt_, bootNow() });
+    handleLostAnswer(transfer, maybeNeverReceived, reason);
+}
+
+void CallForwarder::Impl::logUnframedEnd(const Transfer& transfer) const
+{
+    auto address = targets_.addressOf(transfer.target_);
+    std::size_t open = address ? outbound_.openConnectionsFromBefore(*address, bootNow()) : 0;
+    logEvent("unframed-end",
+        { { "request", transfer.call_.tags_.attempt_.value_ }, { "target", transfer.target_.value_ },
+            { "other_connections", std::to_string(open) } });
+}
+
+} // namespace fescue
