Believe the end of an answer without framing only while its target's process runs

Callers got a stream, or a plain answer, as complete although its target had been killed in the middle of it: the operating system closes the connections of a process that ends in order, as the end of such an answer does.

The end waits 20 ms; then a connection from before it must still be open, which a process that has ended, or has started again, does not have. If there is none besides that of a stream, one is opened when the stream begins. In doubt the answer is lost, and the target's end counts as evidence for its crash, as after a reset.

--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -20,6 +20,7 @@
 #include "LinkWatch.h"
 #include "Metrics.h"
 #include "PoolPrograms.h"
+#include "ProcessWitness.h"
 #include "RefuseCall.h"
 #include "RequestDigest.h"
 #include "TargetChoice.h"
@@ -51,6 +52,7 @@
     using TransferPtr = std::shared_ptr<Transfer>;
 
     OutboundPool outbound_;
+    ProcessWitness witness_;
     TargetPool pool_;
     Random random_;
     CrashTracker crashTracker_;
@@ -67,10 +69,13 @@
     Counter gone_ { "calls_total", { "outcome", "caller-gone" } };
     Counter relayed_ { "calls_relayed_total" };
     Counter retries_ { "call_retries_total" };
+    Counter wholeUnframed_ { "unframed_answers_total", { "outcome", "whole" } };
+    Counter brokenUnframed_ { "unframed_answers_total", { "outcome", "broken-off" } };
 
     Impl(asio::io_context& io, platform::StoreClient& store, PeerExchange& exchange, const ZoneId& zone,
         const WriterId& writer, std::uint64_t seed)
         : outbound_(io)
+        , witness_(io, outbound_)
         , random_(seed)
         , crashTracker_(pool_.quarantine_, store, writer)
         , targets_(io, exchange, pool_, [this] { dispatchAll(); })
@@ -205,7 +210,8 @@
         Milliseconds remaining = call.deadline_ - transfer->sentAt_;
         logSend(*transfer, describeLoad(pool_, target.id_, transfer->sentAt_),
             targets_.listAge(transfer->sentAt_));
-        OutboundRequest request { targets_.addressOf(target.id_).value_or(asio::ip::tcp::endpoint()),
+        transfer->address_ = targets_.addressOf(target.id_).value_or(asio::ip::tcp::endpoint());
+        OutboundRequest request { transfer->address_,
             platform::encodeTargetRequest(call.request_.head_, remaining, target.id_), call.request_.body_ };
         request.needsNewConnection_ = transfer->needsNewConnection_;
         request.repeatKey_ = call.tags_.attempt_.value_;
@@ -244,8 +250,11 @@
         if (transfer->call_.relayOutcome_)
             *transfer->call_.relayOutcome_ = { transfer->target_, transfer->version_, 0, false,
                 RelayedStatement { transfer->targetStartedAt_, tags.isLeaving_, tags.rateLimit_ } };
-        if (isSuccess(head) && transfer->call_.route_.isStream_)
-            startRelay(transfer->relay_);
+        if (!isSuccess(head) || !transfer->call_.route_.isStream_)
+            return;
+        if (head.framing_ == BodyFraming::UntilClose)
+            witness_.prepare(transfer->address_);
+        startRelay(transfer->relay_);
     }
 
     // Takes in what a target says of itself.
@@ -294,7 +303,8 @@
     // Defined in TransferEnds.cpp.
     void handleEnd(const TransferPtr& transfer, const OutboundResult& end);
     void handleLoss(const TransferPtr& transfer, bool maybeNeverReceived, const char* reason);
-    void logUnframedEnd(const Transfer& transfer) const;
+    void awaitSignsOfProcess(const TransferPtr& transfer);
+    void handleSignsOfProcess(const TransferPtr& transfer, const ProcessSigns& signs);
 
     void handleAnswer(const TransferPtr& transfer)
     {
--- a/src/Transfer.h
+++ b/src/Transfer.h
@@ -21,6 +21,7 @@
     TargetId target_;
     SoftwareVersion version_; ///< Of `target_`.
     Milliseconds targetStartedAt_ { 0 };
+    asio::ip::tcp::endpoint address_; ///< Of `target_` at the time of the send.
     std::shared_ptr<OutboundCall> exchange_;
     std::set<TargetId> avoid_;
     std::uint32_t sends_ = 0;
--- a/src/TransferEnds.cpp
+++ b/src/TransferEnds.cpp
@@ -22,7 +22,7 @@
         return retry(transfer, "the target refused the request");
     }
     if (transfer->relay_.head_.framing_ == BodyFraming::UntilClose)
-        logUnframedEnd(*transfer);
+        return awaitSignsOfProcess(transfer);
     handleAnswer(transfer);
 }
 
@@ -34,13 +34,27 @@
     handleLostAnswer(transfer, maybeNeverReceived, reason);
 }
 
-void CallForwarder::Impl::logUnframedEnd(const Transfer& transfer) const
+// The target's process may have ended, which closes its connections in order, too.
+void CallForwarder::Impl::awaitSignsOfProcess(const TransferPtr& transfer)
+{
+    witness_.judge(transfer->address_, [weak = weak_from_this(), transfer](const ProcessSigns& signs) {
+        auto self = weak.lock();
+        if (self && !transfer->isFinished_)
+            self->handleSignsOfProcess(transfer, signs);
+    });
+}
+
+void CallForwarder::Impl::handleSignsOfProcess(const TransferPtr& transfer, const ProcessSigns& signs)
 {
-    auto address = targets_.addressOf(transfer.target_);
-    std::size_t open = address ? outbound_.openConnectionsFromBefore(*address, bootNow()) : 0;
     logEvent("unframed-end",
-        { { "request", transfer.call_.tags_.attempt_.value_ }, { "target", transfer.target_.value_ },
-            { "other_connections", std::to_string(open) } });
+        { { "request", transfer->call_.tags_.attempt_.value_ }, { "target", transfer->target_.value_ },
+            { "other_connections", std::to_string(signs.connections_) },
+            { "opened", signs.wasConnectionOpened_ ? "1" : "0" },
+            { "outcome", signs.isRunning_ ? "whole" : "broken-off" } });
+    (signs.isRunning_ ? wholeUnframed_ : brokenUnframed_).add();
+    if (signs.isRunning_)
+        return handleAnswer(transfer);
+    handleLoss(transfer, false, "the target ended, or may have, before the end of its answer");
 }
 
 } // namespace fescue
