Report a connection as reset if a write has met the reset

An answer without framing whose connection was reset counted as whole if a part of its request had not been sent yet: the operating system reports an error once, the write met it, and the next read saw an orderly end. TcpLink dropped the error of the write and took the read's word for it.

Callers could see it for requests larger than the buffers of the sockets, some 3 MB here, to targets that answer before they have read all of it.

--- a/src/TcpLink.cpp
+++ b/src/TcpLink.cpp
@@ -114,8 +114,11 @@
     std::size_t size = socket_.read_some(asio::buffer(buffer), error);
     if (wouldBlock(error))
         return;
-    if (error)
-        return end(error == asio::error::eof ? CloseReason::ClosedByPeer : CloseReason::Reset);
+    if (error) {
+        // The operating system reports an error once. After a write has met it, the read sees an orderly end.
+        bool isOrderly = error == asio::error::eof && !hasWriteFailed_;
+        return end(isOrderly ? CloseReason::ClosedByPeer : CloseReason::Reset);
+    }
     if (callbacks_.onData_)
         callbacks_.onData_({ buffer.data(), size });
 }
@@ -145,6 +148,7 @@
         if (error) {
             static Counter writeErrors("link_write_errors_total");
             writeErrors.add();
+            hasWriteFailed_ = true;
             break;
         }
     }
--- a/src/TcpLink.h
+++ b/src/TcpLink.h
@@ -23,8 +23,8 @@
 /** Why a connection ended. */
 enum class CloseReason {
     ConnectFailed, ///< The connection was never established; nothing was sent.
-    ClosedByPeer, ///< The peer closed its side.
-    Reset, ///< Reset by the peer, timed out or failed otherwise.
+    ClosedByPeer, ///< The peer closed its side in order, and no write had failed before.
+    Reset, ///< Reset by the peer, timed out or failed otherwise, as a read or a write has met it.
 };
 
 /** A connection that keeps itself alive until it is closed. Not thread-safe: all functions must be called,
@@ -80,6 +80,7 @@
     bool isPaused_ = false;
     bool isWriting_ = false;
     bool isClosingAfterFlush_ = false;
+    bool hasWriteFailed_ = false;
 };
 
 /** Parses `ip:port`. Returns nothing unless it is an IPv4 address with a port other than 0. Pure. */
