--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <fmt/format.h>
 #include <fstream>
 #include <future>
@@ -302,8 +303,9 @@
 {
     std::string output
         = eventsFolder_.empty() ? std::string() : fmt::format("{}/{}.events", eventsFolder_, vm.name_);
-    vm.process_ = std::make_unique<Process>(
-        "fescue-entry", std::vector<std::string> { "--settings=" + vm.settingsFile_ }, 0, output);
+    const char* otherBuild = std::getenv("FESCUE_TEST_ENTRY");
+    vm.process_ = std::make_unique<Process>(otherBuild ? otherBuild : "fescue-entry",
+        std::vector<std::string> { "--settings=" + vm.settingsFile_ }, 0, output);
 }
 
 ByteCount EntryVmHarness::residentMemory(std::size_t vm) const
