End the pause of an exchange with the exchange, so that the next request on its connection is answered

Callers got 504 at their deadline, from targets that had run the request and answered it, after another caller of the VM had read a long answer slowly: reading from a target pauses while a caller is 256 KB behind, and an answer that was complete by the read that paused it returned to the pool with its connection still paused. The next request there was sent and its answer never read; a close by the target went unnoticed as well.

The pool now reads on when an answer is complete, before the connection is kept. All other ends of an exchange close its connection. Connections between VMs are of the same kind of pool, and those to the store are never paused.

--- a/src/OutboundPool.cpp
+++ b/src/OutboundPool.cpp
@@ -235,6 +235,7 @@
             bool wasReused = isReused_;
             isReused_ = true;
             isBusy_ = false;
+            link_->pauseReading(false); // A pause ends with its exchange.
             auto callbacks = std::move(callbacks_);
             callbacks_ = {};
             if (canReuse && idleTimeout.count() > 0)
