Notice the close of a caller whose further requests wait

A caller that had sent more than 256 KB of requests beyond the one in flight, and then left, was not noticed: reading from it is paused then, and the end of a connection is only read. The VM now asks the operating system for the state of paused connections on each tick.

Red before: failure/PausedConnections, closeOfACallerWithManyRequestsIsNoticed (the target's connection was closed at the deadline of 2 s, bound 0.5 s).

answerFromAnotherTargetIsPausedToo was written for a suspicion that was wrong: that a request which is sent again after a pause is not paused any more. It was green before any change, since an exchange ends by what is read, so not while it is paused.

--- a/src/FrontServer.cpp
+++ b/src/FrontServer.cpp
@@ -115,6 +115,11 @@
         void dispatch();
         void reject(int status, const char* reason);
         void handleClose();
+        void pauseReading(bool isPaused)
+        {
+            isPaused_ = isPaused;
+            link_->pauseReading(isPaused);
+        }
         void unregister() { shared_->sessions_.erase(shared_from_this()); }
 
         std::shared_ptr<TcpLink> link_;
@@ -128,6 +133,7 @@
         MonotonicTime headCompletedAt_;
         bool hasHead_ = false;
         bool isParsing_ = false;
+        bool isPaused_ = false; ///< Reading is paused.
     };
 
     class Reply final : public FrontReply {
@@ -227,7 +233,7 @@
         if (!reply_)
             parse();
         else if (input_.size() > maxPipelinedBytes)
-            link_->pauseReading(true);
+            pauseReading(true);
     }
 
     void Session::parse()
@@ -306,7 +312,7 @@
             shared_->closing_.push_back(link_);
             return unregister();
         }
-        link_->pauseReading(false);
+        pauseReading(false);
         parse();
     }
 
@@ -320,6 +326,11 @@
 
     void Session::tick(MonotonicTime now)
     {
+        // The end of the connection is not read while reading is paused.
+        if (isPaused_ && !link_->isPeerOpen()) {
+            link_->close();
+            return handleClose();
+        }
         const FrontLimits& limits = shared_->limits_;
         if (reply_)
             return;
--- a/test/failure/PausedConnections.cpp
+++ b/test/failure/PausedConnections.cpp
@@ -1,5 +1,6 @@
 // Guards against a request that gets no answer because its connection to the target was left paused by an
-// earlier answer, whose caller reads slowly.
+// earlier answer, whose caller reads slowly; and against callers whose close, or whose unread answers, a
+// pause hides.
 
 #include "BootClock.h"
 #include "EntryVmHarness.h"
@@ -17,8 +18,14 @@
 // One byte more than the VM buffers of an answer before it passes it on, so that the read that pauses the
 // connection to the target also completes the answer.
 constexpr std::size_t largeBytes = (256 << 10) + 1;
+// A short answer is complete by its first read.
+constexpr std::size_t shortBytes = 32 << 10;
 // Together more than the sockets hold for a caller that does not read.
 constexpr int largeAnswers = 24;
+constexpr int shortAnswers = 200;
+// More than the VM may hold for one caller.
+constexpr std::size_t hugeBytes = 40 << 20;
+constexpr ByteCount maxGrowth { 16 << 20 };
 constexpr int smallReceiveBuffer = 4096;
 // A VM takes its links for lost when several targets cannot be reached.
 constexpr std::size_t targets = 4;
@@ -26,8 +33,11 @@
 
 TargetAction respond(const HttpHead& request, const std::string&)
 {
-    bool isLarge = request.target_.find("large") != std::string::npos;
-    return { stampedResponse(request, isLarge ? std::string(largeBytes, 'b') : std::string("small")) };
+    if (request.target_ == "/read/large")
+        return { stampedResponse(request, std::string(largeBytes, 'b')) };
+    if (request.target_ == "/read/short")
+        return { stampedResponse(request, std::string(shortBytes, 'b')) };
+    return { stampedResponse(request, "small") };
 }
 
 std::string requestFor(const std::string& path, int number, Milliseconds deadline)
@@ -83,6 +93,8 @@
     CPPUNIT_TEST(answersOfACallerWhoReadsLateAreWhole);
     CPPUNIT_TEST(othersAreAnsweredWhileACallerReadsNothing);
     CPPUNIT_TEST(relayedAnswersOfACallerWhoReadsLateAreWhole);
+    CPPUNIT_TEST(answerFromAnotherTargetIsPausedToo);
+    CPPUNIT_TEST(closeOfACallerWithManyRequestsIsNoticed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,6 +116,52 @@
         loseLinks(vms);
         answersThatAreReadLateAreWhole(vms);
     }
+
+    // The first target's answer breaks off while it is paused, which is noticed once the caller reads.
+    void answerFromAnotherTargetIsPausedToo()
+    {
+        std::atomic<int> tornAnswers { 0 };
+        auto script = [&tornAnswers](const HttpHead& request, const std::string& body) -> TargetAction {
+            if (request.target_ != "/read/torn")
+                return respond(request, body);
+            if (++tornAnswers == 1)
+                return { stampedHead(request, "Content-Length: 9\r\n") + "part", true };
+            return { stampedResponse(request, std::string(hugeBytes, 'b')) };
+        };
+        EntryVmHarness vm({ script, script });
+        ByteCount before = vm.residentMemory();
+        RawConnection caller(vm.port(), smallReceiveBuffer);
+        for (int i = 0; i < shortAnswers; ++i)
+            caller.send(requestFor("short", i, Milliseconds { 2000 }));
+        caller.send(requestFor("torn", 0, Milliseconds { 2000 }));
+        vm.waitUntil("the first target has the request", [&] { return tornAnswers == 1; });
+        constexpr std::ptrdiff_t bytes { shortAnswers * shortBytes };
+        for (std::ptrdiff_t read = 0; read < bytes;) {
+            std::string part = caller.readUntil("b");
+            read += std::count(part.begin(), part.end(), 'b');
+        }
+        vm.waitUntil("the other target has the request", [&] { return tornAnswers == 2; });
+        std::this_thread::sleep_for(Milliseconds { 500 });
+        CHECK(vm.residentMemory() < before + maxGrowth);
+    }
+
+    void closeOfACallerWithManyRequestsIsNoticed()
+    {
+        EntryVmHarness vm({ [](const HttpHead&, const std::string&) { return TargetAction {}; } });
+        {
+            RawConnection caller(vm.port());
+            caller.send(requestFor("hold", 0, Milliseconds { 2000 }));
+            std::string more = requestFor("more", 0, Milliseconds { 2000 });
+            constexpr std::size_t pipelinedBytes = 400 << 10;
+            for (std::size_t sent = 0; sent < pipelinedBytes; sent += more.size())
+                caller.send(more);
+            vm.waitUntil("the target has the request", [&] { return vm.target(0).requests() == 1; });
+        }
+        MonotonicTime from = bootNow();
+        vm.waitUntil("the request is cancelled", [&] { return vm.target(0).closedConnections() > 0; });
+        CHECK(bootNow() - from < Milliseconds { 500 });
+        CHECK_EQUAL(1, vm.target(0).requests());
+    }
 };
 
 REGISTER_SUITE(PausedConnections);
