Let a request wait while its caller has not read earlier answers

A caller that sends short requests one after the other and reads nothing made the VM keep all their answers: reading from targets pauses only while an answer is incomplete, and a short one is complete by its first read. 1500 requests for 32 KB on one connection, 200 KB of input, took the VM over 16 MB; its limit is 100 MB.

A request on a connection is not parsed now while over 256 KB of answers are unsent there; each tick looks again. Input is bounded as before.

Red before: failure/PausedConnections, requestsWaitWhileTheirCallerReadsNothing.

--- a/src/FrontServer.cpp
+++ b/src/FrontServer.cpp
@@ -17,6 +17,8 @@
 
     // Bytes of pipelined requests that are buffered while one is served; reading is paused beyond them.
     constexpr std::size_t maxPipelinedBytes = 256 * 1024;
+    // A request waits while its caller has not read this much of earlier answers.
+    constexpr std::size_t maxUnreadBytes = 256 * 1024;
     // A caller may reuse a connection until its idle timeout ends, and the close must not race with such a
     // request.
     constexpr Milliseconds idleTimeoutMargin { 500 };
@@ -115,10 +117,9 @@
         void dispatch();
         void reject(int status, const char* reason);
         void handleClose();
-        void pauseReading(bool isPaused)
+        bool canParse() const
         {
-            isPaused_ = isPaused;
-            link_->pauseReading(isPaused);
+            return !reply_ && !input_.empty() && link_->isOpen() && link_->queuedBytes() <= maxUnreadBytes;
         }
         void unregister() { shared_->sessions_.erase(shared_from_this()); }
 
@@ -230,10 +231,7 @@
     {
         lastActive_ = bootNow();
         input_.append(data);
-        if (!reply_)
-            parse();
-        else if (input_.size() > maxPipelinedBytes)
-            pauseReading(true);
+        parse();
     }
 
     void Session::parse()
@@ -242,7 +240,7 @@
             return;
         isParsing_ = true;
         auto self = shared_from_this();
-        while (!reply_ && !input_.empty() && link_->isOpen()) {
+        while (canParse()) {
             if (!reader_.hasStarted())
                 reader_.setLimits(shared_->limits_.message_);
             std::size_t used = reader_.feed(input_);
@@ -268,6 +266,8 @@
             dispatch();
         }
         isParsing_ = false;
+        isPaused_ = input_.size() > maxPipelinedBytes;
+        link_->pauseReading(isPaused_);
     }
 
     void Session::dispatch()
@@ -312,7 +312,6 @@
             shared_->closing_.push_back(link_);
             return unregister();
         }
-        pauseReading(false);
         parse();
     }
 
@@ -334,6 +333,8 @@
         const FrontLimits& limits = shared_->limits_;
         if (reply_)
             return;
+        if (!input_.empty())
+            return parse(); // Of a caller that was behind with reading.
         if (headStartedAt_ && !hasHead_ && now > *headStartedAt_ + limits.headTimeout_)
             return reject(408, "timed out waiting for the request head; send it without pauses");
         if (now <= lastActive_ + limits.idleTimeout_ + idleTimeoutMargin)
