--- a/src/FrontServer.cpp
+++ b/src/FrontServer.cpp
@@ -17,6 +17,8 @@
 
     // Bytes of pipelined requests that are buffered while one is served; reading is paused beyond them.
     constexpr std::size_t maxPipelinedBytes = 256 * 1024;
+    // A request waits while its caller has not read this much of earlier answers.
+    constexpr std::size_t maxUnreadBytes = 256 * 1024;
     // A caller may reuse a connection until its idle timeout ends, and the close must not race with such a
     // request.
     constexpr Milliseconds idleTimeoutMargin { 500 };
@@ -115,6 +117,10 @@
         void dispatch();
         void reject(int status, const char* reason);
         void handleClose();
+        bool canParse() const
+        {
+            return !reply_ && !input_.empty() && link_->isOpen() && link_->queuedBytes() <= maxUnreadBytes;
+        }
         void unregister() { shared_->sessions_.erase(shared_from_this()); }
 
         std::shared_ptr<TcpLink> link_;
@@ -128,6 +134,7 @@
         MonotonicTime headCompletedAt_;
         bool hasHead_ = false;
         bool isParsing_ = false;
+        bool isPaused_ = false; ///< Reading is paused.
     };
 
     class Reply final : public FrontReply {
@@ -224,10 +231,7 @@
     {
         lastActive_ = bootNow();
         input_.append(data);
-        if (!reply_)
-            parse();
-        else if (input_.size() > maxPipelinedBytes)
-            link_->pauseReading(true);
+        parse();
     }
 
     void Session::parse()
@@ -236,7 +240,7 @@
             return;
         isParsing_ = true;
         auto self = shared_from_this();
-        while (!reply_ && !input_.empty() && link_->isOpen()) {
+        while (canParse()) {
             if (!reader_.hasStarted())
                 reader_.setLimits(shared_->limits_.message_);
             std::size_t used = reader_.feed(input_);
@@ -262,6 +266,8 @@
             dispatch();
         }
         isParsing_ = false;
+        isPaused_ = input_.size() > maxPipelinedBytes;
+        link_->pauseReading(isPaused_);
     }
 
     void Session::dispatch()
@@ -306,7 +312,6 @@
             shared_->closing_.push_back(link_);
             return unregister();
         }
-        link_->pauseReading(false);
         parse();
     }
 
@@ -320,9 +325,16 @@
 
     void Session::tick(MonotonicTime now)
     {
+        // The end of the connection is not read while reading is paused.
+        if (isPaused_ && !link_->isPeerOpen()) {
+            link_->close();
+            return handleClose();
+        }
         const FrontLimits& limits = shared_->limits_;
         if (reply_)
             return;
+        if (!input_.empty())
+            return parse(); // Of a caller that was behind with reading.
         if (headStartedAt_ && !hasHead_ && now > *headStartedAt_ + limits.headTimeout_)
             return reject(408, "timed out waiting for the request head; send it without pauses");
         if (now <= lastActive_ + limits.idleTimeout_ + idleTimeoutMargin)
