Judge the end of an answer without framing by connections that do not end with answers themselves

Two whole streams without framing that ended together at a living target counted as broken off, since each had the other's connection as its only sign; and a target that was killed and started again while the VM was paused counted as the one that sent the answer, since the VM found no connection from before the end and believed a new one.

A connection that does not end with an answer is kept open while such an answer is under way, and opened again if the target closes it. What the target has closed at the same time as the answer's connection shows that it has ended; a new connection is believed only if there was none.

--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -250,11 +250,10 @@
         if (transfer->call_.relayOutcome_)
             *transfer->call_.relayOutcome_ = { transfer->target_, transfer->version_, 0, false,
                 RelayedStatement { transfer->targetStartedAt_, tags.isLeaving_, tags.rateLimit_ } };
-        if (!isSuccess(head) || !transfer->call_.route_.isStream_)
-            return;
         if (head.framing_ == BodyFraming::UntilClose)
             witness_.prepare(transfer->address_);
-        startRelay(transfer->relay_);
+        if (isSuccess(head) && transfer->call_.route_.isStream_)
+            startRelay(transfer->relay_);
     }
 
     // Takes in what a target says of itself.
@@ -303,6 +302,7 @@
     // Defined in TransferEnds.cpp.
     void handleEnd(const TransferPtr& transfer, const OutboundResult& end);
     void handleLoss(const TransferPtr& transfer, bool maybeNeverReceived, const char* reason);
+    void keepWitnesses();
     void awaitSignsOfProcess(const TransferPtr& transfer);
     void handleSignsOfProcess(const TransferPtr& transfer, const ProcessSigns& signs);
 
@@ -440,7 +440,7 @@
             list,
             [this](const EndedConnection& ended) {
                 auto address = targets_.addressOf(ended.target_);
-                return address && outbound_.openConnectionsFromBefore(*address, ended.at_) > 0;
+                return address && outbound_.connectionsTo(*address, ended.at_).open_ > 0;
             },
             now);
         refuseQueuedQuarantined();
@@ -448,6 +448,7 @@
         links_.tick(now);
         relayQueued();
         resumeReading();
+        keepWitnesses();
         refuseRemoved(removeHopeless(pool_, now),
             "the rates that the targets have named leave no time for the request");
         endOverdue(now);
--- a/src/HttpWire.cpp
+++ b/src/HttpWire.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <fmt/format.h>
 #include <http_parser.h>
 #include <strings.h>
@@ -105,6 +106,21 @@
     });
 }
 
+std::optional<Milliseconds> announcedIdleTimeout(const HttpHead& head)
+{
+    const std::string* value = findHeader(head, "Keep-Alive");
+    if (!value)
+        return std::nullopt;
+    constexpr std::string_view key = "timeout=";
+    std::size_t at = value->find(key);
+    const char* from = value->data() + (at == std::string::npos ? 0 : at + key.size());
+    std::int64_t seconds = 0;
+    if (std::from_chars(from, value->data() + value->size(), seconds).ec != std::errc())
+        return std::nullopt;
+    constexpr int msPerSecond = 1000;
+    return Milliseconds { seconds * msPerSecond };
+}
+
 std::string_view pathOf(const HttpHead& head)
 {
     std::string_view target = head.target_;
--- a/src/HttpWire.h
+++ b/src/HttpWire.h
@@ -58,6 +58,9 @@
 /** Whether a header is hop-by-hop and must not be forwarded. Pure. */
 bool isHopByHop(const HttpHead& head, const HttpHeader& header);
 
+/** Idle timeout that a peer announces in its Keep-Alive header; nothing if there is none. Pure. */
+std::optional<Milliseconds> announcedIdleTimeout(const HttpHead& head);
+
 /** Path of a request without its query. Pure. */
 std::string_view pathOf(const HttpHead& head);
 
--- a/src/OutboundPool.cpp
+++ b/src/OutboundPool.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
-#include <charconv>
 #include <map>
 #include <set>
 #include <xxhash.h>
@@ -16,22 +15,6 @@
 
     using asio::ip::tcp;
 
-    // Idle timeout that a peer announces in its Keep-Alive header.
-    std::optional<Milliseconds> announcedIdleTimeout(const HttpHead& head)
-    {
-        const std::string* value = findHeader(head, "Keep-Alive");
-        if (!value)
-            return std::nullopt;
-        constexpr std::string_view key = "timeout=";
-        std::size_t at = value->find(key);
-        const char* from = value->data() + (at == std::string::npos ? 0 : at + key.size());
-        std::int64_t seconds = 0;
-        if (std::from_chars(from, value->data() + value->size(), seconds).ec != std::errc())
-            return std::nullopt;
-        constexpr int msPerSecond = 1000;
-        return Milliseconds { seconds * msPerSecond };
-    }
-
     constexpr int ok = 200;
     constexpr int multipleChoices = 300;
 
@@ -51,6 +34,7 @@
         std::map<tcp::endpoint, std::vector<IdleConnection>> idle_; ///< Most recently used at the back.
         std::set<std::shared_ptr<Connection>> connecting_;
         std::map<tcp::endpoint, std::vector<std::weak_ptr<Connection>>> established_;
+        std::map<tcp::endpoint, MonotonicTime> lostAt_; ///< When a peer last closed a connection.
         std::uint64_t connectionsMade_ = 0;
     };
 
@@ -119,12 +103,14 @@
         void close() { link_->close(); }
         bool hasAnswered(const std::string& key) const
         {
-            return !answeredKeys_.empty()
-                && std::find(answeredKeys_.begin(), answeredKeys_.end(), hashOf(key)) != answeredKeys_.end();
+            return std::count(answeredKeys_.begin(), answeredKeys_.end(), hashOf(key)) > 0;
         }
         bool isUsable() const { return link_->isOpen() && !isBusy_; }
         bool isOpen() const { return link_->isOpen(); }
         bool isPeerOpen() const { return link_->isPeerOpen(); }
+        // Whether it ends with the response that it carries.
+        bool endsWithResponse() const { return isBusy_ && hasHead_ && !isDelimited(); }
+        void recordLoss() { state_->lostAt_[peer_] = bootNow(); }
         MonotonicTime connectedAt() const { return connectedAt_; }
 
     private:
@@ -232,8 +218,7 @@
                 idleTimeout = std::min(idleTimeout, *announced - state_->limits_.idleTimeoutMargin_);
             reader_.next();
             hasHead_ = false;
-            bool wasReused = isReused_;
-            isReused_ = true;
+            bool wasReused = std::exchange(isReused_, true);
             isBusy_ = false;
             link_->pauseReading(false); // A pause ends with its exchange.
             auto callbacks = std::move(callbacks_);
@@ -278,6 +263,8 @@
         {
             auto self = shared_from_this();
             endProbe(false);
+            if (isConnected_ && !endsWithResponse())
+                recordLoss();
             if (!isBusy_)
                 return removeFromIdle();
             if (how != CloseReason::ConnectFailed)
@@ -347,6 +334,13 @@
         }
     }
 
+    void forgetLosses(std::map<tcp::endpoint, MonotonicTime>& lostAt, MonotonicTime now)
+    {
+        constexpr Milliseconds retention { 1000 };
+        for (auto loss = lostAt.begin(); loss != lostAt.end();)
+            loss = now > loss->second + retention ? lostAt.erase(loss) : std::next(loss);
+    }
+
     // Takes the most recently used connection that may carry a request; null if there is none.
     std::shared_ptr<Connection> takeIdle(PoolState& state, const OutboundRequest& request)
     {
@@ -393,7 +387,7 @@
 
 struct OutboundPool::Impl : PoolState {
     Impl(asio::io_context& io, const OutboundLimits& limits)
-        : PoolState { io, limits, {}, {}, {}, 0 }
+        : PoolState { io, limits, {}, {}, {}, {}, 0 }
     {
     }
 };
@@ -453,6 +447,7 @@
     for (const auto& connection : connecting)
         connection->tick(now);
     removeClosed(impl_->established_);
+    forgetLosses(impl_->lostAt_, now);
     for (auto peer = impl_->idle_.begin(); peer != impl_->idle_.end();) {
         auto& idle = peer->second;
         for (IdleConnection& entry : idle) {
@@ -466,23 +461,36 @@
     }
 }
 
-std::size_t OutboundPool::openConnectionsFromBefore(const tcp::endpoint& peer, MonotonicTime time) const
+PeerConnections OutboundPool::connectionsTo(const tcp::endpoint& peer, MonotonicTime time) const
 {
-    auto found = impl_->established_.find(peer);
-    if (found == impl_->established_.end())
-        return 0;
-    auto open = std::count_if(found->second.begin(), found->second.end(), [time](const auto& entry) {
+    PeerConnections found;
+    if (auto lost = impl_->lostAt_.find(peer); lost != impl_->lostAt_.end())
+        found.lostAt_ = lost->second;
+    auto established = impl_->established_.find(peer);
+    if (established == impl_->established_.end())
+        return found;
+    for (const auto& entry : established->second) {
         auto connection = entry.lock();
-        return connection && connection->isPeerOpen() && connection->connectedAt() < time;
-    });
-    return static_cast<std::size_t>(open);
+        if (!connection || !connection->isOpen() || connection->connectedAt() >= time)
+            continue;
+        std::size_t lasting = connection->endsWithResponse() ? 0 : 1;
+        if (connection->isPeerOpen()) {
+            ++found.open_;
+            found.lasting_ += lasting;
+        } else if (lasting > 0)
+            found.lostAt_ = bootNow(); // The end has not been read yet.
+    }
+    return found;
 }
 
 void OutboundPool::closeIdle()
 {
     for (auto& [peer, idle] : impl_->idle_) {
-        for (IdleConnection& entry : idle)
+        for (IdleConnection& entry : idle) {
+            if (!entry.connection_->isPeerOpen())
+                entry.connection_->recordLoss();
             entry.connection_->close();
+        }
     }
     impl_->idle_.clear();
 }
--- a/src/OutboundPool.h
+++ b/src/OutboundPool.h
@@ -92,6 +92,15 @@
     std::size_t maxAnsweredKeys_ = 128;
 };
 
+/** What a pool's connections show of the process at a peer's address. A process that has ended has none. */
+struct PeerConnections {
+    std::size_t open_ = 0; ///< The peer has not closed them.
+    std::size_t lasting_ = 0; ///< Of these, without those that end with the response that they carry.
+    /** When the peer last closed or reset one that did not end with a response; nothing if that is long ago.
+     */
+    std::optional<MonotonicTime> lostAt_;
+};
+
 /** Connections to peers. Confined to the thread of the event loop. */
 class OutboundPool {
 public:
@@ -106,9 +115,9 @@
     void tick(MonotonicTime now);
     /** Closes all idle connections: after a pause of the VM their peers may have closed them unnoticed. */
     void closeIdle();
-    /** Connections that were established before `time` and that the peer has not closed. A process that has
-     * ended has no such connection. */
-    std::size_t openConnectionsFromBefore(const asio::ip::tcp::endpoint& peer, MonotonicTime time) const;
+    /** The connections to a peer that were established before `time`, as the operating system knows them now.
+     */
+    PeerConnections connectionsTo(const asio::ip::tcp::endpoint& peer, MonotonicTime time) const;
     /** Number of connections opened since the start. */
     std::uint64_t connectionsMade() const;
 
--- a/src/ProcessWitness.cpp
+++ b/src/ProcessWitness.cpp
@@ -12,9 +12,19 @@
     // All connections of a process that ends are closed within milliseconds of each other. Events of a stream
     // do not wait for this, only its end does.
     constexpr Milliseconds settleTime { 20 };
+    // A connection that the peer closed earlier than this before the end of an answer has timed out there.
+    constexpr Milliseconds sameEndTime { 100 };
+    // A target at its limit of connections closes each witness at once.
+    constexpr Milliseconds witnessRetryInterval { 250 };
 
 } // namespace
 
+struct ProcessWitness::Judgement {
+    asio::ip::tcp::endpoint peer_;
+    MonotonicTime closedAt_;
+    std::function<void(const ProcessSigns&)> done_;
+};
+
 ProcessWitness::ProcessWitness(asio::io_context& io, OutboundPool& pool)
     : io_(io)
     , pool_(pool)
@@ -23,33 +33,50 @@
 
 void ProcessWitness::prepare(const asio::ip::tcp::endpoint& peer)
 {
-    constexpr std::size_t ownConnection = 1;
-    if (pool_.openConnectionsFromBefore(peer, MonotonicTime::max()) <= ownConnection)
-        pool_.probe(peer, [](bool) {});
+    MonotonicTime now = bootNow();
+    for (auto entry = retryAt_.begin(); entry != retryAt_.end();)
+        entry = now >= entry->second ? retryAt_.erase(entry) : std::next(entry);
+    if (retryAt_.count(peer) || pool_.connectionsTo(peer, MonotonicTime::max()).lasting_ > 0)
+        return;
+    retryAt_[peer] = now + witnessRetryInterval;
+    pool_.probe(peer, [](bool) {});
 }
 
 void ProcessWitness::judge(const asio::ip::tcp::endpoint& peer, std::function<void(const ProcessSigns&)> done)
 {
-    MonotonicTime closedAt = bootNow();
-    if (pool_.openConnectionsFromBefore(peer, closedAt) > 0)
-        return judgeAfterSettling(peer, closedAt, false, std::move(done));
-    pool_.probe(peer, [this, peer, done = std::move(done)](bool isConnected) {
+    auto judgement = std::make_shared<Judgement>(Judgement { peer, bootNow(), std::move(done) });
+    if (pool_.connectionsTo(peer, judgement->closedAt_).open_ == 0)
+        return judgeByKnownConnections(judgement);
+    afterSettling([this, judgement] { judgeByKnownConnections(judgement); });
+}
+
+void ProcessWitness::judgeByKnownConnections(const JudgementPtr& judgement)
+{
+    PeerConnections known = pool_.connectionsTo(judgement->peer_, judgement->closedAt_);
+    bool hasEnded = known.lostAt_ && *known.lostAt_ + sameEndTime >= judgement->closedAt_;
+    if (known.open_ == 0 && !hasEnded)
+        return judgeByNewConnection(judgement);
+    judgement->done_({ known.open_ > 0, known.open_, false });
+}
+
+void ProcessWitness::judgeByNewConnection(const JudgementPtr& judgement)
+{
+    pool_.probe(judgement->peer_, [this, judgement](bool isConnected) {
         if (!isConnected)
-            return done({ false, 0, true });
-        judgeAfterSettling(peer, MonotonicTime::max(), true, done);
+            return judgement->done_({ false, 0, true });
+        afterSettling([this, judgement] {
+            std::size_t open = pool_.connectionsTo(judgement->peer_, MonotonicTime::max()).open_;
+            judgement->done_({ open > 0, open, true });
+        });
     });
 }
 
-void ProcessWitness::judgeAfterSettling(const asio::ip::tcp::endpoint& peer, MonotonicTime openedBefore,
-    bool wasConnectionOpened, std::function<void(const ProcessSigns&)> done)
+void ProcessWitness::afterSettling(std::function<void()> action)
 {
     auto timer = std::make_shared<asio::steady_timer>(io_, settleTime);
-    timer->async_wait([this, timer, peer, openedBefore, wasConnectionOpened, done = std::move(done)](
-                          const asio::error_code& error) {
-        if (error)
-            return; // The process stops.
-        std::size_t open = pool_.openConnectionsFromBefore(peer, openedBefore);
-        done({ open > 0, open, wasConnectionOpened });
+    timer->async_wait([timer, action = std::move(action)](const asio::error_code& error) {
+        if (!error)
+            action();
     });
 }
 
--- a/src/ProcessWitness.h
+++ b/src/ProcessWitness.h
@@ -7,9 +7,10 @@
  * of a process that ends in order, too, so the close alone does not show that the answer is whole. But a
  * process that has ended keeps no connection at all:
  *
- *     answer begins --> another connection to the target is open, or one is opened as a witness
+ *     answer under way --> a connection that does not end with an answer is kept open as a witness
  *     its connection is closed --> settle time --> a connection from before the close is still open: it runs
- *                                              --> none is: it has ended, or nobody knows
+ *                                              --> the peer has closed one just now: it has ended
+ *                                              --> neither: a new connection shows whether a process is there
  *
  * A process that has started again at the address has no connection from before the close.
  */
@@ -17,6 +18,8 @@
 #include "OutboundPool.h"
 
 #include <functional>
+#include <map>
+#include <memory>
 
 namespace fescue {
 
@@ -33,18 +36,24 @@
     /** Precondition: `pool` outlives the witness and all callbacks of `io`. */
     ProcessWitness(asio::io_context& io, OutboundPool& pool);
 
-    /** Opens a connection to the peer unless there is one besides that of the answer which has just begun. */
+    /** Opens a connection to the peer unless there is one that does not end with an answer. To be called when
+     * an answer begins that ends with its connection, and periodically until it has ended. */
     void prepare(const asio::ip::tcp::endpoint& peer);
-    /** To be called when the peer has closed a connection. `done` is called once, later, with what the other
-     * connections say of the process that had it. */
+    /** To be called when the peer has closed a connection. `done` is called once, possibly before this
+     * returns, with what the other connections say of the process that had it. */
     void judge(const asio::ip::tcp::endpoint& peer, std::function<void(const ProcessSigns&)> done);
 
 private:
-    void judgeAfterSettling(const asio::ip::tcp::endpoint& peer, MonotonicTime openedBefore,
-        bool wasConnectionOpened, std::function<void(const ProcessSigns&)> done);
+    struct Judgement;
+    using JudgementPtr = std::shared_ptr<Judgement>;
+
+    void judgeByKnownConnections(const JudgementPtr& judgement);
+    void judgeByNewConnection(const JudgementPtr& judgement);
+    void afterSettling(std::function<void()> action);
 
     asio::io_context& io_;
     OutboundPool& pool_;
+    std::map<asio::ip::tcp::endpoint, MonotonicTime> retryAt_; ///< When the next witness may be opened.
 };
 
 } // namespace fescue
--- a/src/TransferEnds.cpp
+++ b/src/TransferEnds.cpp
@@ -34,6 +34,16 @@
     handleLostAnswer(transfer, maybeNeverReceived, reason);
 }
 
+void CallForwarder::Impl::keepWitnesses()
+{
+    for (const auto& [id, transfer] : transfers_) {
+        bool isUnderWay
+            = !transfer->isQueued_ && transfer->relayPeer_.empty() && transfer->relay_.head_.status_ != 0;
+        if (isUnderWay && transfer->relay_.head_.framing_ == BodyFraming::UntilClose)
+            witness_.prepare(transfer->address_);
+    }
+}
+
 // The target's process may have ended, which closes its connections in order, too.
 void CallForwarder::Impl::awaitSignsOfProcess(const TransferPtr& transfer)
 {
