Stand-in target: count only open connections against its limit

The count was not lowered when the target itself closed a connection, so after as many answers without framing as the limit it reset every connection.

--- a/standin/StreamTarget.cpp
+++ b/standin/StreamTarget.cpp
@@ -14,6 +14,7 @@
 #include <list>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace fescue::standin {
 
@@ -111,7 +112,7 @@
     StreamTargetOptions options_;
     tcp::acceptor acceptor_;
     std::list<Run> runs_;
-    int connections_ = 0;
+    std::vector<std::weak_ptr<TcpLink>> links_;
 
     Impl(asio::io_context& io, StreamTargetOptions options)
         : io_(io)
@@ -140,16 +141,27 @@
             });
     }
 
+    // Without those that either side has closed.
+    int openConnections()
+    {
+        links_.erase(std::remove_if(links_.begin(), links_.end(),
+                         [](const auto& entry) {
+                             auto link = entry.lock();
+                             return !link || !link->isOpen();
+                         }),
+            links_.end());
+        return static_cast<int>(links_.size());
+    }
+
     void serve(const SessionPtr& session)
     {
-        if (options_.maxConnections_ > 0 && connections_ >= options_.maxConnections_)
+        if (options_.maxConnections_ > 0 && openConnections() >= options_.maxConnections_)
             return session->link_->close(true);
-        ++connections_;
+        links_.push_back(session->link_);
         auto self = shared_from_this();
         session->link_->setCallbacks(
             { nullptr, [self, session](std::string_view data) { self->handleData(session, data); },
-                [self, session](CloseReason) {
-                    --self->connections_;
+                [session](CloseReason) {
                     if (session->run_ && session->isAnswering_)
                         session->run_->outcome_ = "caller-gone";
                     session->isSilent_ = true;
--- /dev/null
+++ b/test/failure/UnframedEnds.cpp
@@ -0,0 +1,81 @@
+// Guards against the end of an answer without framing being judged by connections that do not show whether
+// its target's process ran on.
+
+#include "ProcessTarget.h"
+#include "Suite.h"
+
+#include <csignal>
+#include <fmt/format.h>
+
+using namespace fescue;
+using namespace fescue::test;
+
+namespace {
+
+const std::string lastChunk = "\r\n0\r\n\r\n";
+
+// A caller of a stream that is under way.
+struct StreamCaller {
+    RawConnection connection_;
+    std::string received_;
+
+    StreamCaller(const EntryVmHarness& vms, const std::string& path, const std::string& id)
+        : connection_(vms.port())
+    {
+        connection_.send("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
+            + "Fescuewinch-Request-Id: " + id + "\r\nFescuewinch-Deadline-Ms: 2800\r\n"
+            + "Fescuewinch-Program-Id: " + id + "\r\nFescuewinch-Token-Budget: 90000\r\n"
+            + "Fescuewinch-Token-Count: 100,900\r\nContent-Length: 6\r\n\r\nprompt");
+    }
+
+    void readUntil(const std::string& mark) { received_ += connection_.readUntil(mark); }
+    void readToEnd() { received_ += connection_.readAll(); }
+    bool isWhole() const
+    {
+        return received_.find("data: 8 of 8") != std::string::npos
+            && received_.find(lastChunk) != std::string::npos;
+    }
+};
+
+} // namespace
+
+class UnframedEnds : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(UnframedEnds);
+    CPPUNIT_TEST(manyStreamsOfAKilledTargetAreBrokenOff);
+    CPPUNIT_TEST(targetAtItsLimitServesWholeStreams);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void manyStreamsOfAKilledTargetAreBrokenOff()
+    {
+        EntryVmHarness vms({});
+        ProcessTarget target(vms, "p0", { "--gap_ms=200" });
+        constexpr std::size_t streams = 10;
+        std::vector<std::unique_ptr<StreamCaller>> callers;
+        for (std::size_t i = 0; i < streams; ++i)
+            callers.push_back(
+                std::make_unique<StreamCaller>(vms, fmt::format("/turn/none/{}", i), fmt::format("m{}", i)));
+        for (auto& caller : callers)
+            caller->readUntil("data: 2 of 8");
+        target.restart();
+        for (auto& caller : callers) {
+            caller->readToEnd();
+            CHECK(caller->received_.find("data: 8 of 8") == std::string::npos);
+            CHECK(caller->received_.find(lastChunk) == std::string::npos);
+        }
+    }
+
+    void targetAtItsLimitServesWholeStreams()
+    {
+        EntryVmHarness vms({});
+        ProcessTarget target(vms, "p0", { "--max_connections=2", "--gap_ms=10" });
+        constexpr int rounds = 5;
+        for (int i = 0; i < rounds; ++i) {
+            StreamCaller caller(vms, "/turn/none", fmt::format("l{}", i));
+            caller.readToEnd();
+            CHECK(caller.isWhole());
+        }
+    }
+};
+
+REGISTER_SUITE(UnframedEnds);
