Failing tests: the end of an answer without framing is judged by the wrong connections

A target that was killed and started again while the VM was paused is taken for the one that sent the answer, and whole streams that end together at a living target count as broken off.

--- a/test/failure/UnframedEnds.cpp
+++ b/test/failure/UnframedEnds.cpp
@@ -41,11 +41,59 @@
 
 class UnframedEnds : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(UnframedEnds);
+    CPPUNIT_TEST(streamOfATargetThatStartsAgainWhileTheVmIsPausedIsBrokenOff);
+    CPPUNIT_TEST(wholeStreamsThatEndTogetherAreComplete);
+    CPPUNIT_TEST(plainAnswerOfATargetThatStartsAgainWhileTheVmIsPausedIsNotComplete);
     CPPUNIT_TEST(manyStreamsOfAKilledTargetAreBrokenOff);
     CPPUNIT_TEST(targetAtItsLimitServesWholeStreams);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void streamOfATargetThatStartsAgainWhileTheVmIsPausedIsBrokenOff()
+    {
+        EntryVmHarness vms({});
+        ProcessTarget target(vms, "p0", { "--gap_ms=150" });
+        StreamCaller caller(vms, "/turn/none", "r1");
+        caller.readUntil("data: 3 of 8");
+        vms.process().pause();
+        target.restart();
+        vms.process().signal(SIGCONT);
+        caller.readToEnd();
+        CHECK(caller.received_.find("data: 8 of 8") == std::string::npos);
+        CHECK(caller.received_.find(lastChunk) == std::string::npos);
+    }
+
+    // Each has the other's connection as its only sign that the process runs.
+    void wholeStreamsThatEndTogetherAreComplete()
+    {
+        EntryVmHarness vms({});
+        ProcessTarget target(vms, "p0", { "--gap_ms=40" });
+        constexpr int rounds = 5;
+        for (int i = 0; i < rounds; ++i) {
+            StreamCaller first(vms, "/turn/none/a", fmt::format("a{}", i));
+            first.readUntil("data: 1 of 8");
+            StreamCaller second(vms, "/turn/none/b", fmt::format("b{}", i));
+            first.readToEnd();
+            second.readToEnd();
+            CHECK(first.isWhole());
+            CHECK(second.isWhole());
+        }
+    }
+
+    void plainAnswerOfATargetThatStartsAgainWhileTheVmIsPausedIsNotComplete()
+    {
+        EntryVmHarness vms({});
+        ProcessTarget target(vms, "p0", { "--gap_ms=400" });
+        RawConnection caller(vms.port());
+        caller.send("POST /call/none HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n" + requestHeaders
+            + "Content-Length: 0\r\n\r\n");
+        std::this_thread::sleep_for(std::chrono::milliseconds(150));
+        vms.process().pause();
+        target.restart();
+        vms.process().signal(SIGCONT);
+        CHECK(statusOf(caller.readAll()) != 200);
+    }
+
     void manyStreamsOfAKilledTargetAreBrokenOff()
     {
         EntryVmHarness vms({});
