Do not use a connection again after a failed write

An answer that came before all of its request was sent, on a connection that had been reset, left the connection in the pool: the failed write had emptied the output. The next request counted as one that may have run.

--- a/src/OutboundPool.cpp
+++ b/src/OutboundPool.cpp
@@ -226,7 +226,8 @@
             if (repeatKey_ && !isSuccess)
                 answeredKeys_.push_back(*repeatKey_);
             bool canReuse = isDelimited() && reader_.head().keepsAlive_ && !hasMore
-                && link_->queuedBytes() == 0 && answeredKeys_.size() < state_->limits_.maxAnsweredKeys_;
+                && link_->queuedBytes() == 0 && !link_->hasWriteFailed()
+                && answeredKeys_.size() < state_->limits_.maxAnsweredKeys_;
             Milliseconds idleTimeout = state_->limits_.idleTimeout_;
             if (auto announced = announcedIdleTimeout(reader_.head()))
                 idleTimeout = std::min(idleTimeout, *announced - state_->limits_.idleTimeoutMargin_);
--- a/src/TcpLink.h
+++ b/src/TcpLink.h
@@ -58,6 +58,9 @@
     /** Closes immediately; no callback is invoked afterwards. With `isAborting` the peer receives a reset. */
     void close(bool isAborting = false);
     bool isOpen() const { return isOpen_; }
+    /** Whether a write has failed, so that nothing sent from now on arrives. The next read reports the end.
+     */
+    bool hasWriteFailed() const { return hasWriteFailed_; }
     /** Whether the peer has neither closed nor reset the connection, as the operating system knows it now,
      * before the end is read. */
     bool isPeerOpen();
