Run no request that comes after the answer that closes its connection

The connection stays open until all is sent, and the session went on to parse.

A session whose connection closes reads on, so that the caller's close is noticed, and drops what it reads.

Red before: correctness/ClosingConnections (46 requests handled for 45). Green after, five times. failure/SlowReaders 3 of 3, EntryVmPath 19 of 19, LostLinks 9 of 9, PausedConnections 6 of 6.

--- a/src/FrontServer.cpp
+++ b/src/FrontServer.cpp
@@ -117,9 +117,17 @@
         void dispatch();
         void reject(int status, const char* reason);
         void handleClose();
+        void closeAfterFlush()
+        {
+            isClosing_ = true;
+            input_.clear();
+            link_->pauseReading(false);
+            link_->closeAfterFlush();
+        }
         bool canParse() const
         {
-            return !reply_ && !input_.empty() && link_->isOpen() && link_->queuedBytes() <= maxUnreadBytes;
+            return !reply_ && !isClosing_ && !input_.empty() && link_->isOpen()
+                && link_->queuedBytes() <= maxUnreadBytes;
         }
         void unregister() { shared_->sessions_.erase(shared_from_this()); }
 
@@ -135,6 +143,7 @@
         bool hasHead_ = false;
         bool isParsing_ = false;
         bool isPaused_ = false; ///< Reading is paused.
+        bool isClosing_ = false; ///< What comes is not answered; the connection closes once all is sent.
     };
 
     class Reply final : public FrontReply {
@@ -229,6 +238,8 @@
 
     void Session::handleData(std::string_view data)
     {
+        if (isClosing_)
+            return;
         lastActive_ = bootNow();
         input_.append(data);
         parse();
@@ -299,7 +310,7 @@
         head.headers_ = { { "Content-Length", std::to_string(std::string_view(reason).size()) },
             { "Connection", "close" } };
         link_->send(toText(head) + reason);
-        link_->closeAfterFlush();
+        closeAfterFlush();
         unregister();
     }
 
@@ -308,7 +319,7 @@
         reply_ = nullptr;
         lastActive_ = bootNow();
         if (!keepsAlive) {
-            link_->closeAfterFlush();
+            closeAfterFlush();
             shared_->closing_.push_back(link_);
             return unregister();
         }
