Read nothing from a connection that is paused while it waits for data

A pause took effect only after one more read of up to 64 KB, if the connection was waiting for data at the time, that is, if it was paused outside of the callback for data, or paused again after it was resumed there. No use of it now does so, so no caller has seen it; the interface promises otherwise. A pause inside the callback was not affected.

--- a/src/TcpLink.cpp
+++ b/src/TcpLink.cpp
@@ -101,7 +101,8 @@
         self->isReading_ = false;
         if (error || !self->isOpen_)
             return;
-        self->read();
+        if (!self->isPaused_)
+            self->read();
         self->awaitReadable();
     });
 }
--- a/test/correctness/PooledConnections.cpp
+++ b/test/correctness/PooledConnections.cpp
@@ -5,6 +5,7 @@
 #include "EventLoop.h"
 #include "OutboundPool.h"
 
+#include <asio/write.hpp>
 #include <fmt/format.h>
 
 using namespace fescue;
@@ -73,8 +74,52 @@
     CPPUNIT_TEST_SUITE(PooledConnections);
     CPPUNIT_TEST(requestAfterAPausedResponseIsAnswered);
     CPPUNIT_TEST(closeAfterAPausedResponseIsNoticed);
+    CPPUNIT_TEST(pauseInACallbackStopsReading);
+    CPPUNIT_TEST(pauseAfterAResumptionInACallbackStopsReading);
+    CPPUNIT_TEST(pauseOutsideOfCallbacksStopsReading);
     CPPUNIT_TEST_SUITE_END();
 
+    using Action = std::function<void(OutboundCall&)>;
+
+    // Receives a response in two parts, with `onPart` in the callback of the first one and `afterPart` once
+    // it has returned. Returns how many parts came until
+    // reading is resumed.
+    static int partsOfPaused(const Action& onPart, const Action& afterPart)
+    {
+        asio::io_context io;
+        asio::ip::tcp::acceptor acceptor(io, { asio::ip::address_v4::loopback(), 0 });
+        OutboundPool pool(io);
+        OutboundRequest request;
+        request.peer_ = acceptor.local_endpoint();
+        request.head_.method_ = "GET";
+        request.head_.target_ = "/";
+        int parts = 0;
+        std::shared_ptr<OutboundCall> call;
+        OutboundCallbacks callbacks;
+        callbacks.onBody_ = [&](const std::string&) {
+            if (++parts == 1 && onPart)
+                onPart(*call);
+        };
+        call = pool.send(std::move(request), std::move(callbacks));
+        asio::ip::tcp::socket server(io);
+        acceptor.accept(server);
+        asio::write(
+            server, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart")));
+        runLoopUntil(
+            io, [] {}, [&] { return parts > 0; });
+        if (afterPart)
+            afterPart(*call);
+        asio::write(server, asio::buffer(std::string_view("more")));
+        io.run_for(Milliseconds { 50 });
+        io.restart();
+        int partsWhilePaused = parts;
+        call->pauseReading(false);
+        runLoopUntil(
+            io, [] {}, [&] { return parts == 2; });
+        call->cancel();
+        return partsWhilePaused;
+    }
+
 public:
     void requestAfterAPausedResponseIsAnswered()
     {
@@ -96,6 +141,26 @@
             bench.runFor(Milliseconds { 20 });
         }
     }
+
+    void pauseInACallbackStopsReading()
+    {
+        CHECK_EQUAL(1, partsOfPaused([](OutboundCall& call) { call.pauseReading(true); }, nullptr));
+    }
+
+    void pauseAfterAResumptionInACallbackStopsReading()
+    {
+        auto pauseTwice = [](OutboundCall& call) {
+            call.pauseReading(true);
+            call.pauseReading(false);
+            call.pauseReading(true);
+        };
+        CHECK_EQUAL(1, partsOfPaused(pauseTwice, nullptr));
+    }
+
+    void pauseOutsideOfCallbacksStopsReading()
+    {
+        CHECK_EQUAL(1, partsOfPaused(nullptr, [](OutboundCall& call) { call.pauseReading(true); }));
+    }
 };
 
 REGISTER_SUITE(PooledConnections);
