--- a/src/OutboundPool.h
+++ b/src/OutboundPool.h
@@ -75,7 +75,7 @@
     virtual ~OutboundCall() = default;
     /** Closes the connection, so that the peer aborts its work; no callback follows. */
     virtual void cancel() = 0;
-    /** Stops or resumes reading the response, for flow control. */
+    /** Stops or resumes reading the response, for flow control. A pause ends with the exchange. */
     virtual void pauseReading(bool isPaused) = 0;
 };
 
