Take a response for complete only if its head had come to its empty line

What callers saw: a service or an engine stopped inside the head of its answer and closed the connection. A call that runs once was recorded as answered for good, with status 200 or 204, an empty body and whichever headers had come; a repeatable call was not repeated. The length of an interim response also framed the response after it.

Cause: libcurl (7.88.1) reports success for a head that ends with its connection, unless the headers that had come announce a body. HttpClient took its word, and kept the headers of interim responses.

libcurl passes the empty line to the header callback like any header, so its arrival shows that the head was whole. A torn head has an unknown outcome: calls that run once end so, others are repeated.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -17,6 +17,7 @@
 
     constexpr long maxIdleConnections = 256;
     constexpr int pollTimeoutMs = 1000;
+    constexpr long firstFinalStatus = 200; ///< Statuses below it are those of interim responses.
 
     struct Transfer {
         TransferId id_;
@@ -27,6 +28,7 @@
         CURL* easy_ = nullptr;
         curl_slist* headers_ = nullptr;
         bool mayHaveSent_ = false; ///< The connection was established and sending was allowed.
+        bool hasWholeHead_ = false; ///< The empty line after the response's head was received.
 
         Transfer() = default;
         Transfer(const Transfer&) = delete;
@@ -39,10 +41,28 @@
         }
     };
 
+    long statusOf(CURL* easy)
+    {
+        long status = 0;
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+        return status;
+    }
+
     std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* user)
     {
-        auto& headers = static_cast<Transfer*>(user)->result_.headers_;
+        auto& transfer = *static_cast<Transfer*>(user);
+        auto& headers = transfer.result_.headers_;
         std::string line(data, size * count);
+        if (transfer.hasWholeHead_) // The line belongs to a trailer.
+            return size * count;
+        if (line.rfind("HTTP/", 0) == 0) {
+            headers.clear(); // Of an interim response.
+            return size * count;
+        }
+        if (line == "\r\n" || line == "\n") {
+            transfer.hasWholeHead_ = statusOf(transfer.easy_) >= firstFinalStatus;
+            return size * count;
+        }
         auto colon = line.find(':');
         if (colon == std::string::npos)
             return size * count;
@@ -62,9 +82,7 @@
             transfer.result_.body_.append(bytes);
             return bytes.size();
         }
-        long status = 0;
-        curl_easy_getinfo(transfer.easy_, CURLINFO_RESPONSE_CODE, &status);
-        transfer.onData_(static_cast<int>(status), bytes);
+        transfer.onData_(static_cast<int>(statusOf(transfer.easy_)), bytes);
         return bytes.size();
     }
 
@@ -134,9 +152,13 @@
     void setOutcome(Transfer& transfer, CURLcode code)
     {
         HttpResult& result = transfer.result_;
-        long status = 0;
-        curl_easy_getinfo(transfer.easy_, CURLINFO_RESPONSE_CODE, &status);
-        result.status_ = static_cast<int>(status);
+        result.status_ = static_cast<int>(statusOf(transfer.easy_));
+        if (code == CURLE_OK && !transfer.hasWholeHead_) {
+            // libcurl reports success for a head that ends with its connection.
+            result.outcome_ = HttpResult::Outcome::Unknown;
+            result.error_ = "the connection was closed inside the head of the response";
+            return;
+        }
         bool isComplete = transfer.onData_ || isFramed(transfer) || isWholeJson(result.body_);
         if (code == CURLE_OK && isComplete) {
             result.outcome_ = HttpResult::Outcome::Answered;
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -35,8 +35,9 @@
 /** The result of a request. */
 struct HttpResult {
     enum class Outcome {
-        /** The whole response was received. One that ends with its connection counts only if its body is a
-         * JSON document, which shows its own end, or went to an `onData` callback, which has to find the end.
+        /** The whole response was received, its head up to the empty line. One that ends with its connection
+         * counts only if its body is a JSON document, which shows its own end, or went to an `onData`
+         * callback, which has to find the end.
          */
         Answered,
         NotSent, ///< No byte of the request left this process.
--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -109,6 +109,8 @@
                     *late = action.bytes_;
                 if (!action.endless_.empty())
                     endless_.emplace_back(link, action.endless_);
+                if (action.resetsConnection_)
+                    return link->close(true);
                 if (action.closesConnection_)
                     return link->closeAfterFlush();
             }
@@ -322,6 +324,16 @@
     waitUntil("the VM is ready", [this] { return readinessStatus(vms_.size() - 1) == 200; });
 }
 
+void EntryVmHarness::setGrace(std::size_t vm, int seconds)
+{
+    std::ifstream file(vms_[vm].settingsFile_);
+    std::string settings((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    constexpr std::string_view name = "grace-s: ";
+    std::size_t at = settings.find(name) + name.size();
+    settings.replace(at, settings.find(',', at) - at, std::to_string(seconds));
+    std::ofstream(vms_[vm].settingsFile_) << settings;
+}
+
 void EntryVmHarness::restartVm(std::size_t vm)
 {
     if (vms_[vm].process_->isRunning())
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -24,6 +24,7 @@
     bool crashes_ = false; ///< Resets all connections, and refuses new ones until the target is back.
     bool comesAgain_ = false; ///< `bytes_` are sent once more when the next request comes on the connection.
     std::string endless_; ///< Sent again and again after `bytes_` until the other side closes the connection.
+    bool resetsConnection_ = false; ///< After the bytes have been sent.
 };
 
 /** A target that responds with scripted bytes. Counts requests and closed connections.
@@ -120,6 +121,8 @@
     void setLinks(std::size_t vm, LinkFault fault);
     /** From now on the store refuses all calls of a VM, or answers them again. */
     void setStoreRefuses(std::size_t vm, bool isRefusing);
+    /** Writes another grace period into a VM's settings, which it reads at SIGHUP. */
+    void setGrace(std::size_t vm, int seconds);
     /** Kills a VM unless it has ended, and starts it again. */
     void restartVm(std::size_t vm);
     std::size_t vmCount() const { return vms_.size(); }
