Answer all requests before a planned stop ends, and none later

What callers saw: requests that a VM had read when it was stopped, or read during the drain, ended with a closed connection and no answer, also calls that must not be repeated.

Cause, in four cases: (1) a request from before SIGTERM whose deadline is after the drain, in flight or queued, was cut when the drain ended; (2) SIGHUP with a shorter grace period during the drain did the same to requests that were taken under the longer one; (3) a stream that is taken up again or a kept turn, waiting for a slow store, was not counted, so the VM ended beside it; (4) neither was a request whose body was still arriving.

The drain waits for all requests that were begun and for bytes for other VMs. A grace period that changes during the drain can only become shorter.

--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -24,6 +24,8 @@
 
 void CallForwarder::tick(const TargetList& list, MonotonicTime now) { impl_->tick(list, now); }
 
+void CallForwarder::endBy(MonotonicTime time) { impl_->lastAnswerAt_ = time; }
+
 void CallForwarder::closeIdleConnections() { impl_->outbound_.closeIdle(); }
 
 double CallForwarder::occupancy(const ServiceId& service) const
--- a/src/CallForwarder.h
+++ b/src/CallForwarder.h
@@ -38,6 +38,8 @@
     void applyCrashRecords(const std::vector<platform::KeyedRecord>& records, bool isComplete);
     /** Fails requests past their deadline and dispatches queued ones. To be called periodically. */
     void tick(const TargetList& list, MonotonicTime now);
+    /** Answers all requests by `time`, and refuses those whose deadline is later. */
+    void endBy(MonotonicTime time);
     /** Closes all idle connections: after a pause of the VM their peers may have closed them. */
     void closeIdleConnections();
     /** Calls at a service's engines divided by their slots, as far as known; above 1, calls wait for a slot.
--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -45,6 +45,8 @@
 constexpr Milliseconds retryAfterQuarantine { 30000 };
 // Calls of many VMs run beside each other at a shared target, so two crashes of one call may be chance.
 constexpr std::uint32_t sharedCrashesToQuarantine = 3;
+constexpr Milliseconds retryAfterShutdown { 50 }; ///< Another VM can take the request at once.
+constexpr const char* endsTooSoon = "this VM shuts down before the deadline of the request";
 constexpr Milliseconds programEvictionInterval { 5000 };
 
 /** Confined to the thread of the event loop, like the forwarder. */
@@ -63,6 +65,7 @@
     std::set<TransferPtr> held_; ///< Streams that are complete but for their end, which waits for `onWhole_`.
     std::uint64_t lastId_ = 0;
     MonotonicTime evictProgramsAt_;
+    std::optional<MonotonicTime> lastAnswerAt_; ///< When all requests must have been answered.
     Counter answered_ { "calls_total", { "outcome", "answered" } };
     Counter refused_ { "calls_total", { "outcome", "refused" } };
     Counter failed_ { "calls_total", { "outcome", "failed" } };
@@ -117,6 +120,9 @@
             if (auto self = weak.lock())
                 self->handleCallerDisconnect(transfer);
         });
+        // The request has waited for its admission meanwhile.
+        if (lastAnswerAt_ && transfer->call_.deadline_ > *lastAnswerAt_)
+            return refuse(transfer, endsTooSoon, retryAfterShutdown);
         route(transfer);
         dispatchAll();
     }
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -3,6 +3,7 @@
 #include "BootClock.h"
 #include "CallForwarder.h"
 #include "CallRelay.h"
+#include "DrainPeriod.h"
 #include "EventLog.h"
 #include "FrontServer.h"
 #include "Headers.h"
@@ -32,13 +33,6 @@
     constexpr Milliseconds tickInterval { 25 };
     // A longer time between ticks means that the VM was paused, so its state must be considered stale.
     constexpr Milliseconds maxTickInterval { 1500 };
-    // The platform's load balancer checks readiness once a second and stops sending requests after two
-    // failures.
-    constexpr Milliseconds balancerDetectionTime { 2600 };
-    // A drain may end only when no request has arrived for this long.
-    constexpr Milliseconds minTimeWithoutRequests { 400 };
-    // Part of the platform's grace period that is reserved for shutting down after the drain.
-    constexpr Milliseconds shutdownMargin { 700 };
     // A shorter outage of the store would end before the platform's health checks react to it.
     constexpr Milliseconds storeOutageTolerance { 700 };
     constexpr Milliseconds minStreamRetention { 10000 };
@@ -97,7 +91,7 @@
     std::unique_ptr<FrontServer> metricsServer_;
     MonotonicTime lastTick_;
     MonotonicTime lastRequest_;
-    std::optional<MonotonicTime> drainStartedAt_;
+    DrainPeriod drain_;
     bool wasReady_ = false;
     Counter unroutedCounter_ { "unrouted_total" };
 
@@ -133,6 +127,7 @@
               },
               [](int, const char*, const HttpHead*) {})
     {
+        setGrace(drain_, options_.settings_.drainGrace_);
         forwarder_.serveRelayed([this](ForwardedCall call) { handleRelayed(std::move(call)); });
         if (!options_.metricsAddress_.empty())
             metricsServer_ = std::make_unique<FrontServer>(
@@ -203,7 +198,7 @@
     bool isReady() const
     {
         bool hasStore = health_.isUp_ || bootNow() < health_.changedAt_ + storeOutageTolerance;
-        return config_ && follower_.targets().isComplete_ && !drainStartedAt_ && hasStore;
+        return config_ && follower_.targets().isComplete_ && !drain_.startedAt_ && hasStore;
     }
 
     void answerReady(const FrontRequest& request, FrontReply& reply) const
@@ -269,7 +264,7 @@
         call.service_ = traitsOf(service);
         call.deadline_ = call.request_.arrived_
             + std::min(route->timeout_, call.tags_.deadline_.value_or(route->timeout_));
-        if (drainStartedAt_ && call.deadline_ > drainDeadline())
+        if (endsBefore(drain_, call.deadline_))
             return rejectCall(call, serviceUnavailable,
                 "this VM shuts down before the deadline of the request", otherVmRetryAfter);
         if (route->keepsTurns_)
@@ -300,7 +295,7 @@
             return refuseRelay(call, "the service is not in the configuration of this VM");
         if (forwarder_.isStranded())
             return refuseRelay(call, "this VM has lost its links to targets, too");
-        if (drainStartedAt_ && call.deadline_ > drainDeadline())
+        if (endsBefore(drain_, call.deadline_))
             return refuseRelay(call, "this VM shuts down before the deadline of the request");
         call.service_ = traitsOf(call.service_.id_);
         forwarder_.forward(std::move(call));
@@ -386,15 +381,15 @@
         forwarder_.tick(follower_.targets(), now);
         exchange_.tick(now);
         resumption_.tick(now);
-        broker_.tick(drainStartedAt_.has_value(), now);
-        conversations_.tick(drainStartedAt_.has_value(), now);
+        broker_.tick(drain_.startedAt_.has_value(), now);
+        conversations_.tick(drain_.startedAt_.has_value(), now);
         callerServer_.tick(now);
         readinessServer_.tick(now);
         if (metricsServer_)
             metricsServer_->tick(now);
         logReadinessChange();
         flushEventLog();
-        if (drainStartedAt_ && isDrained(now))
+        if (drain_.startedAt_ && isDrained(now))
             return shutDown();
         scheduleTick();
     }
@@ -418,37 +413,32 @@
 
     void drain()
     {
-        if (drainStartedAt_)
+        if (drain_.startedAt_)
             return;
-        drainStartedAt_ = bootNow();
+        drain_.startedAt_ = bootNow();
+        forwarder_.endBy(lastAnswerAt(drain_));
         logEvent("drain", { { "under_way", std::to_string(forwarder_.openCallCount()) } });
         callerServer_.drain();
         follower_.withdraw();
     }
 
-    // Precondition: a drain has started.
-    MonotonicTime drainDeadline() const
-    {
-        return *drainStartedAt_ + options_.settings_.drainGrace_ - shutdownMargin;
-    }
-
     bool isDrained(MonotonicTime now) const
     {
-        if (now > drainDeadline())
+        if (now > lastAnswerAt(drain_))
             return true;
-        bool isTrafficStopped
-            = now > *drainStartedAt_ + balancerDetectionTime && now > lastRequest_ + minTimeWithoutRequests;
-        return isTrafficStopped && forwarder_.openCallCount() == 0 && admission_.waitingCount() == 0
-            && broker_.isIdle() && conversations_.isIdle() && !callerServer_.hasUnsentBytes();
+        bool hasOpenRequests = callerServer_.hasOpenRequests() || forwarder_.openCallCount() > 0;
+        bool hasUnsentBytes = callerServer_.hasUnsentBytes() || exchange_.hasUnsentBytes();
+        return isTrafficStopped(drain_, lastRequest_, now) && !hasOpenRequests && !hasUnsentBytes
+            && broker_.isIdle() && conversations_.isIdle();
     }
 
     void shutDown()
     {
         logEvent("stop",
             { { "under_way", std::to_string(forwarder_.openCallCount()) },
-                { "drained_ms", std::to_string((bootNow() - *drainStartedAt_).count()) } });
+                { "drained_ms", std::to_string((bootNow() - *drain_.startedAt_).count()) } });
         flushEventLog();
-        callerServer_.closeIdleConnections();
+        callerServer_.shutDown();
         io_.stop();
     }
 
@@ -472,7 +462,9 @@
         if (!settings)
             return;
         // Addresses and names cannot change while the process runs; the time limits can.
-        options_.settings_.drainGrace_ = settings->drainGrace_;
+        setGrace(drain_, settings->drainGrace_);
+        if (drain_.startedAt_)
+            forwarder_.endBy(lastAnswerAt(drain_));
         options_.settings_.configApplyTimeout_ = settings->configApplyTimeout_;
     }
 };
--- a/src/FrontServer.cpp
+++ b/src/FrontServer.cpp
@@ -100,6 +100,7 @@
 
         void tick(MonotonicTime now);
         bool isIdle() const { return !reply_ && !reader_.hasStarted() && input_.empty(); }
+        void shutDown();
         void close(bool isAborting)
         {
             link_->close(isAborting);
@@ -160,6 +161,7 @@
                 return;
             head.headers_.push_back({ "Transfer-Encoding", "chunked" });
             addConnection(head);
+            hasBegun_ = true;
             session_->link().send(toText(head));
         }
 
@@ -190,6 +192,8 @@
 
         void onDisconnect(std::function<void()> callback) override { onDisconnect_ = std::move(callback); }
 
+        bool hasBegun() const { return hasBegun_; }
+
         void handleDisconnect()
         {
             session_ = nullptr;
@@ -217,6 +221,7 @@
         std::shared_ptr<Session> session_;
         bool keepsAlive_;
         bool isHead_;
+        bool hasBegun_ = false;
         std::function<void()> onDisconnect_;
     };
 
@@ -332,6 +337,20 @@
         close(false);
     }
 
+    void Session::shutDown()
+    {
+        constexpr int unavailable = 503;
+        if (isIdle())
+            return close(false);
+        auto reply = std::move(reply_);
+        if (reply && reply->hasBegun())
+            close(true);
+        else
+            reject(unavailable, "this VM shuts down; send the request again");
+        if (reply)
+            reply->handleDisconnect();
+    }
+
     bool Shared::hasUnsentBytes() const
     {
         return std::any_of(sessions_.begin(), sessions_.end(), [](const auto& session) {
@@ -430,13 +449,18 @@
 
 void FrontServer::drain() { impl_->shared_->isDraining_ = true; }
 
-void FrontServer::closeIdleConnections()
+bool FrontServer::hasOpenRequests() const
+{
+    const auto& sessions = impl_->shared_->sessions_;
+    return std::any_of(
+        sessions.begin(), sessions.end(), [](const auto& session) { return !session->isIdle(); });
+}
+
+void FrontServer::shutDown()
 {
     auto sessions = impl_->shared_->sessions_;
-    for (const auto& session : sessions) {
-        if (session->isIdle())
-            session->close(false);
-    }
+    for (const auto& session : sessions)
+        session->shutDown();
 }
 
 bool FrontServer::hasUnsentBytes() const { return impl_->shared_->hasUnsentBytes(); }
--- a/src/FrontServer.h
+++ b/src/FrontServer.h
@@ -72,8 +72,11 @@
     void tick(MonotonicTime now);
     /** From now on each connection is closed after its next response. */
     void drain();
-    /** Closes the connections that have no request in flight. */
-    void closeIdleConnections();
+    /** Whether a request was read, at least in part, and has no complete response. */
+    bool hasOpenRequests() const;
+    /** Closes all connections. An open request is refused with 503, and its connection reset if a response
+     * has begun. Precondition: the handler has answered all requests that may have run. */
+    void shutDown();
     /** Whether callers have not read responses to the end, so that bytes of these would be lost with the
      * process. */
     bool hasUnsentBytes() const;
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -119,6 +119,8 @@
         impl_->server_->tick(now);
 }
 
+bool PeerExchange::hasUnsentBytes() const { return impl_->server_ && impl_->server_->hasUnsentBytes(); }
+
 void answerPeer(FrontReply& reply, int status, const std::string& body)
 {
     HttpHead head;
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -34,6 +34,8 @@
         const PeerEntry& peer, const char* path, std::string body, OutboundCallbacks callbacks);
     /** To be called periodically. */
     void tick(MonotonicTime now);
+    /** Whether peers have not read replies to the end. */
+    bool hasUnsentBytes() const;
 
 private:
     struct Impl;
