--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -307,10 +307,11 @@
 
     // Defined in TransferEnds.cpp.
     void handleEnd(const TransferPtr& transfer, const OutboundResult& end);
-    void handleLoss(const TransferPtr& transfer, bool maybeNeverReceived, const char* reason);
+    void handleLoss(
+        const TransferPtr& transfer, bool maybeNeverReceived, const char* reason, MonotonicTime endedAt);
     void keepWitnesses();
     void awaitSignsOfProcess(const TransferPtr& transfer);
-    void handleSignsOfProcess(const TransferPtr& transfer, const ProcessSigns& signs);
+    void handleSignsOfProcess(const TransferPtr& transfer, const ProcessSigns& signs, MonotonicTime endedAt);
 
     void handleAnswer(const TransferPtr& transfer)
     {
--- a/src/ProcessWitness.cpp
+++ b/src/ProcessWitness.cpp
@@ -9,11 +9,11 @@
 
 namespace {
 
-    // All connections of a process that ends are closed within milliseconds of each other. Events of a stream
-    // do not wait for this, only its end does.
-    constexpr Milliseconds settleTime { 20 };
+    // Hundreds of connections of a process that ends are closed within some 25 ms. Events of a stream do not
+    // wait for this, only its end does.
+    constexpr Milliseconds settleTime { 50 };
     // A connection that the peer closed earlier than this before the end of an answer has timed out there.
-    constexpr Milliseconds sameEndTime { 100 };
+    constexpr Milliseconds sameEndTime { 150 };
     // A target at its limit of connections closes each witness at once.
     constexpr Milliseconds witnessRetryInterval { 250 };
 
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -282,6 +282,12 @@
         found->second.target_.isLeaving_ = isLeaving;
 }
 
+bool acceptsCalls(const TargetPool& pool, const TargetId& target)
+{
+    auto found = pool.targets_.find(target);
+    return found != pool.targets_.end() && !found->second.target_.isLeaving_;
+}
+
 std::vector<DispatchId> removeUnserved(TargetPool& pool)
 {
     std::vector<DispatchId> unserved;
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -173,6 +173,9 @@
 /** Sets whether a target leaves: if so, it gets no new calls. Unknown targets are ignored. */
 void setLeaving(TargetPool& pool, const TargetId& target, bool isLeaving);
 
+/** Whether a target is listed and does not leave. Pure. */
+bool acceptsCalls(const TargetPool& pool, const TargetId& target);
+
 /** Removes and returns the queued calls that no target may run any more. */
 std::vector<DispatchId> removeUnserved(TargetPool& pool);
 
--- a/src/TransferEnds.cpp
+++ b/src/TransferEnds.cpp
@@ -14,7 +14,7 @@
     bool isAnswered = end.outcome_ == OutboundResult::Outcome::Answered;
     const char* lossReason = isAnswered ? findBreak(transfer->relay_) : end.reason_;
     if (lossReason)
-        return handleLoss(transfer, end.wasReused_ && !end.hadHead_, lossReason);
+        return handleLoss(transfer, end.wasReused_ && !end.hadHead_, lossReason, bootNow());
     if (transfer->isRefusal_) {
         endDispatch(transfer, DispatchOutcome::Refused);
         if (transfer->relay_.head_.status_ == misdirectedRequest)
@@ -26,11 +26,12 @@
     handleAnswer(transfer);
 }
 
-void CallForwarder::Impl::handleLoss(const TransferPtr& transfer, bool maybeNeverReceived, const char* reason)
+void CallForwarder::Impl::handleLoss(
+    const TransferPtr& transfer, bool maybeNeverReceived, const char* reason, MonotonicTime endedAt)
 {
     if (transfer->connectionEnd_ != OutboundResult::ConnectionEnd::Open)
         crashTracker_.onConnectionEnded(
-            { transfer->digest_, transfer->target_, transfer->targetStartedAt_, bootNow() });
+            { transfer->digest_, transfer->target_, transfer->targetStartedAt_, endedAt });
     handleLostAnswer(transfer, maybeNeverReceived, reason);
 }
 
@@ -47,14 +48,16 @@
 // The target's process may have ended, which closes its connections in order, too.
 void CallForwarder::Impl::awaitSignsOfProcess(const TransferPtr& transfer)
 {
-    witness_.judge(transfer->address_, [weak = weak_from_this(), transfer](const ProcessSigns& signs) {
+    auto onJudged = [weak = weak_from_this(), transfer, endedAt = bootNow()](const ProcessSigns& signs) {
         auto self = weak.lock();
         if (self && !transfer->isFinished_)
-            self->handleSignsOfProcess(transfer, signs);
-    });
+            self->handleSignsOfProcess(transfer, signs, endedAt);
+    };
+    witness_.judge(transfer->address_, std::move(onJudged));
 }
 
-void CallForwarder::Impl::handleSignsOfProcess(const TransferPtr& transfer, const ProcessSigns& signs)
+void CallForwarder::Impl::handleSignsOfProcess(
+    const TransferPtr& transfer, const ProcessSigns& signs, MonotonicTime endedAt)
 {
     logEvent("unframed-end",
         { { "request", transfer->call_.tags_.attempt_.value_ }, { "target", transfer->target_.value_ },
@@ -64,7 +67,11 @@
     (signs.isRunning_ ? wholeUnframed_ : brokenUnframed_).add();
     if (signs.isRunning_)
         return handleAnswer(transfer);
-    handleLoss(transfer, false, "the target ended, or may have, before the end of its answer");
+    constexpr const char* reason = "the target ended, or may have, before the end of its answer";
+    // A target that leaves ends once it has finished its answers, and no request makes it do so.
+    if (!acceptsCalls(pool_, transfer->target_))
+        return handleLostAnswer(transfer, false, reason);
+    handleLoss(transfer, false, reason, endedAt);
 }
 
 } // namespace fescue
--- a/test/failure/KilledTargets.cpp
+++ b/test/failure/KilledTargets.cpp
@@ -16,7 +16,7 @@
       "Fescuewinch-Token-Budget: 90000\r\nFescuewinch-Token-Count: 100,900\r\n";
 const std::string lastChunk = "\r\n0\r\n\r\n";
 // Long enough that the target ends between two events, and not while it sends one.
-const std::vector<std::string> slowEvents { "--gap_ms=150" };
+const std::vector<std::string> slowEvents { "--gap_ms=300" };
 
 bool isFramedAsComplete(const std::string& answer)
 {
@@ -148,11 +148,13 @@
     {
         for (const char* request : { "GET /read/none", "POST /call/none" }) {
             EntryVmHarness vms({});
-            ProcessTarget target(vms, "p0", { "--gap_ms=400" });
+            ProcessTarget target(vms, "p0", { "--gap_ms=600" });
             RawConnection caller(vms.port());
             caller.send(std::string(request) + " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
                 + requestHeaders + "Content-Length: 0\r\n\r\n");
-            std::this_thread::sleep_for(std::chrono::milliseconds(150));
+            vms.waitUntil(
+                "the target answers", [&] { return target.runs().find("r1") != std::string::npos; });
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
             target.process().signalAndWait(SIGKILL);
             std::string answer = caller.readAll();
             CHECK(statusOf(answer) != 200);
--- a/test/failure/UnframedEnds.cpp
+++ b/test/failure/UnframedEnds.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(streamOfATargetThatStartsAgainWhileTheVmIsPausedIsBrokenOff);
     CPPUNIT_TEST(wholeStreamsThatEndTogetherAreComplete);
     CPPUNIT_TEST(plainAnswerOfATargetThatStartsAgainWhileTheVmIsPausedIsNotComplete);
+    CPPUNIT_TEST(endOfALeavingTargetIsNoCrashOfItsRequest);
     CPPUNIT_TEST(manyStreamsOfAKilledTargetAreBrokenOff);
     CPPUNIT_TEST(targetAtItsLimitServesWholeStreams);
     CPPUNIT_TEST_SUITE_END();
@@ -94,6 +95,26 @@
         CHECK(statusOf(caller.readAll()) != 200);
     }
 
+    // Three crashes would quarantine the content.
+    void endOfALeavingTargetIsNoCrashOfItsRequest()
+    {
+        EntryVmHarness vms({});
+        for (const char* name : { "p0", "p1", "p2" }) {
+            ProcessTarget target(
+                vms, name, { "--end_point=after-last-event", "--end_kind=exit", "--gap_ms=300" });
+            StreamCaller caller(vms, "/turn/none", name);
+            caller.readUntil("data: 2 of 8");
+            target.announce({ "v1", true });
+            caller.readToEnd();
+            target.announce({ "v1", true, false });
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(1000)); // Ended connections are judged by then.
+        ProcessTarget target(vms, "p3");
+        StreamCaller caller(vms, "/turn/none", "p3");
+        caller.readToEnd();
+        CHECK(caller.isWhole());
+    }
+
     void manyStreamsOfAKilledTargetAreBrokenOff()
     {
         EntryVmHarness vms({});
