--- a/apps/StandinTargetMain.cpp
+++ b/apps/StandinTargetMain.cpp
@@ -11,6 +11,8 @@
 DEFINE_string(listen, "127.0.0.1:0", "address to listen on; port 0 picks a free port");
 DEFINE_string(id, "", "id of the target; requests that expect another one are refused");
 DEFINE_string(label, "", "text in the data of each event");
+DEFINE_bool(name_path, false, "name the path of the request in the data of each event and in other answers");
+DEFINE_bool(log_runs, false, "print a line for each step of a run");
 DEFINE_int32(events, 8, "events of a whole stream");
 DEFINE_int32(gap_ms, 20, "time between two events");
 DEFINE_int64(answer_bytes, 800, "size of an answer that is no stream");
@@ -32,6 +34,8 @@
     options.port_ = listen.port_;
     options.id_ = FLAGS_id;
     options.label_ = FLAGS_label;
+    options.namesPath_ = FLAGS_name_path;
+    options.logsRuns_ = FLAGS_log_runs;
     options.events_ = static_cast<int>(requireRange("--events", FLAGS_events, 0, 1000000));
     options.gap_ = Milliseconds { requireRange("--gap_ms", FLAGS_gap_ms, 0, 60000) };
     options.answerBytes_
--- a/standin/StreamTarget.cpp
+++ b/standin/StreamTarget.cpp
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fmt/format.h>
+#include <iostream>
 #include <list>
 #include <optional>
 #include <utility>
@@ -43,6 +44,8 @@
 
     // One run of a request.
     struct Run {
+        std::size_t number_ = 0;
+        std::string path_;
         std::string attempt_;
         std::string resumes_;
         int first_ = 0;
@@ -151,7 +154,7 @@
                 [self, session](CloseReason) {
                     --self->connections_;
                     if (session->run_ && session->isAnswering_)
-                        session->run_->outcome_ = "caller-gone";
+                        self->setOutcome(*session->run_, "caller-gone");
                     session->isSilent_ = true;
                     session->timer_.cancel();
                 } });
@@ -194,8 +197,12 @@
         session->framing_ = framingOf(request.target_);
         session->isAnswering_ = true;
         int from = numberIn(findHeader(request, "Last-Event-Id"));
-        runs_.push_back({ attempt, textOf(findHeader(request, "Resumes")), from + 1, from });
-        session->run_ = &runs_.back();
+        runs_.push_back({ runs_.size() + 1, request.target_, attempt, textOf(findHeader(request, "Resumes")),
+            from + 1, from });
+        Run& run = runs_.back();
+        log(fmt::format(
+            "run {} {} {} {} {}", run.number_, run.attempt_, run.resumes_, run.first_, run.path_));
+        session->run_ = &run;
         session->nextEvent_ = from + 1;
         bool isStream = request.method_ == "POST" && request.target_.find("/call/") == std::string::npos;
         if (isStream)
@@ -204,6 +211,18 @@
             sendPlain(session, attempt);
     }
 
+    void log(const std::string& line) const
+    {
+        if (options_.logsRuns_)
+            std::cout << line << std::endl;
+    }
+
+    void setOutcome(Run& run, const char* outcome) const
+    {
+        run.outcome_ = outcome;
+        log(fmt::format("end {} {}", run.number_, outcome));
+    }
+
     std::string runsText() const
     {
         std::string text;
@@ -226,10 +245,14 @@
             attempt, attempt, type, framing);
     }
 
-    std::string eventText(int number) const
+    std::string eventText(const Run& run, int number) const
     {
-        return fmt::format("id: {}\ndata: {} of {}{}{}\n\n", number, number, options_.events_,
-            options_.label_.empty() ? "" : " ", options_.label_);
+        std::string data = fmt::format("{} of {}", number, options_.events_);
+        if (!options_.label_.empty())
+            data += " " + options_.label_;
+        if (options_.namesPath_)
+            data += " " + run.path_;
+        return fmt::format("id: {}\ndata: {}\n\n", number, data);
     }
 
     bool endsAt(EndPoint point, int event) const
@@ -240,6 +263,9 @@
     // Ends as the options say, once the bytes have been sent.
     void end(const SessionPtr& session)
     {
+        bool endsProcess = options_.endKind_ == EndKind::Kill || options_.endKind_ == EndKind::Exit;
+        if (endsProcess)
+            setOutcome(*session->run_, "itself");
         switch (options_.endKind_) {
         case EndKind::Kill:
             std::raise(SIGKILL);
@@ -247,7 +273,7 @@
         case EndKind::Exit:
             std::_Exit(0);
         case EndKind::Break:
-            session->run_->outcome_ = "broken-off";
+            setOutcome(*session->run_, "broken-off");
             session->isSilent_ = true;
             session->isAnswering_ = false;
             session->link_->closeAfterFlush();
@@ -262,7 +288,7 @@
     {
         std::size_t length = 0;
         for (int k = session->nextEvent_; k <= options_.events_; ++k)
-            length += eventText(k).size();
+            length += eventText(*session->run_, k).size();
         std::string head = headOf(session, attempt, "text/event-stream", length);
         if (options_.endPoint_ == EndPoint::InsideHead) {
             constexpr std::size_t secondLine = 40;
@@ -281,13 +307,14 @@
         int event = session->nextEvent_;
         if (event > options_.events_)
             return finishStream(session);
-        std::string text = eventText(event);
+        std::string text = eventText(*session->run_, event);
         if (endsAt(EndPoint::InsideChunkSize, event) || endsAt(EndPoint::InsideEvent, event)) {
             std::string wire = session->framing_ == Framing::Chunks ? toChunk(text) : text;
             std::size_t part = options_.endPoint_ == EndPoint::InsideEvent ? wire.size() / 2 : 1;
             session->link_->send(wire.substr(0, part));
             return end(session);
         }
+        log(fmt::format("event {} {}", session->run_->number_, event));
         session->link_->send(session->framing_ == Framing::Chunks ? toChunk(text) : text);
         session->run_->last_ = event;
         ++session->nextEvent_;
@@ -312,7 +339,7 @@
 
     void finish(const SessionPtr& session)
     {
-        session->run_->outcome_ = "complete";
+        setOutcome(*session->run_, "complete");
         session->isAnswering_ = false;
         session->run_ = nullptr;
         if (session->framing_ == Framing::None)
@@ -321,7 +348,8 @@
 
     void sendPlain(const SessionPtr& session, const std::string& attempt)
     {
-        std::string body(options_.answerBytes_, 'x');
+        std::string body = options_.namesPath_ ? session->run_->path_ : std::string();
+        body.resize(options_.answerBytes_, 'x');
         std::string half = body.substr(0, body.size() / 2);
         std::string head = headOf(session, attempt, "text/plain", body.size());
         if (options_.endPoint_ == EndPoint::InsideHead) {
--- a/standin/StreamTarget.h
+++ b/standin/StreamTarget.h
@@ -11,7 +11,15 @@
  *     GET  /runs          one line a run: attempt, the attempt it resumes, first and last event made, outcome
  *
  * The path selects the framing of the answer: `/none`, `/length` or `/chunks` (the default) as one of its
- * segments. Event k of N is `id: k`, `data: k of N`. A run goes on after `Last-Event-Id`.
+ * segments. Event k of N is `id: k`, `data: k of N`, then the label, then the path if it is to be named. A
+ * run goes on after `Last-Event-Id`.
+ *
+ * If runs are logged, standard output gets a line for each step, before its bytes are sent. `NUMBER` counts
+ * the runs of the process:
+ *
+ *     run NUMBER ATTEMPT RESUMES FIRST-EVENT PATH
+ *     event NUMBER EVENT
+ *     end NUMBER complete|caller-gone|broken-off|itself
  */
 
 #include "Types.h"
@@ -47,6 +55,8 @@
     std::uint16_t port_ = 0; ///< 0 picks a free one.
     std::string id_; ///< Requests that expect another target are refused with 421; empty accepts all.
     std::string label_; ///< In the data of each event, after its number.
+    bool namesPath_ = false; ///< In the data of each event, and at the start of any other answer.
+    bool logsRuns_ = false;
     int events_ = 8;
     Milliseconds gap_ { 20 }; ///< Before each event after the first one.
     std::size_t answerBytes_ = 800;
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -8,9 +8,9 @@
 //                                                                 those of this one; see scripts/upgrade.sh
 
 #include "SoakHarness.h"
+#include "SoakSeeds.h"
 #include "Suite.h"
 
-#include <array>
 #include <cstdlib>
 #include <filesystem>
 #include <fmt/format.h>
@@ -22,13 +22,10 @@
 
 namespace {
 
-struct Seeds {
-    std::uint64_t first_ = 1;
-    std::uint64_t last_ = 2;
-};
+constexpr std::uint64_t lastDefaultSeed = 2;
 
 // Seeds that have failed, each with its cause. 27 and 31 failed for that of 13.
-constexpr std::array regressionSeeds {
+const std::vector<std::uint64_t> regressionSeeds {
     13, // A VM was killed while it passed on a stream without framing, which its caller took for complete.
 };
 
@@ -42,15 +39,6 @@
     return vms;
 }
 
-Seeds readSeeds()
-{
-    const char* text = std::getenv("FESCUE_SOAK_SEEDS");
-    Seeds seeds;
-    if (text && std::sscanf(text, "%lu-%lu", &seeds.first_, &seeds.last_) != 2)
-        throw std::runtime_error("FESCUE_SOAK_SEEDS must be a first and a last seed, for example 1-50");
-    return seeds;
-}
-
 // Number of log lines of the VMs that contain a text.
 std::size_t countLogLines(const std::string& folder, const std::string& text)
 {
@@ -113,21 +101,14 @@
 public:
     void guaranteesHoldUnderRandomFaults()
     {
-        bool isDefault = !std::getenv("FESCUE_SOAK_SEEDS");
-        Seeds range = readSeeds();
-        std::vector<std::uint64_t> seeds;
-        for (std::uint64_t seed = range.first_; seed <= range.last_; ++seed)
-            seeds.push_back(seed);
-        if (isDefault)
-            seeds.insert(seeds.end(), regressionSeeds.begin(), regressionSeeds.end());
         std::string failures;
         std::size_t brokenOff = 0;
-        for (std::uint64_t seed : seeds) {
+        for (std::uint64_t seed : readSoakSeeds(lastDefaultSeed, regressionSeeds)) {
             SeedResult result = runSeed(seed);
             failures += result.failures_;
             brokenOff += result.brokenOff_;
         }
-        if (isDefault && brokenOff == 0)
+        if (usesDefaultSeeds() && brokenOff == 0)
             failures += "no stream without framing broke off; let the targets send them again\n";
         CPPUNIT_ASSERT_MESSAGE(failures, failures.empty());
     }
