Count only what was opened while an answer's connection was open as a sign of its target's process

A target that was killed and had started again was taken for the one that sent an answer without framing, if the VM had been suspended meanwhile or read late: its new connection to the next process was believed. Two whole answers that ended together were broken off, since a connection that had been opened as a witness had been taken by the second one.

A witness must have been opened while the operating system still knew the answer's connection as open, and is replaced as soon as another request takes it.

--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -211,6 +211,7 @@
         transfer->targetStartedAt_ = targets_.startOf(target.id_).startedAt_;
         transfer->isRefusal_ = false;
         transfer->sentAt_ = bootNow();
+        transfer->connectionOpenAt_ = transfer->sentAt_; // Or there will be no answer.
         ++transfer->sends_;
         const ForwardedCall& call = transfer->call_;
         Milliseconds remaining = call.deadline_ - transfer->sentAt_;
@@ -309,7 +310,7 @@
     void handleEnd(const TransferPtr& transfer, const OutboundResult& end);
     void handleLoss(
         const TransferPtr& transfer, bool maybeNeverReceived, const char* reason, MonotonicTime endedAt);
-    void keepWitnesses();
+    void checkConnections(MonotonicTime now);
     void awaitSignsOfProcess(const TransferPtr& transfer);
     void handleSignsOfProcess(const TransferPtr& transfer, const ProcessSigns& signs, MonotonicTime endedAt);
 
@@ -455,7 +456,8 @@
         links_.tick(now);
         relayQueued();
         resumeReading();
-        keepWitnesses();
+        checkConnections(now);
+        witness_.tick(now);
         refuseRemoved(removeHopeless(pool_, now),
             "the rates that the targets have named leave no time for the request");
         endOverdue(now);
--- a/src/OutboundPool.cpp
+++ b/src/OutboundPool.cpp
@@ -380,6 +380,8 @@
                 connection_->pauseReading(isPaused);
         }
 
+        bool isPeerOpen() const override { return connection_ && connection_->isPeerOpen(); }
+
         std::shared_ptr<Connection> connection_;
         bool isFinished_ = false;
     };
@@ -393,19 +395,6 @@
     }
 };
 
-const char* nameOf(OutboundResult::ConnectionEnd end)
-{
-    switch (end) {
-    case OutboundResult::ConnectionEnd::Closed:
-        return "closed";
-    case OutboundResult::ConnectionEnd::Reset:
-        return "reset";
-    case OutboundResult::ConnectionEnd::Open:
-        break;
-    }
-    return "open";
-}
-
 OutboundPool::OutboundPool(asio::io_context& io, const OutboundLimits& limits)
     : impl_(std::make_shared<Impl>(io, limits))
 {
--- a/src/OutboundPool.h
+++ b/src/OutboundPool.h
@@ -55,9 +55,6 @@
     const char* reason_ = "";
 };
 
-/** Name of a connection's end for logs. Pure. */
-const char* nameOf(OutboundResult::ConnectionEnd end);
-
 /** Callbacks of an exchange. */
 struct OutboundCallbacks {
     /** Whether a response belongs to this request; other responses are skipped. `isFirst`: the connection
@@ -77,6 +74,8 @@
     virtual void cancel() = 0;
     /** Stops or resumes reading the response, for flow control. A pause ends with the exchange. */
     virtual void pauseReading(bool isPaused) = 0;
+    /** Whether the peer has neither closed nor reset the connection, as the operating system knows it now. */
+    virtual bool isPeerOpen() const = 0;
 };
 
 /** Limits of persistent connections. */
--- a/src/ProcessWitness.h
+++ b/src/ProcessWitness.h
@@ -8,11 +8,12 @@
  * process that has ended keeps no connection at all:
  *
  *     answer under way --> a connection that does not end with an answer is kept open as a witness
- *     its connection is closed --> settle time --> a connection from before the close is still open: it runs
- *                                              --> the peer has closed one just now: it has ended
- *                                              --> neither: a new connection shows whether a process is there
+ *     its connection is closed --> settle time --> a witness is still open: the process runs
+ *                                              --> none is: it has ended
  *
- * A process that has started again at the address has no connection from before the close.
+ * Only a connection that was opened while that of the answer was open is a witness; a process that has
+ * started again at the address accepts new ones. The first short answer of a target may end before there is a
+ * witness; a new connection is believed then.
  */
 
 #include "OutboundPool.h"
@@ -23,11 +24,18 @@
 
 namespace fescue {
 
+/** An answer whose connection the peer has closed. */
+struct ClosedAnswer {
+    asio::ip::tcp::endpoint peer_;
+    MonotonicTime requestedAt_;
+    MonotonicTime openAt_; ///< When its connection was last known to be open.
+};
+
 /** What is known of the process behind a closed connection. */
 struct ProcessSigns {
     bool isRunning_ = false; ///< False in doubt.
     std::size_t connections_ = 0; ///< Open ones that show it.
-    bool wasConnectionOpened_ = false; ///< None from before the close was left, so a new one was tried.
+    bool wasConnectionOpened_ = false; ///< There was no witness, so a new one was tried.
 };
 
 /** Judges processes by the connections of a pool. Confined to the thread of the event loop. */
@@ -36,24 +44,32 @@
     /** Precondition: `pool` outlives the witness and all callbacks of `io`. */
     ProcessWitness(asio::io_context& io, OutboundPool& pool);
 
-    /** Opens a connection to the peer unless there is one that does not end with an answer. To be called when
-     * an answer begins that ends with its connection, and periodically until it has ended. */
+    /** To be called when an answer begins that ends with its connection. From then on, and for some time, a
+     * connection to the peer is kept open that does not. */
     void prepare(const asio::ip::tcp::endpoint& peer);
-    /** To be called when the peer has closed a connection. `done` is called once, possibly before this
-     * returns, with what the other connections say of the process that had it. */
-    void judge(const asio::ip::tcp::endpoint& peer, std::function<void(const ProcessSigns&)> done);
+    /** `done` is called once, possibly before this returns, with what other connections say of the process
+     * that sent the answer. */
+    void judge(const ClosedAnswer& answer, std::function<void(const ProcessSigns&)> done);
+    /** Opens witnesses in place of those that have been closed. To be called periodically. */
+    void tick(MonotonicTime now);
 
 private:
+    // A peer whose answers end with their connections.
+    struct Watch {
+        MonotonicTime endsAt_;
+        MonotonicTime nextAttemptAt_; ///< Of opening a witness.
+    };
     struct Judgement;
     using JudgementPtr = std::shared_ptr<Judgement>;
 
     void judgeByKnownConnections(const JudgementPtr& judgement);
     void judgeByNewConnection(const JudgementPtr& judgement);
+    void keepWitness(const asio::ip::tcp::endpoint& peer, Watch& watch, MonotonicTime now);
     void afterSettling(std::function<void()> action);
 
     asio::io_context& io_;
     OutboundPool& pool_;
-    std::map<asio::ip::tcp::endpoint, MonotonicTime> retryAt_; ///< When the next witness may be opened.
+    std::map<asio::ip::tcp::endpoint, Watch> watches_;
 };
 
 } // namespace fescue
--- a/src/Transfer.cpp
+++ b/src/Transfer.cpp
@@ -11,6 +11,19 @@
 
 } // namespace
 
+const char* nameOf(OutboundResult::ConnectionEnd end)
+{
+    switch (end) {
+    case OutboundResult::ConnectionEnd::Closed:
+        return "closed";
+    case OutboundResult::ConnectionEnd::Reset:
+        return "reset";
+    case OutboundResult::ConnectionEnd::Open:
+        break;
+    }
+    return "open";
+}
+
 TokenCount generatedTokens(const Transfer& transfer)
 {
     return { relayedEvents(transfer.relay_) * transfer.call_.service_.tokensPerEvent_.value_ };
--- a/src/Transfer.h
+++ b/src/Transfer.h
@@ -29,6 +29,7 @@
     AnswerRelay relay_;
     OutboundResult::ConnectionEnd connectionEnd_ = OutboundResult::ConnectionEnd::Open; ///< Of the last send.
     MonotonicTime sentAt_;
+    MonotonicTime connectionOpenAt_; ///< When the connection to the target was last known to be open.
     std::uint32_t linkFailures_ = 0; ///< Targets that could not be reached.
     std::set<VmId> relaysTried_;
     VmId relayPeer_; ///< The VM through which the request is in flight; empty if it was sent directly.
@@ -40,6 +41,9 @@
     bool needsNewConnection_ = false;
 };
 
+/** Name of a connection's end for logs. Pure. */
+const char* nameOf(OutboundResult::ConnectionEnd end);
+
 /** Tokens that were passed on to the caller. Pure. */
 TokenCount generatedTokens(const Transfer& transfer);
 
--- a/src/TransferEnds.cpp
+++ b/src/TransferEnds.cpp
@@ -35,13 +35,13 @@
     handleLostAnswer(transfer, maybeNeverReceived, reason);
 }
 
-void CallForwarder::Impl::keepWitnesses()
+// Only what is learned of a target while its connection is open is about the process that sends the answer.
+void CallForwarder::Impl::checkConnections(MonotonicTime now)
 {
     for (const auto& [id, transfer] : transfers_) {
-        bool isUnderWay
-            = !transfer->isQueued_ && transfer->relayPeer_.empty() && transfer->relay_.head_.status_ != 0;
-        if (isUnderWay && transfer->relay_.head_.framing_ == BodyFraming::UntilClose)
-            witness_.prepare(transfer->address_);
+        bool isUnframed = transfer->relay_.head_.framing_ == BodyFraming::UntilClose;
+        if (isUnframed && !transfer->isQueued_ && transfer->exchange_->isPeerOpen())
+            transfer->connectionOpenAt_ = now;
     }
 }
 
@@ -53,7 +53,8 @@
         if (self && !transfer->isFinished_)
             self->handleSignsOfProcess(transfer, signs, endedAt);
     };
-    witness_.judge(transfer->address_, std::move(onJudged));
+    witness_.judge(
+        { transfer->address_, transfer->sentAt_, transfer->connectionOpenAt_ }, std::move(onJudged));
 }
 
 void CallForwarder::Impl::handleSignsOfProcess(
--- a/standin/StreamTarget.cpp
+++ b/standin/StreamTarget.cpp
@@ -164,7 +164,7 @@
         auto self = shared_from_this();
         session->link_->setCallbacks(
             { nullptr, [self, session](std::string_view data) { self->handleData(session, data); },
-                [session](CloseReason) {
+                [self, session](CloseReason) {
                     if (session->run_ && session->isAnswering_)
                         self->setOutcome(*session->run_, "caller-gone");
                     session->isSilent_ = true;
