--- a/test/failure/LateGrace.cpp
+++ b/test/failure/LateGrace.cpp
@@ -206,6 +206,7 @@
         MonotonicTime begin = bootNow();
         vms.process().signal(SIGTERM);
         std::vector<std::future<Received>> received;
+        received.reserve(count);
         for (int i = 0; i < count; ++i)
             received.push_back(sendAt(begin + gap * i, connections[i], requestOfKind(i)));
         sleepFor(Milliseconds { 1000 });
@@ -231,6 +232,7 @@
         setRouteTimeouts(vms, 20000);
         std::vector<std::future<Received>> received;
         constexpr int count = 30; // More than the target has slots.
+        received.reserve(count + 2);
         for (int i = 0; i < count; ++i)
             received.push_back(sendAt(bootNow(), keptConnection(vms),
                 { fmt::format("POST /call/never{}", i), fmt::format("call{}", i), "" }));
@@ -266,7 +268,7 @@
         vms.process().signal(SIGHUP);
         sleepFor(Milliseconds { 50 });
         auto refused = sendAt(bootNow(), late, { "POST /call/quick", "call2", "" });
-        for (Received answer : { received.get(), refused.get() })
+        for (const Received& answer : { received.get(), refused.get() })
             checkAnswered(answer, targets);
         vms.waitUntil("the VM has ended", [&] { return vms.process().tryReap(); });
     }
