--- a/test/failure/TornServiceHeads.cpp
+++ b/test/failure/TornServiceHeads.cpp
@@ -76,8 +76,10 @@
 
     std::vector<std::unique_ptr<ScriptedTarget>> makeServers()
     {
+        constexpr int count = 2;
         std::vector<std::unique_ptr<ScriptedTarget>> servers;
-        for (int i = 0; i < 2; ++i)
+        servers.reserve(count);
+        for (int i = 0; i < count; ++i)
             servers.push_back(std::make_unique<ScriptedTarget>(
                 io_, [this](const HttpHead& request, const std::string&) { return respond(request); }));
         return servers;
