Count a relaying VM as reached once it has passed on the head of an answer

Callers of a VM without links to targets were refused with 503 ("neither this VM nor another that could be asked reaches targets") for a second or more after targets had broken off streams. Each such stream counted as a failure of the VM that relayed it, although that VM was sound; two of them put both relaying VMs into backoff, which also kept them out of searches for the origin of streams.

A VM that is lost in the middle of an answer is found by the next call, which cannot connect to it.

--- a/src/RelayedTransfers.cpp
+++ b/src/RelayedTransfers.cpp
@@ -87,7 +87,8 @@
 void CallForwarder::Impl::handleRelayedEnd(const TransferPtr& transfer, const OutboundResult& end)
 {
     bool isAnswered = end.outcome_ == OutboundResult::Outcome::Answered;
-    callRelay_.recordAnswer(transfer->relayPeer_, isAnswered);
+    // What breaks off after its head was mostly broken off by the target.
+    callRelay_.recordAnswer(transfer->relayPeer_, isAnswered || transfer->relayOutcome_);
     if (end.outcome_ == OutboundResult::Outcome::NotSent) {
         endDispatch(transfer, DispatchOutcome::Unreachable);
         return retry(transfer, "the relaying VM could not be reached");
--- a/test/failure/LostLinks.cpp
+++ b/test/failure/LostLinks.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(requestsGoThroughAnotherVmWhileConnectionsAreRefused);
     CPPUNIT_TEST(requestsGoThroughAnotherVmWhileConnectionsHang);
     CPPUNIT_TEST(streamsAndTurnsGoThroughAnotherVm);
+    CPPUNIT_TEST(streamsThatTargetsBreakOffDoNotStopTheRelay);
     CPPUNIT_TEST(callThatRunsOnceRunsOnce);
     CPPUNIT_TEST(lossOfTheRelayingVmLeavesTheOutcomeOfACallUnknown);
     CPPUNIT_TEST(callInFlightAtItsDeadlineIsNotCalledNotRun);
@@ -86,6 +87,26 @@
         }
     }
 
+    // The other VM is sound: it has passed on what there was of the response.
+    void streamsThatTargetsBreakOffDoNotStopTheRelay()
+    {
+        EntryVmHarness vms(targetsThat([](const HttpHead& request, const std::string&) {
+            std::string framing = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+            return TargetAction { stampedHead(request, framing) + toChunk("id: 1\ndata: a\n\n"), true };
+        }),
+            true, 3);
+        vms.setLinks(0, LinkFault::Refused);
+        sleepFor(noticeTime);
+        constexpr int streams = 8;
+        int begun = 0;
+        for (int i = 0; i < streams; ++i) {
+            std::string answer = vms.request(
+                "POST", "/turn/1", requestHeaders + programHeaders("p" + std::to_string(i), "1000"), "x");
+            begun += statusOf(answer) == 200 ? 1 : 0;
+        }
+        CHECK_EQUAL(streams, begun);
+    }
+
     void callThatRunsOnceRunsOnce()
     {
         EntryVmHarness vms(targetsThat(respond), true, 3);
