Resume a stream at the service that began it

Callers of a route over several services (weighted back ends) whose stream broke off and was taken up again got the rest from another service: event numbers began anew, or pieces of two runs were joined. With a program it happened when the operator had changed the weights in between, without one it happened to half of the streams.

Cause: the service was chosen anew for each attempt, by the attempt's own id or the weights of the moment, and the only version of that service then passed for the origin, without asking whether that service had begun the stream.

The origin is now found. The only version of a service counts only if that service is the only candidate, by a read of the configuration that began after the stream was taken up. Else the own table and the copies of peers decide, and such streams are copied. A VM that has just started learns from a peer, in a header that older releases ignore, from which configuration on routes count.

StoreFollowing's case of a refresh also demands the newest configuration now, and waits for the first one, without which a refresh fails.

--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -118,8 +118,8 @@
                   [this](const TargetList& list) { applyTargets(list); },
                   [this](const std::map<VmId, PeerEntry>& peers) { exchange_.setPeers(peers); },
                   [this](const auto& records, bool isAll) { forwarder_.applyCrashRecords(records, isAll); } })
-        , resumption_(exchange_, follower_.targets(), options_.settings_.zone_,
-              [this](std::function<void(bool)> done) { follower_.refreshTargets(std::move(done)); })
+        , resumption_(exchange_, follower_.targets(), follower_.routes(), options_.settings_.zone_,
+              [this](std::function<void(bool)> done) { follower_.refresh(std::move(done)); })
         , callerServer_(
               io_, options_.settings_.callerAddress_,
               [this](FrontRequest request, std::shared_ptr<FrontReply> reply) {
@@ -284,10 +284,11 @@
         if (route.isStream_ && !call.tags_.lastEvent_.empty())
             return resume(std::move(call));
         if (route.isStream_ && route.repeatability_ == Repeatability::Repeatable)
-            call.onBegin_ = [this, attempt = call.tags_.attempt_, service = call.service_.id_](
-                                const SoftwareVersion& version) {
-                resumption_.recordBegin({ attempt, { service, version } });
-            };
+            call.onBegin_
+                = [this, attempt = call.tags_.attempt_, service = call.service_.id_,
+                      place = placeOf(call.request_.head_, call.tags_)](const SoftwareVersion& version) {
+                      resumption_.recordBegin({ attempt, { service, version } }, place);
+                  };
         admit(std::move(call));
     }
 
@@ -306,19 +307,19 @@
         forwarder_.forward(std::move(call));
     }
 
-    // Binds a stream that its caller takes up again to the version that began it.
+    // Binds a stream that its caller takes up again to the service and version that began it.
     void resume(ForwardedCall call)
     {
         auto waiting = std::make_shared<ForwardedCall>(std::move(call));
         auto isGone = watchDisconnect(*waiting->reply_);
-        resumption_.find(waiting->tags_.resumes_, waiting->service_.id_,
+        resumption_.find(waiting->tags_.resumes_, placeOf(waiting->request_.head_, waiting->tags_),
             [this, waiting, isGone](const std::optional<StreamOrigin>& origin) {
                 if (*isGone)
                     return logCallerGone(
                         *waiting, "the caller disconnected while the origin of its stream was sought");
                 if (!origin || !routeAllows(waiting->route_, origin->service_))
                     return rejectCall(*waiting, serviceUnavailable,
-                        "the software version that began the stream is unknown or no longer in use on this "
+                        "the service or version that began the stream is unknown or no longer in use on this "
                         "route; begin the request anew",
                         unknownOriginRetryAfter);
                 waiting->service_ = traitsOf(origin->service_);
@@ -349,13 +350,6 @@
         forwarder_.forward(std::move(call));
     }
 
-    // A program keeps its service, and with it its cached prefixes, as long as the weights do not change.
-    static std::uint64_t serviceKey(const CallTags& tags)
-    {
-        const std::string& key = tags.program_.empty() ? tags.attempt_.value_ : tags.program_.value_;
-        return XXH64(key.data(), key.size(), 0);
-    }
-
     void rejectUnrouted(ForwardedCall& call)
     {
         unroutedCounter_.add();
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -119,10 +119,11 @@
         impl_->server_->tick(now);
 }
 
-void answerPeer(FrontReply& reply, int status, const std::string& body)
+void answerPeer(FrontReply& reply, int status, const std::string& body, std::vector<HttpHeader> headers)
 {
     HttpHead head;
     head.status_ = status;
+    head.headers_ = std::move(headers);
     addProtocol(head);
     addRelease(head);
     reply.answer(std::move(head), body);
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -41,7 +41,7 @@
 };
 
 /** Answers a call of a peer. */
-void answerPeer(FrontReply& reply, int status, const std::string& body);
+void answerPeer(FrontReply& reply, int status, const std::string& body, std::vector<HttpHeader> headers = {});
 
 /** Refuses a call of a peer whose message is malformed, and logs that. */
 void refuseMalformed(FrontReply& reply, const FrontRequest& request);
--- a/src/PeerStreams.cpp
+++ b/src/PeerStreams.cpp
@@ -2,12 +2,16 @@
 
 #include "CborMessage.h"
 
+#include <charconv>
+
 namespace fescue {
 
 namespace {
 
     using nlohmann::json;
 
+    constexpr const char* routesFromHeader = "Fescue-Routes-From"; // Version of a configuration.
+
     // An array of `count` strings.
     bool isStrings(const json& document, std::size_t count)
     {
@@ -52,6 +56,13 @@
     return toCborMessage(json::array({ toArray(reply.origin_), sole }));
 }
 
+std::vector<HttpHeader> headersOf(const OriginReply& reply)
+{
+    if (!reply.routesFrom_)
+        return {};
+    return { { routesFromHeader, std::to_string(*reply.routesFrom_) } };
+}
+
 std::optional<std::vector<BegunStream>> parseStreams(const std::string& bytes)
 {
     auto document = parseCborMessage(bytes);
@@ -98,4 +109,15 @@
     return reply;
 }
 
+std::optional<std::uint64_t> parseRoutesFrom(const HttpHead& head)
+{
+    const std::string* value = findHeader(head, routesFromHeader);
+    if (!value)
+        return std::nullopt;
+    std::uint64_t version = 0;
+    const char* end = value->data() + value->size();
+    auto parsed = std::from_chars(value->data(), end, version);
+    return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(version) : std::nullopt;
+}
+
 } // namespace fescue
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -38,21 +38,6 @@
 
     const char* stateOf(const TargetEntry& entry) { return entry.isLeaving_ ? "leaving" : "ready"; }
 
-    bool isSameTarget(const TargetEntry& a, const TargetEntry& b)
-    {
-        return a.service_ == b.service_ && a.address_ == b.address_ && a.zone_ == b.zone_
-            && a.version_ == b.version_ && a.slots_ == b.slots_ && a.isLeaving_ == b.isLeaving_
-            && a.startedAt_ == b.startedAt_;
-    }
-
-    bool isSameList(const std::map<TargetId, TargetEntry>& a, const std::map<TargetId, TargetEntry>& b)
-    {
-        return a.size() == b.size()
-            && std::equal(a.begin(), a.end(), b.begin(), [](const auto& x, const auto& y) {
-                   return x.first == y.first && isSameTarget(x.second, y.second);
-               });
-    }
-
 } // namespace
 
 struct StoreFollower::Impl : std::enable_shared_from_this<StoreFollower::Impl> {
@@ -69,6 +54,7 @@
     bool isWithdrawn_ = false;
     Sequence announceSequence_ { 1 };
     std::uint64_t version_ = 0;
+    RouteHistory routes_;
     TargetList targetList_;
     std::map<TargetId, TargetEntry> reportedTargets_; ///< The targets as last reported to the owner.
     using OnRefreshed = std::function<void(bool isRead)>;
@@ -135,7 +121,7 @@
             });
     }
 
-    void refreshTargets(OnRefreshed done)
+    void refresh(OnRefreshed done)
     {
         if (targets_.isReading_) {
             nextRefreshes_.push_back(std::move(done));
@@ -150,8 +136,32 @@
         std::vector<OnRefreshed> ended = std::exchange(refreshes_, std::exchange(nextRefreshes_, {}));
         if (!refreshes_.empty())
             read(targets_);
-        for (const OnRefreshed& done : ended)
-            done(true);
+        if (!ended.empty())
+            readNewConfigs([ended = std::move(ended)](bool isRead) {
+                for (const OnRefreshed& done : ended)
+                    done(isRead);
+            });
+    }
+
+    // Reads what the long poll may not have received yet. It receives the same records and ignores them.
+    void readNewConfigs(OnRefreshed done)
+    {
+        if (!config_.next_)
+            return done(false);
+        std::uint64_t from = *config_.next_;
+        reads_.add();
+        store_.readFrom(config_.partition_, from, 0, Milliseconds { 0 }, intervals_.timeout_,
+            [weak = weak_from_this(), from, done = std::move(done), generation = config_.generation_](
+                tl::expected<platform::RecordPage, platform::StoreError> page) {
+                auto self = weak.lock();
+                if (!self)
+                    return;
+                bool isAtEnd = page && self->config_.generation_ == generation
+                    && from + page->records_.size() == page->end_;
+                if (isAtEnd)
+                    self->applyConfig(page->records_);
+                done(isAtEnd);
+            });
     }
 
     void failRefreshes()
@@ -180,7 +190,7 @@
         cursor.pages_.clear();
         cursor.pagesEnd_.reset();
         if (isConfig(cursor))
-            applyConfig(records);
+            applyNewestConfig(records);
         else if (isPeers(cursor))
             applyAllPeers(records);
         else
@@ -286,10 +296,20 @@
             if (config->version_ <= version_)
                 continue;
             version_ = config->version_;
+            recordRoutes(routes_, *config, bootNow());
             callbacks_.onConfig_(*config);
         }
     }
 
+    // Others may have been in force in between.
+    void applyNewestConfig(const std::vector<platform::KeyedRecord>& records)
+    {
+        std::uint64_t before = version_;
+        applyConfig(records);
+        if (version_ != before || !routes_.coveredSince_)
+            restartCoverage(routes_, bootNow());
+    }
+
     // Logs an entry that cannot be read once until it can be.
     std::optional<TargetEntry> decodeTarget(const platform::KeyedRecord& record)
     {
@@ -434,10 +454,7 @@
 
 void StoreFollower::tick(MonotonicTime now) { impl_->tick(now); }
 
-void StoreFollower::refreshTargets(std::function<void(bool isRead)> done)
-{
-    impl_->refreshTargets(std::move(done));
-}
+void StoreFollower::refresh(std::function<void(bool isRead)> done) { impl_->refresh(std::move(done)); }
 
 void StoreFollower::resync()
 {
@@ -477,4 +494,6 @@
 
 const TargetList& StoreFollower::targets() const { return impl_->targetList_; }
 
+const RouteHistory& StoreFollower::routes() const { return impl_->routes_; }
+
 } // namespace fescue
--- a/src/StoreFollower.h
+++ b/src/StoreFollower.h
@@ -9,6 +9,7 @@
  */
 
 #include "PeerList.h"
+#include "RouteHistory.h"
 #include "ServingConfig.h"
 #include "StoreHealth.h"
 #include "TargetList.h"
@@ -52,14 +53,15 @@
 
     /** Starts the reads that are due; to be called at regular intervals. */
     void tick(MonotonicTime now);
-    /** Reads the targets at once. `done` is called once, with whether a read that started after this call
-     * reached the end of the list. */
-    void refreshTargets(std::function<void(bool isRead)> done);
+    /** Reads the targets and the configuration at once. `done` is called once, with whether reads of both
+     * that started after this call reached the end. */
+    void refresh(std::function<void(bool isRead)> done);
     /** Marks all state as stale and reads it again, after the VM was suspended. */
     void resync();
     /** Returns the time since the configuration was last known to be current; nothing if it never was. */
     std::optional<Milliseconds> configAge(MonotonicTime now) const;
     const TargetList& targets() const;
+    const RouteHistory& routes() const;
     /** The partition with the records that entry VMs write for each other. Pure. */
     static platform::StorePartition vmPartition();
     /** Writes this VM's own entry; retried until the store has applied it. */
--- a/src/StreamResumption.cpp
+++ b/src/StreamResumption.cpp
@@ -24,14 +24,23 @@
     // Bounds the messages to a peer. What began within this time before a VM is lost has no copy.
     constexpr Milliseconds copyInterval { 40 };
 
+    std::string describe(const std::set<ServiceId>& services)
+    {
+        std::string names;
+        for (const ServiceId& service : services)
+            names += (names.empty() ? "" : ",") + service.value_;
+        return names;
+    }
+
 } // namespace
 
 struct StreamResumption::Impl : std::enable_shared_from_this<StreamResumption::Impl> {
-    // A search for the origin of a stream: in the list of targets, then at several peers.
+    // A search for the origin of a stream: in what the store lists, then at several peers.
     struct Search {
-        OriginQuery query_;
+        AttemptId attempt_;
+        StreamPlace place_;
         OnFound done_;
-        bool isReadingList_ = false;
+        bool isReading_ = false; ///< The store.
         std::optional<MonotonicTime> askedAt_; ///< When the peers were asked.
         std::vector<std::shared_ptr<OutboundCall>> calls_;
         std::size_t unanswered_ = 0;
@@ -39,23 +48,34 @@
     };
     using SearchPtr = std::shared_ptr<Search>;
 
+    // A stream of this VM that no peer has a copy of.
+    struct Uncopied {
+        StreamOrigin origin_;
+        StreamPlace place_;
+        std::uint64_t checkedGeneration_ = 0; ///< Of the routes for which `hasOneService_` holds.
+        bool hasOneService_ = false; ///< It can have begun at one service only.
+    };
+
     PeerExchange& exchange_;
     ZoneId zone_;
     const TargetList& targets_;
-    RefreshTargets refresh_;
+    const RouteHistory& routes_;
+    Refresh refresh_;
     Milliseconds retention_ { 10000 }; ///< How long after its begin a stream may be taken up.
     StreamOrigins streams_; ///< Of this VM, and copies of others'.
-    std::map<AttemptId, StreamOrigin> uncopied_; ///< Of this VM.
+    std::map<AttemptId, Uncopied> uncopied_;
     std::list<SearchPtr> searches_;
     MonotonicTime nextCopiesAt_;
     Counter copied_ { "stream_origins_copied_total" };
     Counter found_ { "stream_origin_searches_total", { "outcome", "found" } };
     Counter unknown_ { "stream_origin_searches_total", { "outcome", "unknown" } };
 
-    Impl(PeerExchange& exchange, const TargetList& targets, const ZoneId& zone, RefreshTargets refresh)
+    Impl(PeerExchange& exchange, const TargetList& targets, const RouteHistory& routes, const ZoneId& zone,
+        Refresh refresh)
         : exchange_(exchange)
         , zone_(zone)
         , targets_(targets)
+        , routes_(routes)
         , refresh_(std::move(refresh))
     {
         exchange_.serve(
@@ -88,8 +108,13 @@
             return answerPeer(*reply, httpOk, encode(OriginReply { origin, std::nullopt }));
         refresh_([weak = weak_from_this(), service = query->service_, reply](bool isRead) {
             auto self = weak.lock();
-            auto version = self && isRead ? self->listedVersion(service) : std::nullopt;
-            answerPeer(*reply, httpOk, encode(OriginReply { std::nullopt, version, version.has_value() }));
+            OriginReply known;
+            if (self && isRead) {
+                known.soleVersion_ = self->listedVersion(service);
+                known.isSoleCurrent_ = known.soleVersion_.has_value();
+                known.routesFrom_ = coveredFrom(self->routes_, self->retention_, bootNow());
+            }
+            answerPeer(*reply, httpOk, encode(known), headersOf(known));
         });
     }
 
@@ -98,33 +123,49 @@
         return soleVersion(targets_, service, retention_, bootNow());
     }
 
-    void find(const AttemptId& attempt, const ServiceId& service, OnFound done)
+    // The only service at which a stream can have begun, as far as this VM knows the routes.
+    std::optional<ServiceId> onlyService(const StreamPlace& place) const
+    {
+        std::set<ServiceId> services = possibleServices(routes_, place, bootNow());
+        return services.size() == 1 ? std::optional(*services.begin()) : std::nullopt;
+    }
+
+    // What can only have begun a stream, as of the last reads of the store.
+    std::optional<StreamOrigin> onlyOrigin(const StreamPlace& place) const
+    {
+        auto service = onlyService(place);
+        if (!service || !isCovered(routes_, retention_, bootNow()))
+            return std::nullopt;
+        auto version = listedVersion(*service);
+        return version ? std::optional(StreamOrigin { *service, *version }) : std::nullopt;
+    }
+
+    void find(const AttemptId& attempt, const StreamPlace& place, OnFound done)
     {
         auto search = std::make_shared<Search>();
-        search->query_ = { attempt, service };
+        search->attempt_ = attempt;
+        search->place_ = place;
         search->done_ = std::move(done);
         search->startedAt_ = bootNow();
         if (auto origin = findOrigin(streams_, attempt))
             return finish(search, origin, "own table");
         searches_.push_back(search);
-        if (!listedVersion(service))
+        if (!onlyOrigin(place))
             return askPeers(search);
-        search->isReadingList_ = true;
+        search->isReading_ = true;
         refresh_([weak = weak_from_this(), search](bool isRead) {
             if (auto self = weak.lock())
-                self->handleList(search, isRead);
+                self->handleStore(search, isRead);
         });
     }
 
-    void handleList(const SearchPtr& search, bool isRead)
+    void handleStore(const SearchPtr& search, bool isRead)
     {
-        search->isReadingList_ = false;
+        search->isReading_ = false;
         if (!search->done_)
             return;
-        const ServiceId& service = search->query_.service_;
-        auto version = isRead ? listedVersion(service) : std::nullopt;
-        if (version)
-            return finish(search, StreamOrigin { service, *version }, "only version");
+        if (auto origin = isRead ? onlyOrigin(search->place_) : std::nullopt)
+            return finish(search, origin, "only version");
         if (!search->askedAt_)
             return askPeers(search);
         finishIfUnknown(search);
@@ -133,14 +174,14 @@
     void askPeers(const SearchPtr& search)
     {
         search->askedAt_ = bootNow();
-        for (const PeerEntry& peer : peersToAsk(search->query_.attempt_))
+        for (const PeerEntry& peer : peersToAsk(search->attempt_))
             ask(search, peer);
         finishIfUnknown(search);
     }
 
     void finishIfUnknown(const SearchPtr& search)
     {
-        if (search->unanswered_ > 0 || search->isReadingList_)
+        if (search->unanswered_ > 0 || search->isReading_)
             return;
         finish(search, std::nullopt, search->calls_.empty() ? "no peer to ask" : "no peer knows it");
     }
@@ -165,37 +206,54 @@
     void ask(const SearchPtr& search, const PeerEntry& peer)
     {
         auto body = std::make_shared<std::string>();
+        auto routesFrom = std::make_shared<std::optional<std::uint64_t>>();
+        // Without a single service the peer's only version is of no use.
+        ServiceId service = onlyService(search->place_).value_or(ServiceId {});
         OutboundCallbacks callbacks;
+        callbacks.onHead_ = [routesFrom](const HttpHead& head) { *routesFrom = parseRoutesFrom(head); };
         callbacks.onBody_ = [body](std::string part) { *body += part; };
-        callbacks.onEnd_ = [weak = weak_from_this(), search, body, vm = peer.vm_](const OutboundResult& end) {
+        callbacks.onEnd_ = [weak = weak_from_this(), search, body, routesFrom, service, vm = peer.vm_](
+                               const OutboundResult& end) {
             auto self = weak.lock();
             if (!self || !search->done_)
                 return;
             --search->unanswered_;
             bool isAnswered = end.outcome_ == OutboundResult::Outcome::Answered;
             recordPeerOutcome(self->exchange_.peers(), vm, isAnswered, bootNow());
-            self->handleReply(search, isAnswered ? parseOriginReply(*body) : std::nullopt);
+            auto reply = isAnswered ? parseOriginReply(*body) : std::nullopt;
+            if (reply)
+                reply->routesFrom_ = *routesFrom;
+            self->handleReply(search, service, reply);
         };
-        auto call = exchange_.post(peer, queryPath, encode(search->query_), std::move(callbacks));
+        auto call = exchange_.post(
+            peer, queryPath, encode(OriginQuery { search->attempt_, service }), std::move(callbacks));
         if (!call)
             return;
         ++search->unanswered_;
         search->calls_.push_back(std::move(call));
     }
 
-    void handleReply(const SearchPtr& search, const std::optional<OriginReply>& reply)
+    // What can only have begun a stream, with what a peer has said of the time before this VM's start.
+    std::optional<StreamOrigin> onlyOriginWith(
+        const OriginReply& reply, const ServiceId& service, const StreamPlace& place) const
+    {
+        bool isServiceCertain = onlyService(place) == service && reply.routesFrom_ && routes_.coveredSince_
+            && routes_.coveredFrom_ <= *reply.routesFrom_;
+        if (!isServiceCertain || !reply.soleVersion_ || !reply.isSoleCurrent_)
+            return std::nullopt;
+        // A version that this VM has seen may have left before the peer began to follow the list.
+        std::set<SoftwareVersion> seen = recentVersions(targets_, service, retention_, bootNow());
+        seen.insert(*reply.soleVersion_);
+        return seen.size() == 1 ? std::optional(StreamOrigin { service, *reply.soleVersion_ }) : std::nullopt;
+    }
+
+    void handleReply(
+        const SearchPtr& search, const ServiceId& service, const std::optional<OriginReply>& reply)
     {
         if (reply && reply->origin_)
             return finish(search, reply->origin_, "a peer's table");
-        if (reply && reply->soleVersion_ && reply->isSoleCurrent_) {
-            // A version that this VM has seen may have left before the peer began to follow the list.
-            std::set<SoftwareVersion> seen
-                = recentVersions(targets_, search->query_.service_, retention_, bootNow());
-            seen.insert(*reply->soleVersion_);
-            if (seen.size() == 1)
-                return finish(search, StreamOrigin { search->query_.service_, *reply->soleVersion_ },
-                    "only version at a peer");
-        }
+        if (auto origin = reply ? onlyOriginWith(*reply, service, search->place_) : std::nullopt)
+            return finish(search, origin, "only version at a peer");
         finishIfUnknown(search);
     }
 
@@ -203,8 +261,9 @@
     {
         (origin ? found_ : unknown_).add();
         logEvent("stream-origin",
-            { { "resumes", search->query_.attempt_.value_ }, { "service", search->query_.service_.value_ },
+            { { "resumes", search->attempt_.value_ }, { "service", origin ? origin->service_.value_ : "" },
                 { "version", origin ? origin->version_.value_ : "" }, { "source", source },
+                { "candidates", describe(possibleServices(routes_, search->place_, bootNow())) },
                 { "list_age_ms", std::to_string((bootNow() - targets_.readAt_).count()) },
                 { "took_ms", std::to_string((bootNow() - search->startedAt_).count()) } });
         searches_.remove(search);
@@ -215,24 +274,36 @@
         done(origin);
     }
 
-    void recordBegin(const BegunStream& stream)
+    void recordBegin(const BegunStream& stream, const StreamPlace& place)
     {
         recordStream(streams_, stream, bootNow());
-        uncopied_.emplace(stream.attempt_, stream.origin_);
+        uncopied_.emplace(stream.attempt_, Uncopied { stream.origin_, place });
     }
 
-    // Streams of services with a single version wait, in case that another version comes.
+    bool hasOneService(Uncopied& stream) const
+    {
+        if (stream.checkedGeneration_ != routes_.generation_) {
+            stream.hasOneService_ = onlyService(stream.place_) == stream.origin_.service_;
+            stream.checkedGeneration_ = routes_.generation_;
+        }
+        return stream.hasOneService_;
+    }
+
+    // Streams that can have begun at one version of one service only wait, in case that another one comes.
     void sendCopies(MonotonicTime now)
     {
         std::map<VmId, std::pair<PeerEntry, std::vector<BegunStream>>> batches;
-        std::map<ServiceId, bool> needsCopies;
+        std::map<ServiceId, bool> hasVersions; // Several, or maybe so.
+        bool areRoutesCovered = isCovered(routes_, retention_, now);
         for (auto stream = uncopied_.begin(); stream != uncopied_.end();) {
-            const auto& [attempt, origin] = *stream;
-            auto [needed, isNew] = needsCopies.emplace(origin.service_, false);
+            const AttemptId& attempt = stream->first;
+            const StreamOrigin& origin = stream->second.origin_;
+            auto [several, isNew] = hasVersions.emplace(origin.service_, false);
             if (isNew)
-                needed->second = !soleVersion(targets_, origin.service_, retention_, now);
-            auto peers = needed->second ? peersFor(exchange_.peers(), zone_, attempt.value_, copyCount, now)
-                                        : std::vector<PeerEntry>();
+                several->second = !soleVersion(targets_, origin.service_, retention_, now);
+            bool isNeeded = several->second || !areRoutesCovered || !hasOneService(stream->second);
+            auto peers = isNeeded ? peersFor(exchange_.peers(), zone_, attempt.value_, copyCount, now)
+                                  : std::vector<PeerEntry>();
             for (const PeerEntry& peer : peers) {
                 auto& batch = batches[peer.vm_];
                 batch.first = peer;
@@ -259,8 +330,9 @@
             recordPeerOutcome(self->exchange_.peers(), vm, isAnswered, bootNow());
             // Other peers get the copies then.
             for (const BegunStream& stream : streams) {
+                // Without a place it counts as one of several services.
                 if (!isAnswered)
-                    self->uncopied_.emplace(stream.attempt_, stream.origin_);
+                    self->uncopied_.emplace(stream.attempt_, Uncopied { stream.origin_, {} });
             }
         };
         exchange_.post(peer, copiesPath, std::move(body), std::move(callbacks));
@@ -271,7 +343,7 @@
     {
         if (!search->askedAt_)
             askPeers(search);
-        else if (!search->isReadingList_)
+        else if (!search->isReading_)
             finish(search, std::nullopt, "timed out");
     }
 
@@ -292,9 +364,9 @@
     }
 };
 
-StreamResumption::StreamResumption(
-    PeerExchange& exchange, const TargetList& targets, const ZoneId& zone, RefreshTargets refresh)
-    : impl_(std::make_shared<Impl>(exchange, targets, zone, std::move(refresh)))
+StreamResumption::StreamResumption(PeerExchange& exchange, const TargetList& targets,
+    const RouteHistory& routes, const ZoneId& zone, Refresh refresh)
+    : impl_(std::make_shared<Impl>(exchange, targets, routes, zone, std::move(refresh)))
 {
 }
 
@@ -302,11 +374,14 @@
 
 void StreamResumption::setRetention(Milliseconds retention) { impl_->retention_ = retention; }
 
-void StreamResumption::recordBegin(const BegunStream& stream) { impl_->recordBegin(stream); }
+void StreamResumption::recordBegin(const BegunStream& stream, const StreamPlace& place)
+{
+    impl_->recordBegin(stream, place);
+}
 
-void StreamResumption::find(const AttemptId& attempt, const ServiceId& service, OnFound done)
+void StreamResumption::find(const AttemptId& attempt, const StreamPlace& place, OnFound done)
 {
-    impl_->find(attempt, service, std::move(done));
+    impl_->find(attempt, place, std::move(done));
 }
 
 std::size_t StreamResumption::streams() const { return impl_->streams_.origins_.size(); }
--- a/src/StreamResumption.h
+++ b/src/StreamResumption.h
@@ -6,15 +6,16 @@
  *     a stream begins --> own table --> copies at two peers of the zone
  *     a stream is taken up --> own table, or the only version there was, or the peers that may have a copy
  *
- * The copies outlive the VM that began the stream. They are sent, in batches, only while a service has
- * several versions, or may have. What nobody knows is not guessed.
+ * The copies outlive the VM that began the stream. They are sent, in batches, only for streams that may have
+ * begun at several versions or services. What nobody knows is not guessed.
  *
- * VMs read of a new version at different times, so another VM may have begun the stream at a version that
- * this one does not know yet. A version counts as the only one if that is so in a read of the list that
- * started after the stream was taken up.
+ * VMs read of a new version or configuration at different times, so another VM may have begun the stream at a
+ * version or service that this one does not know yet. A version counts as the only one, and a service as the
+ * only possible one, if that is so in a read of the store that started after the stream was taken up.
  */
 
 #include "PeerExchange.h"
+#include "RouteHistory.h"
 #include "StreamOrigins.h"
 #include "TargetList.h"
 
@@ -27,22 +28,22 @@
 class StreamResumption {
 public:
     using OnFound = std::function<void(const std::optional<StreamOrigin>&)>;
-    /** Reads the list of targets; see `StoreFollower::refreshTargets`. */
-    using RefreshTargets = std::function<void(std::function<void(bool isRead)> done)>;
+    /** Reads the store; see `StoreFollower::refresh`. */
+    using Refresh = std::function<void(std::function<void(bool isRead)> done)>;
 
-    /** Precondition: `exchange` and `targets` outlive this object, `exchange` serves no call after it, and
-     * `refresh` updates `targets`. */
-    StreamResumption(
-        PeerExchange& exchange, const TargetList& targets, const ZoneId& zone, RefreshTargets refresh);
+    /** Precondition: `exchange`, `targets` and `routes` outlive this object, `exchange` serves no call after
+     * it, and `refresh` updates `targets` and `routes`. */
+    StreamResumption(PeerExchange& exchange, const TargetList& targets, const RouteHistory& routes,
+        const ZoneId& zone, Refresh refresh);
     ~StreamResumption();
 
     /** Sets how long after its begin a stream may be taken up. */
     void setRetention(Milliseconds retention);
-    /** Records a stream whose first event is about to be passed on. */
-    void recordBegin(const BegunStream& stream);
-    /** Finds what began a stream; `service` is where the request would be sent. `done` is called once,
-     * possibly before this returns, with nothing if the origin is not known. */
-    void find(const AttemptId& attempt, const ServiceId& service, OnFound done);
+    /** Records a stream whose first event is about to be passed on, and where it was requested. */
+    void recordBegin(const BegunStream& stream, const StreamPlace& place);
+    /** Finds what began a stream that is taken up at `place`. `done` is called once, possibly before this
+     * returns, with nothing if the origin is not known. */
+    void find(const AttemptId& attempt, const StreamPlace& place, OnFound done);
     /** Streams whose origin is known. */
     std::size_t streams() const;
     /** Sends copies and ends searches. To be called periodically. */
--- a/src/TargetList.cpp
+++ b/src/TargetList.cpp
@@ -1,5 +1,6 @@
 #include "TargetList.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace fescue {
@@ -156,4 +157,19 @@
     return true;
 }
 
+bool isSameTarget(const TargetEntry& a, const TargetEntry& b)
+{
+    return a.service_ == b.service_ && a.address_ == b.address_ && a.zone_ == b.zone_
+        && a.version_ == b.version_ && a.slots_ == b.slots_ && a.isLeaving_ == b.isLeaving_
+        && a.startedAt_ == b.startedAt_;
+}
+
+bool isSameList(const std::map<TargetId, TargetEntry>& a, const std::map<TargetId, TargetEntry>& b)
+{
+    return a.size() == b.size()
+        && std::equal(a.begin(), a.end(), b.begin(), [](const auto& x, const auto& y) {
+               return x.first == y.first && isSameTarget(x.second, y.second);
+           });
+}
+
 } // namespace fescue
--- a/src/TargetList.h
+++ b/src/TargetList.h
@@ -108,4 +108,10 @@
 /** Removes entries still missing after the grace period. Returns whether any was removed. */
 bool removeMissing(TargetList& list, MonotonicTime now);
 
+/** Whether two reports of a target say the same, apart from their numbers. Pure. */
+bool isSameTarget(const TargetEntry& a, const TargetEntry& b);
+
+/** Whether two lists differ in reports only that say the same as the ones before. Pure. */
+bool isSameList(const std::map<TargetId, TargetEntry>& a, const std::map<TargetId, TargetEntry>& b);
+
 } // namespace fescue
--- a/standin/PlatformStore.cpp
+++ b/standin/PlatformStore.cpp
@@ -153,6 +153,10 @@
             }
             if (faults->isDown_)
                 return answer(*reply, faults->downStatus_, "");
+            if (faults->holdsLongPolls_ && queryNumber(request.head_.target_, "wait-ms") > 0) {
+                unanswered_.push_back(std::move(reply));
+                return;
+            }
         }
         const View* view = &server.view_;
         const std::string& target = request.head_.target_;
--- a/test/correctness/StoreFollowing.cpp
+++ b/test/correctness/StoreFollowing.cpp
@@ -177,7 +177,7 @@
     // A read that is under way may have been answered already, so it does not count.
     void refreshShowsWhatWasWrittenBeforeIt()
     {
-        runUntil([this] { return knows("i-1"); });
+        runUntil([this] { return knows("i-1") && !versions_.empty(); });
         constexpr int rounds = 40;
         for (int i = 2; i < rounds; ++i) {
             std::string target = "i-" + std::to_string(i);
@@ -185,9 +185,11 @@
             bool isDone = false;
             follower_->tick(bootNow());
             store_->put(platform::targetTopic, target, targetOf("ready"));
-            follower_->refreshTargets([&](bool isRead) {
+            std::uint64_t version = 3 + static_cast<std::uint64_t>(i);
+            store_->put(platform::configTopic, platform::configKey, configOf(static_cast<int>(version)));
+            follower_->refresh([&](bool isRead) {
                 isDone = isRead;
-                isKnown = knows(target);
+                isKnown = knows(target) && versions_.back() == version;
             });
             runUntil([&] { return isDone; });
             CHECK(isKnown);
@@ -202,7 +204,7 @@
             store_->faults().isSilent_ = isSilent;
             int failed = 0;
             for (int i = 0; i < 3; ++i)
-                follower_->refreshTargets([&failed](bool isRead) { failed += isRead ? 0 : 1; });
+                follower_->refresh([&failed](bool isRead) { failed += isRead ? 0 : 1; });
             runUntil([&failed] { return failed == 3; });
         }
     }
--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -298,6 +298,13 @@
         [&](standin::PlatformStore& store) { store.faultsAt(vms_[vm].storePort_).isDown_ = isRefusing; });
 }
 
+void EntryVmHarness::setStoreHoldsLongPolls(std::size_t vm, bool isHolding)
+{
+    runOnStore([&](standin::PlatformStore& store) {
+        store.faultsAt(vms_[vm].storePort_).holdsLongPolls_ = isHolding;
+    });
+}
+
 void EntryVmHarness::startProcess(Vm& vm)
 {
     std::string output
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -120,6 +120,8 @@
     void setLinks(std::size_t vm, LinkFault fault);
     /** From now on the store refuses all calls of a VM, or answers them again. */
     void setStoreRefuses(std::size_t vm, bool isRefusing);
+    /** From now on the store leaves a VM's long polls without an answer, or answers them again. */
+    void setStoreHoldsLongPolls(std::size_t vm, bool isHolding);
     /** Kills a VM unless it has ended, and starts it again. */
     void restartVm(std::size_t vm);
     std::size_t vmCount() const { return vms_.size(); }
--- a/test/support/StreamVersionSetup.h
+++ b/test/support/StreamVersionSetup.h
@@ -28,7 +28,9 @@
             std::string attempt = *findHeader(request, "Fescuewinch-Request-Id");
             const std::string* resumes = findHeader(request, "Resumes");
             std::lock_guard<std::mutex> lock(mutex_);
-            runs_[resumes ? *resumes : attempt].push_back(target);
+            const std::string& first = resumes ? *resumes : attempt;
+            runs_[first].push_back(target);
+            services_[first].insert(serviceOf(*findHeader(request, "Fescuewinch-Expect-Instance")));
             bool isBroken = !resumes || breaksResumed_;
             std::string body = toChunk(isBroken ? "id: 1\ndata: a\n\n" : "id: 2\ndata: b\n\n");
             return TargetAction { "HTTP/1.1 200 OK\r\nFescuewinch-Request-Id: " + attempt
@@ -45,11 +47,27 @@
         return found == runs_.end() ? std::vector<std::size_t>() : found->second;
     }
 
+    // The services that ran the stream.
+    std::set<std::string> servicesOf(const std::string& attempt) const
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        auto found = services_.find(attempt);
+        return found == services_.end() ? std::set<std::string>() : found->second;
+    }
+
     std::atomic<bool> breaksResumed_ { false };
 
 private:
+    // Ids of the stand-ins' targets are `i-SERVICE-NUMBER`.
+    static std::string serviceOf(const std::string& target)
+    {
+        std::size_t begin = target.find('-') + 1;
+        return target.substr(begin, target.find('-', begin) - begin);
+    }
+
     mutable std::mutex mutex_;
     std::map<std::string, std::vector<std::size_t>> runs_;
+    std::map<std::string, std::set<std::string>> services_;
 };
 
 /** Entry VMs before two targets of each of two versions, the even ones of v1 and the odd ones of v2. To be
