Check the service of a resumed stream against the newest configuration

A stream that was taken up at a VM which learned of its service's weight only while it sought the origin was refused with 503: the found service was checked against the route as it was when the attempt arrived.

--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -317,7 +317,7 @@
                 if (*isGone)
                     return logCallerGone(
                         *waiting, "the caller disconnected while the origin of its stream was sought");
-                if (!origin || !routeAllows(waiting->route_, origin->service_))
+                if (!origin || !allowsService(waiting->request_.head_, origin->service_))
                     return rejectCall(*waiting, serviceUnavailable,
                         "the service or version that began the stream is unknown or no longer in use on this "
                         "route; begin the request anew",
@@ -328,12 +328,15 @@
             });
     }
 
-    static bool routeAllows(const Route& route, const ServiceId& service)
+    // Whether the route of a request has a service now; a configuration may have come since it arrived.
+    bool allowsService(const HttpHead& request, const ServiceId& service) const
     {
-        return std::any_of(
-            route.services_.begin(), route.services_.end(), [&service](const WeightedService& allowed) {
-                return allowed.service_ == service && allowed.weight_ > 0;
-            });
+        const Route* route = findRoute(*config_, *findHeader(request, "Host"), pathOf(request));
+        return route
+            && std::any_of(
+                route->services_.begin(), route->services_.end(), [&service](const WeightedService& allowed) {
+                    return allowed.service_ == service && allowed.weight_ > 0;
+                });
     }
 
     ServiceTraits traitsOf(const ServiceId& service) const
--- a/test/failure/SplitRoutes.cpp
+++ b/test/failure/SplitRoutes.cpp
@@ -187,7 +187,7 @@
         setup.publish(0, 1);
         std::vector<std::string> begun = setup.beginMany(4);
         CHECK_EQUAL(4, setup.begunAt(begun, "app"));
-        setup.resumeAll(begun, 1);
+        CHECK_EQUAL(4, setup.resumeAll(begun, 1));
         CHECK_EQUAL(0, setup.joined(begun));
         setup.vms_.setStoreHoldsLongPolls(1, false);
     }
