--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -121,10 +121,11 @@
 
 bool PeerExchange::hasUnsentBytes() const { return impl_->server_ && impl_->server_->hasUnsentBytes(); }
 
-void answerPeer(FrontReply& reply, int status, const std::string& body)
+void answerPeer(FrontReply& reply, int status, const std::string& body, std::vector<HttpHeader> headers)
 {
     HttpHead head;
     head.status_ = status;
+    head.headers_ = std::move(headers);
     addProtocol(head);
     addRelease(head);
     reply.answer(std::move(head), body);
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -123,6 +123,8 @@
     void setStoreRefuses(std::size_t vm, bool isRefusing);
     /** Writes another grace period into a VM's settings, which it reads at SIGHUP. */
     void setGrace(std::size_t vm, int seconds);
+    /** From now on the store leaves a VM's long polls without an answer, or answers them again. */
+    void setStoreHoldsLongPolls(std::size_t vm, bool isHolding);
     /** Kills a VM unless it has ended, and starts it again. */
     void restartVm(std::size_t vm);
     std::size_t vmCount() const { return vms_.size(); }
