Count a connection that is lost while a new one is judged as a sign that its process ended

A stream whose target was killed and started again within 116 ms of the request was complete for its caller: the witness had not been closed yet when the new connection was tried, and other requests' connections to the next process counted after the wait.

What the target has closed since the request now counts after the wait, too.

--- a/src/ProcessWitness.cpp
+++ b/src/ProcessWitness.cpp
@@ -88,8 +88,10 @@
         if (!isConnected)
             return judgement->done_({ false, 0, true });
         afterSettling([this, judgement] {
-            std::size_t open = pool_.connectionsTo(judgement->answer_.peer_, MonotonicTime::max()).open_;
-            judgement->done_({ open > 0, open, true });
+            PeerConnections known = pool_.connectionsTo(judgement->answer_.peer_, MonotonicTime::max());
+            // An earlier connection may have been closed only now, and a later one lead to the next process.
+            bool wasLost = known.lostAt_ && *known.lostAt_ >= judgement->answer_.requestedAt_;
+            judgement->done_({ known.open_ > 0 && !wasLost, known.open_, true });
         });
     });
 }
--- a/test/soak/ProcessSoak.cpp
+++ b/test/soak/ProcessSoak.cpp
@@ -29,6 +29,7 @@
     7, // A VM was suspended while a target was killed and started again, and took its next process for it.
     9, // The same without a suspended VM: the target's next process accepted connections before the VM
        // looked.
+    15, // The witness had not been closed yet when the new connection was tried.
 };
 
 // Runs one seed. Keeps the logs of a failed run, and adds its failures to a text.
