--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -189,6 +189,7 @@
             { "store_up", {}, health_.isUp_ ? 1.0 : 0.0 },
             { "links_lost", {}, forwarder_.isStranded() ? 1.0 : 0.0 },
             { "store_calls", {}, static_cast<double>(store_.calls()) },
+            { "link_write_errors", {}, static_cast<double>(TcpLink::writeErrors()) },
             { "target_connections_made", {}, static_cast<double>(forwarder_.connectionsMade()) } };
     }
 
--- a/src/TcpLink.cpp
+++ b/src/TcpLink.cpp
@@ -1,9 +1,8 @@
 #include "TcpLink.h"
 
-#include "Metrics.h"
-
 #include <array>
 #include <asio/error.hpp>
+#include <atomic>
 #include <charconv>
 #include <netinet/tcp.h>
 #include <optional>
@@ -26,6 +25,8 @@
     // The output buffer is compacted once more than this many of its bytes have been sent.
     constexpr std::size_t compactionThresholdBytes = 64 * 1024;
 
+    std::atomic<std::uint64_t> failedWrites { 0 };
+
     void setOptions(tcp::socket& socket, int unacknowledgedMs)
     {
         ErrorCode ignored; // The socket works without these options, too.
@@ -147,8 +148,7 @@
         }
         // The failure is reported by the next read, since `send` must not invoke callbacks.
         if (error) {
-            static Counter writeErrors("link_write_errors_total");
-            writeErrors.add();
+            ++failedWrites;
             hasWriteFailed_ = true;
             break;
         }
@@ -175,6 +175,8 @@
     awaitReadable();
 }
 
+std::uint64_t TcpLink::writeErrors() { return failedWrites; }
+
 bool TcpLink::isPeerOpen()
 {
     if (!isOpen_)
--- a/src/TcpLink.h
+++ b/src/TcpLink.h
@@ -57,6 +57,8 @@
     void closeAfterFlush();
     /** Closes immediately; no callback is invoked afterwards. With `isAborting` the peer receives a reset. */
     void close(bool isAborting = false);
+    /** Writes of this process that have failed. Thread-safe. */
+    static std::uint64_t writeErrors();
     bool isOpen() const { return isOpen_; }
     /** Whether a write has failed, so that nothing sent from now on arrives. The next read reports the end.
      */
