Log which peers were asked for the origin of a stream, and count copies by zone

When a stream could not go on, stream-origin said only that no peer knows it. That does not tell whether the peers that were asked replied, or whether the copies were lost with their zone. The line now has the peers asked, by zone, and their replies; stream_origins_copied_total has a label for the zone.

--- a/src/StreamResumption.cpp
+++ b/src/StreamResumption.cpp
@@ -32,6 +32,14 @@
         return names;
     }
 
+    std::string describe(const std::map<ZoneId, std::size_t>& peersByZone)
+    {
+        std::string counts;
+        for (const auto& [zone, peers] : peersByZone)
+            counts += (counts.empty() ? "" : ",") + zone.value_ + ":" + std::to_string(peers);
+        return counts;
+    }
+
 } // namespace
 
 struct StreamResumption::Impl : std::enable_shared_from_this<StreamResumption::Impl> {
@@ -44,6 +52,8 @@
         std::optional<MonotonicTime> askedAt_; ///< When the peers were asked.
         std::vector<std::shared_ptr<OutboundCall>> calls_;
         std::size_t unanswered_ = 0;
+        std::size_t replies_ = 0;
+        std::map<ZoneId, std::size_t> askedByZone_; ///< Peers asked.
         MonotonicTime startedAt_;
     };
     using SearchPtr = std::shared_ptr<Search>;
@@ -66,7 +76,8 @@
     std::map<AttemptId, Uncopied> uncopied_;
     std::list<SearchPtr> searches_;
     MonotonicTime nextCopiesAt_;
-    Counter copied_ { "stream_origins_copied_total" };
+    Counter copiedInZone_ { "stream_origins_copied_total", { "zone", "own" } };
+    Counter copiedElsewhere_ { "stream_origins_copied_total", { "zone", "other" } };
     Counter found_ { "stream_origin_searches_total", { "outcome", "found" } };
     Counter unknown_ { "stream_origin_searches_total", { "outcome", "unknown" } };
 
@@ -221,6 +232,7 @@
             bool isAnswered = end.outcome_ == OutboundResult::Outcome::Answered;
             recordPeerOutcome(self->exchange_.peers(), vm, isAnswered, bootNow());
             auto reply = isAnswered ? parseOriginReply(*body) : std::nullopt;
+            search->replies_ += reply ? 1 : 0;
             if (reply)
                 reply->routesFrom_ = *routesFrom;
             self->handleReply(search, service, reply);
@@ -230,6 +242,7 @@
         if (!call)
             return;
         ++search->unanswered_;
+        ++search->askedByZone_[peer.zone_];
         search->calls_.push_back(std::move(call));
     }
 
@@ -265,6 +278,7 @@
                 { "version", origin ? origin->version_.value_ : "" }, { "source", source },
                 { "candidates", describe(possibleServices(routes_, search->place_, bootNow())) },
                 { "list_age_ms", std::to_string((bootNow() - targets_.readAt_).count()) },
+                { "asked", describe(search->askedByZone_) }, { "replies", std::to_string(search->replies_) },
                 { "took_ms", std::to_string((bootNow() - search->startedAt_).count()) } });
         searches_.remove(search);
         OnFound done = std::move(search->done_);
@@ -318,7 +332,7 @@
 
     void sendBatch(const PeerEntry& peer, std::vector<BegunStream> streams)
     {
-        copied_.add(streams.size());
+        (peer.zone_ == zone_ ? copiedInZone_ : copiedElsewhere_).add(streams.size());
         std::string body = encode(streams);
         OutboundCallbacks callbacks;
         callbacks.onEnd_ = [weak = weak_from_this(), vm = peer.vm_, streams = std::move(streams)](
