Spread copies of stream origins over availability zones

Cause: StreamResumption sent the copies of a stream's origin to two VMs of its own zone, so they were lost with it. The only VM of a zone sent none. Evidence: every VM that is left replies to the search within 1 ms and knows no stream, though each began over 1.5 s before the loss (stream-origin, asked and replies).

Change: OriginHolders selects six holders, two in the zone and the others spread over the other zones, and the VMs that a search asks, both by a hash of the attempt. So a search from any zone asks every zone that holds a copy.

--- a/src/StreamResumption.cpp
+++ b/src/StreamResumption.cpp
@@ -3,6 +3,7 @@
 #include "BootClock.h"
 #include "EventLog.h"
 #include "Metrics.h"
+#include "OriginHolders.h"
 #include "PeerStreams.h"
 
 #include <algorithm>
@@ -15,11 +16,6 @@
     constexpr const char* copiesPath = "/streams";
     constexpr const char* queryPath = "/streams/origin";
     constexpr int httpOk = 200;
-    constexpr std::size_t copyCount = 2;
-    // One more than there are copies, since a VM may have left or come since a copy was sent.
-    constexpr std::size_t maxAskedInZone = copyCount + 1;
-    // Callers rarely change their zone.
-    constexpr std::size_t maxAsked = 12;
     constexpr Milliseconds searchTimeout { 150 };
     // Bounds the messages to a peer. What began within this time before a VM is lost has no copy.
     constexpr Milliseconds copyInterval { 40 };
@@ -185,7 +181,8 @@
     void askPeers(const SearchPtr& search)
     {
         search->askedAt_ = bootNow();
-        for (const PeerEntry& peer : peersToAsk(search->attempt_))
+        for (const PeerEntry& peer :
+            originPeersToAsk(exchange_.peers(), zone_, search->attempt_, *search->askedAt_))
             ask(search, peer);
         finishIfUnknown(search);
     }
@@ -197,23 +194,6 @@
         finish(search, std::nullopt, search->calls_.empty() ? "no peer to ask" : "no peer knows it");
     }
 
-    std::vector<PeerEntry> peersToAsk(const AttemptId& attempt) const
-    {
-        const PeerList& list = exchange_.peers();
-        std::set<ZoneId> zones;
-        for (const auto& [vm, peer] : list.peers_)
-            zones.insert(peer.zone_);
-        std::vector<PeerEntry> peers = peersFor(list, zone_, attempt.value_, maxAskedInZone, bootNow());
-        zones.erase(zone_);
-        for (const ZoneId& zone : zones) {
-            for (PeerEntry& peer : peersFor(list, zone, attempt.value_, maxAskedInZone, bootNow())) {
-                if (peers.size() < maxAsked)
-                    peers.push_back(std::move(peer));
-            }
-        }
-        return peers;
-    }
-
     void ask(const SearchPtr& search, const PeerEntry& peer)
     {
         auto body = std::make_shared<std::string>();
@@ -316,8 +296,8 @@
             if (isNew)
                 several->second = !soleVersion(targets_, origin.service_, retention_, now);
             bool isNeeded = several->second || !areRoutesCovered || !hasOneService(stream->second);
-            auto peers = isNeeded ? peersFor(exchange_.peers(), zone_, attempt.value_, copyCount, now)
-                                  : std::vector<PeerEntry>();
+            auto peers
+                = isNeeded ? originHolders(exchange_.peers(), zone_, attempt, now) : std::vector<PeerEntry>();
             for (const PeerEntry& peer : peers) {
                 auto& batch = batches[peer.vm_];
                 batch.first = peer;
--- a/src/StreamResumption.h
+++ b/src/StreamResumption.h
@@ -3,11 +3,11 @@
 /** \file
  * StreamResumption: finds the software version at which a broken stream may go on.
  *
- *     a stream begins --> own table --> copies at two peers of the zone
+ *     a stream begins --> own table --> copies at peers of this zone and of others (`OriginHolders`)
  *     a stream is taken up --> own table, or the only version there was, or the peers that may have a copy
  *
- * The copies outlive the VM that began the stream. They are sent, in batches, only for streams that may have
- * begun at several versions or services. What nobody knows is not guessed.
+ * The copies outlive the VM that began the stream, and its availability zone. They are sent, in batches, only
+ * for streams that may have begun at several versions or services. What nobody knows is not guessed.
  *
  * VMs read of a new version or configuration at different times, so another VM may have begun the stream at a
  * version or service that this one does not know yet. A version counts as the only one, and a service as the
--- a/test/support/StreamVersionSetup.h
+++ b/test/support/StreamVersionSetup.h
@@ -79,8 +79,11 @@
     bool hasPrograms_ = true; ///< Whether streams are turns of programs, each of its own.
     std::string path_ = "/turn/1";
 
-    explicit StreamVersionSetup(std::size_t vms, bool hasTwoVersions = true)
-        : vms_({ streams_.script(0), streams_.script(1), streams_.script(2), streams_.script(3) }, true, vms)
+    /** VMs beyond those in `zones` are in the zone of the targets. */
+    explicit StreamVersionSetup(
+        std::size_t vms, bool hasTwoVersions = true, std::vector<std::string> zones = {})
+        : vms_({ streams_.script(0), streams_.script(1), streams_.script(2), streams_.script(3) }, true, vms,
+            {}, std::move(zones))
     {
         if (!hasTwoVersions)
             return;
