Take a response with an invalid status for invalid bytes

Callers saw: a target answers with status 000; the caller waits until its deadline and gets 504, and a repeatable request is not sent to another target. Statuses 600 and 999 were passed on with the target's stamp.

Cause: http_parser takes any digits for a status, and HttpReader did not check the status line. OutboundPool takes each status under 200 for an interim response and waits for the final one. libcurl passes 600 to 999 on, too.

Change: the first line of a response must name HTTP/1.x and a status of three digits from 100 to 599; HttpClient ends a transfer with a status over 599. Such a request is retried or ends with 502, as after other invalid bytes.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -18,6 +18,7 @@
     constexpr long maxIdleConnections = 256;
     constexpr int pollTimeoutMs = 1000;
     constexpr long firstFinalStatus = 200; ///< Statuses below it are those of interim responses.
+    constexpr long maxStatus = 599; ///< Others are invalid (RFC 9110, section 15).
 
     struct Transfer {
         TransferId id_;
@@ -29,6 +30,7 @@
         curl_slist* headers_ = nullptr;
         bool mayHaveSent_ = false; ///< The connection was established and sending was allowed.
         bool hasWholeHead_ = false; ///< The empty line after the response's head was received.
+        const char* failure_ = nullptr; ///< Why a callback has ended the transfer.
 
         Transfer() = default;
         Transfer(const Transfer&) = delete;
@@ -48,6 +50,13 @@
         return status;
     }
 
+    // Ends a transfer from one of its callbacks. Returns what the callback has to return.
+    std::size_t fail(Transfer& transfer, const char* reason)
+    {
+        transfer.failure_ = reason;
+        return 0;
+    }
+
     std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* user)
     {
         auto& transfer = *static_cast<Transfer*>(user);
@@ -60,7 +69,10 @@
             return size * count;
         }
         if (line == "\r\n" || line == "\n") {
-            transfer.hasWholeHead_ = statusOf(transfer.easy_) >= firstFinalStatus;
+            long status = statusOf(transfer.easy_);
+            if (status > maxStatus)
+                return fail(transfer, "the response has an invalid status");
+            transfer.hasWholeHead_ = status >= firstFinalStatus;
             return size * count;
         }
         auto colon = line.find(':');
@@ -171,7 +183,7 @@
                   "server send Content-Length or chunks";
             return;
         }
-        result.error_ = curl_easy_strerror(code);
+        result.error_ = transfer.failure_ ? transfer.failure_ : curl_easy_strerror(code);
         result.outcome_ = transfer.mayHaveSent_ ? HttpResult::Outcome::Unknown : HttpResult::Outcome::NotSent;
     }
 
--- a/src/HttpWire.cpp
+++ b/src/HttpWire.cpp
@@ -18,6 +18,8 @@
         return isAlphanumeric || marks.find(c) != std::string_view::npos;
     }
 
+    bool isDigit(char c) { return c >= '0' && c <= '9'; }
+
     bool isFieldChar(char c)
     {
         auto byte = static_cast<unsigned char>(c);
@@ -32,6 +34,25 @@
         return std::all_of(line.begin(), line.begin() + static_cast<std::ptrdiff_t>(colon), isTokenChar);
     }
 
+    std::string_view firstLineOf(std::string_view head) { return head.substr(0, head.find('\r')); }
+
+    // Whether a line starts a response that can be interpreted. http_parser takes any number for a status.
+    bool isStatusLine(std::string_view line)
+    {
+        constexpr std::string_view versionPrefix = "HTTP/1.";
+        constexpr std::size_t statusAt = versionPrefix.size() + 2; // After the minor version and a space.
+        constexpr std::size_t statusSize = 3;
+        constexpr std::size_t statusEnd = statusAt + statusSize;
+        if (line.size() < statusEnd || line.substr(0, versionPrefix.size()) != versionPrefix
+            || !isDigit(line[versionPrefix.size()]) || line[statusAt - 1] != ' ')
+            return false;
+        std::string_view status = line.substr(statusAt, statusSize);
+        // RFC 9110, section 15: other statuses than 100 to 599 are invalid.
+        bool isInRange = status[0] >= '1' && status[0] <= '5';
+        return isInRange && std::all_of(status.begin(), status.end(), isDigit)
+            && (line.size() == statusEnd || line[statusEnd] == ' ');
+    }
+
     std::string_view trimmed(std::string_view text)
     {
         constexpr std::string_view blanks = " \t";
@@ -64,9 +85,7 @@
         if (encoding && !equalsIgnoreCase(*encoding, "chunked"))
             return true;
         const std::string* length = findHeader(head, "Content-Length");
-        return length && (length->empty() || !std::all_of(length->begin(), length->end(), [](char c) {
-            return c >= '0' && c <= '9';
-        }));
+        return length && (length->empty() || !std::all_of(length->begin(), length->end(), isDigit));
     }
 
 } // namespace
@@ -312,6 +331,8 @@
         std::size_t used = rawHead_.size() - known;
         if (rawHead_.size() > limits_.maxHeadBytes_)
             error_ = HttpParseError::HeadTooLarge;
+        else if (side_ == Side::Responses && !isStatusLine(firstLineOf(rawHead_)))
+            error_ = HttpParseError::BadHead;
         else
             error_ = checkRawHead(rawHead_);
         if (!error_)
--- a/src/HttpWire.h
+++ b/src/HttpWire.h
@@ -5,8 +5,9 @@
  * platform.
  *
  * http_parser accepts messages that must not be forwarded: folded header lines, whitespace before the colon
- * of a header, and lines that end in a bare LF. Two parsers may disagree about the boundaries of such a
- * message (request smuggling), so each head is validated here before http_parser parses it.
+ * of a header, lines that end in a bare LF, and statuses such as 000. Two parsers may disagree about the
+ * boundaries of such a message (request smuggling), so each head is validated here before http_parser parses
+ * it.
  */
 
 #include "Types.h"
@@ -66,7 +67,7 @@
 
 /** Why a message cannot be parsed. */
 enum class HttpParseError {
-    BadHead, ///< Invalid syntax or ambiguous framing.
+    BadHead, ///< Invalid syntax, an invalid status or ambiguous framing.
     HeadTooLarge,
     BodyTooLarge,
     BadBody, ///< Malformed chunked encoding.
--- a/test/correctness/HttpWireReading.cpp
+++ b/test/correctness/HttpWireReading.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(responseWithoutLengthEndsWithItsConnection);
     CPPUNIT_TEST(truncatedResponseIsNotComplete);
     CPPUNIT_TEST(responseToHeadHasNoBody);
+    CPPUNIT_TEST(responseWithAnInvalidStatusLineIsNoResponse);
+    CPPUNIT_TEST(validStatusLinesAreParsed);
     CPPUNIT_TEST(hopByHopHeadersAreRecognized);
     CPPUNIT_TEST_SUITE_END();
 
@@ -77,6 +79,33 @@
         }
     }
 
+    // RFC 9112, section 4, and RFC 9110, section 15: a status has three digits and is from 100 to 599.
+    void responseWithAnInvalidStatusLineIsNoResponse()
+    {
+        for (const char* line :
+            { "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 20 OK",
+                "HTTP/1.1 2000 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 -20 OK", "HTTP/1.1  200 OK",
+                "HTTP/1.1 200OK", "HTTP/1.1 2 00 OK", "HTTP/1.1 20x OK", "HTTP/1.1", "HTTP/1.1 ",
+                "HTTP/2.0 200 OK", "HTTP/11.1 200 OK", "HTTP/1.11 200 OK", "http/1.1 200 OK" }) {
+            HttpReader reader(HttpReader::Side::Responses, {});
+            reader.feed(std::string(line) + "\r\nContent-Length: 0\r\n\r\n");
+            CPPUNIT_ASSERT_MESSAGE(line, reader.error() == HttpParseError::BadHead);
+            CPPUNIT_ASSERT_MESSAGE(line, !reader.hasHead());
+        }
+    }
+
+    void validStatusLinesAreParsed()
+    {
+        for (const auto& [line, status] :
+            std::vector<std::pair<std::string, int>> { { "HTTP/1.1 200 OK", 200 },
+                { "HTTP/1.0 404 Not Found", 404 }, { "HTTP/1.1 599 ", 599 }, { "HTTP/1.1 503", 503 } }) {
+            HttpReader reader(HttpReader::Side::Responses, {});
+            reader.feed(line + "\r\nContent-Length: 0\r\n\r\n");
+            CPPUNIT_ASSERT_MESSAGE(line, reader.isComplete());
+            CHECK_EQUAL(status, reader.head().status_);
+        }
+    }
+
     void responseToHeadHasNoBody()
     {
         HttpReader reader(HttpReader::Side::Responses, {});
