Bound the responses that a scheduler keeps of services and engines

Seen: a service or an engine that answers with bytes without end grows the memory of fescue-scheduler until the timeout of the call, by more than the 64 MB that the test allows; the calls of others end with the process once its memory is used up.

Cause: HttpClient appended what libcurl delivered without a bound. ChatStream kept an event without end, and events without content, which the limit on generated tokens does not count.

Change: 8 MB a response, 1 KB more a token for engines, 64 MB for a page of the log, 256 KB for a head with its interim responses and trailers. A larger one counts as lost.

--- a/src/ChatStream.cpp
+++ b/src/ChatStream.cpp
@@ -131,10 +131,13 @@
 
 std::vector<std::string> ChatStream::feed(std::string_view bytes)
 {
+    constexpr std::string_view eventEnd = "\n\n";
     std::vector<std::string> events;
+    // What was searched before is not searched again, since an event may come in many parts.
+    std::size_t from = impl_->pending_.empty() ? 0 : impl_->pending_.size() - 1;
     impl_->pending_.append(bytes);
-    for (;;) {
-        auto end = impl_->pending_.find("\n\n");
+    for (;; from = 0) {
+        auto end = impl_->pending_.find(eventEnd, from);
         if (end == std::string::npos)
             return events;
         std::string event = impl_->pending_.substr(0, end + 2);
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -17,6 +17,8 @@
 
     constexpr long maxIdleConnections = 256;
     constexpr int pollTimeoutMs = 1000;
+    // Of a response with its interim responses and trailers.
+    constexpr std::size_t maxHeadBytes = 256 * 1024;
     constexpr long firstFinalStatus = 200; ///< Statuses below it are those of interim responses.
     constexpr long maxStatus = 599; ///< Others are invalid (RFC 9110, section 15).
 
@@ -31,6 +33,8 @@
         bool mayHaveSent_ = false; ///< The connection was established and sending was allowed.
         bool hasWholeHead_ = false; ///< The empty line after the response's head was received.
         const char* failure_ = nullptr; ///< Why a callback has ended the transfer.
+        std::size_t headBytes_ = 0; ///< Received so far.
+        std::size_t bodyBytes_ = 0;
 
         Transfer() = default;
         Transfer(const Transfer&) = delete;
@@ -61,6 +65,9 @@
     {
         auto& transfer = *static_cast<Transfer*>(user);
         auto& headers = transfer.result_.headers_;
+        transfer.headBytes_ += size * count;
+        if (transfer.headBytes_ > maxHeadBytes)
+            return fail(transfer, "the head of the response is too large");
         std::string line(data, size * count);
         if (transfer.hasWholeHead_) // The line belongs to a trailer.
             return size * count;
@@ -90,6 +97,9 @@
     {
         auto& transfer = *static_cast<Transfer*>(user);
         std::string_view bytes(data, size * count);
+        transfer.bodyBytes_ += bytes.size();
+        if (transfer.bodyBytes_ > static_cast<std::size_t>(transfer.call_.maxBody_.value_))
+            return fail(transfer, "the body of the response is too large");
         if (!transfer.onData_) {
             transfer.result_.body_.append(bytes);
             return bytes.size();
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -7,6 +7,8 @@
  * since only a request of which nothing was sent may be reported as "not run". libcurl silently retries a
  * request when a reused connection closes early. A request that may run at most once therefore sets
  * `isAtMostOnce_` and is sent on a new connection that is not reused.
+ *
+ * A server may send bytes without end, so the head and the body of a response are bounded.
  */
 
 #include "Types.h"
@@ -28,6 +30,7 @@
     std::string body_;
     Milliseconds connectTimeout_ { 2000 };
     Milliseconds timeout_ { 10000 }; ///< For the whole transfer.
+    ByteCount maxBody_ { 8 * 1024 * 1024 }; ///< Of the response; a larger one ends the transfer.
     bool isAtMostOnce_ = false;
     std::optional<MonotonicTime> sendDeadline_; ///< Latest time to start sending; checked once connected.
 };
@@ -41,7 +44,9 @@
          */
         Answered,
         NotSent, ///< No byte of the request left this process.
-        Unknown, ///< The request may have been received, but no complete response was.
+        /** The request may have been received, but no complete response was, or one that is invalid or too
+         * large. */
+        Unknown,
     };
     Outcome outcome_ = Outcome::Unknown;
     int status_ = 0;
--- a/src/LogClient.cpp
+++ b/src/LogClient.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+    constexpr ByteCount maxPage { 64 * 1024 * 1024 };
+
     std::string describeFailure(const LogAddress& log, const HttpResult& result)
     {
         std::string cause = result.outcome_ == HttpResult::Outcome::Answered
@@ -67,6 +69,7 @@
     HttpCall call { "GET",
         fmt::format("{}/streams/{}?from={}&wait_ms={}", log.url_, stream, from.value_, wait.count()) };
     call.timeout_ = log.timeout_ + wait;
+    call.maxBody_ = maxPage;
     client.start(std::move(call), [log, done = std::move(done)](HttpResult result) {
         if (!isSuccess(result))
             return done(tl::make_unexpected(errorOf(log, result)));
--- a/src/TargetRequest.cpp
+++ b/src/TargetRequest.cpp
@@ -44,6 +44,9 @@
     addFencing(call.headers_, execute.call_.program_, execute.epoch_);
     call.body_ = body.dump(-1, ' ', false, json::error_handler_t::replace);
     call.timeout_ = timeout;
+    // About one event a token, with some text around it; see `ChatStream`.
+    constexpr std::int64_t maxBytesPerToken = 1024;
+    call.maxBody_ += ByteCount { execute.call_.maxTokens_.value_ * maxBytesPerToken };
     return call;
 }
 
