Give copies of stream origins a time limit

Seen: while a VM is paused, each message with copies keeps a connection to it, over 20 after 60 streams, and its streams have one copy fewer.

Cause: copies were sent without a deadline, and the operating system of a paused process accepts connections and acknowledges what is sent.

Change: a message without a reply after 300 ms is cancelled; the peer counts as one that does not answer, and others get the copies.

Before: failure/StalledCopies fails by its bound on descriptors.

--- a/src/StreamResumption.cpp
+++ b/src/StreamResumption.cpp
@@ -17,6 +17,8 @@
     constexpr const char* queryPath = "/streams/origin";
     constexpr int httpOk = 200;
     constexpr Milliseconds searchTimeout { 150 };
+    // A VM that works replies at once. One that is paused keeps connections open, and its copies may be lost.
+    constexpr Milliseconds copyTimeout { 300 };
     // Bounds the messages to a peer. What began within this time before a VM is lost has no copy.
     constexpr Milliseconds copyInterval { 40 };
 
@@ -62,6 +64,15 @@
         bool hasOneService_ = false; ///< It can have begun at one service only.
     };
 
+    // Copies on their way to a peer.
+    struct Batch {
+        VmId peer_;
+        std::vector<BegunStream> streams_;
+        std::shared_ptr<OutboundCall> call_;
+        MonotonicTime deadline_;
+    };
+    using BatchPtr = std::shared_ptr<Batch>;
+
     PeerExchange& exchange_;
     ZoneId zone_;
     const TargetList& targets_;
@@ -71,6 +82,7 @@
     StreamOrigins streams_; ///< Of this VM, and copies of others'.
     std::map<AttemptId, Uncopied> uncopied_;
     std::list<SearchPtr> searches_;
+    std::list<BatchPtr> batches_;
     MonotonicTime nextCopiesAt_;
     Counter copiedInZone_ { "stream_origins_copied_total", { "zone", "own" } };
     Counter copiedElsewhere_ { "stream_origins_copied_total", { "zone", "other" } };
@@ -313,23 +325,46 @@
     void sendBatch(const PeerEntry& peer, std::vector<BegunStream> streams)
     {
         (peer.zone_ == zone_ ? copiedInZone_ : copiedElsewhere_).add(streams.size());
-        std::string body = encode(streams);
+        auto batch = std::make_shared<Batch>();
+        batch->peer_ = peer.vm_;
+        batch->streams_ = std::move(streams);
+        batch->deadline_ = bootNow() + copyTimeout;
+        batches_.push_back(batch);
         OutboundCallbacks callbacks;
-        callbacks.onEnd_ = [weak = weak_from_this(), vm = peer.vm_, streams = std::move(streams)](
-                               const OutboundResult& end) {
-            auto self = weak.lock();
-            if (!self)
-                return;
-            bool isAnswered = end.outcome_ == OutboundResult::Outcome::Answered;
-            recordPeerOutcome(self->exchange_.peers(), vm, isAnswered, bootNow());
-            // Other peers get the copies then.
-            for (const BegunStream& stream : streams) {
-                // Without a place it counts as one of several services.
-                if (!isAnswered)
-                    self->uncopied_.emplace(stream.attempt_, Uncopied { stream.origin_, {} });
-            }
+        callbacks.onEnd_ = [weak = weak_from_this(), batch](const OutboundResult& end) {
+            if (auto self = weak.lock())
+                self->endBatch(batch, end.outcome_ == OutboundResult::Outcome::Answered);
         };
-        exchange_.post(peer, copiesPath, std::move(body), std::move(callbacks));
+        batch->call_ = exchange_.post(peer, copiesPath, encode(batch->streams_), std::move(callbacks));
+        if (!batch->call_)
+            endBatch(batch, false);
+    }
+
+    void endBatch(const BatchPtr& batch, bool isAnswered)
+    {
+        batches_.remove(batch);
+        recordPeerOutcome(exchange_.peers(), batch->peer_, isAnswered, bootNow());
+        if (isAnswered)
+            return;
+        logEvent("stream-copies-failed",
+            { { "peer", batch->peer_.value_ }, { "streams", std::to_string(batch->streams_.size()) },
+                { "after_ms", std::to_string((bootNow() - batch->deadline_ + copyTimeout).count()) } });
+        // Other peers get the copies then. Without a place a stream counts as one of several services.
+        for (const BegunStream& stream : batch->streams_)
+            uncopied_.emplace(stream.attempt_, Uncopied { stream.origin_, {} });
+    }
+
+    void cancelStalledBatches(MonotonicTime now)
+    {
+        std::vector<BatchPtr> stalled;
+        for (const BatchPtr& batch : batches_) {
+            if (now >= batch->deadline_)
+                stalled.push_back(batch);
+        }
+        for (const BatchPtr& batch : stalled) {
+            batch->call_->cancel();
+            endBatch(batch, false);
+        }
     }
 
     // Goes on with a search that has waited for too long. Reads of a slow store may still be answered.
@@ -350,6 +385,7 @@
         }
         for (const SearchPtr& search : overdue)
             endStep(search);
+        cancelStalledBatches(now);
         if (now < nextCopiesAt_)
             return;
         nextCopiesAt_ = now + copyInterval;
