End the wait for removed targets before a VM counts as sound again

Cause: after an outage, lapsed entries of live targets come back within 2 s, so removals wait. They waited for 2.5 s from a VM's first answer, which comes up to 1 s after the end of a cut: 3.5 s in all.

Change: they wait for 2 s and for a read that starts then, 0.15 s at most. The list is read again 0.2 s after a failure, not 0.5 s. At most 2.85 s pass. Targets of the test harness no longer report to a store that is down. TargetEntries checks the wait at its end with and without that read, instead of its old length alone.

Tried and reverted: to tell from the records of a cut that the store had served the targets.

--- /dev/null
+++ b/src/StoreCursor.h
@@ -0,0 +1,39 @@
+#pragma once
+
+/** \file
+ * StoreCursor: the read position in one topic of the platform's store.
+ *
+ * The newest records are read first, in pages, and changes from then on.
+ */
+
+#include "StoreClient.h"
+
+#include <optional>
+#include <vector>
+
+namespace fescue {
+
+/** The read position in one topic, and the state of the read that is under way. */
+struct StoreCursor {
+    platform::StorePartition partition_;
+    std::optional<std::uint64_t> next_; ///< Not set until the newest records have been read.
+    std::vector<platform::KeyedRecord> pages_; ///< Newest records that were read so far.
+    std::optional<std::uint64_t> pagesEnd_; ///< End of the partition at the time of the first page.
+    std::optional<MonotonicTime> currentAsOf_; ///< The last read that reached the end shows this time.
+    MonotonicTime startedAt_; ///< Start of the current read; of its first page for the newest records.
+    MonotonicTime dueAt_;
+    std::uint32_t failures_ = 0;
+    std::uint64_t generation_ = 0; ///< Answers to reads of an earlier generation are ignored.
+    bool isReading_ = false;
+};
+
+/** Lets the next read begin at once, with the newest records. Thread safety: that of the caller. */
+inline void resetCursor(StoreCursor& cursor)
+{
+    cursor.next_.reset();
+    cursor.pages_.clear();
+    cursor.pagesEnd_.reset();
+    cursor.dueAt_ = {};
+}
+
+} // namespace fescue
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -6,6 +6,7 @@
 #include "EventLog.h"
 #include "Metrics.h"
 #include "StoreClient.h"
+#include "StoreCursor.h"
 
 #include <algorithm>
 #include <set>
@@ -16,26 +17,14 @@
 
     constexpr Milliseconds minRetryDelay { 100 };
     constexpr Milliseconds maxRetryDelay { 500 };
+    // The time until a VM sees that the store is back adds to that for which it uses targets that have left.
+    constexpr Milliseconds maxTargetRetryDelay { 200 };
     constexpr Milliseconds announceTimeout { 1000 };
     constexpr Milliseconds announceRetryDelay { 300 };
     constexpr const char* vmTopicName = "entry-vms";
     // Bounds the memory of which unreadable entries have been logged.
     constexpr std::size_t maxUnreadableLogged = 64;
 
-    // The read position in one topic.
-    struct Cursor {
-        platform::StorePartition partition_;
-        std::optional<std::uint64_t> next_; ///< Not set until the newest records have been read.
-        std::vector<platform::KeyedRecord> pages_; ///< Newest records that were read so far.
-        std::optional<std::uint64_t> pagesEnd_; ///< End of the partition at the time of the first page.
-        std::optional<MonotonicTime> currentAsOf_; ///< The last read that reached the end shows this time.
-        MonotonicTime startedAt_; ///< Start of the current read; of its first page for the newest records.
-        MonotonicTime dueAt_;
-        std::uint32_t failures_ = 0;
-        std::uint64_t generation_ = 0; ///< Answers to reads of an earlier generation are ignored.
-        bool isReading_ = false;
-    };
-
     const char* stateOf(const TargetEntry& entry) { return entry.isLeaving_ ? "leaving" : "ready"; }
 
 } // namespace
@@ -45,9 +34,9 @@
     StoreHealth& health_;
     FollowIntervals intervals_;
     Callbacks callbacks_;
-    Cursor config_ { { platform::configTopic, 0 } };
-    Cursor targets_ { { platform::targetTopic, 0 } };
-    Cursor peers_ { StoreFollower::vmPartition() };
+    StoreCursor config_ { { platform::configTopic, 0 } };
+    StoreCursor targets_ { { platform::targetTopic, 0 } };
+    StoreCursor peers_ { StoreFollower::vmPartition() };
     std::map<VmId, PeerEntry> peerEntries_;
     std::optional<PeerEntry> own_;
     std::optional<MonotonicTime> announceAt_; ///< When to write the own entry.
@@ -73,10 +62,10 @@
     {
     }
 
-    bool isConfig(const Cursor& cursor) const { return &cursor == &config_; }
-    bool isPeers(const Cursor& cursor) const { return &cursor == &peers_; }
+    bool isConfig(const StoreCursor& cursor) const { return &cursor == &config_; }
+    bool isPeers(const StoreCursor& cursor) const { return &cursor == &peers_; }
 
-    Milliseconds pollWaitOf(const Cursor& cursor) const
+    Milliseconds pollWaitOf(const StoreCursor& cursor) const
     {
         if (isConfig(cursor))
             return intervals_.configPollWait_;
@@ -85,7 +74,9 @@
 
     void tick(MonotonicTime now)
     {
-        for (Cursor* cursor : { &config_, &targets_, &peers_ }) {
+        if (awaitsFinalRead(targetList_, now))
+            targets_.dueAt_ = std::min(targets_.dueAt_, now);
+        for (StoreCursor* cursor : { &config_, &targets_, &peers_ }) {
             if (!cursor->isReading_ && now >= cursor->dueAt_)
                 read(*cursor);
         }
@@ -95,7 +86,7 @@
             reportTargets();
     }
 
-    void read(Cursor& cursor)
+    void read(StoreCursor& cursor)
     {
         cursor.isReading_ = true;
         if (cursor.pages_.empty())
@@ -173,7 +164,7 @@
             done(false);
     }
 
-    void onNewestPage(Cursor& cursor, tl::expected<platform::NewestPage, platform::StoreError>& page)
+    void onNewestPage(StoreCursor& cursor, tl::expected<platform::NewestPage, platform::StoreError>& page)
     {
         cursor.isReading_ = false;
         if (!page)
@@ -200,7 +191,7 @@
             endRefreshes();
     }
 
-    void onPage(Cursor& cursor, tl::expected<platform::RecordPage, platform::StoreError>& page)
+    void onPage(StoreCursor& cursor, tl::expected<platform::RecordPage, platform::StoreError>& page)
     {
         cursor.isReading_ = false;
         if (!page)
@@ -229,7 +220,7 @@
             endRefreshes();
     }
 
-    void markCurrent(Cursor& cursor)
+    void markCurrent(StoreCursor& cursor)
     {
         bool isLongPoll = pollWaitOf(cursor).count() > 0;
         // The store answers a long poll when its wait ends, and other reads at once. An answer may have been
@@ -240,15 +231,7 @@
         cursor.dueAt_ = bootNow() + (isLongPoll ? intervals_.minPollInterval_ : intervals_.targetInterval_);
     }
 
-    static void resetCursor(Cursor& cursor)
-    {
-        cursor.next_.reset();
-        cursor.pages_.clear();
-        cursor.pagesEnd_.reset();
-        cursor.dueAt_ = {};
-    }
-
-    void onReadFailed(Cursor& cursor, const platform::StoreError& error)
+    void onReadFailed(StoreCursor& cursor, const platform::StoreError& error)
     {
         if (error.failure_ == platform::StoreFailure::HistoryTruncated) {
             logEvent("store-history-gone", { { "topic", cursor.partition_.topic_ } });
@@ -259,7 +242,8 @@
         cursor.pages_.clear();
         cursor.pagesEnd_.reset();
         ++cursor.failures_;
-        cursor.dueAt_ = bootNow() + std::min(maxRetryDelay, minRetryDelay * cursor.failures_);
+        Milliseconds maxDelay = &cursor == &targets_ ? maxTargetRetryDelay : maxRetryDelay;
+        cursor.dueAt_ = bootNow() + std::min(maxDelay, minRetryDelay * cursor.failures_);
         logEvent("store-read-failed",
             { { "topic", cursor.partition_.topic_ }, { "status", std::to_string(error.status_) },
                 { "failures", std::to_string(cursor.failures_) },
@@ -271,7 +255,7 @@
             failRefreshes();
     }
 
-    void onReadAnswered(Cursor& cursor)
+    void onReadAnswered(StoreCursor& cursor)
     {
         recordStoreOutcome(health_, true, cursor.partition_.topic_, 0, bootNow());
         bool hadFailed = cursor.failures_ > 0;
@@ -458,8 +442,8 @@
 
 void StoreFollower::resync()
 {
-    for (Cursor* cursor : { &impl_->config_, &impl_->targets_, &impl_->peers_ }) {
-        Impl::resetCursor(*cursor);
+    for (StoreCursor* cursor : { &impl_->config_, &impl_->targets_, &impl_->peers_ }) {
+        resetCursor(*cursor);
         ++cursor->generation_;
         cursor->isReading_ = false;
         cursor->currentAsOf_.reset();
--- a/src/TargetList.cpp
+++ b/src/TargetList.cpp
@@ -147,10 +147,19 @@
     return list.reconnectedAt_ && now < *list.reconnectedAt_ + missingEntryGracePeriod;
 }
 
+bool awaitsFinalRead(const TargetList& list, MonotonicTime now)
+{
+    if (list.missingSince_.empty() || !list.reconnectedAt_ || isRemovalHeld(list, now))
+        return false;
+    return list.readAt_ < *list.reconnectedAt_ + missingEntryGracePeriod;
+}
+
 bool removeMissing(TargetList& list, MonotonicTime now)
 {
     if (list.missingSince_.empty() || isRemovalHeld(list, now))
         return false;
+    if (awaitsFinalRead(list, now) && now < *list.reconnectedAt_ + missingEntryGracePeriod + maxFinalReadTime)
+        return false;
     for (const auto& [id, since] : list.missingSince_)
         drop(list, id, now);
     list.missingSince_.clear();
--- a/src/TargetList.h
+++ b/src/TargetList.h
@@ -4,7 +4,7 @@
  * TargetList: the targets announced in the platform's store, and which of them are leaving.
  *
  * Entries expire while the store is unavailable and reappear soon after it recovers. So an entry that is
- * removed right after an outage is dropped only if it is still missing after a grace period. In all other
+ * removed right after an outage is dropped only if a read after a grace period still misses it. In all other
  * cases the list follows the store at once: a target that leaves gets no more calls.
  *
  * A write of a target can be delayed, so the store may hold an older report behind a newer one. Reports are
@@ -64,7 +64,12 @@
 
 /** Time after a recovery of the store within which expired entries of live targets reappear, as documented by
  * the platform. */
-constexpr Milliseconds missingEntryGracePeriod { 2500 };
+constexpr Milliseconds missingEntryGracePeriod { 2000 };
+
+/** How long removals wait for a read that starts after the grace period. With the grace period and the time
+ * in which a VM notices that it reaches the store again, this has to stay below the 3 s after a disruption in
+ * which a VM may use targets that have left. */
+constexpr Milliseconds maxFinalReadTime { 150 };
 
 /** Delayed writes of a target are carried out within seconds. */
 constexpr Milliseconds lateReportRetention { 60000 };
@@ -105,7 +110,12 @@
 /** Whether a removal waits for the end of the grace period. Pure. */
 bool isRemovalHeld(const TargetList& list, MonotonicTime now);
 
-/** Removes entries still missing after the grace period. Returns whether any was removed. */
+/** Whether entries are missing after the grace period, and no read has started since that would show which of
+ * them are back. Pure. */
+bool awaitsFinalRead(const TargetList& list, MonotonicTime now);
+
+/** Removes entries still missing in a read that started after the grace period, or without one if it takes
+ * too long. Returns whether any was removed. */
 bool removeMissing(TargetList& list, MonotonicTime now);
 
 /** Whether two reports of a target say the same, apart from their numbers. Pure. */
--- a/test/correctness/TargetEntries.cpp
+++ b/test/correctness/TargetEntries.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(removalTakesEffectAtOnce);
     CPPUNIT_TEST(expiredEntryMayReappearAfterAnOutage);
     CPPUNIT_TEST(entryMissingAfterTheGracePeriodIsRemoved);
+    CPPUNIT_TEST(entryThatIsBackInTheFinalReadIsKept);
+    CPPUNIT_TEST(entryIsRemovedInTimeWithoutAFinalRead);
     CPPUNIT_TEST(leavingTakesEffectDuringTheGracePeriod);
     CPPUNIT_TEST(removalAfterTheGracePeriodTakesEffectAtOnce);
     CPPUNIT_TEST(removalAfterAFailureThatWasTooShortForALapseTakesEffectAtOnce);
@@ -68,11 +70,41 @@
     {
         recordStoreReconnect(list_, minLapse, at(5000));
         applyFullList(list_, { entry("i-2") }, at(5001));
-        CHECK(!removeMissing(list_, at(5000) + missingEntryGracePeriod - Milliseconds { 1 }));
-        CHECK(removeMissing(list_, at(5000) + missingEntryGracePeriod));
+        MonotonicTime end = at(5000) + missingEntryGracePeriod;
+        markRead(list_, end - Milliseconds { 1 });
+        CHECK(!removeMissing(list_, end - Milliseconds { 1 }));
+        CHECK(!awaitsFinalRead(list_, end - Milliseconds { 1 }));
+        // An entry that came back just before is not in the last read.
+        CHECK(awaitsFinalRead(list_, end));
+        CHECK(!removeMissing(list_, end));
+        markRead(list_, end);
+        CHECK(!awaitsFinalRead(list_, end));
+        CHECK(removeMissing(list_, end));
         CHECK_EQUAL(std::size_t { 1 }, list_.entries_.size());
     }
 
+    void entryThatIsBackInTheFinalReadIsKept()
+    {
+        recordStoreReconnect(list_, minLapse, at(5000));
+        applyFullList(list_, { entry("i-2") }, at(5001));
+        MonotonicTime end = at(5000) + missingEntryGracePeriod;
+        CHECK(!removeMissing(list_, end));
+        markRead(list_, end);
+        applyTargetChange(list_, { "i-1" }, entry("i-1"), end);
+        CHECK(!removeMissing(list_, end));
+        CHECK_EQUAL(std::size_t { 2 }, list_.entries_.size());
+    }
+
+    // A VM that has noticed the end of a cut within 0.85 s no longer uses the target 3 s after it.
+    void entryIsRemovedInTimeWithoutAFinalRead()
+    {
+        constexpr Milliseconds noticedWithin { 850 };
+        constexpr Milliseconds stableWindow { 3000 };
+        recordStoreReconnect(list_, minLapse, at(5000) + noticedWithin);
+        applyFullList(list_, { entry("i-2") }, at(5001) + noticedWithin);
+        CHECK(removeMissing(list_, at(5000) + stableWindow));
+    }
+
     void leavingTakesEffectDuringTheGracePeriod()
     {
         recordStoreReconnect(list_, minLapse, at(5000));
--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -307,6 +307,12 @@
         [&](standin::PlatformStore& store) { store.faultsAt(vms_[vm].storePort_).isDown_ = isRefusing; });
 }
 
+void EntryVmHarness::setStoreSilent(std::size_t vm, bool isSilent)
+{
+    runOnStore(
+        [&](standin::PlatformStore& store) { store.faultsAt(vms_[vm].storePort_).isSilent_ = isSilent; });
+}
+
 void EntryVmHarness::setStoreHoldsLongPolls(std::size_t vm, bool isHolding)
 {
     runOnStore([&](standin::PlatformStore& store) {
@@ -417,7 +423,9 @@
             publishTarget(i, publishedStarts_[i], false);
             publishedStarts_[i] = target.startName();
         }
-        if (target.isRunning() && (isHeartbeatDue || isRestarted))
+        // Targets report to the same store.
+        bool isReporting = target.isRunning() && !store_->faults().isDown_;
+        if (isReporting && (isHeartbeatDue || isRestarted))
             publishTarget(i, target.startName(), true);
     }
 }
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -129,6 +129,8 @@
     void setLinks(std::size_t vm, LinkFault fault);
     /** From now on the store refuses all calls of a VM, or answers them again. */
     void setStoreRefuses(std::size_t vm, bool isRefusing);
+    /** From now on the store leaves all calls of a VM without an answer, or answers them again. */
+    void setStoreSilent(std::size_t vm, bool isSilent);
     /** Writes another grace period into a VM's settings, which it reads at SIGHUP. */
     void setGrace(std::size_t vm, int seconds);
     /** From now on the store leaves a VM's long polls without an answer, or answers them again. */
