--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -301,23 +301,9 @@
     });
 }
 
-void EntryVmHarness::setStoreRefuses(std::size_t vm, bool isRefusing)
+void EntryVmHarness::setStoreFault(std::size_t vm, bool standin::StoreFaults::*fault, bool isSet)
 {
-    runOnStore(
-        [&](standin::PlatformStore& store) { store.faultsAt(vms_[vm].storePort_).isDown_ = isRefusing; });
-}
-
-void EntryVmHarness::setStoreSilent(std::size_t vm, bool isSilent)
-{
-    runOnStore(
-        [&](standin::PlatformStore& store) { store.faultsAt(vms_[vm].storePort_).isSilent_ = isSilent; });
-}
-
-void EntryVmHarness::setStoreHoldsLongPolls(std::size_t vm, bool isHolding)
-{
-    runOnStore([&](standin::PlatformStore& store) {
-        store.faultsAt(vms_[vm].storePort_).holdsLongPolls_ = isHolding;
-    });
+    runOnStore([&](standin::PlatformStore& store) { store.faultsAt(vms_[vm].storePort_).*fault = isSet; });
 }
 
 void EntryVmHarness::startProcess(Vm& vm)
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -128,13 +128,22 @@
      * of the targets. Those that it has are not used any more. */
     void setLinks(std::size_t vm, LinkFault fault);
     /** From now on the store refuses all calls of a VM, or answers them again. */
-    void setStoreRefuses(std::size_t vm, bool isRefusing);
+    void setStoreRefuses(std::size_t vm, bool isRefusing)
+    {
+        setStoreFault(vm, &standin::StoreFaults::isDown_, isRefusing);
+    }
     /** From now on the store leaves all calls of a VM without an answer, or answers them again. */
-    void setStoreSilent(std::size_t vm, bool isSilent);
+    void setStoreSilent(std::size_t vm, bool isSilent)
+    {
+        setStoreFault(vm, &standin::StoreFaults::isSilent_, isSilent);
+    }
     /** Writes another grace period into a VM's settings, which it reads at SIGHUP. */
     void setGrace(std::size_t vm, int seconds);
     /** From now on the store leaves a VM's long polls without an answer, or answers them again. */
-    void setStoreHoldsLongPolls(std::size_t vm, bool isHolding);
+    void setStoreHoldsLongPolls(std::size_t vm, bool isHolding)
+    {
+        setStoreFault(vm, &standin::StoreFaults::holdsLongPolls_, isHolding);
+    }
     /** Kills a VM unless it has ended, and starts it again. */
     void restartVm(std::size_t vm);
     std::size_t vmCount() const { return vms_.size(); }
@@ -173,6 +182,7 @@
         std::unique_ptr<Process> process_;
     };
 
+    void setStoreFault(std::size_t vm, bool standin::StoreFaults::*fault, bool isSet);
     void publish();
     void publishTarget(std::size_t index, const std::string& startName, bool isPresent);
     void tickTargets(MonotonicTime now);
