--- a/test/failure/EndlessAnswers.cpp
+++ b/test/failure/EndlessAnswers.cpp
@@ -2,6 +2,7 @@
 // request and its slot must not be kept.
 
 #include "BootClock.h"
+#include "EndlessBytes.h"
 #include "EntryVmHarness.h"
 #include "Suite.h"
 
@@ -41,15 +42,6 @@
     return outcome;
 }
 
-std::string block(const std::string& unit)
-{
-    constexpr std::size_t blockBytes = 16 * 1024;
-    std::string text;
-    while (text.size() < blockBytes)
-        text += unit;
-    return text;
-}
-
 const std::string eventStream = "Content-Type: text/event-stream\r\n";
 
 } // namespace
@@ -72,7 +64,7 @@
     {
         EntryVmHarness vm({ [=](const HttpHead& request, const std::string&) {
             TargetAction action { stampedHead(request, framing, status) };
-            action.endless_ = block("x");
+            action.endless_ = blockOf("x");
             return action;
         } });
         ByteCount before = vm.residentMemory();
@@ -86,12 +78,12 @@
 public:
     void endlessHeadIsCutOff()
     {
-        for (const std::string& endless : { block("x"), block("X-More: header\r\n"), block("\r\n") }) {
+        for (const std::string& endless : { blockOf("x"), blockOf("X-More: header\r\n"), blockOf("\r\n") }) {
             Outcome outcome = takeTurn("", "HTTP/1.1 200 OK\r\n", endless);
             CHECK_EQUAL(502, statusOf(outcome.bytes_));
             CHECK(outcome.duration_ < promptly);
         }
-        Outcome emptyLines = takeTurn("", "\r\n", block("\r\n"));
+        Outcome emptyLines = takeTurn("", "\r\n", blockOf("\r\n"));
         CHECK_EQUAL(502, statusOf(emptyLines.bytes_));
         CHECK(emptyLines.duration_ < promptly);
     }
@@ -101,7 +93,7 @@
         const std::string other
             = "HTTP/1.1 200 OK\r\nFescuewinch-Request-Id: other\r\nContent-Length: 2\r\n\r\nhi";
         for (const std::string& message : { std::string("HTTP/1.1 100 Continue\r\n\r\n"), other }) {
-            Outcome outcome = takeTurn("", message, block(message));
+            Outcome outcome = takeTurn("", message, blockOf(message));
             CHECK_EQUAL(502, statusOf(outcome.bytes_));
             CHECK(outcome.duration_ < promptly);
         }
@@ -109,7 +101,7 @@
 
     void endlessEventIsCutOff()
     {
-        Outcome outcome = takeTurn(eventStream, "id: 1\ndata: ", block("x"));
+        Outcome outcome = takeTurn(eventStream, "id: 1\ndata: ", blockOf("x"));
         CHECK_EQUAL(200, statusOf(outcome.bytes_));
         CHECK(outcome.duration_ < promptly);
     }
@@ -118,7 +110,7 @@
     void endlessEventsAreCutOff()
     {
         const std::string event = "id: 1\ndata: x\n\n";
-        Outcome outcome = takeTurn(eventStream, event, block(event));
+        Outcome outcome = takeTurn(eventStream, event, blockOf(event));
         CHECK_EQUAL(200, statusOf(outcome.bytes_));
         std::size_t events = 0;
         for (std::size_t at = outcome.bytes_.find("id: "); at != std::string::npos;
@@ -132,7 +124,7 @@
     {
         EntryVmHarness vm({ [](const HttpHead& request, const std::string&) {
             TargetAction action { stampedHead(request, "") };
-            action.endless_ = block("x");
+            action.endless_ = blockOf("x");
             return action;
         } });
         ByteCount before = vm.residentMemory();
--- a/test/failure/EndlessServiceAnswers.cpp
+++ b/test/failure/EndlessServiceAnswers.cpp
@@ -2,6 +2,7 @@
 // must not grow.
 
 #include "BootClock.h"
+#include "EndlessBytes.h"
 #include "EntryVmHarness.h"
 #include "History.h"
 #include "Suite.h"
@@ -22,15 +23,6 @@
 // Well before the timeout of a call, 10 s.
 constexpr Milliseconds promptly { 5000 };
 
-std::string block(const std::string& unit)
-{
-    constexpr std::size_t blockBytes = 16 * 1024;
-    std::string text;
-    while (text.size() < blockBytes)
-        text += unit;
-    return text;
-}
-
 // What a server sends after it has got a request: `start_` once, then `endless_` again and again.
 struct Endless {
     std::string start_;
@@ -51,14 +43,14 @@
     return lines;
 }
 
-const std::vector<Endless> endlessAnswers { { chunkedJson, toChunk(block("x")) },
-    { ok + "Content-Length: 4000000000\r\n\r\n", block("x") }, { ok + "\r\n", block("x") },
-    { ok, block("x") }, { ok, manyHeaders() }, { "", block("HTTP/1.1 100 Continue\r\nX-A: b\r\n\r\n") },
+const std::vector<Endless> endlessAnswers { { chunkedJson, toChunk(blockOf("x")) },
+    { ok + "Content-Length: 4000000000\r\n\r\n", blockOf("x") }, { ok + "\r\n", blockOf("x") },
+    { ok, blockOf("x") }, { ok, manyHeaders() }, { "", blockOf("HTTP/1.1 100 Continue\r\nX-A: b\r\n\r\n") },
     { chunkedJson + "0\r\n", manyHeaders() } };
 
-const std::vector<Endless> endlessStreams { { chunkedEvents, toChunk(block("data: x")) },
-    { chunkedEvents, toChunk(block(": comment\n\n")) },
-    { chunkedEvents, toChunk(block("data: {\"choices\": [{\"delta\": {}}]}\n\n")) } };
+const std::vector<Endless> endlessStreams { { chunkedEvents, toChunk(blockOf("data: x")) },
+    { chunkedEvents, toChunk(blockOf(": comment\n\n")) },
+    { chunkedEvents, toChunk(blockOf("data: {\"choices\": [{\"delta\": {}}]}\n\n")) } };
 
 // A server whose answers have no end.
 class EndlessServer {
--- a/test/failure/RelayedEndlessAnswers.cpp
+++ b/test/failure/RelayedEndlessAnswers.cpp
@@ -2,6 +2,7 @@
 // VM that has lost its links and gets them from there, when many callers read them or none does.
 
 #include "BootClock.h"
+#include "EndlessBytes.h"
 #include "EntryVmHarness.h"
 #include "Suite.h"
 
@@ -26,22 +27,13 @@
     int status_;
 };
 
-std::string block(const std::string& unit)
-{
-    constexpr std::size_t blockBytes = 16 * 1024;
-    std::string text;
-    while (text.size() < blockBytes)
-        text += unit;
-    return text;
-}
-
 const std::vector<Form> forms {
-    { "/call/1", "", block("x"), 200 },
-    { "/call/1", "Content-Length: 60000000\r\n", block("x"), 200 },
-    { "/call/1", "Transfer-Encoding: chunked\r\n", toChunk(block("x")), 500 },
-    { "/turn/1", "Content-Type: text/event-stream\r\n", block("x"), 200 },
-    { "/turn/1", "Content-Type: text/plain\r\n", block("x"), 200 },
-    { "/read/1", "Fescuewinch-Not-Executed: 1\r\n", block("x"), 503 },
+    { "/call/1", "", blockOf("x"), 200 },
+    { "/call/1", "Content-Length: 60000000\r\n", blockOf("x"), 200 },
+    { "/call/1", "Transfer-Encoding: chunked\r\n", toChunk(blockOf("x")), 500 },
+    { "/turn/1", "Content-Type: text/event-stream\r\n", blockOf("x"), 200 },
+    { "/turn/1", "Content-Type: text/plain\r\n", blockOf("x"), 200 },
+    { "/read/1", "Fescuewinch-Not-Executed: 1\r\n", blockOf("x"), 503 },
 };
 
 } // namespace
