State which zones a search for a stream's origin asks

It asks twelve VMs at most, so in a system of more than ten zones it may not ask the zone where the stream began; it asks those selected besides it, which is what OriginSpread checks.

--- a/src/OriginHolders.h
+++ b/src/OriginHolders.h
@@ -21,8 +21,9 @@
 std::vector<PeerEntry> originHolders(
     const PeerList& list, const ZoneId& zone, const AttemptId& attempt, MonotonicTime now);
 
-/** Returns the usable VMs that a VM of `zone` asks for an origin, without this VM. They include the first
- * holder of each zone, as long as both sides agree on which VMs are usable. Pure. */
+/** Returns the usable VMs that a VM of `zone` asks for an origin, without this VM. They include a holder in
+ * each of the other zones that `originHolders` selects, as long as both sides agree on which VMs are usable.
+ * Pure. */
 std::vector<PeerEntry> originPeersToAsk(
     const PeerList& list, const ZoneId& zone, const AttemptId& attempt, MonotonicTime now);
 
