Log how a process ends

What operators saw: processes that ended, and logs that did not say how. A start that failed wrote to standard error only. An uncaught exception or a fatal signal lost up to 512 KB of buffered lines and left none of its own, and any system_error while a VM served was reported as a wrong address. Change: start-failed, process-failed (exception with its type, signal with its address, both with the stack), memory-high from half of the VM's memory up, and predecessor, when the entry of this VM's last process is still in the store. The own entry therefore waits for the first read, for at most 300 ms. Serving is no longer inside the handler of errors of binding.

--- a/apps/EntryMain.cpp
+++ b/apps/EntryMain.cpp
@@ -3,12 +3,14 @@
 #include "Documents.h"
 #include "EntryVm.h"
 #include "EventLog.h"
+#include "ProcessEnd.h"
 #include "Settings.h"
 
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <gflags/gflags.h>
+#include <optional>
 #include <random>
 #include <sstream>
 
@@ -57,29 +59,31 @@
 {
     readSettings(
         argc, argv, { "fescue-entry", "fescue-entry: serves callers on an entry VM of the platform." });
+    // This process must survive when the reader of its standard output exits.
+    std::signal(SIGPIPE, SIG_IGN);
+    openEventLog({ {}, "entry", {}, {}, true });
+    logFatalEnds();
     std::string path = settingsPath();
     auto settings = readSettingsFile(path);
     if (!settings)
         exitWithInvalidSetting(settings.error().field_, settings.error().remedy_);
+    setEventLogOrigin(settings->vm_.value_, settings->zone_.value_);
     constexpr std::int64_t maxPort = 65535;
     auto metricsPort = requireRange("--metrics_port", FLAGS_metrics_port, 0, maxPort);
-    // This process must survive when the reader of its standard output exits.
-    std::signal(SIGPIPE, SIG_IGN);
-    openEventLog({ {}, "entry", settings->vm_.value_, settings->zone_.value_, true });
     EntryVmOptions options;
     options.settings_ = *settings;
     if (metricsPort > 0)
         options.metricsAddress_ = "0.0.0.0:" + std::to_string(metricsPort);
     options.seed_ = FLAGS_seed == 0 ? std::random_device()() : static_cast<std::uint64_t>(FLAGS_seed);
     options.reload_ = [path] { return reloadSettings(path); };
+    std::optional<EntryVm> vm;
     try {
-        EntryVm vm(options);
-        vm.run();
+        vm.emplace(options);
     } catch (const std::system_error& error) {
-        flushEventLog();
         exitWithInvalidSetting(
             "listen", std::string(error.what()) + "; check the addresses in the settings file");
     }
+    vm->run();
     flushEventLog();
     return 0;
 }
--- a/src/EntryVmImpl.h
+++ b/src/EntryVmImpl.h
@@ -17,6 +17,7 @@
 #include "EventLog.h"
 #include "FrontServer.h"
 #include "Headers.h"
+#include "MemoryWatch.h"
 #include "Metrics.h"
 #include "RefuseCall.h"
 #include "Release.h"
@@ -83,6 +84,7 @@
     MonotonicTime lastRequest_;
     DrainPeriod drain_;
     bool wasReady_ = false;
+    MemoryWatch memory_;
     CallerRoomMetrics callerRoom_;
     Counter unroutedCounter_ { "unrouted_total" };
     Counter unknownKeys_ { "unauthenticated_total", { "reason", "unknown-key" } };
@@ -122,6 +124,7 @@
               [](int, const char*, const HttpHead*) {})
     {
         setGrace(drain_, options_.settings_.drainGrace_);
+        memory_.limit_ = { options_.settings_.memoryMb_ * static_cast<std::int64_t>(bytesPerMb) };
         callerServer_.onEvent(
             [this](FrontEvent event, std::size_t bytes) { callerRoom_.record(event, bytes); });
         callerServer_.setLimits(callerLimits());
@@ -199,6 +202,7 @@
             { "targets", {}, static_cast<double>(follower_.targets().entries_.size()) },
             { "config_version", {}, static_cast<double>(config_ ? config_->version_ : 0) },
             { "config_age_seconds", {}, age ? std::chrono::duration<double>(*age).count() : -1 },
+            { "resident_bytes", {}, static_cast<double>(memory_.resident_.value_) },
             { "store_up", {}, health_.isUp_ ? 1.0 : 0.0 },
             { "links_lost", {}, forwarder_.isStranded() ? 1.0 : 0.0 },
             { "store_calls", {}, static_cast<double>(store_.calls()) },
@@ -307,6 +311,7 @@
         if (metricsServer_)
             metricsServer_->tick(now);
         logReadinessChange();
+        watchMemory(now);
         flushEventLog();
         if (drain_.startedAt_ && isDrained(now))
             return shutDown();
@@ -330,6 +335,23 @@
         logEvent(wasReady_ ? "ready" : "not-ready", {});
     }
 
+    void watchMemory(MonotonicTime now)
+    {
+        if (!isReadDue(memory_, now))
+            return;
+        auto resident = residentMemory();
+        if (!resident || !takeResident(memory_, *resident))
+            return;
+        logWarning("memory-high", "the process is killed when it exceeds the memory of its VM",
+            { { "resident_bytes", std::to_string(resident->value_) },
+                { "limit_bytes", std::to_string(memory_.limit_.value_) },
+                { "connections", std::to_string(callerServer_.connections()) },
+                { "callers_held_bytes", std::to_string(callerServer_.heldMemory().total_) },
+                { "turns_cached_bytes", std::to_string(conversations_.cachedBytes()) },
+                { "under_way", std::to_string(forwarder_.openCallCount()) },
+                { "waiting", std::to_string(forwarder_.queuedCallCount()) } });
+    }
+
     void drain()
     {
         if (drain_.startedAt_)
--- a/src/EventLog.cpp
+++ b/src/EventLog.cpp
@@ -3,7 +3,9 @@
 #include "Metrics.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <ctime>
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <mutex>
@@ -34,6 +36,13 @@
             }
         }
 
+        // Without the lock, which the interrupted code may hold.
+        void drainInSignalHandler() const
+        {
+            ssize_t ignored = ::write(STDOUT_FILENO, buffer_.data(), buffer_.size());
+            static_cast<void>(ignored); // The process ends.
+        }
+
     protected:
         void sink_it_(
             const spdlog::details::log_msg& message) override // NOLINT(readability-identifier-naming)
@@ -55,7 +64,8 @@
     struct State {
         std::shared_ptr<spdlog::logger> logger_;
         std::shared_ptr<BufferSink> buffer_;
-        std::string commonFields_; ///< Fields of every line, as JSON text.
+        std::string processField_; ///< As JSON text, like those below.
+        std::string commonFields_; ///< Fields of every line.
         std::mutex mutex_; ///< Orders lines by their number and time.
         std::uint64_t lastLine_ = 0;
     };
@@ -105,6 +115,19 @@
             ++state().lastLine_, members);
     }
 
+    // Passes the digits of a number to `add`. Async-signal-safe if `add` is.
+    template <typename Add> void addDecimal(const Add& add, std::uint64_t number)
+    {
+        constexpr std::uint64_t base = 10;
+        std::array<char, 20> digits {};
+        std::size_t first = digits.size();
+        do {
+            digits[--first] = static_cast<char>('0' + number % base);
+            number /= base;
+        } while (number > 0);
+        add(std::string_view(digits.data() + first, digits.size() - first));
+    }
+
 } // namespace
 
 void openEventLog(const EventLogOptions& options)
@@ -123,12 +146,19 @@
     // Flush each line, so that it is in the file before its event has an effect in another process, even if
     // this process is killed.
     logger->flush_on(spdlog::level::info);
-    addMember(state().commonFields_, "process", options.process_);
-    addMember(state().commonFields_, "vm", options.vm_);
-    addMember(state().commonFields_, "zone", options.zone_);
+    addMember(state().processField_, "process", options.process_);
+    setEventLogOrigin(options.vm_, options.zone_);
     state().logger_ = std::move(logger);
 }
 
+void setEventLogOrigin(const std::string& vm, const std::string& zone)
+{
+    std::string fields = state().processField_;
+    addMember(fields, "vm", vm);
+    addMember(fields, "zone", zone);
+    state().commonFields_ = std::move(fields);
+}
+
 void logEvent(const char* event, const LogFields& fields)
 {
     writeLine(spdlog::level::info, event, nullptr, fields);
@@ -145,4 +175,44 @@
     writeLine(spdlog::level::warn, event, &message, fields);
 }
 
+void logFatalSignal(std::initializer_list<std::pair<std::string_view, std::string_view>> fields)
+{
+    if (!state().buffer_)
+        return;
+    // No allocation, no locks.
+    std::array<char, 4096> line {};
+    std::size_t size = 0;
+    auto add = [&line, &size](std::string_view text) {
+        for (char c : text) {
+            if (size < line.size())
+                line[size++] = c;
+        }
+    };
+    timespec now {};
+    ::clock_gettime(CLOCK_REALTIME, &now);
+    constexpr std::int64_t usPerSecond = 1000000;
+    constexpr std::int64_t nsPerUs = 1000;
+    // The last line may have been written in part.
+    add("\n{\"time_us\":");
+    addDecimal(add, static_cast<std::uint64_t>(now.tv_sec * usPerSecond + now.tv_nsec / nsPerUs));
+    add(",\"line\":");
+    addDecimal(add, state().lastLine_ + 1);
+    add(state().commonFields_);
+    add(",\"level\":\"warning\"");
+    for (const auto& [name, value] : fields) {
+        add(",\"");
+        add(name);
+        add("\":\"");
+        add(value);
+        add("\"");
+    }
+    add("}\n");
+    // When nobody reads standard output any more, standard error may still be read.
+    if (::write(STDOUT_FILENO, line.data(), size) != static_cast<ssize_t>(size)) {
+        ssize_t ignored = ::write(STDERR_FILENO, line.data(), size);
+        static_cast<void>(ignored);
+    }
+    state().buffer_->drainInSignalHandler();
+}
+
 } // namespace fescue
--- a/src/EventLog.h
+++ b/src/EventLog.h
@@ -8,7 +8,9 @@
  */
 
 #include <cstdint>
+#include <initializer_list>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -31,6 +33,10 @@
  */
 void openEventLog(const EventLogOptions& options);
 
+/** Names the VM and the zone of all later lines, for a process that opens its log before it knows them. Not
+ * thread-safe. */
+void setEventLogOrigin(const std::string& vm, const std::string& zone);
+
 /** Writes one line. Thread-safe; does nothing before `openEventLog`. */
 void logEvent(const char* event, const LogFields& fields);
 
@@ -42,4 +48,9 @@
 /** Like `logEvent`, for conditions that an operator must act on; the message names the remedy. */
 void logWarning(const char* event, const std::string& message, const LogFields& fields = {});
 
+/** Writes one line from the handler of a fatal signal, and then the buffered lines. Only for buffered logs,
+ * for others it does nothing. Names and values must need no escaping. Async-signal-safe but for the buffered
+ * lines, which may be in the middle of a change. */
+void logFatalSignal(std::initializer_list<std::pair<std::string_view, std::string_view>> fields);
+
 } // namespace fescue
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -1,5 +1,7 @@
 #include "Settings.h"
 
+#include "EventLog.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
@@ -126,6 +128,8 @@
 
 void exitWithInvalidSetting(const std::string& setting, const std::string& remedy)
 {
+    logWarning("start-failed", remedy, { { "setting", setting } });
+    flushEventLog();
     std::cerr << "invalid setting " << setting << ": " << remedy << std::endl;
     std::exit(invalidSettingsStatus);
 }
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -34,7 +34,8 @@
  * unknown flag or a value of the wrong type. Call once, at the start of `main`. */
 std::vector<std::string> readSettings(int argc, char** argv, const ProgramInfo& program);
 
-/** Reports an invalid setting and exits with `invalidSettingsStatus`. */
+/** Reports an invalid setting on standard error, and in the event log if it is open, and exits with
+ * `invalidSettingsStatus`. */
 [[noreturn]] void exitWithInvalidSetting(const std::string& setting, const std::string& remedy);
 
 /** Validates the name of a zone. */
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -21,6 +21,8 @@
     constexpr Milliseconds maxTargetRetryDelay { 200 };
     constexpr Milliseconds announceTimeout { 1000 };
     constexpr Milliseconds announceRetryDelay { 300 };
+    // The own entry waits this long for the first read, which shows what it replaces.
+    constexpr Milliseconds maxAnnounceDelay { 300 };
     constexpr const char* vmTopicName = "entry-vms";
     // Bounds the memory of which unreadable entries have been logged.
     constexpr std::size_t maxUnreadableLogged = 64;
@@ -41,6 +43,7 @@
     std::optional<PeerEntry> own_;
     std::optional<MonotonicTime> announceAt_; ///< When to write the own entry.
     bool isWithdrawn_ = false;
+    bool hasReadPeers_ = false;
     Sequence announceSequence_ { 1 };
     std::uint64_t version_ = 0;
     RouteHistory routes_;
@@ -360,6 +363,20 @@
     {
         peerEntries_.clear();
         applyVmRecords(records, true);
+        if (!std::exchange(hasReadPeers_, true))
+            onFirstReadOfPeers();
+    }
+
+    // A process that ends without a drain leaves its entry behind.
+    void onFirstReadOfPeers()
+    {
+        if (announceAt_)
+            announceAt_ = bootNow();
+        auto entry = own_ ? peerEntries_.find(own_->vm_) : peerEntries_.end();
+        if (entry != peerEntries_.end() && entry->second.writer_ != own_->writer_)
+            logEvent("predecessor",
+                { { "writer", entry->second.writer_.value_ },
+                    { "state", "has ended without a drain, or without the store" } });
     }
 
     // The topic holds the VMs' entries and the crashes that they have recorded.
@@ -460,7 +477,7 @@
 void StoreFollower::announce(const PeerEntry& own)
 {
     impl_->own_ = own;
-    impl_->announceAt_ = bootNow();
+    impl_->announceAt_ = bootNow() + (impl_->hasReadPeers_ ? Milliseconds { 0 } : maxAnnounceDelay);
 }
 
 void StoreFollower::withdraw()
--- a/src/StoreFollower.h
+++ b/src/StoreFollower.h
@@ -64,7 +64,8 @@
     const RouteHistory& routes() const;
     /** The partition with the records that entry VMs write for each other. Pure. */
     static platform::StorePartition vmPartition();
-    /** Writes this VM's own entry; retried until the store has applied it. */
+    /** Writes this VM's own entry, after the first read of the others' if that comes soon; retried until the
+     * store has applied it. */
     void announce(const PeerEntry& own);
     /** Removes the own entry; retried in the same way. */
     void withdraw();
--- a/test/support/Process.cpp
+++ b/test/support/Process.cpp
@@ -23,8 +23,7 @@
     Child startChild(const std::string& program, const std::vector<std::string>& arguments,
         bool capturesStderr, const std::string& outputFile = {})
     {
-        bool isAbsolute = !program.empty() && program.front() == '/';
-        std::string path = isAbsolute ? program : std::string(FESCUE_PROGRAMS) + "/" + program;
+        std::string path = programPath(program);
         std::vector<char*> argv { path.data() };
         std::vector<std::string> ownedArguments = arguments;
         for (std::string& argument : ownedArguments)
@@ -65,6 +64,12 @@
 
 } // namespace
 
+std::string programPath(const std::string& program)
+{
+    bool isAbsolute = !program.empty() && program.front() == '/';
+    return isAbsolute ? program : std::string(FESCUE_PROGRAMS) + "/" + program;
+}
+
 std::string makeEventsFolder()
 {
     const char* parent = std::getenv("FESCUE_TEST_EVENTS");
--- a/test/support/Process.h
+++ b/test/support/Process.h
@@ -50,6 +50,9 @@
  * Returns its path, or nothing if the variable is not set. */
 std::string makeEventsFolder();
 
+/** Path of a program of the build directory; an absolute path is returned unchanged. */
+std::string programPath(const std::string& program);
+
 /** Exit status and output of a program. */
 struct ProcessResult {
     int status_ = 0;
--- a/test/support/RawConnection.cpp
+++ b/test/support/RawConnection.cpp
@@ -1,7 +1,8 @@
 #include "RawConnection.h"
-#include <cerrno>
 
+#include <arpa/inet.h>
 #include <array>
+#include <cerrno>
 #include <netinet/in.h>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -9,7 +10,7 @@
 
 namespace fescue::test {
 
-RawConnection::RawConnection(int port, int receiveBuffer)
+RawConnection::RawConnection(int port, int receiveBuffer, const std::string& host)
     : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
     constexpr timeval ioTimeout { 10, 0 };
@@ -20,7 +21,7 @@
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(port));
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    inet_pton(AF_INET, host.c_str(), &address.sin_addr);
     if (connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
         close(socket_);
         throw std::runtime_error("cannot connect to port " + std::to_string(port));
--- a/test/support/RawConnection.h
+++ b/test/support/RawConnection.h
@@ -11,9 +11,9 @@
 /** Sends and receives bytes. Reads and writes time out after ten seconds. */
 class RawConnection {
 public:
-    /** Connects to 127.0.0.1. `receiveBuffer` sets the size of the socket's receive buffer; 0 leaves the
-     * default. */
-    explicit RawConnection(int port, int receiveBuffer = 0);
+    /** Connects to `host`, an IPv4 address. `receiveBuffer` sets the size of the socket's receive buffer; 0
+     * leaves the default. */
+    explicit RawConnection(int port, int receiveBuffer = 0, const std::string& host = "127.0.0.1");
     ~RawConnection();
     RawConnection(const RawConnection&) = delete;
     RawConnection& operator=(const RawConnection&) = delete;
