Hold signals back until their handlers are registered

What operators saw: a process that ended by itself when SIGHUP came while it started, since the default action of SIGHUP ends a process. Cause: the handlers are registered after the settings have been read and the addresses bound. Fix: SIGHUP, SIGTERM and SIGINT are blocked before the constructors of all libraries, so that the kernel keeps them, and delivered once the event loop waits for them. What lies before is the loader's.

--- a/apps/EntryMain.cpp
+++ b/apps/EntryMain.cpp
@@ -5,6 +5,7 @@
 #include "EventLog.h"
 #include "ProcessEnd.h"
 #include "Settings.h"
+#include "StartSignals.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -55,8 +56,12 @@
 
 } // namespace
 
+// The loader calls it before the constructors of all libraries; a signal that comes earlier ends the process.
+__attribute__((section(".preinit_array"), used)) void (*const holdSignalsEarly)() = fescue::holdSignals;
+
 int main(int argc, char** argv)
 {
+    fescue::holdSignals();
     readSettings(
         argc, argv, { "fescue-entry", "fescue-entry: serves callers on an entry VM of the platform." });
     // This process must survive when the reader of its standard output exits.
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -15,10 +15,12 @@
     logEvent("start",
         { { "release", releaseName() }, { "listen", settings.callerAddress_ },
             { "store", settings.store_.address_ },
-            { "partitions", std::to_string(settings.store_.partitions_) }, { "memory_mb", std::to_string(settings.memoryMb_) },
+            { "partitions", std::to_string(settings.store_.partitions_) },
+            { "memory_mb", std::to_string(settings.memoryMb_) },
             { "processor_share", fmt::format("{}", settings.cpuQuota_) } });
     impl_->follower_.announce({ settings.vm_, settings.zone_, settings.peerAddress_, impl_->writer_ });
     impl_->waitForSignal();
+    deliverSignals();
     impl_->tick();
     impl_->io_.run();
 }
--- a/src/EntryVm.h
+++ b/src/EntryVm.h
@@ -36,8 +36,8 @@
     explicit EntryVm(EntryVmOptions options);
     ~EntryVm();
 
-    /** Serves until a SIGTERM or SIGINT and the drain that follows it. Call once, from the constructing
-     * thread. */
+    /** Serves until a SIGTERM or SIGINT and the drain that follows it. Delivers signals that were held back.
+     * Call once, from the constructing thread. */
     void run();
 
 private:
--- a/src/EntryVmImpl.h
+++ b/src/EntryVmImpl.h
@@ -21,6 +21,7 @@
 #include "Metrics.h"
 #include "RefuseCall.h"
 #include "Release.h"
+#include "StartSignals.h"
 #include "StorableId.h"
 #include "StoreClient.h"
 #include "StoreFollower.h"
