Wait for addresses that are in use at the start

What operators saw: a process that ended with status 2, and at each further start again for as long as its predecessor at the same addresses drained, which takes seconds. Cause: the first failure to bind was taken as final. Fix: FrontServer tries again every 50 ms and logs it, if the failure may pass. The VM is not ready, and does not announce itself to the others, before its addresses are bound, so nobody reaches the predecessor in its place; SIGTERM ends a start that waits. The cases of ports in use, of the predecessor and of SIGTERM pass.

--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -18,7 +18,6 @@
             { "partitions", std::to_string(settings.store_.partitions_) },
             { "memory_mb", std::to_string(settings.memoryMb_) },
             { "processor_share", fmt::format("{}", settings.cpuQuota_) } });
-    impl_->follower_.announce({ settings.vm_, settings.zone_, settings.peerAddress_, impl_->writer_ });
     impl_->waitForSignal();
     deliverSignals();
     impl_->tick();
--- a/src/EntryVm.h
+++ b/src/EntryVm.h
@@ -32,7 +32,8 @@
 /** An entry VM. Must be used from one thread. */
 class EntryVm {
 public:
-    /** Binds all addresses. Throws `std::system_error` when one of them cannot be bound. */
+    /** Binds all addresses; those that others still have are bound while it runs. Throws `std::system_error`
+     * when one of them cannot be bound for another reason. */
     explicit EntryVm(EntryVmOptions options);
     ~EntryVm();
 
--- a/src/EntryVmImpl.h
+++ b/src/EntryVmImpl.h
@@ -84,6 +84,7 @@
     MonotonicTime lastTick_;
     MonotonicTime lastRequest_;
     DrainPeriod drain_;
+    bool isAnnounced_ = false;
     bool wasReady_ = false;
     MemoryWatch memory_;
     CallerRoomMetrics callerRoom_;
@@ -220,7 +221,8 @@
     bool isReady() const
     {
         bool hasStore = health_.isUp_ || bootNow() < health_.changedAt_ + storeOutageTolerance;
-        return config_ && follower_.targets().isComplete_ && !drain_.startedAt_ && hasStore;
+        bool isListening = callerServer_.isListening() && exchange_.isListening();
+        return config_ && follower_.targets().isComplete_ && !drain_.startedAt_ && hasStore && isListening;
     }
 
     void answerReady(const FrontRequest& request, FrontReply& reply) const
@@ -298,6 +300,7 @@
             forwarder_.closeIdleConnections();
         }
         lastTick_ = now;
+        announceOnceListening();
         store_.tick(now);
         follower_.tick(now);
         admission_.tick(now);
@@ -328,6 +331,16 @@
         });
     }
 
+    // Others would reach the predecessor of this process while that still listens.
+    void announceOnceListening()
+    {
+        if (isAnnounced_ || drain_.startedAt_ || !exchange_.isListening())
+            return;
+        isAnnounced_ = true;
+        const VmSettings& settings = options_.settings_;
+        follower_.announce({ settings.vm_, settings.zone_, settings.peerAddress_, writer_ });
+    }
+
     void logReadinessChange()
     {
         if (isReady() == wasReady_)
--- a/src/FrontServer.cpp
+++ b/src/FrontServer.cpp
@@ -1,6 +1,7 @@
 #include "FrontServer.h"
 
 #include "BootClock.h"
+#include "EventLog.h"
 #include "FrontRoomImpl.h"
 #include "FrontSessionImpl.h"
 #include "TcpLink.h"
@@ -18,9 +19,33 @@
 
     // Delay after a failed accept, for example when no file descriptors are left.
     constexpr Milliseconds acceptRetryDelay { 50 };
+    constexpr Milliseconds listenRetryDelay { 50 };
+    constexpr Milliseconds listenLogInterval { 5000 };
     // What a connection's socket holds before this process reads it counts towards the memory of the VM, too.
     constexpr int maxUnreadInputBytes = 64 * 1024;
 
+    tcp::endpoint endpointOf(const std::string& address)
+    {
+        auto endpoint = parseEndpoint(address);
+        // Port 0 binds a free port; `parseEndpoint` rejects it, since it parses the addresses of peers.
+        std::size_t colon = address.rfind(':');
+        if (!endpoint && colon != std::string::npos && address.substr(colon) == ":0")
+            endpoint = tcp::endpoint(asio::ip::make_address_v4(address.substr(0, colon)), 0);
+        if (!endpoint)
+            throw std::system_error(
+                std::make_error_code(std::errc::invalid_argument), "cannot listen on " + address);
+        return *endpoint;
+    }
+
+    // Whether a later try may succeed: the predecessor of this process still drains, for example, or the
+    // address is not yet assigned to the VM.
+    bool mayPass(const asio::error_code& error)
+    {
+        return error == asio::error::address_in_use || error == std::errc::address_not_available
+            || error == asio::error::no_descriptors || error == std::errc::too_many_files_open_in_system
+            || error == asio::error::no_buffer_space || error == asio::error::no_memory;
+    }
+
 } // namespace
 
 struct FrontServer::Impl : std::enable_shared_from_this<FrontServer::Impl> {
@@ -28,32 +53,67 @@
     tcp::acceptor acceptor_;
     std::shared_ptr<FrontShared> shared_;
     std::optional<MonotonicTime> acceptRetryAt_;
+    std::string address_;
+    tcp::endpoint endpoint_;
+    std::optional<MonotonicTime> listenRetryAt_; ///< Nothing once it listens.
+    MonotonicTime listenTriedAt_; ///< First.
+    MonotonicTime listenLoggedAt_;
 
-    explicit Impl(asio::io_context& io)
+    Impl(asio::io_context& io, const std::string& address)
         : io_(io)
         , acceptor_(io)
         , shared_(std::make_shared<FrontShared>(io))
+        , address_(address)
+        , endpoint_(endpointOf(address))
     {
     }
 
-    void listen(const std::string& address)
+    // Throws if the first try fails for a reason that cannot pass.
+    void listen(MonotonicTime now)
     {
-        auto endpoint = parseEndpoint(address);
-        // Port 0 binds a free port; `parseEndpoint` rejects it, since it parses the addresses of peers.
-        std::size_t colon = address.rfind(':');
-        if (!endpoint && colon != std::string::npos && address.substr(colon) == ":0")
-            endpoint = tcp::endpoint(asio::ip::make_address_v4(address.substr(0, colon)), 0);
-        if (!endpoint)
-            throw std::system_error(
-                std::make_error_code(std::errc::invalid_argument), "cannot listen on " + address);
-        acceptor_.open(tcp::v4());
-        acceptor_.set_option(tcp::acceptor::reuse_address(true));
+        asio::error_code error = tryListen();
+        if (error && !mayPass(error) && !listenRetryAt_)
+            throw std::system_error(error, "cannot listen on " + address_);
+        if (error)
+            return retryListen(error, now);
+        if (listenRetryAt_)
+            logEvent("listening",
+                { { "address", address_ }, { "waited_ms", std::to_string((now - listenTriedAt_).count()) } });
+        listenRetryAt_.reset();
+        accept();
+    }
+
+    asio::error_code tryListen()
+    {
+        asio::error_code error;
+        acceptor_.open(tcp::v4(), error);
+        if (!error)
+            acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
         // Accepted connections inherit it. Failing to set it only lets callers send further ahead.
         asio::error_code ignored;
         acceptor_.set_option(asio::socket_base::receive_buffer_size(maxUnreadInputBytes), ignored);
-        acceptor_.bind(*endpoint);
-        acceptor_.listen();
-        accept();
+        if (!error)
+            acceptor_.bind(endpoint_, error);
+        if (!error)
+            acceptor_.listen(asio::socket_base::max_listen_connections, error);
+        if (error)
+            acceptor_.close(ignored);
+        return error;
+    }
+
+    void retryListen(const asio::error_code& error, MonotonicTime now)
+    {
+        if (!listenRetryAt_)
+            listenTriedAt_ = now;
+        listenRetryAt_ = now + listenRetryDelay;
+        if (listenLoggedAt_ != MonotonicTime {} && now < listenLoggedAt_ + listenLogInterval)
+            return;
+        listenLoggedAt_ = now;
+        logWarning("listen-waiting",
+            "the address cannot be bound and is tried again; stop the process that listens there, or correct "
+            "the address",
+            { { "address", address_ }, { "reason", error.message() },
+                { "waited_ms", std::to_string((now - listenTriedAt_).count()) } });
     }
 
     void serve(tcp::socket socket)
@@ -97,11 +157,11 @@
 
 FrontServer::FrontServer(
     asio::io_context& io, const std::string& address, FrontHandler handler, FrontRejectionHandler onRejected)
-    : impl_(std::make_shared<Impl>(io))
+    : impl_(std::make_shared<Impl>(io, address))
 {
     impl_->shared_->handler_ = std::move(handler);
     impl_->shared_->onRejected_ = std::move(onRejected);
-    impl_->listen(address);
+    impl_->listen(bootNow());
 }
 
 FrontServer::~FrontServer()
@@ -123,6 +183,8 @@
 
 void FrontServer::tick(MonotonicTime now)
 {
+    if (impl_->listenRetryAt_ && now >= *impl_->listenRetryAt_)
+        impl_->listen(now);
     if (impl_->acceptRetryAt_ && now >= *impl_->acceptRetryAt_) {
         impl_->acceptRetryAt_.reset();
         impl_->accept();
@@ -156,6 +218,8 @@
 
 HeldMemory FrontServer::heldMemory() const { return impl_->shared_->held_; }
 
+bool FrontServer::isListening() const { return !impl_->listenRetryAt_; }
+
 std::uint16_t FrontServer::port() const { return impl_->acceptor_.local_endpoint().port(); }
 
 } // namespace fescue
--- a/src/FrontServer.h
+++ b/src/FrontServer.h
@@ -73,8 +73,9 @@
 /** Accepts connections of callers. Must be used on the thread of the event loop. */
 class FrontServer {
 public:
-    /** Binds `address` (`ip:port`) and starts to serve. Throws `std::system_error` when it cannot be bound.
-     */
+    /** Binds `address` (`ip:port`) and starts to serve. When it cannot be bound for a reason that may pass,
+     * such as another process that listens there, `tick` tries again and logs it. Throws `std::system_error`
+     * for any other reason. */
     FrontServer(asio::io_context& io, const std::string& address, FrontHandler handler,
         FrontRejectionHandler onRejected);
     ~FrontServer();
@@ -82,8 +83,11 @@
     void setLimits(const FrontLimits& limits);
     /** Sets the handler of events, which gets the bytes that the connection held. */
     void onEvent(std::function<void(FrontEvent, std::size_t)> handler);
-    /** Closes connections that have timed out. Must be called periodically. */
+    /** Closes connections that have timed out, and binds the address if that has failed. Must be called
+     * periodically. */
     void tick(MonotonicTime now);
+    /** Whether its address is bound. */
+    bool isListening() const;
     /** From now on each connection is closed after its next response. */
     void drain();
     /** Whether a request was read, at least in part, and has no complete response. */
@@ -97,6 +101,7 @@
     std::size_t connections() const;
     /** What callers make the server hold now. */
     HeldMemory heldMemory() const;
+    /** Precondition: it listens. */
     std::uint16_t port() const;
 
 private:
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -119,6 +119,8 @@
         impl_->server_->tick(now);
 }
 
+bool PeerExchange::isListening() const { return !impl_->server_ || impl_->server_->isListening(); }
+
 bool PeerExchange::hasUnsentBytes() const { return impl_->server_ && impl_->server_->hasUnsentBytes(); }
 
 void answerPeer(FrontReply& reply, int status, const std::string& body, std::vector<HttpHeader> headers)
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -20,7 +20,7 @@
 public:
     using Handler = std::function<void(const FrontRequest&, std::shared_ptr<FrontReply>)>;
 
-    /** Binds `address` (`ip:port`) for peers unless it is empty; throws `std::system_error` if that fails. */
+    /** Binds `address` (`ip:port`) for peers unless it is empty, as `FrontServer` does. */
     PeerExchange(asio::io_context& io, const VmId& own, const std::string& address);
     ~PeerExchange();
 
@@ -36,6 +36,8 @@
     void tick(MonotonicTime now);
     /** Whether peers have not read replies to the end. */
     bool hasUnsentBytes() const;
+    /** Whether the address for peers is bound, if there is one. */
+    bool isListening() const;
 
 private:
     struct Impl;
