Bind the metrics to the VM's own address, and serve without them

What operators saw: of the VMs of one host, all but one ended with status 2. Cause: the metrics were bound on all addresses, so the same port could not be bound twice on a host, and a VM without its metrics gave up. Fix: the metrics have the address at which other VMs reach this one. If it cannot be bound, the VM serves and logs it.

--- a/apps/EntryMain.cpp
+++ b/apps/EntryMain.cpp
@@ -17,7 +17,7 @@
 
 DEFINE_string(
     settings, "", "path of the platform's settings file; empty for the one that the platform provides");
-DEFINE_int32(metrics_port, 0, "port for metrics on all addresses; 0 for none");
+DEFINE_int32(metrics_port, 0, "port for metrics on the VM's address; 0 for none");
 DEFINE_int64(seed, 0, "random seed; 0 picks a new one at each start");
 
 namespace {
@@ -54,6 +54,8 @@
     return std::nullopt;
 }
 
+std::string hostOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
+
 } // namespace
 
 // The loader calls it before the constructors of all libraries; a signal that comes earlier ends the process.
@@ -78,7 +80,7 @@
     EntryVmOptions options;
     options.settings_ = *settings;
     if (metricsPort > 0)
-        options.metricsAddress_ = "0.0.0.0:" + std::to_string(metricsPort);
+        options.metricsAddress_ = hostOf(settings->peerAddress_) + ":" + std::to_string(metricsPort);
     options.seed_ = FLAGS_seed == 0 ? std::random_device()() : static_cast<std::uint64_t>(FLAGS_seed);
     options.reload_ = [path] { return reloadSettings(path); };
     std::optional<EntryVm> vm;
--- a/src/EntryVmImpl.h
+++ b/src/EntryVmImpl.h
@@ -132,12 +132,23 @@
         callerServer_.setLimits(callerLimits());
         forwarder_.serveRelayed([this](ForwardedCall call) { handleRelayed(std::move(call)); });
         if (!options_.metricsAddress_.empty())
+            serveMetrics();
+    }
+
+    // Callers do not need metrics, so the VM serves without them if it must.
+    void serveMetrics()
+    {
+        try {
             metricsServer_ = std::make_unique<FrontServer>(
                 io_, options_.metricsAddress_,
                 [this](const FrontRequest&, const std::shared_ptr<FrontReply>& reply) {
                     reply->answer(plainTextHead(ok), metricsText(gauges()));
                 },
                 [](int, const char*, const HttpHead*) {});
+        } catch (const std::system_error& error) {
+            logWarning("metrics-unavailable", "correct --metrics_port, or set it to 0",
+                { { "address", options_.metricsAddress_ }, { "reason", error.what() } });
+        }
     }
 
     // A name that is unique to this start of this process.
