Read settings files that are being written again

What operators saw: a process that ended with status 2 when its settings file was missing, empty or cut at the start; after SIGHUP such a file was ignored for good. One that is cut in a number was taken as it was. Cause: the file was read once, and what was read was taken as whole.

--- a/apps/EntryMain.cpp
+++ b/apps/EntryMain.cpp
@@ -1,19 +1,21 @@
 // fescue-entry: the process of an entry VM of the platform; see src/EntryVm.h.
 
+#include "BootClock.h"
 #include "Documents.h"
 #include "EntryVm.h"
 #include "EventLog.h"
 #include "ProcessEnd.h"
 #include "Settings.h"
+#include "SettingsFile.h"
 #include "StartSignals.h"
 
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <gflags/gflags.h>
 #include <optional>
 #include <random>
-#include <sstream>
+#include <system_error>
+#include <thread>
 
 DEFINE_string(
     settings, "", "path of the platform's settings file; empty for the one that the platform provides");
@@ -35,23 +37,18 @@
     return path;
 }
 
-tl::expected<VmSettings, platform::DocumentError> readSettingsFile(const std::string& path)
+// Waits until the file can be read, or a signal asks to stop.
+std::optional<SettingsResult> awaitSettings(const std::string& path)
 {
-    std::ifstream file(path);
-    if (!file)
-        return tl::make_unexpected(platform::DocumentError { path, "cannot be opened; check the path" });
-    std::ostringstream text;
-    text << file.rdbuf();
-    return platform::decodeSettings(text.str());
-}
-
-std::optional<VmSettings> reloadSettings(const std::string& path)
-{
-    auto settings = readSettingsFile(path);
-    if (settings)
-        return *settings;
-    logWarning("settings-unreadable", settings.error().field_ + ": " + settings.error().remedy_);
-    return std::nullopt;
+    constexpr Milliseconds readInterval { 10 };
+    SettingsFile file { path };
+    for (;;) {
+        if (auto settings = readSettingsFile(file, bootNow()))
+            return settings;
+        if (isStopHeld())
+            return std::nullopt;
+        std::this_thread::sleep_for(readInterval);
+    }
 }
 
 std::string hostOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
@@ -71,7 +68,13 @@
     openEventLog({ {}, "entry", {}, {}, true });
     logFatalEnds();
     std::string path = settingsPath();
-    auto settings = readSettingsFile(path);
+    auto read = awaitSettings(path);
+    if (!read) {
+        logEvent("stop", { { "reason", "asked to stop before the settings could be read" } });
+        flushEventLog();
+        return 0;
+    }
+    auto& settings = *read;
     if (!settings)
         exitWithInvalidSetting(settings.error().field_, settings.error().remedy_);
     setEventLogOrigin(settings->vm_.value_, settings->zone_.value_);
@@ -82,7 +85,7 @@
     if (metricsPort > 0)
         options.metricsAddress_ = hostOf(settings->peerAddress_) + ":" + std::to_string(metricsPort);
     options.seed_ = FLAGS_seed == 0 ? std::random_device()() : static_cast<std::uint64_t>(FLAGS_seed);
-    options.reload_ = [path] { return reloadSettings(path); };
+    options.settingsPath_ = path;
     std::optional<EntryVm> vm;
     try {
         vm.emplace(options);
--- a/src/EntryVm.h
+++ b/src/EntryVm.h
@@ -25,8 +25,7 @@
     VmSettings settings_;
     std::string metricsAddress_; ///< `ip:port`; empty to disable the metrics server.
     std::uint64_t seed_ = 0;
-    /** Reloads the settings after SIGHUP. Logs errors, and returns nothing if there are any. */
-    std::function<std::optional<VmSettings>()> reload_;
+    std::string settingsPath_; ///< Read again after SIGHUP.
 };
 
 /** An entry VM. Must be used from one thread. */
--- a/src/EntryVmImpl.h
+++ b/src/EntryVmImpl.h
@@ -21,6 +21,7 @@
 #include "Metrics.h"
 #include "RefuseCall.h"
 #include "Release.h"
+#include "SettingsFile.h"
 #include "StartSignals.h"
 #include "StorableId.h"
 #include "StoreClient.h"
@@ -84,6 +85,7 @@
     MonotonicTime lastTick_;
     MonotonicTime lastRequest_;
     DrainPeriod drain_;
+    std::optional<SettingsFile> reloading_; ///< After SIGHUP.
     bool isAnnounced_ = false;
     bool wasReady_ = false;
     MemoryWatch memory_;
@@ -312,6 +314,7 @@
         }
         lastTick_ = now;
         announceOnceListening();
+        continueReload(now);
         store_.tick(now);
         follower_.tick(now);
         admission_.tick(now);
@@ -421,17 +424,35 @@
         });
     }
 
+    // A file that is still being written is read again by later ticks.
     void reload()
     {
-        auto settings = options_.reload_ ? options_.reload_() : std::nullopt;
-        logEvent("reload", { { "outcome", settings ? "taken" : "kept the last settings" } });
+        reloading_ = SettingsFile { options_.settingsPath_ };
+        continueReload(bootNow());
+    }
+
+    void continueReload(MonotonicTime now)
+    {
+        if (!reloading_)
+            return;
+        auto settings = readSettingsFile(*reloading_, now);
         if (!settings)
             return;
-        // Addresses and names cannot change while the process runs; the time limits can.
-        setGrace(drain_, settings->drainGrace_);
+        reloading_.reset();
+        if (!*settings)
+            logWarning("settings-unreadable", settings->error().field_ + ": " + settings->error().remedy_);
+        logEvent("reload", { { "outcome", *settings ? "taken" : "kept the last settings" } });
+        if (*settings)
+            takeSettings(**settings);
+    }
+
+    // Addresses and names cannot change while the process runs; the time limits can.
+    void takeSettings(const VmSettings& settings)
+    {
+        setGrace(drain_, settings.drainGrace_);
         if (drain_.startedAt_)
             forwarder_.endBy(lastAnswerAt(drain_));
-        options_.settings_.configApplyTimeout_ = settings->configApplyTimeout_;
+        options_.settings_.configApplyTimeout_ = settings.configApplyTimeout_;
     }
 };
 
--- /dev/null
+++ b/src/SettingsFile.h
@@ -0,0 +1,34 @@
+#pragma once
+
+/** \file
+ * SettingsFile: reads a VM's settings file, which may be in the middle of being written.
+ *
+ * A file that is missing, or that is no valid settings file, is read again for a while. One that is valid may
+ * still be cut, in a number for example, so it counts once it has not changed for a moment, and for longer if
+ * its last line has no end.
+ */
+
+#include "Documents.h"
+#include "VmSettings.h"
+
+#include <optional>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace fescue {
+
+/** A file that is being read. */
+struct SettingsFile {
+    std::string path_;
+    std::optional<std::string> text_; ///< As last read; nothing if it could not be opened.
+    std::optional<MonotonicTime> firstReadAt_;
+    MonotonicTime sameSince_; ///< When the text was first read.
+};
+
+using SettingsResult = tl::expected<VmSettings, platform::DocumentError>;
+
+/** Reads the file once. Returns nothing while a later read may find other settings, and an error when it has
+ * not become valid for some seconds. Not thread-safe; blocks for the read. */
+std::optional<SettingsResult> readSettingsFile(SettingsFile& file, MonotonicTime now);
+
+} // namespace fescue
