Keep the numbers of closed standard streams from sockets

What could be seen: with standard output closed at the start, descriptor 1 became the event loop's, and log lines were written into it; a caller's connection could have got the number. Fix: /dev/null takes the place of each standard stream that is closed, before anything else is opened.

--- a/apps/EntryMain.cpp
+++ b/apps/EntryMain.cpp
@@ -61,6 +61,7 @@
 int main(int argc, char** argv)
 {
     fescue::holdSignals();
+    fescue::openStandardStreams();
     readSettings(
         argc, argv, { "fescue-entry", "fescue-entry: serves callers on an entry VM of the platform." });
     // This process must survive when the reader of its standard output exits.
--- a/src/EventLog.cpp
+++ b/src/EventLog.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <ctime>
 #include <fcntl.h>
@@ -130,6 +131,15 @@
 
 } // namespace
 
+void openStandardStreams()
+{
+    for (int stream : { STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO }) {
+        // The lowest free number is taken, which is that of the stream.
+        if (::fcntl(stream, F_GETFD) < 0 && errno == EBADF && ::open("/dev/null", O_RDWR) != stream)
+            return; // Without /dev/null there is nothing to protect them with.
+    }
+}
+
 void openEventLog(const EventLogOptions& options)
 {
     std::shared_ptr<spdlog::logger> logger;
--- a/src/EventLog.h
+++ b/src/EventLog.h
@@ -29,6 +29,10 @@
 /** Fields of an event: names and values. */
 using LogFields = std::vector<std::pair<const char*, std::string>>;
 
+/** Opens `/dev/null` for each standard stream that is closed. Otherwise a socket would get the number of one,
+ * and log lines would be written into it. Call first in `main`, before anything opens a descriptor. */
+void openStandardStreams();
+
 /** Opens the log of this process. Call once, before any thread logs. Throws when the file cannot be opened.
  */
 void openEventLog(const EventLogOptions& options);
