--- a/apps/EntryMain.cpp
+++ b/apps/EntryMain.cpp
@@ -53,15 +53,41 @@
 
 std::string hostOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
-} // namespace
+EntryVmOptions optionsFrom(const VmSettings& settings, const std::string& settingsPath)
+{
+    constexpr std::int64_t maxPort = 65535;
+    auto metricsPort = requireRange("--metrics_port", FLAGS_metrics_port, 0, maxPort);
+    EntryVmOptions options;
+    options.settings_ = settings;
+    options.settingsPath_ = settingsPath;
+    if (metricsPort > 0)
+        options.metricsAddress_ = hostOf(settings.peerAddress_) + ":" + std::to_string(metricsPort);
+    options.seed_ = FLAGS_seed == 0 ? std::random_device()() : static_cast<std::uint64_t>(FLAGS_seed);
+    return options;
+}
+
+void serve(const EntryVmOptions& options)
+{
+    std::optional<EntryVm> vm;
+    try {
+        vm.emplace(options);
+    } catch (const std::system_error& error) {
+        exitWithInvalidSetting(
+            "listen", std::string(error.what()) + "; check the addresses in the settings file");
+    }
+    // What escapes from here is no matter of settings; see `logFatalEnds`.
+    vm->run();
+}
 
 // The loader calls it before the constructors of all libraries; a signal that comes earlier ends the process.
-__attribute__((section(".preinit_array"), used)) void (*const holdSignalsEarly)() = fescue::holdSignals;
+__attribute__((section(".preinit_array"), used)) void (*const holdSignalsEarly)() = holdSignals;
+
+} // namespace
 
 int main(int argc, char** argv)
 {
-    fescue::holdSignals();
-    fescue::openStandardStreams();
+    holdSignals();
+    openStandardStreams();
     readSettings(
         argc, argv, { "fescue-entry", "fescue-entry: serves callers on an entry VM of the platform." });
     // This process must survive when the reader of its standard output exits.
@@ -69,32 +95,17 @@
     openEventLog({ {}, "entry", {}, {}, true });
     logFatalEnds();
     std::string path = settingsPath();
-    auto read = awaitSettings(path);
-    if (!read) {
+    auto settings = awaitSettings(path);
+    if (!settings) {
         logEvent("stop", { { "reason", "asked to stop before the settings could be read" } });
         flushEventLog();
         return 0;
     }
-    auto& settings = *read;
-    if (!settings)
-        exitWithInvalidSetting(settings.error().field_, settings.error().remedy_);
-    setEventLogOrigin(settings->vm_.value_, settings->zone_.value_);
-    constexpr std::int64_t maxPort = 65535;
-    auto metricsPort = requireRange("--metrics_port", FLAGS_metrics_port, 0, maxPort);
-    EntryVmOptions options;
-    options.settings_ = *settings;
-    if (metricsPort > 0)
-        options.metricsAddress_ = hostOf(settings->peerAddress_) + ":" + std::to_string(metricsPort);
-    options.seed_ = FLAGS_seed == 0 ? std::random_device()() : static_cast<std::uint64_t>(FLAGS_seed);
-    options.settingsPath_ = path;
-    std::optional<EntryVm> vm;
-    try {
-        vm.emplace(options);
-    } catch (const std::system_error& error) {
-        exitWithInvalidSetting(
-            "listen", std::string(error.what()) + "; check the addresses in the settings file");
-    }
-    vm->run();
+    if (!*settings)
+        exitWithInvalidSetting(settings->error().field_, settings->error().remedy_);
+    const VmSettings& valid = **settings;
+    setEventLogOrigin(valid.vm_.value_, valid.zone_.value_);
+    serve(optionsFrom(valid, path));
     flushEventLog();
     return 0;
 }
