--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -353,11 +353,16 @@
     std::ofstream(vms_[vm].settingsFile_) << settings;
 }
 
-void EntryVmHarness::restartVm(std::size_t vm)
+void EntryVmHarness::replaceProcess(std::size_t vm)
 {
     if (vms_[vm].process_->isRunning())
         vms_[vm].process_->signalAndWait(SIGKILL);
     startProcess(vms_[vm]);
+}
+
+void EntryVmHarness::restartVm(std::size_t vm)
+{
+    replaceProcess(vm);
     waitUntil("the VM is ready again", [this, vm] { return readinessStatus(vm) == 200; });
 }
 
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -144,7 +144,9 @@
     {
         setStoreFault(vm, &standin::StoreFaults::holdsLongPolls_, isHolding);
     }
-    /** Kills a VM unless it has ended, and starts it again. */
+    /** Kills a VM unless it has ended, and starts it again without waiting until it is ready. */
+    void replaceProcess(std::size_t vm);
+    /** The same, and waits until it is ready. */
     void restartVm(std::size_t vm);
     std::size_t vmCount() const { return vms_.size(); }
     Process& process(std::size_t vm = 0) { return *vms_[vm].process_; }
