Look up expired turns again after each refusal

What callers saw: the VM's process ended, with all its requests. A program's turn whose deadline passed while it waited for its budget was refused; the next request that had already come on its connection was let in at once, and let another expired turn of the program be granted; that one was then looked up as a waiting one (std::out_of_range, which nothing catches). Fix: each expired turn is looked up after the refusals before it. TurnBroker had the same form twice, for replies to other VMs and expired grants; these need another VM that sends ahead, which ours do not.

--- a/src/TurnAdmission.cpp
+++ b/src/TurnAdmission.cpp
@@ -212,8 +212,12 @@
                 expired.push_back(id);
         }
         for (PendingId id : expired) {
-            auto turn = std::move(pendingTurns_.at(id));
-            pendingTurns_.erase(id);
+            // The refusal of one lets its connection's next request in, which may decide others.
+            auto found = pendingTurns_.find(id);
+            if (found == pendingTurns_.end())
+                continue;
+            PendingTurn turn = std::move(found->second);
+            pendingTurns_.erase(found);
             if (turn.turnId_)
                 broker_.abandonTurn(*turn.turnId_);
             rejectCall(turn.call_, serviceUnavailable, "timed out waiting for the program's token budget",
--- a/src/TurnBroker.cpp
+++ b/src/TurnBroker.cpp
@@ -423,13 +423,12 @@
             evictLastTargetsAt_ = now + lastTargetRetention;
             evictLastTargets(lastTargets_, now);
         }
-        for (auto grant = grants_.begin(); grant != grants_.end();) {
-            if (now < grant->second.expiresAt_) {
-                ++grant;
-                continue;
-            }
+        auto isExpired = [now](const auto& grant) { return now >= grant.second.expiresAt_; };
+        auto next = [&] { return std::find_if(grants_.begin(), grants_.end(), isExpired); };
+        // The end of a turn may decide others, and so end further grants.
+        for (auto grant = next(); grant != grants_.end(); grant = next()) {
             PeerGrant expired = grant->second;
-            grant = grants_.erase(grant);
+            grants_.erase(grant);
             expired_.add();
             budgets_.onTurnEnded(expired.program_, expired.maxTokens_, expired.maxTokens_);
         }
@@ -449,8 +448,10 @@
             else if (entry->isForPeer_ && now >= entry->replyDeadline_)
                 claimPending.push_back(id);
         }
-        for (TurnId id : claimPending)
-            replyClaimPending(id);
+        for (TurnId id : claimPending) {
+            if (pending_.count(id)) // A reply may let a request in that decides others.
+                replyClaimPending(id);
+        }
         for (TurnId id : retries) {
             auto found = pending_.find(id);
             if (found != pending_.end())
