--- a/src/RelayedTransfers.cpp
+++ b/src/RelayedTransfers.cpp
@@ -130,6 +130,9 @@
             queued.push_back(transfer);
     }
     for (const TransferPtr& transfer : queued) {
+        // The end of one request may begin another, and with it send any that wait.
+        if (transfer->isFinished_ || !transfer->isQueued_)
+            continue;
         cancelTransfer(transfer);
         transfer->isQueued_ = false;
         route(transfer);
