Clamp the Retry-After of a refusal whose deadline has just passed

By reading, not seen in a run: the rest of the time is negative between a deadline and the next tick, and a distribution with reversed bounds is undefined.

--- a/src/TurnAdmission.cpp
+++ b/src/TurnAdmission.cpp
@@ -200,6 +200,7 @@
 
     Milliseconds jittered(Milliseconds middle)
     {
+        middle = std::max(middle, Milliseconds { 0 }); // The deadline may have just passed.
         std::uniform_int_distribution<std::int64_t> spread(middle.count() / 2, middle.count() * 3 / 2);
         return Milliseconds { spread(random_) };
     }
