Count only the time in which a process ran when settings are awaited

From the review: a VM that was suspended right after its start gave up at the next read, and a file whose writer was suspended with it counted as unchanged. A file that is valid but still changes is no longer taken when the time is over.

--- a/src/SettingsFile.cpp
+++ b/src/SettingsFile.cpp
@@ -1,5 +1,6 @@
 #include "SettingsFile.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -12,6 +13,7 @@
     constexpr Milliseconds settleTimeInsideLine { 200 };
     // The platform writes the file within this time.
     constexpr Milliseconds maxWriteTime { 3000 };
+    constexpr Milliseconds maxCountedInterval { 30 };
 
     std::optional<std::string> readText(const std::string& path)
     {
@@ -23,31 +25,35 @@
         return text.str();
     }
 
-    bool endsInsideLine(const std::string& text) { return text.empty() || text.back() != '\n'; }
+    Milliseconds settleTimeOf(const std::string& text)
+    {
+        bool endsInsideLine = text.empty() || text.back() != '\n';
+        return endsInsideLine ? settleTimeInsideLine : settleTime;
+    }
 
 } // namespace
 
 std::optional<SettingsResult> readSettingsFile(SettingsFile& file, MonotonicTime now)
 {
     auto text = readText(file.path_);
-    if (!file.firstReadAt_ || text != file.text_)
-        file.sameSince_ = now;
-    if (!file.firstReadAt_)
-        file.firstReadAt_ = now;
+    // Time in which this process did not run is none in which the file was written.
+    Milliseconds passed
+        = file.readAt_ ? std::min(now - *file.readAt_, maxCountedInterval) : Milliseconds { 0 };
+    bool isSame = file.readAt_ && text == file.text_;
+    file.readAt_ = now;
+    file.readingFor_ += passed;
+    file.sameFor_ = isSame ? file.sameFor_ + passed : Milliseconds { 0 };
     file.text_ = std::move(text);
-    bool isOverdue = now >= *file.firstReadAt_ + maxWriteTime;
-    if (!file.text_) {
-        if (!isOverdue)
-            return std::nullopt;
+    bool isOverdue = file.readingFor_ >= maxWriteTime;
+    bool isSettled = file.text_ && file.sameFor_ >= settleTimeOf(*file.text_);
+    if (!isOverdue && !isSettled)
+        return std::nullopt;
+    if (!file.text_)
         return tl::make_unexpected(
             platform::DocumentError { file.path_, "cannot be opened; check the path" });
-    }
     SettingsResult settings = platform::decodeSettings(*file.text_);
-    Milliseconds required = endsInsideLine(*file.text_) ? settleTimeInsideLine : settleTime;
-    bool isSettled = settings && now >= file.sameSince_ + required;
-    if (!isSettled && !isOverdue)
-        return std::nullopt;
-    return settings;
+    bool isWanted = settings ? isSettled : isOverdue;
+    return isWanted ? std::optional(std::move(settings)) : std::nullopt;
 }
 
 } // namespace fescue
--- a/src/SettingsFile.h
+++ b/src/SettingsFile.h
@@ -21,8 +21,9 @@
 struct SettingsFile {
     std::string path_;
     std::optional<std::string> text_; ///< As last read; nothing if it could not be opened.
-    std::optional<MonotonicTime> firstReadAt_;
-    MonotonicTime sameSince_; ///< When the text was first read.
+    std::optional<MonotonicTime> readAt_; ///< Last.
+    Milliseconds readingFor_ { 0 }; ///< While this process ran.
+    Milliseconds sameFor_ { 0 }; ///< How much of it the text has been the same.
 };
 
 using SettingsResult = tl::expected<VmSettings, platform::DocumentError>;
