Hold signals again once the event loop has ended; take no address while draining

From the review: the handlers of signals go with the event loop, so a SIGHUP or a second SIGTERM at the end of a drain had its default action; a VM that drains while it waits for an address could take it from its own successor. By reading, not seen in a run.

--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -22,6 +22,8 @@
     deliverSignals();
     impl_->tick();
     impl_->io_.run();
+    // The handlers go with the event loop.
+    holdSignals();
 }
 
 } // namespace fescue
--- a/src/FrontServer.cpp
+++ b/src/FrontServer.cpp
@@ -183,7 +183,8 @@
 
 void FrontServer::tick(MonotonicTime now)
 {
-    if (impl_->listenRetryAt_ && now >= *impl_->listenRetryAt_)
+    bool awaitsAddress = impl_->listenRetryAt_ && !impl_->shared_->isDraining_;
+    if (awaitsAddress && now >= *impl_->listenRetryAt_)
         impl_->listen(now);
     if (impl_->acceptRetryAt_ && now >= *impl_->acceptRetryAt_) {
         impl_->acceptRetryAt_.reset();
