--- a/src/EventLog.cpp
+++ b/src/EventLog.cpp
@@ -38,10 +38,12 @@
         }
 
         // Without the lock, which the interrupted code may hold.
-        void drainInSignalHandler() const
+        void drainInSignalHandler()
         {
-            ssize_t ignored = ::write(STDOUT_FILENO, buffer_.data(), buffer_.size());
+            ssize_t ignored = ::write(STDOUT_FILENO, buffer_.data() + drainedInSignalHandler_,
+                buffer_.size() - drainedInSignalHandler_);
             static_cast<void>(ignored); // The process ends.
+            drainedInSignalHandler_ = buffer_.size();
         }
 
     protected:
@@ -59,6 +61,7 @@
         // Holds several seconds of lines at the maximum load of one VM.
         static constexpr std::size_t maxBufferedBytes = 512 * 1024;
         std::string buffer_;
+        std::size_t drainedInSignalHandler_ = 0;
         Counter dropped_ { "log_lines_dropped_total" };
     };
 
--- a/src/ProcessEnd.cpp
+++ b/src/ProcessEnd.cpp
@@ -88,10 +88,12 @@
     {
         FixedText address;
         address.addHex(reinterpret_cast<std::uint64_t>(info->si_addr));
+        logFatalSignal({ { "event", "process-failed" }, { "reason", "signal" }, { "signal", nameOf(signal) },
+            { "address", address.view() } });
+        // Reading a damaged stack may fail in turn, so it has a line of its own.
         FixedText stack;
         addStack(stack);
-        logFatalSignal({ { "event", "process-failed" }, { "reason", "signal" }, { "signal", nameOf(signal) },
-            { "address", address.view() }, { "stack", stack.view() } });
+        logFatalSignal({ { "event", "process-stack" }, { "stack", stack.view() } });
         // The handler was reset on entry, so this ends the process once the handler has returned.
         ::raise(signal);
     }
--- a/src/ProcessEnd.h
+++ b/src/ProcessEnd.h
@@ -6,9 +6,9 @@
  *     uncaught exception  -->  process-failed, reason "exception", its type and text
  *     fatal signal        -->  process-failed, reason "signal", its name and address
  *
- * Both lines have the stack as offsets into the program, for `addr2line -f -e PROGRAM`. A start that fails is
- * reported by `exitWithInvalidSetting`. SIGKILL, also that of the kernel for want of memory, leaves no line;
- * `MemoryWatch` reports how near the process was to its limit.
+ * The stack is logged as offsets into the program, for `addr2line -f -e PROGRAM`; after a signal in a line of
+ * its own, `process-stack`. A start that fails is reported by `exitWithInvalidSetting`. SIGKILL, also that of
+ * the kernel for want of memory, leaves no line; `MemoryWatch` reports how near the process was to its limit.
  */
 
 namespace fescue {
