Write the own entry again when it is removed

What callers could see: a VM that serves, and that the other VMs never learn of, so that turns and streams cannot use it. The removal by its last process may be applied after the announcement of this one, and nothing looked at it again. Starts that wait for their predecessor make it likelier. Fix: a removal of the own entry after its announcement starts another one. The log of ignored reports of targets moves to a file of its own. Measured: failure/StartsWithoutStore, entryThatThePredecessorRemovesLateIsWrittenAgain failed before; its other cases check the entries, too.

--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -7,6 +7,7 @@
 #include "Metrics.h"
 #include "StoreClient.h"
 #include "StoreCursor.h"
+#include "TargetReportLog.h"
 
 #include <algorithm>
 #include <set>
@@ -27,8 +28,6 @@
     // Bounds the memory of which unreadable entries have been logged.
     constexpr std::size_t maxUnreadableLogged = 64;
 
-    const char* stateOf(const TargetEntry& entry) { return entry.isLeaving_ ? "leaving" : "ready"; }
-
 } // namespace
 
 struct StoreFollower::Impl : std::enable_shared_from_this<StoreFollower::Impl> {
@@ -332,33 +331,12 @@
             if (record.key_.empty())
                 continue;
             auto entry = decodeTarget(record);
-            logOutOfOrder({ record.key_ }, entry);
+            logIgnoredReport(targetList_, { record.key_ }, entry, bootNow());
             applyTargetChange(targetList_, { record.key_ }, entry, bootNow());
         }
         reportTargets();
     }
 
-    // Says what a VM does not take from the list at once, since a target may be in use because of it.
-    void logOutOfOrder(const TargetId& id, const std::optional<TargetEntry>& entry) const
-    {
-        auto known = targetList_.entries_.find(id);
-        if (known == targetList_.entries_.end())
-            return;
-        if (entry && isOlderReport(*entry, known->second))
-            logEvent("target-report-late",
-                { { "target", id.value_ }, { "state", stateOf(*entry) },
-                    { "started_at", std::to_string(entry->startedAt_.count()) },
-                    { "report", std::to_string(entry->heartbeat_) },
-                    { "known_state", stateOf(known->second) },
-                    { "known_started_at", std::to_string(known->second.startedAt_.count()) },
-                    { "known_report", std::to_string(known->second.heartbeat_) } });
-        if (!entry && isRemovalHeld(targetList_, bootNow()))
-            logEvent("target-removal-held",
-                { { "target", id.value_ },
-                    { "reconnected_ms",
-                        std::to_string((bootNow() - *targetList_.reconnectedAt_).count()) } });
-    }
-
     void applyAllPeers(const std::vector<platform::KeyedRecord>& records)
     {
         peerEntries_.clear();
@@ -367,6 +345,15 @@
             onFirstReadOfPeers();
     }
 
+    void onPeerRemoved(const VmId& vm)
+    {
+        peerEntries_.erase(vm);
+        // The last process of this VM may have removed its entry after this one has announced itself.
+        bool isAnnounced = announceSequence_ != Sequence { 1 } && !isWithdrawn_;
+        if (isAnnounced && !announceAt_ && vm == own_->vm_)
+            announceAt_ = bootNow();
+    }
+
     // A process that ends without a drain leaves its entry behind.
     void onFirstReadOfPeers()
     {
@@ -392,7 +379,7 @@
             if (peer)
                 peerEntries_[peer->vm_] = *peer;
             else
-                peerEntries_.erase({ record.key_ });
+                onPeerRemoved({ record.key_ });
             logEvent("peer",
                 { { "peer", record.key_ }, { "zone", peer ? peer->zone_.value_ : "" },
                     { "address", peer ? peer->address_ : "" }, { "state", peer ? "present" : "gone" } });
--- a/test/failure/StartsWithoutStore.cpp
+++ b/test/failure/StartsWithoutStore.cpp
@@ -5,7 +5,10 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
+#include <string>
 #include <thread>
+#include <utility>
 
 using namespace fescue::test;
 
@@ -16,6 +19,7 @@
     CPPUNIT_TEST(storeThatDoesNotAnswer);
     CPPUNIT_TEST(storeThatLosesTheFirstAnswers);
     CPPUNIT_TEST(storeThatForgetsItsHistory);
+    CPPUNIT_TEST(entryThatThePredecessorRemovesLateIsWrittenAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -24,6 +28,7 @@
     void storeThatDoesNotAnswer();
     void storeThatLosesTheFirstAnswers();
     void storeThatForgetsItsHistory();
+    void entryThatThePredecessorRemovesLateIsWrittenAgain();
 };
 
 REGISTER_SUITE(StartsWithoutStore);
@@ -32,6 +37,20 @@
 
 using Change = std::function<void(fescue::standin::PlatformStore&)>;
 
+void waitForEntries(EntryVmHarness& vms, const std::map<std::string, std::string>& before)
+{
+    vms.waitUntil("each VM has written an entry of its own", [&vms, &before] {
+        std::map<std::string, std::string> entries;
+        vms.runOnStore([&entries](auto& store) { entries = store.newest("keyed.entry-vms"); });
+        std::size_t written = 0;
+        for (const auto& [vm, entry] : entries) {
+            auto old = before.find(vm);
+            written += !entry.empty() && (old == before.end() || old->second != entry) ? 1 : 0;
+        }
+        return written == vms.vmCount();
+    });
+}
+
 // Starts all VMs anew after `begin`, and checks that each serves soon after `end`.
 void checkAllServeAfter(const Change& begin, const Change& end)
 {
@@ -41,6 +60,9 @@
         return TargetAction { stampedResponse(request, "answer") };
     };
     EntryVmHarness vms({ answer, answer }, true, vmCount);
+    waitForEntries(vms, {});
+    std::map<std::string, std::string> before;
+    vms.runOnStore([&before](auto& store) { before = store.newest("keyed.entry-vms"); });
     vms.runOnStore(begin);
     for (std::size_t vm = 0; vm < vmCount; ++vm)
         vms.replaceProcess(vm);
@@ -52,6 +74,7 @@
         vms.waitUntil("the VM is ready", [&vms, vm] { return vms.readinessStatus(vm) == 200; });
         CHECK_EQUAL(200, statusOf(vms.requestAt(vm, "GET", "/read/x", requestHeaders)));
     }
+    waitForEntries(vms, before);
 }
 
 } // namespace
@@ -86,15 +109,26 @@
 {
     constexpr int lostAnswers = 6;
     checkAllServeAfter([](auto& store) { store.faults().answersToDrop_ = lostAnswers; },
-        [](auto& store) { store.faults().answersToDrop_ = 0; });
+        [](auto& store) { CHECK_EQUAL(0, std::exchange(store.faults().answersToDrop_, 0)); });
 }
 
-// The same for a store that keeps only the newest records while the VMs start.
+// The same for a store that leaves the first reads unanswered and has dropped its history when it answers
+// again.
 void StartsWithoutStore::storeThatForgetsItsHistory()
 {
-    auto compactAll = [](auto& store) {
-        for (const char* topic : { "keyed.op", "keyed.servers", "keyed.entry-vms" })
-            store.compact(topic);
-    };
-    checkAllServeAfter(compactAll, compactAll);
+    checkAllServeAfter([](auto& store) { store.faults().holdsLongPolls_ = true; },
+        [](auto& store) {
+            for (const char* topic : { "keyed.op", "keyed.servers", "keyed.entry-vms" })
+                store.compact(topic);
+            store.faults().holdsLongPolls_ = false;
+        });
+}
+
+// Guards against a VM that the others never learn of: the removal by its last process was applied late.
+void StartsWithoutStore::entryThatThePredecessorRemovesLateIsWrittenAgain()
+{
+    EntryVmHarness vms({});
+    waitForEntries(vms, {});
+    vms.runOnStore([](auto& store) { store.put("keyed.entry-vms", "vm-a", ""); });
+    waitForEntries(vms, {});
 }
