--- a/src/TurnAdmission.cpp
+++ b/src/TurnAdmission.cpp
@@ -200,6 +200,7 @@
 
     Milliseconds jittered(Milliseconds middle)
     {
+        middle = std::max(middle, Milliseconds { 0 }); // The deadline may have just passed.
         std::uniform_int_distribution<std::int64_t> spread(middle.count() / 2, middle.count() * 3 / 2);
         return Milliseconds { spread(random_) };
     }
@@ -212,8 +213,12 @@
                 expired.push_back(id);
         }
         for (PendingId id : expired) {
-            auto turn = std::move(pendingTurns_.at(id));
-            pendingTurns_.erase(id);
+            // The refusal of one lets its connection's next request in, which may decide others.
+            auto found = pendingTurns_.find(id);
+            if (found == pendingTurns_.end())
+                continue;
+            PendingTurn turn = std::move(found->second);
+            pendingTurns_.erase(found);
             if (turn.turnId_)
                 broker_.abandonTurn(*turn.turnId_);
             rejectCall(turn.call_, serviceUnavailable, "timed out waiting for the program's token budget",
