Wait for the log of a start that waits, in place of a fixed time

On a busy machine a process may not have come so far after 300 ms (seen with a sanitized build beside other load); it must now have logged that it waits, and still run 300 ms later.

--- a/test/failure/VmStarts.cpp
+++ b/test/failure/VmStarts.cpp
@@ -95,9 +95,9 @@
     {
         Listener listener(addresses.*port);
         vm.start();
+        CPPUNIT_ASSERT_MESSAGE(vm.log(), vm.waitForLog(R"("event":"listen-waiting")"));
         std::this_thread::sleep_for(conditionTime);
         CPPUNIT_ASSERT_MESSAGE(vm.log(), vm.isRunning());
-        CPPUNIT_ASSERT_MESSAGE(vm.log(), vm.log().find(R"("event":"listen-waiting")") != std::string::npos);
     }
     checkServes(vm);
     CHECK(vm.waitForLog(R"("event":"listening")"));
