--- a/apps/EntryMain.cpp
+++ b/apps/EntryMain.cpp
@@ -4,18 +4,19 @@
 #include "Documents.h"
 #include "EntryVm.h"
 #include "EventLog.h"
+#include "HostErrors.h"
 #include "ProcessEnd.h"
 #include "Settings.h"
 #include "SettingsFile.h"
 #include "StartSignals.h"
 
-#include <csignal>
 #include <cstdlib>
 #include <gflags/gflags.h>
 #include <optional>
 #include <random>
 #include <system_error>
 #include <thread>
+#include <utility>
 
 DEFINE_string(
     settings, "", "path of the platform's settings file; empty for the one that the platform provides");
@@ -66,17 +67,36 @@
     return options;
 }
 
+// Sets `vm` up, as soon as the host has what it takes; not if a signal asks to stop before.
+void setUp(std::optional<EntryVm>& vm, const EntryVmOptions& options)
+{
+    constexpr Milliseconds retryInterval { 50 };
+    bool isLogged = false;
+    while (!vm && !isStopHeld()) {
+        try {
+            vm.emplace(options);
+        } catch (const std::system_error& error) {
+            if (!mayPass(error.code()))
+                exitWithInvalidSetting(
+                    "listen", std::string(error.what()) + "; check the addresses in the settings file");
+            if (!std::exchange(isLogged, true))
+                logWarning("start-waiting", "the host lacks what a start takes; check its limits",
+                    { { "reason", error.what() } });
+            flushEventLog();
+            std::this_thread::sleep_for(retryInterval);
+        }
+    }
+}
+
 void serve(const EntryVmOptions& options)
 {
     std::optional<EntryVm> vm;
-    try {
-        vm.emplace(options);
-    } catch (const std::system_error& error) {
-        exitWithInvalidSetting(
-            "listen", std::string(error.what()) + "; check the addresses in the settings file");
-    }
+    setUp(vm, options);
     // What escapes from here is no matter of settings; see `logFatalEnds`.
-    vm->run();
+    if (vm)
+        vm->run();
+    else
+        logEvent("stop", { { "reason", "asked to stop before the VM could be set up" } });
 }
 
 // The loader calls it before the constructors of all libraries; a signal that comes earlier ends the process.
@@ -87,11 +107,10 @@
 int main(int argc, char** argv)
 {
     holdSignals();
+    ignoreWriteSignals();
     openStandardStreams();
     readSettings(
         argc, argv, { "fescue-entry", "fescue-entry: serves callers on an entry VM of the platform." });
-    // This process must survive when the reader of its standard output exits.
-    std::signal(SIGPIPE, SIG_IGN);
     openEventLog({ {}, "entry", {}, {}, true });
     logFatalEnds();
     std::string path = settingsPath();
--- a/apps/SchedulerMain.cpp
+++ b/apps/SchedulerMain.cpp
@@ -69,7 +69,9 @@
         fescue::waitForStopSignal();
         scheduler.drain();
     } catch (const std::exception& error) {
-        fescue::exitWithInvalidSetting("--listen, --http_port or --events_file", error.what());
+        fescue::exitWithInvalidSetting("--listen, --http_port or --events_file",
+            std::string(error.what())
+                + "; name an address of this VM that no other process has, and a file that can be written");
     }
     return 0;
 }
--- a/src/AnswerRelay.cpp
+++ b/src/AnswerRelay.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace fescue {
 
@@ -12,8 +13,39 @@
     constexpr std::size_t maxBufferedAnswerBytes = 256 * 1024;
     // Far above the text that engines put into one event.
     constexpr std::size_t maxEventBytes = 256 * 1024;
+    // Text of a turn that is kept even when there is no room.
+    constexpr std::size_t shortTextBytes = 16 * 1024;
     constexpr int firstError = 300; ///< Statuses below it are successes.
 
+    // Buffers a part of an answer. Returns false if the answer is too large or there is no room for it.
+    bool buffer(AnswerRelay& relay, const std::string& part)
+    {
+        std::size_t size = relay.buffered_.size() + part.size();
+        if (size > maxBufferedAnswerBytes)
+            return false;
+        if (size > relay.reserved_) {
+            std::size_t room = std::min(std::max(size, 2 * relay.reserved_), maxBufferedAnswerBytes);
+            if (!relay.reply_->reserve(room - relay.reserved_))
+                return false;
+            relay.reserved_ = room;
+            relay.buffered_.reserve(room);
+        }
+        relay.buffered_ += part;
+        return true;
+    }
+
+    // Feeds the text that is kept of a turn. Returns false if it is long and there is no room for it.
+    bool keepData(AnswerRelay& relay, std::string_view part)
+    {
+        relay.data_->feed(part);
+        std::size_t allocated = relay.data_->allocatedBytes();
+        allocated -= std::min(allocated, shortTextBytes);
+        std::size_t reserved = std::exchange(relay.reservedForData_, allocated);
+        if (allocated < reserved)
+            relay.reply_->release(reserved - allocated);
+        return allocated <= reserved || relay.reply_->reserve(allocated - reserved);
+    }
+
     bool hasEvents(const AnswerRelay& relay)
     {
         constexpr std::string_view eventStream = "text/event-stream";
@@ -62,16 +94,17 @@
 const char* relayBody(AnswerRelay& relay, std::string part)
 {
     if (!relay.hasStarted_) {
-        relay.buffered_ += part;
-        if (relay.buffered_.size() <= maxBufferedAnswerBytes)
+        if (buffer(relay, part))
             return nullptr;
         startRelay(relay);
-        part = std::move(relay.buffered_);
+        part.insert(0, relay.buffered_);
+        std::string().swap(relay.buffered_);
+        relay.reply_->release(std::exchange(relay.reserved_, 0));
     }
     if (relay.isStream_)
         relay.events_.feed(part);
-    if (relay.data_ && isSuccess(relay.head_)) // A failure is not kept.
-        relay.data_->feed(part);
+    if (relay.data_ && isSuccess(relay.head_) && !keepData(relay, part)) // A failure is not kept.
+        return "this VM has no room for the text of the turn";
     const char* excess = findExcess(relay);
     if (!excess)
         relay.reply_->write(part);
--- a/src/AnswerRelay.h
+++ b/src/AnswerRelay.h
@@ -4,7 +4,7 @@
  * AnswerRelay: passes a target's answer on to its caller, and decides whether it was broken off.
  *
  * A stream is passed on as it arrives. Any other answer is buffered until it is complete, so that a truncated
- * one can be retried, unless it is too large for that.
+ * one can be retried, unless it is too large for that or the VM has no room for it.
  *
  * An answer without a length or chunks ends when the target closes its connection in order. Its caller still
  * gets a length or chunks: otherwise the loss of this VM would look like the end of the answer. A stream that
@@ -29,6 +29,8 @@
     std::int64_t maxEvents_ = 0; ///< Events that the request may generate; 0 if unknown.
     HttpHead head_; ///< Of the target's last answer.
     std::string buffered_;
+    std::size_t reserved_ = 0; ///< Bytes of room for `buffered_`.
+    std::size_t reservedForData_ = 0; ///< Bytes of room for `data_`.
     EventCounter events_; ///< Passed on.
     std::optional<EventData> data_; ///< Of these events; nothing if it is not needed.
     std::size_t maxDataBytes_ = 0; ///< Of `data_`.
--- a/src/CallForwarder.cpp
+++ b/src/CallForwarder.cpp
@@ -53,6 +53,7 @@
 
 std::size_t CallForwarder::queuedCallCount() const { return impl_->pool_.queue_.calls_.size(); }
 
+SocketBytes CallForwarder::socketBytes() const { return impl_->outbound_.socketBytes(); }
 std::uint64_t CallForwarder::connectionsMade() const { return impl_->outbound_.connectionsMade(); }
 
 } // namespace fescue
--- a/src/CallForwarder.h
+++ b/src/CallForwarder.h
@@ -58,6 +58,8 @@
     /** Programs whose service or cached prefixes are known. */
     std::size_t knownProgramCount() const;
     std::uint64_t connectionsMade() const;
+    /** What the kernel holds for connections to targets; reads each socket. */
+    SocketBytes socketBytes() const;
 
 private:
     struct Impl;
--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -35,7 +35,6 @@
 constexpr int unavailable = 503;
 constexpr int gatewayTimeout = 504;
 // Reading from the target pauses while the caller has not read this much of the stream.
-constexpr std::size_t maxUnsentBytes = 256 * 1024;
 // Maximum sends of one request, whatever their outcome; bounds repeated refusals.
 constexpr std::uint32_t maxSends = 8;
 constexpr Milliseconds retryAfterFailure { 200 };
@@ -469,7 +468,8 @@
     void resumeReading()
     {
         for (const auto& [id, transfer] : transfers_) {
-            if (!transfer->isPaused_ || transfer->call_.reply_->pendingBytes() > maxUnsentBytes / 2)
+            const FrontReply& reply = *transfer->call_.reply_;
+            if (!transfer->isPaused_ || reply.pendingBytes() > reply.maxPendingBytes() / 2)
                 continue;
             transfer->isPaused_ = false;
             transfer->exchange_->pauseReading(false);
--- a/src/CallRelay.cpp
+++ b/src/CallRelay.cpp
@@ -37,6 +37,9 @@
         void end() override { reply_->end(); }
         void abort() override { reply_->abort(); }
         std::size_t pendingBytes() const override { return reply_->pendingBytes(); }
+        std::size_t maxPendingBytes() const override { return reply_->maxPendingBytes(); }
+        bool reserve(std::size_t bytes) override { return reply_->reserve(bytes); }
+        void release(std::size_t bytes) override { reply_->release(bytes); }
         void onDisconnect(std::function<void()> callback) override
         {
             reply_->onDisconnect(std::move(callback));
--- a/src/CrashTracker.cpp
+++ b/src/CrashTracker.cpp
@@ -334,7 +334,9 @@
 void CrashTracker::applyRecords(const std::vector<platform::KeyedRecord>& records, bool isComplete)
 {
     auto before = impl_->quarantine_.quarantined_;
+    deferAttribution(impl_->quarantine_);
     impl_->applyRecords(records, isComplete);
+    resumeAttribution(impl_->quarantine_);
     impl_->logChanges(before);
 }
 
@@ -342,7 +344,9 @@
     const TargetList& targets, const HasOlderConnection& hasOlderConnection, MonotonicTime now)
 {
     auto before = impl_->quarantine_.quarantined_;
+    deferAttribution(impl_->quarantine_);
     impl_->judge(targets, hasOlderConnection, now);
+    resumeAttribution(impl_->quarantine_);
     impl_->logChanges(before);
     impl_->sendWrites(now);
     impl_->cleanUp(now);
--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -26,4 +26,20 @@
     holdSignals();
 }
 
+void EntryVm::Impl::drain()
+{
+    if (drain_.startedAt_)
+        return;
+    drain_.startedAt_ = bootNow();
+    forwarder_.endBy(lastAnswerAt(drain_));
+    logEvent("drain", { { "under_way", std::to_string(forwarder_.openCallCount()) } });
+    callerServer_.drain();
+    // The next process waits for the addresses that this one has not bound.
+    exchange_.leaveAddress();
+    readinessServer_.leaveAddress();
+    if (metricsServer_)
+        metricsServer_->leaveAddress();
+    follower_.withdraw();
+}
+
 } // namespace fescue
--- a/src/EntryVmImpl.h
+++ b/src/EntryVmImpl.h
@@ -137,6 +137,8 @@
         callerServer_.onEvent(
             [this](FrontEvent event, std::size_t bytes) { callerRoom_.record(event, bytes); });
         callerServer_.setLimits(callerLimits());
+        exchange_.setLimits(peerLimits(options_.settings_.memoryMb_));
+        readinessServer_.setLimits(monitoringLimits());
         forwarder_.serveRelayed([this](ForwardedCall call) { handleRelayed(std::move(call)); });
         if (!options_.metricsAddress_.empty())
             serveMetrics();
@@ -152,6 +154,7 @@
                     reply->answer(plainTextHead(ok), metricsText(gauges()));
                 },
                 [](int, const char*, const HttpHead*) {});
+            metricsServer_->setLimits(monitoringLimits());
         } catch (const std::system_error& error) {
             logWarning("metrics-unavailable", "correct --metrics_port, or set it to 0",
                 { { "address", options_.metricsAddress_ }, { "reason", error.what() } });
@@ -207,6 +210,7 @@
     std::vector<Gauge> gauges() const
     {
         auto age = follower_.configAge(bootNow());
+        SocketBytes sockets = socketBytes();
         std::vector<Gauge> all { { "release", { "commit", releaseName() }, 1 },
             { "connections", {}, static_cast<double>(callerServer_.connections()) },
             { "callers_held_bytes", {}, static_cast<double>(callerServer_.heldMemory().total_) },
@@ -222,7 +226,9 @@
             { "targets", {}, static_cast<double>(follower_.targets().entries_.size()) },
             { "config_version", {}, static_cast<double>(config_ ? config_->version_ : 0) },
             { "config_age_seconds", {}, age ? std::chrono::duration<double>(*age).count() : -1 },
-            { "resident_bytes", {}, static_cast<double>(memory_.resident_.value_) },
+            { "resident_bytes", {}, static_cast<double>(memory_.use_.resident_.value_) },
+            { "socket_unread_bytes", {}, static_cast<double>(sockets.unread_) },
+            { "socket_unsent_bytes", {}, static_cast<double>(sockets.unsent_) },
             { "store_up", {}, health_.isUp_ ? 1.0 : 0.0 },
             { "links_lost", {}, forwarder_.isStranded() ? 1.0 : 0.0 },
             { "store_calls", {}, static_cast<double>(store_.calls()) },
@@ -273,7 +279,7 @@
     {
         FrontLimits limits;
         limits.memory_ = callerBudget(options_.settings_.memoryMb_);
-        limits.maxConnections_ = maxCallerConnections(options_.settings_.maxSockets_);
+        limits.maxConnections_ = maxCallerConnections(options_.settings_.maxSockets_, limits.memory_);
         return limits;
     }
 
@@ -333,11 +339,8 @@
         readinessServer_.tick(now);
         if (metricsServer_)
             metricsServer_->tick(now);
-        logListenWait(callerListenLog_, callerServer_.listenWait(), now);
-        logListenWait(readinessListenLog_, readinessServer_.listenWait(), now);
-        logListenWait(peerListenLog_, exchange_.listenWait(), now);
-        if (metricsServer_)
-            logListenWait(metricsListenLog_, metricsServer_->listenWait(), now);
+        if (!drain_.startedAt_)
+            logListenWaits(now);
         logReadinessChange();
         watchMemory(now);
         flushEventLog();
@@ -365,6 +368,15 @@
         follower_.announce({ settings.vm_, settings.zone_, settings.peerAddress_, writer_ });
     }
 
+    void logListenWaits(MonotonicTime now)
+    {
+        logListenWait(callerListenLog_, callerServer_.listenWait(), now);
+        logListenWait(readinessListenLog_, readinessServer_.listenWait(), now);
+        logListenWait(peerListenLog_, exchange_.listenWait(), now);
+        if (metricsServer_)
+            logListenWait(metricsListenLog_, metricsServer_->listenWait(), now);
+    }
+
     void logReadinessChange()
     {
         if (isReady() == wasReady_)
@@ -373,15 +385,32 @@
         logEvent(wasReady_ ? "ready" : "not-ready", {});
     }
 
+    SocketBytes socketBytes() const
+    {
+        SocketBytes sum = callerServer_.socketBytes();
+        sum += readinessServer_.socketBytes();
+        sum += exchange_.socketBytes();
+        sum += forwarder_.socketBytes();
+        sum += store_.socketBytes();
+        return sum;
+    }
+
     void watchMemory(MonotonicTime now)
     {
         if (!isReadDue(memory_, now))
             return;
         auto resident = residentMemory();
-        if (!resident || !takeResident(memory_, *resident))
+        if (!resident)
+            return;
+        // Reading all sockets takes time. What callers hold includes the most that theirs may.
+        auto held = static_cast<std::int64_t>(callerServer_.heldMemory().total_);
+        bool isLow = 2 * (resident->value_ + held) < memory_.limit_.value_;
+        if (!takeUse(memory_, { *resident, isLow ? SocketBytes {} : socketBytes() }))
             return;
         logWarning("memory-high", "the process is killed when it exceeds the memory of its VM",
             { { "resident_bytes", std::to_string(resident->value_) },
+                { "unread_bytes", std::to_string(memory_.use_.sockets_.unread_) },
+                { "unsent_bytes", std::to_string(memory_.use_.sockets_.unsent_) },
                 { "limit_bytes", std::to_string(memory_.limit_.value_) },
                 { "connections", std::to_string(callerServer_.connections()) },
                 { "callers_held_bytes", std::to_string(callerServer_.heldMemory().total_) },
@@ -390,16 +419,7 @@
                 { "waiting", std::to_string(forwarder_.queuedCallCount()) } });
     }
 
-    void drain()
-    {
-        if (drain_.startedAt_)
-            return;
-        drain_.startedAt_ = bootNow();
-        forwarder_.endBy(lastAnswerAt(drain_));
-        logEvent("drain", { { "under_way", std::to_string(forwarder_.openCallCount()) } });
-        callerServer_.drain();
-        follower_.withdraw();
-    }
+    void drain(); // Defined in EntryVm.cpp.
 
     bool isDrained(MonotonicTime now) const
     {
--- a/src/EventData.cpp
+++ b/src/EventData.cpp
@@ -2,6 +2,19 @@
 
 namespace fescue {
 
+namespace {
+
+    // Buffers of lines and events of ordinary size are used again.
+    void clear(std::string& buffer)
+    {
+        constexpr std::size_t maxKeptBytes = 4096;
+        buffer.clear();
+        if (buffer.capacity() > maxKeptBytes)
+            buffer.shrink_to_fit();
+    }
+
+} // namespace
+
 void EventData::feed(std::string_view bytes)
 {
     while (!bytes.empty()) {
@@ -29,7 +42,7 @@
     if (line.empty()) {
         // Each data line ends with a line feed, of which the last one terminates the data of the event.
         text_ += event_;
-        event_.clear();
+        clear(event_);
     }
     std::size_t colon = line.find(':');
     if (line.substr(0, colon) == dataField) {
@@ -40,7 +53,7 @@
         event_ += value;
         event_ += '\n';
     }
-    line_.clear();
+    clear(line_);
 }
 
 } // namespace fescue
--- a/src/EventData.h
+++ b/src/EventData.h
@@ -22,6 +22,8 @@
     const std::string& text() const { return text_; }
     /** Bytes that are held, including those of the incomplete event. */
     std::size_t heldBytes() const { return text_.size() + event_.size() + line_.size(); }
+    /** Memory that is taken for them. */
+    std::size_t allocatedBytes() const { return text_.capacity() + event_.capacity() + line_.capacity(); }
 
 private:
     void endLine();
--- a/src/FrontRoomImpl.h
+++ b/src/FrontRoomImpl.h
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <utility>
 
 namespace fescue {
 
@@ -21,11 +22,22 @@
         return link && link->isOpen() ? link->queuedBytes() : 0;
     }
 
+    // For so long the order in which connections give way is taken as unchanged: to look through thousands of
+    // them takes as long as to serve many requests.
+    constexpr Milliseconds maxListAge { 10 };
+
     bool isLarge(const FrontSession& session)
     {
         return session.missingBytes() > costOfRequest(0, 0, smallBodyBytes);
     }
 
+    // Whether a request may have come on an idle connection; to close it then would leave the request without
+    // an answer.
+    bool hasInput(FrontSession& session)
+    {
+        return session.isAwaitingTurn() || session.link().socketBytes().unread_ > 0;
+    }
+
     std::vector<Holder> holdersOf(const std::vector<std::shared_ptr<FrontSession>>& sessions)
     {
         std::vector<Holder> holders;
@@ -45,20 +57,40 @@
             [](const ClosingLink& closing) { return queuedBytesOf(closing) > 0; });
 }
 
+SocketBytes FrontShared::socketBytes() const
+{
+    SocketBytes sum;
+    for (const auto& session : sessions_)
+        sum += session->link().socketBytes();
+    for (const ClosingLink& closing : closing_) {
+        if (auto link = closing.link_.lock())
+            sum += link->socketBytes();
+    }
+    return sum;
+}
+
+void FrontShared::addClosing(ClosingLink closing)
+{
+    std::size_t bytes = closing.connectionBytes_ + queuedBytesOf(closing);
+    closingBytes_ += bytes;
+    held_.total_ += bytes;
+    closing_.push_back(std::move(closing));
+}
+
 void FrontShared::dropClosed(MonotonicTime now)
 {
     held_.total_ -= closingBytes_;
     closingBytes_ = 0;
     auto hasEnded = [&](const ClosingLink& closing) {
         auto link = closing.link_.lock();
-        if (!link || !link->isOpen())
-            return true;
-        closingBytes_ += link->queuedBytes();
-        if (!closing.lingersUntil_)
-            return link->queuedBytes() == 0;
-        if (now > *closing.lingersUntil_)
+        if (link && closing.lingersUntil_ && now > *closing.lingersUntil_)
             link->close(true);
-        return !link->isOpen();
+        if (!link || !link->isOpen()) {
+            wideBytes_ -= closing.wideBytes_;
+            return true;
+        }
+        closingBytes_ += closing.connectionBytes_ + link->queuedBytes();
+        return false;
     };
     closing_.erase(std::remove_if(closing_.begin(), closing_.end(), hasEnded), closing_.end());
     held_.total_ += closingBytes_;
@@ -78,6 +110,11 @@
     return limits_.memory_.total_ > 0 && held_.total_ > limits_.memory_.total_ / tightDivisor;
 }
 
+bool FrontShared::isFull() const
+{
+    return limits_.memory_.total_ > 0 && held_.total_ >= limits_.memory_.total_;
+}
+
 void FrontShared::releaseRoom()
 {
     if (waiting_.empty() || isServing_)
@@ -118,7 +155,7 @@
     if (!waiting_.empty())
         closeStalled(now);
     if (held_.total_ > limits_.memory_.total_)
-        shed();
+        shed(now);
     serveWaiting();
 }
 
@@ -140,13 +177,23 @@
         sessions[index]->reject(
             requestTimeout, "timed out waiting for the request while others wait; send it without pauses");
     }
+    for (std::size_t index : chooseUnread(holders, missing, now)) {
+        report(FrontEvent::ShedForMemory, holders[index].bytes_);
+        sessions[index]->close(true);
+    }
 }
 
-void FrontShared::shed()
+void FrontShared::shed(MonotonicTime now)
 {
     auto sessions = list();
     std::vector<Holder> holders = holdersOf(sessions);
+    for (Holder& holder : holders) {
+        if (isNew(holder, now))
+            holder.stage_ = HolderStage::Running; // As far as this VM knows.
+    }
     for (std::size_t index : chooseForMemory(holders, held_.total_ - limits_.memory_.total_)) {
+        if (holders[index].stage_ == HolderStage::Idle && hasInput(*sessions[index]))
+            continue;
         report(FrontEvent::ShedForMemory, holders[index].bytes_);
         if (sessions[index]->isWaiting())
             sessions[index]->reject(serviceUnavailable, noRoom);
@@ -162,8 +209,9 @@
             continue;
         report(FrontEvent::ShedForMemory, bytes);
         closing.link_.lock()->close(true);
-        held_.total_ -= std::min(bytes, closingBytes_);
-        closingBytes_ -= std::min(bytes, closingBytes_);
+        std::size_t freed = std::min(bytes + closing.connectionBytes_, closingBytes_);
+        held_.total_ -= freed;
+        closingBytes_ -= freed;
     }
 }
 
@@ -174,20 +222,64 @@
     if (lingering != closing_.end()) {
         if (auto link = lingering->link_.lock())
             link->close(true);
-        closing_.erase(lingering);
+        dropClosed(now);
+        return true;
+    }
+    // After a pause of the VM there is input on most of them.
+    constexpr int maxChecks = 8;
+    int checks = 0;
+    bool isListed = false;
+    while (checks < maxChecks) {
+        if (displaceable_.empty() || now > displaceableSince_ + maxListAge) {
+            if (std::exchange(isListed, true))
+                return false;
+            listDisplaceable(now);
+            continue;
+        }
+        Displaceable next = std::move(displaceable_.front());
+        displaceable_.pop_front();
+        auto session = next.session_.lock();
+        if (!session || sessions_.count(session) == 0)
+            continue;
+        Holder holder = displaceableHolder(*session);
+        bool isUnchanged = holder.stage_ == next.stage_ && holder.lastProgress_ == next.lastProgress_;
+        if (!isUnchanged)
+            continue;
+        if (!limits_.displacesBusy_ && holder.stage_ == HolderStage::Idle && hasInput(*session)) {
+            ++checks;
+            continue;
+        }
+        report(FrontEvent::DisplacedByConnection, holder.bytes_);
+        if (session->isWaiting())
+            session->reject(serviceUnavailable, noRoom);
+        else
+            session->close(false);
         return true;
     }
+    return false;
+}
+
+Holder FrontShared::displaceableHolder(const FrontSession& session) const
+{
+    Holder holder = session.holder();
+    if (session.isBeforeFirstTurn())
+        holder.stage_ = HolderStage::Running; // As far as this VM knows.
+    else if (limits_.displacesBusy_ && holder.stage_ == HolderStage::Unread)
+        holder.stage_ = HolderStage::Idle;
+    return holder;
+}
+
+void FrontShared::listDisplaceable(MonotonicTime now)
+{
     auto sessions = list();
-    std::vector<Holder> holders = holdersOf(sessions);
-    auto index = chooseForDescriptor(holders, now);
-    if (!index)
-        return false;
-    report(FrontEvent::DisplacedByConnection, holders[*index].bytes_);
-    if (sessions[*index]->isWaiting())
-        sessions[*index]->reject(serviceUnavailable, noRoom);
-    else
-        sessions[*index]->close(false);
-    return true;
+    std::vector<Holder> holders;
+    holders.reserve(sessions.size());
+    for (const auto& session : sessions)
+        holders.push_back(displaceableHolder(*session));
+    displaceable_.clear();
+    displaceableSince_ = now;
+    for (std::size_t index : orderForDescriptors(holders, now))
+        displaceable_.push_back({ sessions[index], holders[index].stage_, holders[index].lastProgress_ });
 }
 
 } // namespace fescue
--- a/src/FrontServer.cpp
+++ b/src/FrontServer.cpp
@@ -1,11 +1,16 @@
 #include "FrontServer.h"
 
 #include "BootClock.h"
+#include "FrontBuffersImpl.h"
+#include "FrontReplyImpl.h"
 #include "FrontRoomImpl.h"
 #include "FrontSessionImpl.h"
+#include "FrontTurnsImpl.h"
+#include "HostErrors.h"
 #include "TcpLink.h"
 
 #include <algorithm>
+#include <asio/post.hpp>
 #include <fmt/format.h>
 #include <optional>
 #include <system_error>
@@ -19,8 +24,8 @@
     // Delay after a failed accept, for example when no file descriptors are left.
     constexpr Milliseconds acceptRetryDelay { 50 };
     constexpr Milliseconds listenRetryDelay { 50 };
-    // What a connection's socket holds before this process reads it counts towards the memory of the VM, too.
-    constexpr int maxUnreadInputBytes = 64 * 1024;
+    // Connections beyond the limit whose callers are told to come back.
+    constexpr std::size_t surplusConnections = 64;
 
     tcp::endpoint endpointOf(const std::string& address)
     {
@@ -35,15 +40,6 @@
         return *endpoint;
     }
 
-    // Whether a later try may succeed: the predecessor of this process still drains, for example, or the
-    // address is not yet assigned to the VM.
-    bool mayPass(const asio::error_code& error)
-    {
-        return error == asio::error::address_in_use || error == std::errc::address_not_available
-            || error == asio::error::no_descriptors || error == std::errc::too_many_files_open_in_system
-            || error == asio::error::no_buffer_space || error == asio::error::no_memory;
-    }
-
 } // namespace
 
 struct FrontServer::Impl : std::enable_shared_from_this<FrontServer::Impl> {
@@ -55,6 +51,9 @@
     tcp::endpoint endpoint_;
     std::optional<ListenWait> listenWait_; ///< Nothing once it listens.
     MonotonicTime listenRetryAt_;
+    bool leavesAddress_ = false;
+    MonotonicTime displaceAgainAt_;
+    std::optional<tcp::socket> accepted_; ///< Accepted, and not served yet.
 
     Impl(asio::io_context& io, const std::string& address)
         : io_(io)
@@ -87,29 +86,58 @@
         acceptor_.open(tcp::v4(), error);
         if (!error)
             acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-        // Accepted connections inherit it. Failing to set it only lets callers send further ahead.
+        // Connections inherit these, also those that wait to be accepted. It serves without them, too.
         asio::error_code ignored;
-        acceptor_.set_option(asio::socket_base::receive_buffer_size(maxUnreadInputBytes), ignored);
+        acceptor_.set_option(asio::socket_base::receive_buffer_size(narrowBuffers.receive_), ignored);
+        acceptor_.set_option(asio::socket_base::send_buffer_size(narrowBuffers.send_), ignored);
         if (!error)
             acceptor_.bind(endpoint_, error);
         if (!error)
-            acceptor_.listen(asio::socket_base::max_listen_connections, error);
+            acceptor_.listen(maxAcceptQueue, error);
+        if (!error)
+            acceptor_.non_blocking(true, error);
         if (error)
             acceptor_.close(ignored);
         return error;
     }
 
-    void serve(tcp::socket socket)
+    bool isAtLimit() const
     {
         std::size_t limit = shared_->limits_.maxConnections_;
-        if (limit > 0 && shared_->connections() >= limit) {
+        return limit > 0 && shared_->connections() >= limit;
+    }
+
+    // Looking through all connections takes time, and most attempts of a crowd find none.
+    bool displaceOne(MonotonicTime now)
+    {
+        constexpr Milliseconds pause { 10 };
+        if (now < displaceAgainAt_)
+            return false;
+        if (shared_->displaceOne(now))
+            return true;
+        if (shared_->awaitingFirstTurn_.empty())
+            displaceAgainAt_ = now + pause;
+        return false;
+    }
+
+    // Returns false if the connection has to wait for the first turns of others, which may give way then.
+    bool serve(tcp::socket& socket)
+    {
+        if (isAtLimit())
             shared_->dropClosed(bootNow());
-            if (shared_->connections() >= limit && !shared_->displaceOne(bootNow()))
-                return; // Closed unread, so its caller may repeat any request.
+        bool isSurplus = isAtLimit() && !displaceOne(bootNow());
+        if (isSurplus && !shared_->awaitingFirstTurn_.empty())
+            return false;
+        if (isSurplus && shared_->connections() >= shared_->limits_.maxConnections_ + surplusConnections) {
+            tcp::socket closed(std::move(socket)); // Unread, so its caller may repeat any request.
+            return true;
         }
         auto session = std::make_shared<FrontSession>(TcpLink::accepted(std::move(socket)), shared_);
+        if (isSurplus)
+            session->refuseNext();
         shared_->sessions_.insert(session);
         session->start();
+        return true;
     }
 
     void accept()
@@ -125,10 +153,32 @@
                     self->acceptRetryAt_ = bootNow() + acceptRetryDelay;
                     return;
                 }
-                self->serve(std::move(socket));
-                self->accept();
+                self->accepted_ = std::move(socket);
+                self->serveAccepted();
             });
     }
+
+    // Also connections that wait already, so that ordinary callers need not wait behind a crowd of them.
+    // Those that come later have to wait until everything else that is due has run.
+    void serveAccepted()
+    {
+        constexpr int maxAccepts = 64;
+        constexpr Milliseconds slice { 2 };
+        MonotonicTime end = bootNow() + slice;
+        for (int i = 0; i < maxAccepts && bootNow() < end && serve(*accepted_); ++i) {
+            accepted_.reset();
+            tcp::socket socket(io_);
+            asio::error_code error;
+            acceptor_.accept(socket, error);
+            if (error)
+                return accept(); // The next wait meets it again, unless no connection is left.
+            accepted_ = std::move(socket);
+        }
+        asio::post(io_, [self = shared_from_this()] {
+            if (self->acceptor_.is_open())
+                self->serveAccepted();
+        });
+    }
 };
 
 std::shared_ptr<const bool> watchDisconnect(FrontReply& reply)
@@ -138,6 +188,23 @@
     return isGone;
 }
 
+FrontLimits peerLimits(std::int64_t memoryMb)
+{
+    FrontLimits limits;
+    limits.memory_ = peerBudget(memoryMb);
+    limits.maxConnections_ = maxConnections(limits.memory_);
+    return limits;
+}
+
+FrontLimits monitoringLimits()
+{
+    FrontLimits limits;
+    limits.memory_ = monitoringBudget();
+    limits.maxConnections_ = maxConnections(limits.memory_);
+    limits.displacesBusy_ = true;
+    return limits;
+}
+
 FrontServer::FrontServer(
     asio::io_context& io, const std::string& address, FrontHandler handler, FrontRejectionHandler onRejected)
     : impl_(std::make_shared<Impl>(io, address))
@@ -166,7 +233,7 @@
 
 void FrontServer::tick(MonotonicTime now)
 {
-    bool awaitsAddress = impl_->listenWait_ && !impl_->shared_->isDraining_;
+    bool awaitsAddress = impl_->listenWait_ && !impl_->leavesAddress_;
     if (awaitsAddress && now >= impl_->listenRetryAt_)
         impl_->listen(now);
     if (impl_->acceptRetryAt_ && now >= *impl_->acceptRetryAt_) {
@@ -180,7 +247,13 @@
     impl_->shared_->reclaim(now);
 }
 
-void FrontServer::drain() { impl_->shared_->isDraining_ = true; }
+void FrontServer::leaveAddress() { impl_->leavesAddress_ = true; }
+
+void FrontServer::drain()
+{
+    leaveAddress();
+    impl_->shared_->isDraining_ = true;
+}
 
 bool FrontServer::hasOpenRequests() const
 {
@@ -202,6 +275,8 @@
 
 HeldMemory FrontServer::heldMemory() const { return impl_->shared_->held_; }
 
+SocketBytes FrontServer::socketBytes() const { return impl_->shared_->socketBytes(); }
+
 const std::optional<ListenWait>& FrontServer::listenWait() const { return impl_->listenWait_; }
 
 std::uint16_t FrontServer::port() const { return impl_->acceptor_.local_endpoint().port(); }
--- a/src/FrontServer.h
+++ b/src/FrontServer.h
@@ -10,6 +10,7 @@
 
 #include "HttpWire.h"
 #include "MemoryBudget.h"
+#include "TcpLink.h"
 
 #include <asio/io_context.hpp>
 #include <functional>
@@ -26,8 +27,20 @@
     Milliseconds idleTimeout_ { 60000 }; ///< Between two requests, and between two reads of a body.
     MemoryBudget memory_; ///< What all callers together may make the server hold.
     std::size_t maxConnections_ = 0; ///< Open at a time; 0 is without a limit.
+    /** Whether a connection gives way to a new one although a request has come on it or its answers are not
+     * read, since its requests may be sent again at any time. */
+    bool displacesBusy_ = false;
 };
 
+/** Limits for other VMs on a VM with so much memory. */
+FrontLimits peerLimits(std::int64_t memoryMb);
+
+/** Limits for those who ask for readiness or metrics. */
+FrontLimits monitoringLimits();
+
+/** Bytes of an answer that may wait for a caller who does not read, while there is room for them. */
+constexpr std::size_t maxUnreadAnswerBytes = 256 * 1024;
+
 /** Sends the response to one request. Must be used on the thread of the event loop. */
 class FrontReply {
 public:
@@ -42,6 +55,13 @@
     virtual void abort() = 0;
     /** Bytes queued for the caller and not yet written to the socket. */
     virtual std::size_t pendingBytes() const = 0;
+    /** Beyond so many pending bytes no more should be written for now. */
+    virtual std::size_t maxPendingBytes() const { return maxUnreadAnswerBytes; }
+    /** Counts bytes that the VM holds for the request beside what its caller has sent, until its answer is
+     * complete. Returns false, and counts nothing, if there is no room for them. */
+    virtual bool reserve(std::size_t) { return true; }
+    /** Counts bytes that were reserved no longer. */
+    virtual void release(std::size_t) { }
     /** Sets the callback that is invoked once if the caller disconnects before the response is complete. */
     virtual void onDisconnect(std::function<void()> callback) = 0;
 };
@@ -96,7 +116,9 @@
     void tick(MonotonicTime now);
     /** Why its address is not bound yet; nothing once it is. */
     const std::optional<ListenWait>& listenWait() const;
-    /** From now on each connection is closed after its next response. */
+    /** Leaves an address that is not bound yet to the next process. */
+    void leaveAddress();
+    /** The same, and from now on each connection is closed after its next response. */
     void drain();
     /** Whether a request was read, at least in part, and has no complete response. */
     bool hasOpenRequests() const;
@@ -109,6 +131,8 @@
     std::size_t connections() const;
     /** What callers make the server hold now. */
     HeldMemory heldMemory() const;
+    /** What the kernel holds for its connections; reads each socket. */
+    SocketBytes socketBytes() const;
     /** Precondition: it listens. */
     std::uint16_t port() const;
 
--- a/src/FrontSession.h
+++ b/src/FrontSession.h
@@ -9,6 +9,7 @@
 #include "MemoryBudget.h"
 #include "TcpLink.h"
 
+#include <deque>
 #include <optional>
 #include <set>
 #include <vector>
@@ -28,6 +29,15 @@
     /** Until then what its caller still sends is read, so that it receives the answer; nothing for one that
      * closes itself. */
     std::optional<MonotonicTime> lingersUntil_;
+    std::size_t connectionBytes_ = 0; ///< As in `Holder`.
+    std::size_t wideBytes_ = 0; ///< Of these, what wide buffers take.
+};
+
+/** A connection that may give way to a new one, as long as it makes no progress. */
+struct Displaceable {
+    std::weak_ptr<FrontSession> session_;
+    HolderStage stage_ = HolderStage::Idle;
+    MonotonicTime lastProgress_;
 };
 
 /** State that the sessions of a server share. */
@@ -46,9 +56,15 @@
     std::vector<ClosingLink> closing_;
     HeldMemory held_;
     std::size_t closingBytes_ = 0; ///< Of the held memory, those of closing connections.
+    std::size_t wideBytes_ = 0; ///< Of the held memory, wide buffers of sockets.
     bool isDraining_ = false;
     bool isServing_ = false; ///< `serveWaiting` is due.
     std::function<void(FrontEvent, std::size_t)> onEvent_;
+    std::deque<std::weak_ptr<FrontSession>> awaitingFirstTurn_; ///< Sessions whose request may have come.
+    std::deque<std::weak_ptr<FrontSession>> awaitingTurn_; ///< Sessions with something to read or to parse.
+    bool isTurnDue_ = false; ///< `runTurns` is due.
+    std::deque<Displaceable> displaceable_; ///< The first one gives way first.
+    MonotonicTime displaceableSince_; ///< When they were listed.
 
     void report(FrontEvent event, std::size_t bytes) const
     {
@@ -56,8 +72,11 @@
             onEvent_(event, bytes);
     }
     bool hasUnsentBytes() const;
+    void addClosing(ClosingLink closing);
     /** Whether callers hold so much that they may not send ahead. */
     bool isTight() const;
+    /** Whether callers hold so much that only requests with room are read. */
+    bool isFull() const;
     /** Gives room to those who wait, soon. */
     void releaseRoom();
     void serveWaiting();
@@ -68,13 +87,23 @@
     /** Forgets closing connections that have ended, and ends those that have lingered for long enough. */
     void dropClosed(MonotonicTime now);
     bool hasLargeWaiting() const;
+    SocketBytes socketBytes() const;
     /** Connections that exist or close soon. */
     std::size_t connections() const { return sessions_.size() + closing_.size(); }
 
+    /** Lets a session take its turn after those that wait already; a new session after other new ones. */
+    void awaitTurn(const std::shared_ptr<FrontSession>& session);
+
 private:
+    void runTurns();
+    void scheduleTurns();
+    void takeNext(std::deque<std::weak_ptr<FrontSession>>& sessions);
     std::vector<std::shared_ptr<FrontSession>> list() const { return { sessions_.begin(), sessions_.end() }; }
+    /** A session as `displaceOne` sees it. */
+    Holder displaceableHolder(const FrontSession& session) const;
+    void listDisplaceable(MonotonicTime now);
     void closeStalled(MonotonicTime now);
-    void shed();
+    void shed(MonotonicTime now);
 };
 
 class FrontSessionReply;
@@ -85,34 +114,57 @@
     FrontSession(std::shared_ptr<TcpLink> link, std::shared_ptr<FrontShared> shared);
 
     void start();
+    /** Refuses the request that comes. */
+    void refuseNext() { isSurplus_ = true; }
+    /** Sends a part of an answer. */
+    void send(std::string_view data);
+    /** Reads from the connection, or goes on with what was read, as far as one request. */
+    void takeTurn();
     void tick(MonotonicTime now);
     bool isIdle() const { return !reply_ && !reader_.hasStarted() && input_.empty(); }
     void shutDown();
     void close(bool isAborting);
     TcpLink& link() { return *link_; }
     bool isDraining() const { return shared_->isDraining_; }
+    bool isTight() const { return shared_->isTight(); }
     void handleResponseSent(bool keepsAlive);
     /** What the connection does and holds. */
     Holder holder() const;
+    /** Whether it has something to read or to parse, as far as the event loop has told. */
+    bool isAwaitingTurn() const { return isAwaitingTurn_; }
     bool isWaiting() const { return waitingSince_.has_value(); }
+    /** Whether it has not had a turn, so that a request may have come unnoticed. */
+    bool isBeforeFirstTurn() const { return isBeforeFirstTurn_; }
     /** Bytes that it waits for. */
     std::size_t missingBytes() const;
     /** Goes on if there is room now. Returns whether there is. */
     bool proceed();
+    /** Takes more room for the request in flight. Returns whether there is. */
+    bool reserve(std::size_t bytes);
+    void release(std::size_t bytes);
     /** Refuses the request, which has certainly not run, and closes the connection. */
     void reject(int status, const char* reason);
 
 private:
+    void awaitTurn();
+    void parseRequest();
     void handleData(std::string_view data);
     void parse();
+    void settle();
     bool takeRoom();
     void leaveRoom();
+    bool setBuffers(const SocketBuffers& buffers, std::size_t maxWideBytes);
+    void widenReceiveBuffer(std::size_t maxWideBytes);
+    void narrowSendBuffer();
+    std::size_t connectionCost() const;
     void account();
     std::size_t bodyToExpect() const;
     void dispatch();
     void handleClose();
     void closeAfterFlush();
+    void leaveToClose(std::optional<MonotonicTime> lingersUntil);
     void updatePause();
+    std::size_t maxRead() const;
     bool canParse() const;
     void unregister();
 
@@ -126,13 +178,13 @@
     std::optional<MonotonicTime> headStartedAt_;
     MonotonicTime headCompletedAt_;
     std::optional<MonotonicTime> waitingSince_; ///< For room.
+    std::optional<MonotonicTime> fullSince_; ///< It is not read, since others hold too much.
     std::optional<MonotonicTime> roomSince_;
     std::size_t headCost_ = 0; ///< Of a request without a body.
     std::size_t bodyRoom_ = 0; ///< Bytes of a body that the session has room for.
     std::size_t reserved_ = 0; ///< For the request that is read or in flight.
     std::size_t charged_ = 0; ///< Its part of the held memory.
     std::size_t headBytes_ = 0; ///< Of an unfinished head.
-    std::size_t unread_ = 0; ///< In the socket, while reading is paused.
     bool isLarge_ = false; ///< The reservation is that of a large body.
     bool wasChargedLarge_ = false;
     bool wasServed_ = false;
@@ -141,6 +193,11 @@
     bool isPaused_ = false; ///< Reading is paused.
     bool isClosing_ = false; ///< What comes is not answered; the connection closes once all is sent.
     bool isRegistered_ = true;
+    std::size_t unsentBefore_ = 0; ///< Queued for the caller at the last tick.
+    SocketBuffers buffers_ = narrowBuffers;
+    bool isSurplus_ = false; ///< Its request is refused, since there is no room for another connection.
+    bool isAwaitingTurn_ = false;
+    bool isBeforeFirstTurn_ = true;
 };
 
 /** The reply to a session's request. */
@@ -159,6 +216,13 @@
     void end() override;
     void abort() override;
     std::size_t pendingBytes() const override { return session_ ? session_->link().queuedBytes() : 0; }
+    std::size_t maxPendingBytes() const override;
+    bool reserve(std::size_t bytes) override { return !session_ || session_->reserve(bytes); }
+    void release(std::size_t bytes) override
+    {
+        if (session_)
+            session_->release(bytes);
+    }
     void onDisconnect(std::function<void()> callback) override { onDisconnect_ = std::move(callback); }
     bool hasBegun() const { return hasBegun_; }
     void handleDisconnect();
--- a/src/FrontSessionImpl.h
+++ b/src/FrontSessionImpl.h
@@ -15,13 +15,12 @@
 
     // Bytes of pipelined requests that are buffered while one is served; reading is paused beyond them.
     constexpr std::size_t maxPipelinedBytes = 256 * 1024;
-    // A request waits while its caller has not read this much of earlier answers.
-    constexpr std::size_t maxUnreadBytes = 256 * 1024;
+    // While room is short, a session without room reads this much at a time, so that all of them together
+    // exceed the budget by little.
+    constexpr std::size_t narrowReadBytes = 4 * 1024;
     // A caller may reuse a connection until its idle timeout ends, and the close must not race with such a
     // request.
     constexpr Milliseconds idleTimeoutMargin { 500 };
-    // The states of a connection without a request, here and in its link.
-    constexpr std::size_t connectionBytes = 2048;
     // A caller gives up a connection that is not read for a second.
     constexpr Milliseconds maxRoomWait { 1000 };
     // So long a refused caller may go on sending and still receives the refusal.
@@ -80,9 +79,11 @@
 void FrontSession::start()
 {
     auto self = shared_from_this();
+    // The rest is for connections that need wide buffers.
+    widenReceiveBuffer(shared_->limits_.memory_.forWideBuffers_ / 2);
     link_->setCallbacks({ nullptr, [self](std::string_view data) { self->handleData(data); },
-        [self](CloseReason) { self->handleClose(); } });
-    link_->start();
+        [self](CloseReason) { self->handleClose(); }, [self] { self->awaitTurn(); } });
+    awaitTurn();
 }
 
 void FrontSession::handleData(std::string_view data)
@@ -97,7 +98,7 @@
 bool FrontSession::canParse() const
 {
     return !reply_ && !isClosing_ && !waitingSince_ && !input_.empty() && link_->isOpen()
-        && link_->queuedBytes() <= maxUnreadBytes;
+        && link_->queuedBytes() <= maxUnreadAnswerBytes;
 }
 
 void FrontSession::parse()
@@ -106,50 +107,80 @@
         return;
     isParsing_ = true;
     auto self = shared_from_this();
-    while (canParse()) {
-        if (!reader_.hasStarted())
-            reader_.setLimits(shared_->limits_.message_);
-        std::size_t used = reader_.feed(input_);
-        input_.erase(0, used);
-        headBytes_ = reader_.hasHead() ? 0 : headBytes_ + used;
-        if (reader_.hasStarted() && !headStartedAt_)
-            headStartedAt_ = lastActive_;
-        if (reader_.error()) {
-            reject(statusOf(*reader_.error()), messageOf(*reader_.error()));
-            break;
-        }
-        if (!reader_.hasHead())
-            break;
-        bool isFirst = !std::exchange(hasHead_, true);
-        if (isFirst) {
-            headCompletedAt_ = lastActive_;
-            headCost_ = costOfHead(reader_.head());
-        }
-        body_ += reader_.takeBody();
-        if (!takeRoom())
-            break;
-        const std::string* expect = isFirst ? findHeader(reader_.head(), "Expect") : nullptr;
-        if (expect && equalsIgnoreCase(*expect, "100-continue") && !reader_.isComplete())
-            link_->send("HTTP/1.1 100 Continue\r\n\r\n");
-        if (!reader_.isComplete())
-            break;
-        dispatch();
-    }
+    if (canParse())
+        parseRequest();
     isParsing_ = false;
+    settle();
+}
+
+// Leaves the next request to a turn of the session: one that begins within the end of the last one could end
+// others in its turn, and so on without a bound.
+void FrontSession::settle()
+{
+    if (isParsing_)
+        return;
     if (input_.empty())
         std::string().swap(input_);
     updatePause();
     account();
+    if (canParse())
+        awaitTurn();
+}
+
+// Goes on with a request, up to its end.
+void FrontSession::parseRequest()
+{
+    if (!reader_.hasStarted())
+        reader_.setLimits(shared_->limits_.message_);
+    std::size_t used = reader_.feed(input_);
+    input_.erase(0, used);
+    headBytes_ = reader_.hasHead() ? 0 : headBytes_ + used;
+    if (reader_.hasStarted() && !headStartedAt_)
+        headStartedAt_ = lastActive_;
+    if (reader_.error())
+        return reject(statusOf(*reader_.error()), messageOf(*reader_.error()));
+    if (!reader_.hasHead())
+        return;
+    if (isSurplus_)
+        return reject(serviceUnavailable, noRoom);
+    bool isFirst = !std::exchange(hasHead_, true);
+    if (isFirst) {
+        headCompletedAt_ = lastActive_;
+        headCost_ = costOfHead(reader_.head());
+    }
+    body_ += reader_.takeBody();
+    if (!takeRoom())
+        return;
+    const std::string* expect = isFirst ? findHeader(reader_.head(), "Expect") : nullptr;
+    if (expect && equalsIgnoreCase(*expect, "100-continue") && !reader_.isComplete())
+        link_->send("HTTP/1.1 100 Continue\r\n\r\n");
+    if (reader_.isComplete())
+        dispatch();
 }
 
 void FrontSession::updatePause()
 {
     // What is sent ahead of an answer waits in the socket when room is short.
-    bool sendsAhead = reply_ && (shared_->isTight() || input_.size() > maxPipelinedBytes);
-    isPaused_ = !isClosing_ && (waitingSince_ || sendsAhead || input_.size() > maxPipelinedBytes);
+    bool sendsAhead = (reply_ || !input_.empty()) && shared_->isTight();
+    bool lacksRoom = reserved_ == 0 && shared_->isFull();
+    isPaused_
+        = !isClosing_ && (waitingSince_ || sendsAhead || lacksRoom || input_.size() > maxPipelinedBytes);
+    if (!isPaused_ || !lacksRoom)
+        fullSince_.reset();
+    else if (!fullSince_)
+        fullSince_ = bootNow();
+    link_->setMaxRead(maxRead());
     link_->pauseReading(isPaused_);
-    if (!isPaused_)
-        unread_ = 0;
+}
+
+std::size_t FrontSession::maxRead() const
+{
+    bool hasRoomForBody = reserved_ > 0 && !reply_ && hasHead_ && !reader_.isComplete();
+    if (!shared_->isTight() || isClosing_)
+        return maxReadBytes;
+    if (hasRoomForBody)
+        return std::clamp(bodyRoom_ - std::min(bodyRoom_, body_.size()), narrowReadBytes, maxReadBytes);
+    return narrowReadBytes;
 }
 
 // Bytes that the body of the request may come to, as far as its head and what has come tell.
@@ -194,9 +225,29 @@
     if (!reader_.isComplete())
         body_.reserve(expected);
     account();
+    if (expected > body_.size() + static_cast<std::size_t>(narrowBuffers.receive_))
+        widenReceiveBuffer(shared_->limits_.memory_.forWideBuffers_);
+    return true;
+}
+
+bool FrontSession::reserve(std::size_t bytes)
+{
+    bool isLarge = bytes > smallBodyBytes;
+    if (!hasRoom(shared_->limits_.memory_, shared_->held_, bytes, isLarge))
+        return false;
+    reserved_ += bytes;
+    isLarge_ = isLarge_ || isLarge;
+    account();
     return true;
 }
 
+void FrontSession::release(std::size_t bytes)
+{
+    reserved_ -= std::min(bytes, reserved_);
+    account();
+    shared_->releaseRoom();
+}
+
 void FrontSession::leaveRoom()
 {
     reserved_ = 0;
@@ -215,8 +266,10 @@
     bool wasLarge = charged_ > 0 && wasChargedLarge_;
     held.total_ -= charged_;
     held.large_ -= wasLarge ? charged_ : 0;
-    std::size_t received = input_.capacity() + 2 * headBytes_ + (reserved_ > 0 ? 0 : body_.capacity());
-    charged_ = isRegistered_ ? connectionBytes + received + reserved_ + unread_ + link_->queuedBytes() : 0;
+    std::size_t received = input_.capacity() + 2 * headBytes_;
+    if (reserved_ == 0)
+        received += body_.capacity() + (hasHead_ ? headCost_ : 0);
+    charged_ = isRegistered_ ? connectionCost() + received + reserved_ + link_->queuedBytes() : 0;
     wasChargedLarge_ = isLarge_;
     held.total_ += charged_;
     held.large_ += isLarge_ ? charged_ : 0;
@@ -224,7 +277,8 @@
 
 Holder FrontSession::holder() const
 {
-    Holder holder { HolderStage::Idle, charged_, lastActive_, {}, wasServed_ };
+    Holder holder { HolderStage::Idle, charged_, lastActive_, {}, wasServed_,
+        std::min(charged_, connectionCost()) };
     if (reply_)
         holder.stage_ = HolderStage::Running;
     else if (link_->queuedBytes() > 0)
@@ -286,7 +340,7 @@
     head.status_ = status;
     head.headers_ = { { "Content-Length", std::to_string(std::string_view(reason).size()) },
         { "Connection", "close" } };
-    if (waitingSince_ && status == serviceUnavailable)
+    if ((waitingSince_ || fullSince_ || isSurplus_) && status == serviceUnavailable)
         head.headers_.push_back({ "Retry-After", retryAfterNoRoom });
     link_->send(toText(head) + reason);
     isClosing_ = true;
@@ -294,8 +348,7 @@
     std::string().swap(body_);
     link_->pauseReading(false);
     link_->finishSending();
-    shared_->closing_.push_back({ link_, bootNow() + lingerTime });
-    unregister();
+    leaveToClose(bootNow() + lingerTime);
 }
 
 void FrontSession::handleResponseSent(bool keepsAlive)
@@ -306,10 +359,9 @@
     leaveRoom();
     if (!keepsAlive) {
         closeAfterFlush();
-        shared_->closing_.push_back({ link_, std::nullopt });
-        return unregister();
+        return leaveToClose(std::nullopt);
     }
-    parse();
+    settle();
 }
 
 void FrontSession::closeAfterFlush()
@@ -321,6 +373,15 @@
     link_->closeAfterFlush();
 }
 
+// The connection keeps its buffers until it is closed.
+void FrontSession::leaveToClose(std::optional<MonotonicTime> lingersUntil)
+{
+    if (link_->isOpen())
+        shared_->addClosing({ link_, lingersUntil, costOfConnection(buffers_),
+            extraCostOf(std::exchange(buffers_, narrowBuffers)) });
+    unregister();
+}
+
 void FrontSession::close(bool isAborting)
 {
     link_->close(isAborting);
@@ -330,6 +391,7 @@
 void FrontSession::unregister()
 {
     isRegistered_ = false;
+    shared_->wideBytes_ -= extraCostOf(std::exchange(buffers_, narrowBuffers));
     leaveRoom();
     shared_->sessions_.erase(shared_from_this());
 }
@@ -344,31 +406,37 @@
 
 void FrontSession::tick(MonotonicTime now)
 {
+    std::size_t unsent = link_->queuedBytes();
+    if (unsent < std::exchange(unsentBefore_, unsent))
+        lastActive_ = now;
     // The end of the connection is not read while reading is paused.
-    if (isPaused_) {
-        if (!link_->isPeerOpen()) {
-            link_->close();
-            return handleClose();
-        }
-        unread_ = link_->unreadBytes();
+    if (isPaused_ && !link_->isPeerOpen()) {
+        link_->close();
+        return handleClose();
     }
+    narrowSendBuffer();
     account();
-    if (waitingSince_ && now > *waitingSince_ + maxRoomWait) {
+    if (isPaused_)
+        updatePause();
+    bool isUnread = fullSince_ && now > *fullSince_ + maxRoomWait
+        && (reader_.hasStarted() || link_->socketBytes().unread_ > 0);
+    if (isUnread || (waitingSince_ && now > *waitingSince_ + maxRoomWait)) {
         shared_->report(FrontEvent::RefusedForRoom, 0);
         return reject(serviceUnavailable, noRoom);
     }
     const FrontLimits& limits = shared_->limits_;
-    if (reply_ || waitingSince_) {
-        if (reply_ && (isPaused_ || shared_->isTight()))
-            updatePause();
+    if (reply_ && shared_->isTight())
+        updatePause();
+    if (reply_ || waitingSince_ || fullSince_)
         return;
-    }
     if (!input_.empty())
         return parse(); // Of a caller that was behind with reading.
     if (headStartedAt_ && !hasHead_ && now > *headStartedAt_ + limits.headTimeout_)
         return reject(requestTimeout, "timed out waiting for the request head; send it without pauses");
     if (now <= lastActive_ + limits.idleTimeout_ + idleTimeoutMargin)
         return;
+    if (isAwaitingTurn_ || link_->socketBytes().unread_ > 0)
+        return; // It came while the VM was paused.
     if (hasHead_)
         return reject(requestTimeout, "timed out waiting for the request body; send it without pauses");
     close(false);
@@ -387,75 +455,4 @@
         reply->handleDisconnect();
 }
 
-void FrontSessionReply::answer(HttpHead head, std::string_view body)
-{
-    if (!session_)
-        return;
-    bool hasNoBody = head.status_ == 204 || head.status_ == 304;
-    if (!hasNoBody && !(isHead_ && findHeader(head, "Content-Length")))
-        head.headers_.push_back({ "Content-Length", std::to_string(body.size()) });
-    addConnection(head);
-    std::string text = toText(head);
-    if (!isHead_ && !hasNoBody)
-        text.append(body);
-    session_->link().send(text);
-    finish();
-}
-
-void FrontSessionReply::begin(HttpHead head)
-{
-    if (!session_)
-        return;
-    head.headers_.push_back({ "Transfer-Encoding", "chunked" });
-    addConnection(head);
-    hasBegun_ = true;
-    session_->link().send(toText(head));
-}
-
-void FrontSessionReply::write(std::string_view part)
-{
-    if (session_ && !part.empty())
-        session_->link().send(toChunk(part));
-}
-
-void FrontSessionReply::end()
-{
-    if (!session_)
-        return;
-    session_->link().send("0\r\n\r\n");
-    finish();
-}
-
-void FrontSessionReply::abort()
-{
-    if (!session_)
-        return;
-    onDisconnect_ = nullptr;
-    auto session = std::move(session_);
-    session->close(true);
-}
-
-void FrontSessionReply::handleDisconnect()
-{
-    session_ = nullptr;
-    auto callback = std::move(onDisconnect_);
-    onDisconnect_ = nullptr;
-    if (callback)
-        callback();
-}
-
-void FrontSessionReply::addConnection(HttpHead& head)
-{
-    keepsAlive_ = keepsAlive_ && !session_->isDraining();
-    if (!keepsAlive_)
-        head.headers_.push_back({ "Connection", "close" });
-}
-
-void FrontSessionReply::finish()
-{
-    onDisconnect_ = nullptr;
-    auto session = std::move(session_);
-    session->handleResponseSent(keepsAlive_);
-}
-
 } // namespace fescue
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -45,8 +45,10 @@
 
     class Exchange final : public HttpExchange {
     public:
-        Exchange(restinio::request_handle_t request, ByteCount maxBuffered)
-            : request_(std::move(request))
+        Exchange(std::shared_ptr<restinio::asio_ns::io_context> io, restinio::request_handle_t request,
+            ByteCount maxBuffered)
+            : io_(std::move(io))
+            , request_(std::move(request))
             , maxBuffered_(maxBuffered)
         {
         }
@@ -74,7 +76,7 @@
         {
             std::lock_guard<std::mutex> lock(mutex_);
             auto size = static_cast<std::int64_t>(chunk.size());
-            if (!chunked_ || isCutOff_ || backlog_->isClosed_)
+            if (!chunked_ || isCutOff_ || backlog_->isClosed_ || io_->stopped())
                 return false;
             if (backlog_->bytes_ + size > maxBuffered_.value_) {
                 isCutOff_ = true;
@@ -111,6 +113,8 @@
         }
 
     private:
+        // Declared first: the connection that `request_` holds uses it until it is destroyed.
+        std::shared_ptr<restinio::asio_ns::io_context> io_;
         restinio::request_handle_t request_;
         ByteCount maxBuffered_;
         std::mutex mutex_;
@@ -161,14 +165,15 @@
 }
 
 struct HttpServer::Impl {
-    restinio::asio_ns::io_context io_;
+    // Exchanges share it, as their connections may be used for longer than the server.
+    std::shared_ptr<restinio::asio_ns::io_context> io_ = std::make_shared<restinio::asio_ns::io_context>();
     std::atomic<std::uint16_t> port_ { 0 };
     std::unique_ptr<Server> server_;
     std::vector<std::thread> threads_;
 
     Impl(const HttpServerOptions& options, HttpHandler handler)
     {
-        server_ = std::make_unique<Server>(restinio::external_io_context(io_), [&](auto& settings) {
+        server_ = std::make_unique<Server>(restinio::external_io_context(*io_), [&](auto& settings) {
             settings.address(options.address_)
                 .port(options.port_)
                 .handle_request_timeout(maxHandlingTime)
@@ -183,24 +188,25 @@
                 .socket_options_setter(
                     [](auto& socket) { socket.set_option(restinio::asio_ns::ip::tcp::no_delay(true)); })
                 .acceptor_post_bind_hook([this](auto& acceptor) { port_ = acceptor.local_endpoint().port(); })
-                .request_handler([handler, limit = options.maxBuffered_](restinio::request_handle_t request) {
-                    auto exchange = std::make_shared<Exchange>(request, limit);
-                    handler(toRequest(*request), exchange);
-                    return restinio::request_accepted();
-                });
+                .request_handler(
+                    [this, handler, limit = options.maxBuffered_](restinio::request_handle_t request) {
+                        auto exchange = std::make_shared<Exchange>(io_, request, limit);
+                        handler(toRequest(*request), exchange);
+                        return restinio::request_accepted();
+                    });
         });
         server_->open_sync();
         for (std::size_t i = 0; i < options.threads_; ++i)
-            threads_.emplace_back([this] { io_.run(); });
+            threads_.emplace_back([this] { io_->run(); });
     }
 
     void stop()
     {
         if (threads_.empty())
             return;
-        restinio::asio_ns::post(io_, [this] {
+        restinio::asio_ns::post(*io_, [this] {
             server_->close_sync();
-            io_.stop();
+            io_->stop();
         });
         for (std::thread& thread : threads_)
             thread.join();
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -46,7 +46,8 @@
     std::vector<std::pair<std::string, std::string>> headers_;
 };
 
-/** Sends the response to one request. Thread-safe. Each exchange is answered once. */
+/** Sends the response to one request. Thread-safe. Each exchange is answered once. It may be kept and used
+ * for longer than its server: then nothing is sent, and `write` refuses. */
 class HttpExchange {
 public:
     virtual ~HttpExchange() = default;
--- a/src/ListenLog.cpp
+++ b/src/ListenLog.cpp
@@ -20,8 +20,8 @@
         return;
     log.nextAt_ = now + logInterval;
     logWarning("listen-waiting",
-        "the address cannot be bound and is tried again; stop the process that listens there, or correct the "
-        "address",
+        "the address cannot be bound and is tried again; stop the process that listens there, assign "
+        "the address to the host, or correct it",
         { { "address", wait->address_ }, { "reason", wait->reason_ }, { "waited_ms", waitedMs(*wait) } });
 }
 
--- a/src/MemoryBudget.h
+++ b/src/MemoryBudget.h
@@ -8,6 +8,7 @@
  */
 
 #include "HttpWire.h"
+#include "SocketBuffers.h"
 #include "Types.h"
 
 #include <algorithm>
@@ -21,15 +22,30 @@
 struct MemoryBudget {
     std::size_t total_ = 0; ///< 0: without a limit.
     std::size_t forSmall_ = 0; ///< Of the total, the part that large requests cannot take.
+    std::size_t forWideBuffers_ = 0; ///< Of the total, the most that wide buffers of sockets take.
 };
 
-/** The budget of a VM with so much memory; without a limit if it is not known. Half of the memory: a quarter
- * is for the text of recent turns, and a quarter for the process and its links to targets and other VMs. */
+/** The budget for callers of a VM with so much memory; without a limit if it is not known. Three eighths of
+ * the memory: a quarter is for the text of recent turns, an eighth for the requests of other VMs, and a
+ * quarter for the process and its links to targets. */
 MemoryBudget callerBudget(std::int64_t memoryMb);
 
-/** Connections of callers on a VM with so many sockets; 0 (no limit) if that is not known. The others are for
- * targets, other VMs and the store. */
-std::size_t maxCallerConnections(std::int64_t sockets);
+/** The budget for connections and requests of other VMs: an eighth of the memory. */
+MemoryBudget peerBudget(std::int64_t memoryMb);
+
+/** The budget for those who ask for readiness or metrics. */
+MemoryBudget monitoringBudget();
+
+/** Connections of other VMs, or of those who ask for readiness or metrics; 0 (no limit) without a budget. */
+std::size_t maxConnections(const MemoryBudget& budget);
+
+/** Connections of callers on a VM with so many sockets and so much memory; 0 (no limit) if neither is known.
+ * The other sockets are for targets, other VMs and the store, and half of the budget for requests. */
+std::size_t maxCallerConnections(std::int64_t sockets, const MemoryBudget& budget);
+
+/** What a connection holds without a request: its states here and in its link, and the most that its buffers
+ * take. */
+constexpr std::size_t costOfConnection(const SocketBuffers& buffers);
 
 /** Bodies beyond this many bytes are large. */
 constexpr std::size_t smallBodyBytes = 64 * 1024;
@@ -44,6 +60,9 @@
  * a target. `headerBytes` and `headers` are the size and the number of its header lines. */
 std::size_t costOfRequest(std::size_t headers, std::size_t headerBytes, std::size_t body);
 
+/** Bytes that `bytes` more in the body of a request hold. */
+std::size_t costOfBody(std::size_t bytes);
+
 /** Whether `bytes` more fit. A request that needs more than large ones may ever hold fits alone, so that each
  * is served in calm. */
 bool hasRoom(const MemoryBudget& budget, const HeldMemory& held, std::size_t bytes, bool isLarge);
@@ -60,9 +79,10 @@
 struct Holder {
     HolderStage stage_ = HolderStage::Idle;
     std::size_t bytes_ = 0;
-    MonotonicTime lastProgress_; ///< When its last bytes were received.
+    MonotonicTime lastProgress_; ///< When its last bytes were received, or sent.
     std::optional<MonotonicTime> roomSince_; ///< Since when it has room for a body that is not complete.
     bool wasServed_ = false; ///< It has received an answer.
+    std::size_t connectionBytes_ = 0; ///< Of its bytes, those that it would hold without a request.
 };
 
 /** Connections to close so that `excess` bytes become free: of unfinished and idle callers, then of those
@@ -73,17 +93,28 @@
 std::vector<std::size_t> chooseStalled(
     const std::vector<Holder>& holders, std::size_t bytes, MonotonicTime now);
 
-/** The connection to close for a new one: an unfinished one that has stalled, one that never sent anything,
- * an idle one or another unfinished one, in this order, the one longest without progress first. Nothing if
- * all are running or unread. */
-std::optional<std::size_t> chooseForDescriptor(const std::vector<Holder>& holders, MonotonicTime now);
+/** Connections whose callers do not read a complete answer, and that give way to callers that wait for
+ * `bytes`, the largest first. */
+std::vector<std::size_t> chooseUnread(
+    const std::vector<Holder>& holders, std::size_t bytes, MonotonicTime now);
+
+/** Whether a connection is so new that its request may have come and wait to be read. */
+bool isNew(const Holder& holder, MonotonicTime now);
+
+/** The connections that may be closed for new ones: unfinished ones that have stalled, those that never sent
+ * anything, idle ones, other unfinished ones and new ones, in this order, those longest without progress
+ * first. Those that are running or unread are left out. */
+std::vector<std::size_t> orderForDescriptors(const std::vector<Holder>& holders, MonotonicTime now);
 
 /** Parts of the implementation. */
 namespace memory_budget {
 
     constexpr std::size_t bytesPerMb = 1024 * 1024;
-    constexpr std::size_t memoryDivisor = 2;
+    constexpr std::size_t memoryDivisor = 8;
+    constexpr std::size_t memoryOfCallers = 3;
     constexpr std::size_t smallDivisor = 4;
+    constexpr std::size_t wideDivisor = 4;
+    constexpr std::size_t connectionBytes = 4096;
     // Three of four sockets are for callers: idle ones outnumber the requests, each of which needs one to a
     // target.
     constexpr std::size_t connectionsDivisor = 4;
@@ -96,9 +127,16 @@
     constexpr std::size_t requestBytes = 4096;
     // Above the pauses of callers whose network loses a packet; callers repeat a request that ends with 408.
     constexpr Milliseconds maxStall { 500 };
+    // Above the pauses of callers that read on.
+    constexpr Milliseconds maxUnread { 1000 };
     // A body that is not complete after so long keeps others waiting for longer than they wait.
     constexpr Milliseconds maxBodyTime { 10000 };
 
+    inline MemoryBudget budgetOf(std::size_t total)
+    {
+        return { total, total / smallDivisor, total / wideDivisor };
+    }
+
     inline bool hasStalled(const Holder& holder, MonotonicTime now)
     {
         if (holder.stage_ != HolderStage::Unfinished)
@@ -111,8 +149,10 @@
     inline std::vector<std::size_t> takeLargest(
         const std::vector<Holder>& holders, std::vector<std::size_t> candidates, std::size_t bytes)
     {
+        auto requestBytes
+            = [&](std::size_t index) { return holders[index].bytes_ - holders[index].connectionBytes_; };
         std::sort(candidates.begin(), candidates.end(), [&](std::size_t a, std::size_t b) {
-            return std::tuple(holders[b].bytes_, a) < std::tuple(holders[a].bytes_, b);
+            return std::tuple(requestBytes(b), a) < std::tuple(requestBytes(a), b);
         });
         std::size_t freed = 0;
         std::size_t taken = 0;
@@ -139,6 +179,8 @@
     {
         if (hasStalled(holder, now))
             return 0;
+        if (isNew(holder, now))
+            return 4;
         if (holder.stage_ == HolderStage::Idle)
             return holder.wasServed_ ? 2 : 1;
         if (holder.stage_ == HolderStage::Unfinished)
@@ -153,24 +195,52 @@
     using namespace memory_budget;
     if (memoryMb <= 0)
         return {};
-    MemoryBudget budget;
-    budget.total_ = static_cast<std::size_t>(memoryMb) * bytesPerMb / memoryDivisor;
-    budget.forSmall_ = budget.total_ / smallDivisor;
-    return budget;
+    return budgetOf(static_cast<std::size_t>(memoryMb) * bytesPerMb / memoryDivisor * memoryOfCallers);
+}
+
+constexpr std::size_t costOfConnection(const SocketBuffers& buffers)
+{
+    return memory_budget::connectionBytes + costOf(buffers);
 }
 
-inline std::size_t maxCallerConnections(std::int64_t sockets)
+inline MemoryBudget peerBudget(std::int64_t memoryMb)
 {
     using namespace memory_budget;
-    return sockets > 0 ? static_cast<std::size_t>(sockets) / connectionsDivisor * connectionsOfCallers : 0;
+    return memoryMb > 0 ? budgetOf(static_cast<std::size_t>(memoryMb) * bytesPerMb / memoryDivisor)
+                        : MemoryBudget {};
+}
+
+inline MemoryBudget monitoringBudget()
+{
+    constexpr std::size_t total = 2 * memory_budget::bytesPerMb;
+    return { total, total, total / memory_budget::wideDivisor };
+}
+
+inline std::size_t maxConnections(const MemoryBudget& budget)
+{
+    constexpr std::size_t divisor = 4;
+    constexpr std::size_t ofConnections = 3;
+    return budget.total_ / divisor * ofConnections / costOfConnection(narrowBuffers);
+}
+
+inline std::size_t maxCallerConnections(std::int64_t sockets, const MemoryBudget& budget)
+{
+    using namespace memory_budget;
+    constexpr std::size_t budgetDivisor = 2;
+    std::size_t bySockets
+        = sockets > 0 ? static_cast<std::size_t>(sockets) / connectionsDivisor * connectionsOfCallers : 0;
+    std::size_t byMemory = budget.total_ / budgetDivisor / costOfConnection(narrowBuffers);
+    return bySockets == 0 || byMemory == 0 ? std::max(bySockets, byMemory) : std::min(bySockets, byMemory);
 }
 
 inline std::size_t costOfRequest(std::size_t headers, std::size_t headerBytes, std::size_t body)
 {
     using namespace memory_budget;
-    return requestBytes + headCopies * (headers * sizeof(HttpHeader) + headerBytes) + bodyCopies * body;
+    return requestBytes + headCopies * (headers * sizeof(HttpHeader) + headerBytes) + costOfBody(body);
 }
 
+inline std::size_t costOfBody(std::size_t bytes) { return memory_budget::bodyCopies * bytes; }
+
 inline bool hasRoom(const MemoryBudget& budget, const HeldMemory& held, std::size_t bytes, bool isLarge)
 {
     using namespace memory_budget;
@@ -211,20 +281,36 @@
         indicesWhere(holders, [now](const Holder& holder) { return hasStalled(holder, now); }), bytes);
 }
 
-inline std::optional<std::size_t> chooseForDescriptor(const std::vector<Holder>& holders, MonotonicTime now)
+inline std::vector<std::size_t> chooseUnread(
+    const std::vector<Holder>& holders, std::size_t bytes, MonotonicTime now)
+{
+    using namespace memory_budget;
+    auto isUnread = [now](const Holder& holder) {
+        return holder.stage_ == HolderStage::Unread && now > holder.lastProgress_ + maxUnread;
+    };
+    return takeLargest(holders, indicesWhere(holders, isUnread), bytes);
+}
+
+inline bool isNew(const Holder& holder, MonotonicTime now)
+{
+    return holder.stage_ == HolderStage::Idle && !holder.wasServed_
+        && now <= holder.lastProgress_ + memory_budget::maxStall;
+}
+
+inline std::vector<std::size_t> orderForDescriptors(const std::vector<Holder>& holders, MonotonicTime now)
 {
     using namespace memory_budget;
-    std::optional<std::size_t> best;
+    std::vector<std::tuple<int, MonotonicTime, std::size_t>> candidates;
     for (std::size_t i = 0; i < holders.size(); ++i) {
-        auto order = closingOrder(holders[i], now);
-        if (!order)
-            continue;
-        if (!best
-            || std::tuple(*order, holders[i].lastProgress_)
-                < std::tuple(*closingOrder(holders[*best], now), holders[*best].lastProgress_))
-            best = i;
+        if (auto order = closingOrder(holders[i], now))
+            candidates.emplace_back(*order, holders[i].lastProgress_, i);
     }
-    return best;
+    std::sort(candidates.begin(), candidates.end());
+    std::vector<std::size_t> indices;
+    indices.reserve(candidates.size());
+    for (const auto& candidate : candidates)
+        indices.push_back(std::get<std::size_t>(candidate));
+    return indices;
 }
 
 } // namespace fescue
--- a/src/MemoryWatch.cpp
+++ b/src/MemoryWatch.cpp
@@ -38,12 +38,12 @@
     return true;
 }
 
-bool takeResident(MemoryWatch& watch, ByteCount resident)
+bool takeUse(MemoryWatch& watch, const MemoryUse& use)
 {
-    watch.resident_ = resident;
+    watch.use_ = use;
     if (watch.limit_.value_ <= 0)
         return false;
-    auto reached = static_cast<int>(resident.value_ * tenths / watch.limit_.value_);
+    auto reached = static_cast<int>(use.total() * tenths / watch.limit_.value_);
     if (reached > watch.reportedTenths_ && reached >= lowestReportedTenth) {
         watch.reportedTenths_ = reached;
         return true;
--- a/src/OutboundPool.h
+++ b/src/OutboundPool.h
@@ -13,6 +13,7 @@
  */
 
 #include "HttpWire.h"
+#include "TcpLink.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -85,6 +86,7 @@
     /** Subtracted from an announced timeout, so that a reuse does not race with the peer's close. */
     Milliseconds idleTimeoutMargin_ { 1000 };
     HttpLimits message_ { 64 * 1024, 64 * 1024 * 1024 };
+    SocketBuffers buffers_ = outboundBuffers;
     /** Bytes of empty lines, interim responses and responses to other requests before the response. */
     std::size_t maxSkippedBytes_ = 256 * 1024;
     /** Requests without a 2xx response that one connection may have answered; it is closed then. */
@@ -117,6 +119,8 @@
     /** The connections to a peer that were established before `time`, as the operating system knows them now.
      */
     PeerConnections connectionsTo(const asio::ip::tcp::endpoint& peer, MonotonicTime time) const;
+    /** What the kernel holds for its connections; reads each socket. */
+    SocketBytes socketBytes() const;
     /** Number of connections opened since the start. */
     std::uint64_t connectionsMade() const;
 
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -112,6 +112,12 @@
     return impl_->outbound_.send(std::move(request), std::move(callbacks));
 }
 
+void PeerExchange::setLimits(const FrontLimits& limits)
+{
+    if (impl_->server_)
+        impl_->server_->setLimits(limits);
+}
+
 void PeerExchange::tick(MonotonicTime now)
 {
     impl_->outbound_.tick(now);
@@ -119,12 +125,26 @@
         impl_->server_->tick(now);
 }
 
+void PeerExchange::leaveAddress()
+{
+    if (impl_->server_)
+        impl_->server_->leaveAddress();
+}
+
 const std::optional<ListenWait>& PeerExchange::listenWait() const
 {
     static const std::optional<ListenWait> none;
     return impl_->server_ ? impl_->server_->listenWait() : none;
 }
 
+SocketBytes PeerExchange::socketBytes() const
+{
+    SocketBytes sum = impl_->outbound_.socketBytes();
+    if (impl_->server_)
+        sum += impl_->server_->socketBytes();
+    return sum;
+}
+
 bool PeerExchange::hasUnsentBytes() const { return impl_->server_ && impl_->server_->hasUnsentBytes(); }
 
 void answerPeer(FrontReply& reply, int status, const std::string& body, std::vector<HttpHeader> headers)
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -32,10 +32,16 @@
     /** Calls a peer. Returns null if its address is not valid; no callback follows then. */
     std::shared_ptr<OutboundCall> post(
         const PeerEntry& peer, const char* path, std::string body, OutboundCallbacks callbacks);
+    /** Sets what the VM holds for calls of peers. */
+    void setLimits(const FrontLimits& limits);
     /** To be called periodically. */
     void tick(MonotonicTime now);
+    /** See `FrontServer`. */
+    void leaveAddress();
     /** Whether peers have not read replies to the end. */
     bool hasUnsentBytes() const;
+    /** What the kernel holds for connections from and to peers; reads each socket. */
+    SocketBytes socketBytes() const;
     /** Why the address for peers is not bound yet; nothing once it is, or if there is none. */
     const std::optional<ListenWait>& listenWait() const;
 
--- a/src/ProcessEnd.cpp
+++ b/src/ProcessEnd.cpp
@@ -2,9 +2,11 @@
 
 #include "EventLog.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdlib>
+#include <cstring>
 #include <cxxabi.h>
 #include <exception>
 #include <execinfo.h>
@@ -19,22 +21,21 @@
 
 namespace {
 
-    constexpr std::array<int, 5> fatalSignals { SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT };
+    // All signals that end a process by default and have no other handler. SIGSYS is left to filters of
+    // system calls that are answered by it.
+    constexpr std::array fatalSignals { SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT, SIGTRAP, SIGQUIT, SIGXCPU,
+        SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGSTKFLT };
 
-    const char* nameOf(int signal)
+    // Those of a fault of the process itself, which end it even if they are ignored. The others stay ignored
+    // if the host has told the process so: a shell does with SIGQUIT for what it starts in the background.
+    constexpr std::array ownFaults { SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT, SIGTRAP };
+
+    bool staysIgnored(int signal)
     {
-        switch (signal) {
-        case SIGSEGV:
-            return "SIGSEGV";
-        case SIGBUS:
-            return "SIGBUS";
-        case SIGFPE:
-            return "SIGFPE";
-        case SIGILL:
-            return "SIGILL";
-        default:
-            return "SIGABRT";
-        }
+        struct sigaction inherited { };
+        bool isOwnFault = std::find(ownFaults.begin(), ownFaults.end(), signal) != ownFaults.end();
+        return !isOwnFault && ::sigaction(signal, nullptr, &inherited) == 0
+            && inherited.sa_handler == SIG_IGN;
     }
 
     // Text of a fixed capacity, which cuts what exceeds it. Safe in signal handlers.
@@ -86,9 +87,12 @@
 
     void onFatalSignal(int signal, siginfo_t* info, void*)
     {
+        FixedText name;
+        name.add("SIG");
+        name.add(::sigabbrev_np(signal));
         FixedText address;
         address.addHex(reinterpret_cast<std::uint64_t>(info->si_addr));
-        logFatalSignal({ { "event", "process-failed" }, { "reason", "signal" }, { "signal", nameOf(signal) },
+        logFatalSignal({ { "event", "process-failed" }, { "reason", "signal" }, { "signal", name.view() },
             { "address", address.view() } });
         // Reading a damaged stack may fail in turn, so it has a line of its own.
         FixedText stack;
@@ -107,14 +111,27 @@
         return text;
     }
 
+    // Cuts what is long, and replaces what would need escaping.
+    FixedText plainText(std::string_view text)
+    {
+        FixedText plain;
+        for (char c : text) {
+            bool isPlain = c >= ' ' && c <= '~' && c != '"' && c != '\\';
+            plain.add(isPlain ? std::string_view(&c, 1) : std::string_view("?"));
+        }
+        return plain;
+    }
+
+    // On standard error if the log takes no more lines.
     void logException(const std::string& type, const std::string& what)
     {
         FixedText stack;
         addStack(stack);
-        logWarning("process-failed",
-            "an exception ended the process; report it with the lines before this one",
-            { { "reason", "exception" }, { "type", type }, { "what", what },
-                { "stack", std::string(stack.view()) } });
+        flushEventLog();
+        logFatalSignal({ { "event", "process-failed" },
+            { "message", "an exception ended the process; report it with the lines before this one" },
+            { "reason", "exception" }, { "type", plainText(type).view() }, { "what", plainText(what).view() },
+            { "stack", stack.view() } });
     }
 
     [[noreturn]] void onTerminate()
@@ -128,7 +145,6 @@
         } catch (...) {
             logException("not a std::exception", "");
         }
-        flushEventLog();
         std::signal(SIGABRT, SIG_DFL); // One line is enough.
         std::abort();
     }
@@ -149,8 +165,10 @@
     struct sigaction action { };
     action.sa_sigaction = onFatalSignal;
     action.sa_flags = static_cast<int>(SA_SIGINFO | SA_ONSTACK | SA_RESETHAND);
-    for (int signal : fatalSignals)
-        ::sigaction(signal, &action, nullptr);
+    for (int signal : fatalSignals) {
+        if (!staysIgnored(signal))
+            ::sigaction(signal, &action, nullptr);
+    }
     std::set_terminate(onTerminate);
 }
 
--- a/src/Quarantine.cpp
+++ b/src/Quarantine.cpp
@@ -1,6 +1,8 @@
 #include "Quarantine.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace fescue {
 
@@ -19,36 +21,73 @@
         return record.last_ + quarantine.crashExpiry_ <= now;
     }
 
-    // Attributes each crash to one digest. Greedy: a digest that crashes its targets takes part in each of
-    // its crashes, so it has at least as many as any digest that ran beside it by chance.
-    void attributeCrashes(Quarantine& quarantine)
+    // Crashes that are not attributed yet, of digests that have enough of them.
+    struct Unattributed {
+        std::map<ContentDigest, std::set<CrashId>> crashes_;
+        std::map<CrashId, std::vector<ContentDigest>> digests_; ///< Of each crash.
+        std::set<std::pair<std::ptrdiff_t, ContentDigest>> order_; ///< Those with most crashes first.
+    };
+
+    std::pair<std::ptrdiff_t, ContentDigest> placeOf(ContentDigest digest, const std::set<CrashId>& crashes)
     {
-        std::map<ContentDigest, std::set<CrashId>> unattributed;
+        return { -static_cast<std::ptrdiff_t>(crashes.size()), digest };
+    }
+
+    Unattributed collectUnattributed(const Quarantine& quarantine)
+    {
+        Unattributed unattributed;
         for (const auto& [digest, record] : quarantine.records_) {
             std::set<CrashId> crashes = allCrashes(record);
-            if (crashes.size() >= quarantine.threshold_)
-                unattributed[digest] = std::move(crashes);
+            if (crashes.size() < quarantine.threshold_)
+                continue;
+            for (const CrashId& crash : crashes)
+                unattributed.digests_[crash].push_back(digest);
+            unattributed.order_.insert(placeOf(digest, crashes));
+            unattributed.crashes_[digest] = std::move(crashes);
+        }
+        return unattributed;
+    }
+
+    // Takes a crash from the digests that have not been taken out yet.
+    void removeCrash(Unattributed& unattributed, const CrashId& crash)
+    {
+        for (ContentDigest digest : unattributed.digests_[crash]) {
+            auto found = unattributed.crashes_.find(digest);
+            if (found == unattributed.crashes_.end())
+                continue;
+            unattributed.order_.erase(placeOf(digest, found->second));
+            found->second.erase(crash);
+            unattributed.order_.insert(placeOf(digest, found->second));
         }
+    }
+
+    // Attributes each crash to one digest. Greedy: a digest that crashes its targets takes part in each of
+    // its crashes, so it has at least as many as any digest that ran beside it by chance.
+    void attributeCrashes(Quarantine& quarantine)
+    {
+        quarantine.isAttributionDue_ = quarantine.isAttributionDeferred_;
+        if (quarantine.isAttributionDeferred_)
+            return;
+        Unattributed unattributed = collectUnattributed(quarantine);
         quarantine.quarantined_.clear();
-        while (!unattributed.empty()) {
-            auto worst = std::max_element(unattributed.begin(), unattributed.end(),
-                [](const auto& a, const auto& b) { return a.second.size() < b.second.size(); });
-            if (worst->second.size() < quarantine.threshold_)
+        while (!unattributed.order_.empty()) {
+            ContentDigest worst = unattributed.order_.begin()->second;
+            auto found = unattributed.crashes_.find(worst);
+            if (found->second.size() < quarantine.threshold_)
                 return;
-            quarantine.quarantined_.insert(worst->first);
-            std::set<CrashId> attributed = std::move(worst->second);
-            unattributed.erase(worst);
-            for (auto& [digest, crashes] : unattributed) {
-                for (const CrashId& crash : attributed)
-                    crashes.erase(crash);
-            }
+            quarantine.quarantined_.insert(worst);
+            std::set<CrashId> attributed = std::move(found->second);
+            unattributed.order_.erase(unattributed.order_.begin());
+            unattributed.crashes_.erase(found);
+            for (const CrashId& crash : attributed)
+                removeCrash(unattributed, crash);
         }
     }
 
     void eraseRecord(Quarantine& quarantine, ContentDigest digest)
     {
         quarantine.records_.erase(digest);
-        if (quarantine.quarantined_.count(digest))
+        if (quarantine.quarantined_.erase(digest) > 0)
             attributeCrashes(quarantine);
     }
 
@@ -151,4 +190,13 @@
 
 void clearCrashes(Quarantine& quarantine, ContentDigest digest) { eraseRecord(quarantine, digest); }
 
+void deferAttribution(Quarantine& quarantine) { quarantine.isAttributionDeferred_ = true; }
+
+void resumeAttribution(Quarantine& quarantine)
+{
+    quarantine.isAttributionDeferred_ = false;
+    if (quarantine.isAttributionDue_)
+        attributeCrashes(quarantine);
+}
+
 } // namespace fescue
--- a/src/Quarantine.h
+++ b/src/Quarantine.h
@@ -42,6 +42,8 @@
     Milliseconds crashExpiry_ { 600000 }; ///< Crashes expire this long after the last one.
     WriterId own_; ///< This process; may stay empty if records are not exchanged.
     std::uint64_t unsharedCrashes_ = 0;
+    bool isAttributionDeferred_ = false; ///< See `deferAttribution`.
+    bool isAttributionDue_ = false; ///< Something has changed meanwhile.
 };
 
 /** Number of unexpired crashes of a digest. Pure. */
@@ -70,4 +72,10 @@
 /** Clears a digest after a complete answer. */
 void clearCrashes(Quarantine& quarantine, ContentDigest digest);
 
+/** Leaves `quarantined_` as it is, but for digests whose records are erased, until `resumeAttribution`. To be
+ * called before many changes at once, since each may look at all records. */
+void deferAttribution(Quarantine& quarantine);
+/** Brings `quarantined_` up to date. */
+void resumeAttribution(Quarantine& quarantine);
+
 } // namespace fescue
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -1,6 +1,7 @@
 #include "Settings.h"
 
 #include "EventLog.h"
+#include "StartSignals.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -187,7 +188,7 @@
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
+    ignoreWriteSignals();
 }
 
 void waitForStopSignal()
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -59,7 +59,8 @@
 /** Validates that a number is from `min` to `max`. */
 std::int64_t requireRange(const std::string& setting, std::int64_t value, std::int64_t min, std::int64_t max);
 
-/** Blocks SIGTERM and SIGINT for `waitForStopSignal`, and ignores SIGPIPE. Call before any thread starts. */
+/** Blocks SIGTERM and SIGINT for `waitForStopSignal`, and ignores what `ignoreWriteSignals` does. Call before
+ * any thread starts. */
 void blockStopSignals();
 
 /** Waits for SIGTERM or SIGINT. Precondition: `blockStopSignals` was called. */
--- a/src/StartSignals.cpp
+++ b/src/StartSignals.cpp
@@ -24,6 +24,13 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
+void ignoreWriteSignals()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN);
+    std::signal(SIGTTOU, SIG_IGN);
+}
+
 void deliverSignals()
 {
     sigset_t signals = heldSignals();
--- a/src/StoreCursor.h
+++ b/src/StoreCursor.h
@@ -3,10 +3,12 @@
 /** \file
  * StoreCursor: the read position in one topic of the platform's store.
  *
- * The newest records are read first, in pages, and changes from then on.
+ * The newest records are read first, in pages, and changes from then on. Of each page only what is used is
+ * kept.
  */
 
 #include "StoreClient.h"
+#include "TargetList.h"
 
 #include <optional>
 #include <vector>
@@ -17,7 +19,11 @@
 struct StoreCursor {
     platform::StorePartition partition_;
     std::optional<std::uint64_t> next_; ///< Not set until the newest records have been read.
-    std::vector<platform::KeyedRecord> pages_; ///< Newest records that were read so far.
+    std::vector<platform::KeyedRecord>
+        pages_; ///< Newest records that were read so far, as far as they are used.
+    /** Those of targets instead: records of other writers may be large, and of no use. */
+    std::vector<TargetEntry> targets_;
+    std::string lastKey_; ///< Of the last page.
     std::optional<std::uint64_t> pagesEnd_; ///< End of the partition at the time of the first page.
     std::optional<MonotonicTime> currentAsOf_; ///< The last read that reached the end shows this time.
     MonotonicTime startedAt_; ///< Start of the current read; of its first page for the newest records.
@@ -27,12 +33,20 @@
     bool isReading_ = false;
 };
 
+/** Lets the next read of the newest records begin with the first page. Thread safety: that of the caller. */
+inline void forgetPages(StoreCursor& cursor)
+{
+    cursor.pages_.clear();
+    cursor.targets_.clear();
+    cursor.lastKey_.clear();
+    cursor.pagesEnd_.reset();
+}
+
 /** Lets the next read begin at once, with the newest records. Thread safety: that of the caller. */
 inline void resetCursor(StoreCursor& cursor)
 {
     cursor.next_.reset();
-    cursor.pages_.clear();
-    cursor.pagesEnd_.reset();
+    forgetPages(cursor);
     cursor.dueAt_ = {};
 }
 
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -91,14 +91,13 @@
     void read(StoreCursor& cursor)
     {
         cursor.isReading_ = true;
-        if (cursor.pages_.empty())
+        if (!cursor.pagesEnd_)
             cursor.startedAt_ = bootNow();
         reads_.add();
         auto weak = weak_from_this();
         std::uint64_t generation = cursor.generation_;
         if (!cursor.next_) {
-            std::string after = cursor.pages_.empty() ? std::string() : cursor.pages_.back().key_;
-            return store_.readNewest(cursor.partition_, after, intervals_.timeout_,
+            return store_.readNewest(cursor.partition_, cursor.lastKey_, intervals_.timeout_,
                 [weak, &cursor, generation](tl::expected<platform::NewestPage, platform::StoreError> page) {
                     auto self = weak.lock();
                     if (self && cursor.generation_ == generation)
@@ -174,25 +173,39 @@
         onReadAnswered(cursor);
         if (!cursor.pagesEnd_)
             cursor.pagesEnd_ = page->end_;
-        std::move(page->records_.begin(), page->records_.end(), std::back_inserter(cursor.pages_));
-        if (page->hasMore_ && !cursor.pages_.empty())
+        keepPage(cursor, page->records_);
+        if (page->hasMore_ && !page->records_.empty())
             return read(cursor);
         // Later pages may miss changes made after the first page, so reading continues from its end.
         cursor.next_ = cursor.pagesEnd_;
         auto records = std::move(cursor.pages_);
-        cursor.pages_.clear();
-        cursor.pagesEnd_.reset();
+        auto targets = std::move(cursor.targets_);
+        forgetPages(cursor);
         if (isConfig(cursor))
             applyNewestConfig(records);
         else if (isPeers(cursor))
             applyAllPeers(records);
         else
-            applyAllTargets(records);
+            applyAllTargets(targets);
         markCurrent(cursor);
         if (&cursor == &targets_)
             endRefreshes();
     }
 
+    void keepPage(StoreCursor& cursor, std::vector<platform::KeyedRecord>& records)
+    {
+        if (!records.empty())
+            cursor.lastKey_ = records.back().key_;
+        for (platform::KeyedRecord& record : records) {
+            if (&cursor != &targets_) {
+                if (!isConfig(cursor) || record.key_ == platform::configKey)
+                    cursor.pages_.push_back(std::move(record));
+            } else if (auto entry = decodeTarget(record)) {
+                cursor.targets_.push_back(std::move(*entry));
+            }
+        }
+    }
+
     void onPage(StoreCursor& cursor, tl::expected<platform::RecordPage, platform::StoreError>& page)
     {
         cursor.isReading_ = false;
@@ -241,8 +254,7 @@
             return read(cursor);
         }
         // Pages from before and after the failure may be inconsistent, so reading starts over.
-        cursor.pages_.clear();
-        cursor.pagesEnd_.reset();
+        forgetPages(cursor);
         ++cursor.failures_;
         Milliseconds maxDelay = &cursor == &targets_ ? maxTargetRetryDelay : maxRetryDelay;
         cursor.dueAt_ = bootNow() + std::min(maxDelay, minRetryDelay * cursor.failures_);
@@ -314,13 +326,8 @@
         return entry;
     }
 
-    void applyAllTargets(const std::vector<platform::KeyedRecord>& records)
+    void applyAllTargets(const std::vector<TargetEntry>& entries)
     {
-        std::vector<TargetEntry> entries;
-        for (const platform::KeyedRecord& record : records) {
-            if (auto entry = decodeTarget(record))
-                entries.push_back(*entry);
-        }
         applyFullList(targetList_, entries, bootNow());
         reportTargets();
     }
--- a/src/TcpLink.cpp
+++ b/src/TcpLink.cpp
@@ -4,9 +4,11 @@
 #include <asio/error.hpp>
 #include <atomic>
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <optional>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace fescue {
@@ -49,8 +51,9 @@
 {
 }
 
-TcpLink::TcpLink(asio::io_context& io)
+TcpLink::TcpLink(asio::io_context& io, const SocketBuffers& buffers)
     : socket_(io)
+    , buffers_(buffers)
 {
 }
 
@@ -62,9 +65,19 @@
     return link;
 }
 
-std::shared_ptr<TcpLink> TcpLink::create(asio::io_context& io)
+std::shared_ptr<TcpLink> TcpLink::create(asio::io_context& io, const SocketBuffers& buffers)
 {
-    return std::shared_ptr<TcpLink>(new TcpLink(io));
+    return std::shared_ptr<TcpLink>(new TcpLink(io, buffers));
+}
+
+void TcpLink::setBuffers(const SocketBuffers& buffers)
+{
+    ErrorCode ignored; // The connection works with those that it has, too.
+    socket_.set_option(asio::socket_base::receive_buffer_size(buffers.receive_), ignored);
+    socket_.set_option(asio::socket_base::send_buffer_size(buffers.send_), ignored);
+    // An established connection keeps the window of the buffer that it was accepted with.
+    ::setsockopt(
+        socket_.native_handle(), IPPROTO_TCP, TCP_WINDOW_CLAMP, &buffers.receive_, sizeof buffers.receive_);
 }
 
 void TcpLink::setCallbacks(Callbacks callbacks) { callbacks_ = std::move(callbacks); }
@@ -74,8 +87,13 @@
     isOpen_ = true;
     ErrorCode error;
     socket_.open(tcp::v4(), error);
-    if (!error)
+    if (!error) {
         setOptions(socket_, userTimeoutMs);
+        // The window is agreed on when the connection is opened.
+        ErrorCode ignored;
+        socket_.set_option(asio::socket_base::receive_buffer_size(buffers_.receive_), ignored);
+        socket_.set_option(asio::socket_base::send_buffer_size(buffers_.send_), ignored);
+    }
     socket_.async_connect(peer, [self = shared_from_this()](const ErrorCode& failure) {
         if (!self->isOpen_)
             return;
@@ -102,18 +120,27 @@
         self->isReading_ = false;
         if (error || !self->isOpen_)
             return;
-        if (!self->isPaused_)
-            self->read();
-        self->awaitReadable();
+        if (self->callbacks_.onReadable_)
+            self->callbacks_.onReadable_();
+        else
+            self->readNow();
     });
 }
 
+void TcpLink::readNow()
+{
+    auto self = shared_from_this();
+    if (isOpen_ && !isPaused_ && !isReading_)
+        read();
+    awaitReadable();
+}
+
 void TcpLink::read()
 {
     // All links share one buffer, since they run on one thread and pass the bytes on before the next read.
-    static std::array<char, 64 * 1024> buffer;
+    static std::array<char, maxReadBytes> buffer;
     ErrorCode error;
-    std::size_t size = socket_.read_some(asio::buffer(buffer), error);
+    std::size_t size = socket_.read_some(asio::buffer(buffer, maxRead_), error);
     if (wouldBlock(error))
         return;
     if (error) {
@@ -200,11 +227,14 @@
         socket_.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-std::size_t TcpLink::unreadBytes()
+SocketBytes TcpLink::socketBytes()
 {
-    ErrorCode error;
-    std::size_t size = isOpen_ ? socket_.available(error) : 0;
-    return error ? 0 : size;
+    int unread = 0;
+    int unsent = 0;
+    if (!isOpen_ || ::ioctl(socket_.native_handle(), SIOCINQ, &unread) != 0
+        || ::ioctl(socket_.native_handle(), SIOCOUTQ, &unsent) != 0)
+        return {};
+    return { static_cast<std::size_t>(unread), static_cast<std::size_t>(unsent) };
 }
 
 void TcpLink::closeAfterFlush()
--- a/src/TcpLink.h
+++ b/src/TcpLink.h
@@ -8,6 +8,7 @@
  * them.
  */
 
+#include "SocketBuffers.h"
 #include "Types.h"
 
 #include <asio/io_context.hpp>
@@ -20,6 +21,9 @@
 
 namespace fescue {
 
+/** The most bytes that are read from a connection at a time. */
+constexpr std::size_t maxReadBytes = 64 * 1024;
+
 /** Why a connection ended. */
 enum class CloseReason {
     ConnectFailed, ///< The connection was never established; nothing was sent.
@@ -27,6 +31,19 @@
     Reset, ///< Reset by the peer, timed out or failed otherwise, as a read or a write has met it.
 };
 
+/** Bytes that the kernel holds for connections. They count towards the memory of the VM. */
+struct SocketBytes {
+    std::size_t unread_ = 0; ///< Received, and not read by this process yet.
+    std::size_t unsent_ = 0; ///< Written by this process, and not acknowledged by the peer yet.
+
+    SocketBytes& operator+=(const SocketBytes& other)
+    {
+        unread_ += other.unread_;
+        unsent_ += other.unsent_;
+        return *this;
+    }
+};
+
 /** A connection that keeps itself alive until it is closed. Not thread-safe: all functions must be called,
  * and all callbacks are invoked, on the thread that runs the event loop. */
 class TcpLink : public std::enable_shared_from_this<TcpLink> {
@@ -35,12 +52,15 @@
         std::function<void()> onConnected_;
         std::function<void(std::string_view)> onData_;
         std::function<void(CloseReason)> onClosed_; ///< At most once; never called from `close`.
+        /** Bytes or the end of the connection can be read, by `readNow`. Without it they are read at once. */
+        std::function<void()> onReadable_;
     };
 
-    /** Wraps an accepted socket. */
+    /** Wraps an accepted socket. Its buffers are those of the listening socket. */
     static std::shared_ptr<TcpLink> accepted(asio::ip::tcp::socket socket);
     /** Creates an unconnected link; `connect` follows. */
-    static std::shared_ptr<TcpLink> create(asio::io_context& io);
+    static std::shared_ptr<TcpLink> create(
+        asio::io_context& io, const SocketBuffers& buffers = outboundBuffers);
 
     void setCallbacks(Callbacks callbacks);
     /** Starts to connect; reading starts once connected. */
@@ -49,10 +69,16 @@
     void start();
     /** Writes bytes, and queues what the socket does not accept immediately. */
     void send(std::string_view data);
+    /** Sets the sizes of the buffers of an accepted connection. */
+    void setBuffers(const SocketBuffers& buffers);
     /** Bytes queued and not yet written to the socket. */
     std::size_t queuedBytes() const { return output_.size() - sent_; }
     /** Pauses or resumes reading, for backpressure. */
     void pauseReading(bool isPaused);
+    /** Reads at most so many bytes at a time. Precondition: at least 1. */
+    void setMaxRead(std::size_t bytes) { maxRead_ = bytes; }
+    /** Reads what has come unless reading is paused, and then waits for more. */
+    void readNow();
     /** Closes the connection once all queued bytes have been written. */
     void closeAfterFlush();
     /** Closes immediately; no callback is invoked afterwards. With `isAborting` the peer receives a reset. */
@@ -69,12 +95,12 @@
     /** Sends what is queued and then the end of this side; reading goes on, so that a peer that still sends
      * receives what was sent before. `close` must follow. */
     void finishSending();
-    /** Bytes that were received and not read yet; 0 if the operating system does not tell. */
-    std::size_t unreadBytes();
+    /** What the kernel holds for this connection; nothing if the operating system does not tell. */
+    SocketBytes socketBytes();
 
 private:
     explicit TcpLink(asio::ip::tcp::socket socket);
-    explicit TcpLink(asio::io_context& io);
+    TcpLink(asio::io_context& io, const SocketBuffers& buffers);
     void awaitReadable();
     void read();
     void awaitWritable();
@@ -82,9 +108,11 @@
     void end(CloseReason reason);
 
     asio::ip::tcp::socket socket_;
+    SocketBuffers buffers_; ///< Of a connection that this process opens.
     Callbacks callbacks_;
     std::string output_;
     std::size_t sent_ = 0;
+    std::size_t maxRead_ = maxReadBytes;
     bool isOpen_ = false;
     bool isReading_ = false;
     bool isPaused_ = false;
--- a/src/TransferEnds.cpp
+++ b/src/TransferEnds.cpp
@@ -21,7 +21,8 @@
         transfer->exchange_->cancel();
         return handleLostAnswer(transfer, false, excess);
     }
-    if (transfer->call_.reply_->pendingBytes() > maxUnsentBytes && !transfer->isPaused_) {
+    const FrontReply& reply = *transfer->call_.reply_;
+    if (reply.pendingBytes() > reply.maxPendingBytes() && !transfer->isPaused_) {
         transfer->isPaused_ = true;
         transfer->exchange_->pauseReading(true);
     }
--- a/src/TurnAdmission.cpp
+++ b/src/TurnAdmission.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <fmt/format.h>
 
 namespace fescue {
@@ -53,6 +54,8 @@
     double meanProgramMs_ = 0; ///< By what callers allow for whole programs; 0 if unknown.
     std::map<PendingId, PendingTurn> pendingTurns_;
     PendingId lastTurnId_ = 0;
+    std::deque<ForwardedCall> granted_; ///< To be forwarded.
+    bool isForwarding_ = false;
     Counter budgetRefusals_ { "budget_refusals_total" };
     std::map<CallRank, Counter> admitted_;
     std::map<CallRank, Counter> refused_;
@@ -149,7 +152,22 @@
         call.cachingTarget_ = grant.reply_.lastTarget_;
         call.onEnd_
             = [this, grant](TokenCount used, const TargetId& at) { broker_.endTurn(grant, used, at); };
-        forwarder_.forward(std::move(call));
+        forward(std::move(call));
+    }
+
+    // The end of a call that is refused at once may grant the next turn of its program, and so on. They are
+    // forwarded one after another, since so many nested calls would exceed the stack.
+    void forward(ForwardedCall call)
+    {
+        granted_.push_back(std::move(call));
+        if (std::exchange(isForwarding_, true))
+            return;
+        while (!granted_.empty()) {
+            ForwardedCall next = std::move(granted_.front());
+            granted_.pop_front();
+            forwarder_.forward(std::move(next));
+        }
+        isForwarding_ = false;
     }
 
     void rejectProgram(ForwardedCall& call, LogFields fields)
--- a/src/TurnContinuation.cpp
+++ b/src/TurnContinuation.cpp
@@ -13,6 +13,7 @@
     // A caller whose conversation is not found by then does better to ask another VM.
     constexpr Milliseconds maxSearchTime { 1200 };
     constexpr Milliseconds unknownTurnRetryAfter { 300 };
+    constexpr Milliseconds noRoomRetryAfter { 200 };
     constexpr int badRequest = 400;
     constexpr int notFound = 404;
     constexpr int contentTooLarge = 413;
@@ -71,11 +72,14 @@
     turn->id_ = idWithin(call.workspace_, call.tags_.attempt_);
     turn->ancestors_ = idsOf(chain);
     turn->input_ = call.request_.body_;
-    std::string text = textOf(chain);
-    if (text.size() + call.request_.body_.size() > maxBodyBytes)
+    std::size_t bytes = textBytes(chain);
+    if (bytes + call.request_.body_.size() > maxBodyBytes)
         return rejectCall(call, contentTooLarge,
             "the conversation has grown beyond the maximum size of a request; begin a new one", std::nullopt);
-    call.request_.body_.insert(0, text);
+    if (!call.reply_->reserve(costOfBody(bytes)))
+        return rejectCall(call, serviceUnavailable,
+            "this VM has no room for the conversation now; send the request again", noRoomRetryAfter);
+    call.request_.body_.insert(0, textOf(chain));
     call.maxOutputBytes_ = conversations_.maxOutputBytes();
     call.onWhole_
         = [this, turn, chain, program = call.tags_.program_, retention = call.route_.programRetention_,
--- a/standin/PlatformStore.cpp
+++ b/standin/PlatformStore.cpp
@@ -19,6 +19,10 @@
     constexpr int lengthBytes = 4;
     constexpr int offsetBytes = 8;
     constexpr std::size_t pageSize = 500;
+    // The answer ends with the record that reaches it.
+    constexpr std::size_t bytesPerKb = 1024;
+    constexpr std::size_t defaultReadKb = 1024;
+    constexpr std::size_t pageBytes = bytesPerKb * bytesPerKb;
 
     struct Record {
         std::string key_;
@@ -105,6 +109,7 @@
     struct WaitingRead {
         PartitionId partition_;
         std::uint64_t from_;
+        std::size_t maxBytes_;
         MonotonicTime deadline_;
         std::shared_ptr<FrontReply> reply_;
         const View* view_;
@@ -221,19 +226,23 @@
         if (from < partition.first_)
             return answer(*reply, 410, json { { "first-offset", partition.first_ } }.dump());
         std::uint64_t wait = queryNumber(target, "wait-ms");
+        std::uint64_t maxKb = queryNumber(target, "max-kb");
+        std::size_t maxBytes = (maxKb > 0 ? maxKb : defaultReadKb) * bytesPerKb;
         if (from >= partition.end() && wait > 0) {
-            waitingReads_.push_back({ id, from, bootNow() + Milliseconds { wait }, std::move(reply), view });
+            waitingReads_.push_back(
+                { id, from, maxBytes, bootNow() + Milliseconds { wait }, std::move(reply), view });
             return;
         }
-        answerRead(id, from, *reply, *view);
+        answerRead(id, from, maxBytes, *reply, *view);
     }
 
-    void answerRead(const PartitionId& id, std::uint64_t from, FrontReply& reply, const View& view)
+    void answerRead(
+        const PartitionId& id, std::uint64_t from, std::size_t maxBytes, FrontReply& reply, const View& view)
     {
         const Partition& partition = partitions_[id];
         std::string body
             = encodeBigEndian(partition.end(), offsetBytes) + encodeBigEndian(partition.first_, offsetBytes);
-        for (std::uint64_t at = from; at < partition.end(); ++at) {
+        for (std::uint64_t at = from; at < partition.end() && body.size() < maxBytes; ++at) {
             const Record& record = partition.records_[at - partition.first_];
             std::string value = record.value_.empty() ? std::string() : view(id.first, record.value_);
             body += encodeBigEndian(1 + record.key_.size() + value.size(), lengthBytes);
@@ -248,9 +257,12 @@
         json items = json::array();
         std::string after = queryValue(target, "after");
         auto at = after.empty() ? partition.newest_.begin() : partition.newest_.upper_bound(after);
-        for (; at != partition.newest_.end() && items.size() < pageSize; ++at)
+        std::size_t bytes = 0;
+        for (; at != partition.newest_.end() && items.size() < pageSize && bytes < pageBytes; ++at) {
             items.push_back({ { "key", at->first }, { "value", toBase64(view(id.first, at->second.second)) },
                 { "offset", at->second.first } });
+            bytes += at->second.second.size();
+        }
         bool hasMore = at != partition.newest_.end();
         answer(reply, 200,
             json { { "items", items }, { "has-more", hasMore }, { "end-offset", partition.end() } }.dump());
@@ -262,7 +274,7 @@
         waitingReads_.clear();
         for (WaitingRead& entry : waiting) {
             if (entry.partition_ == id)
-                answerRead(id, entry.from_, *entry.reply_, *entry.view_);
+                answerRead(id, entry.from_, entry.maxBytes_, *entry.reply_, *entry.view_);
             else
                 waitingReads_.push_back(std::move(entry));
         }
@@ -333,7 +345,7 @@
     impl_->waitingReads_.clear();
     for (Impl::WaitingRead& entry : waiting) {
         if (now >= entry.deadline_)
-            impl_->answerRead(entry.partition_, entry.from_, *entry.reply_, *entry.view_);
+            impl_->answerRead(entry.partition_, entry.from_, entry.maxBytes_, *entry.reply_, *entry.view_);
         else
             impl_->waitingReads_.push_back(std::move(entry));
     }
--- a/test/correctness/PooledConnections.cpp
+++ b/test/correctness/PooledConnections.cpp
@@ -1,4 +1,5 @@
-// Guards against a pause of one exchange that outlasts it, on a connection that carries later requests.
+// OutboundConnection: guards against a pause of one exchange that outlasts it, on a connection that carries
+// later requests.
 
 #include "BootClock.h"
 #include "EntryVmHarness.h"
--- a/test/error/HttpServerLimits.cpp
+++ b/test/error/HttpServerLimits.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(pipelinedRequestsAreAnsweredInOrder);
     CPPUNIT_TEST(slowReaderIsCutOffWithALastChunk);
     CPPUNIT_TEST(writesAfterDisconnectAreRefused);
+    CPPUNIT_TEST(exchangesOutliveTheirServer);
     CPPUNIT_TEST(connectionsBeyondTheLimitWait);
     CPPUNIT_TEST_SUITE_END();
 
@@ -26,6 +27,7 @@
     void pipelinedRequestsAreAnsweredInOrder();
     void slowReaderIsCutOffWithALastChunk();
     void writesAfterDisconnectAreRefused();
+    void exchangesOutliveTheirServer();
     void connectionsBeyondTheLimitWait();
 };
 
@@ -133,6 +135,27 @@
     CHECK(next.readUntil("first").find("200") != std::string::npos);
 }
 
+// Guards against a use of freed memory: a gateway that ends while requests are open answers them, or drops
+// them, after its server is gone.
+void HttpServerLimits::exchangesOutliveTheirServer()
+{
+    Streams streams;
+    auto server = std::make_unique<HttpServer>(HttpServerOptions {}, streams.handler());
+    RawConnection first(server->port());
+    first.send(get);
+    first.readUntil("first");
+    RawConnection second(server->port());
+    second.send(get);
+    second.readUntil("first");
+    HttpExchangePtr ended = streams.at(0);
+    HttpExchangePtr dropped = streams.at(1);
+    server.reset();
+    CHECK(!ended->write("more"));
+    ended->end();
+    CHECK(!dropped->write("more"));
+    dropped->abort("the last word");
+}
+
 void HttpServerLimits::connectionsBeyondTheLimitWait()
 {
     HttpServerOptions options;
--- a/test/failure/LegalBodyCrowd.cpp
+++ b/test/failure/LegalBodyCrowd.cpp
@@ -1,4 +1,5 @@
-// Guards against callers that fill a VM's memory with many large bodies of legal size at once.
+// Guards against callers that fill a VM's memory with many large bodies of legal size at once, and against
+// large bodies and answers that take seconds since the buffers of their sockets are small.
 
 #include "CallerCrowd.h"
 #include "Suite.h"
@@ -17,6 +18,7 @@
     CPPUNIT_TEST(bodiesSentPieceByPieceThatStopShortLeaveRoomForOrdinaryCallers);
     CPPUNIT_TEST(twentyBodiesOfFourMbAreServedInTurn);
     CPPUNIT_TEST(singleBodyOfTheLargestLegalSizeIsServed);
+    CPPUNIT_TEST(answerOfFourMbArrivesBeforeTheDeadline);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t callers = 80;
@@ -102,6 +104,20 @@
             statusOf(vm.request("POST", "/call/x", "Fescuewinch-Request-Id: r1\r\n",
                 std::string(limits.maxBodyBytes_, 'b'))));
     }
+
+    void answerOfFourMbArrivesBeforeTheDeadline()
+    {
+        constexpr std::size_t answerBytes = 4 << 20;
+        constexpr std::chrono::milliseconds deadline { 1200 };
+        EntryVmHarness vm({ [](const HttpHead& request, const std::string&) {
+            return TargetAction { stampedResponse(request, std::string(answerBytes, 'a')) };
+        } },
+            true, 1, VmLimits { 88, 0, 4 << 20 });
+        auto start = std::chrono::steady_clock::now();
+        std::string answer = vm.request("POST", "/call/x", requestHeaders);
+        CHECK(std::chrono::steady_clock::now() - start < deadline);
+        CHECK(answer.size() > answerBytes);
+    }
 };
 
 REGISTER_SUITE(LegalBodyCrowd);
--- a/test/failure/ProcessEnds.cpp
+++ b/test/failure/ProcessEnds.cpp
@@ -4,12 +4,16 @@
 #include "EventLog.h"
 #include "LoneVm.h"
 #include "ProcessEnd.h"
+#include "StartSignals.h"
 #include "Suite.h"
 
 #include <array>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <filesystem>
+#include <fmt/format.h>
 #include <fstream>
 #include <map>
 #include <sstream>
@@ -23,8 +27,11 @@
     CPPUNIT_TEST_SUITE(ProcessEnds);
     CPPUNIT_TEST(failedStartNamesTheSetting);
     CPPUNIT_TEST(fatalSignalIsNamed);
+    CPPUNIT_TEST(signalsOfOthersAndOfLimitsAreNamed);
+    CPPUNIT_TEST(signalsThatAreIgnoredFromTheStartStayIgnored);
     CPPUNIT_TEST(overflowOfTheStackIsNamed);
     CPPUNIT_TEST(exceptionIsNamed);
+    CPPUNIT_TEST(endIsNamedOnStandardErrorWhenTheLogTakesNoLines);
     CPPUNIT_TEST(memoryNearTheLimitIsReported);
     CPPUNIT_TEST(successorReportsAProcessThatWasKilled);
     CPPUNIT_TEST_SUITE_END();
@@ -32,8 +39,11 @@
 public:
     void failedStartNamesTheSetting();
     void fatalSignalIsNamed();
+    void signalsOfOthersAndOfLimitsAreNamed();
+    void signalsThatAreIgnoredFromTheStartStayIgnored();
     void overflowOfTheStackIsNamed();
     void exceptionIsNamed();
+    void endIsNamedOnStandardErrorWhenTheLogTakesNoLines();
     void memoryNearTheLimitIsReported();
     void successorReportsAProcessThatWasKilled();
 };
@@ -52,8 +62,11 @@
     std::string output_;
 };
 
-// Runs `action` in a process of its own that has the log of an entry VM.
-template <typename Action> ChildEnd runWithLog(const Action& action)
+enum class LogState { Read, Full };
+
+// Runs `action` in a process of its own that has the log of an entry VM. The output is that of the log, or
+// that of standard error if the log takes no lines.
+template <typename Action> ChildEnd runWithLog(const Action& action, LogState log = LogState::Read)
 {
     std::array<int, 2> pipeEnds {};
     CHECK_EQUAL(0, ::pipe(pipeEnds.data()));
@@ -61,7 +74,13 @@
     if (child == 0) {
         constexpr rlimit stackLimit { 1 << 20, 1 << 20 };
         ::setrlimit(RLIMIT_STACK, &stackLimit);
-        ::dup2(pipeEnds[1], STDOUT_FILENO);
+        ::dup2(pipeEnds[1], log == LogState::Full ? STDERR_FILENO : STDOUT_FILENO);
+        if (log == LogState::Full) {
+            constexpr rlimit noBytes { 0, 0 };
+            ::setrlimit(RLIMIT_FSIZE, &noBytes);
+            ::dup2(::fileno(std::tmpfile()), STDOUT_FILENO);
+            fescue::ignoreWriteSignals();
+        }
         ::close(pipeEnds[0]);
         ::close(pipeEnds[1]);
         fescue::openEventLog({ {}, "entry", "vm-a", "z", true });
@@ -114,6 +133,33 @@
     checkContains(vm.log(), R"("signal":"SIGSEGV")");
 }
 
+void ProcessEnds::signalsOfOthersAndOfLimitsAreNamed()
+{
+    for (int signal : { SIGXCPU, SIGQUIT, SIGUSR1, SIGALRM }) {
+        LoneVm vm(findFreeAddresses());
+        vm.start();
+        CHECK(vm.waitUntilServing());
+        CHECK_EQUAL(-signal, vm.process().signalAndWait(signal));
+        checkContains(vm.log(), fmt::format(R"("signal":"SIG{}")", ::sigabbrev_np(signal)));
+    }
+}
+
+// Guards against a process that is ended by a signal which its host has told it to ignore: a shell does so
+// with SIGQUIT for what it starts in the background.
+void ProcessEnds::signalsThatAreIgnoredFromTheStartStayIgnored()
+{
+    for (int signal : { SIGXCPU, SIGQUIT, SIGUSR1, SIGALRM }) {
+        LoneVm vm(findFreeAddresses());
+        vm.start({}, fmt::format("trap '' {}", ::sigabbrev_np(signal)));
+        CHECK(vm.waitUntilServing());
+        CHECK_EQUAL(0, ::kill(vm.process().id(), signal));
+        // A signal that ends a process is delivered before the answer.
+        CHECK(vm.waitUntilServing());
+        CHECK(vm.isRunning());
+        CHECK(vm.log().find("process-failed") == std::string::npos);
+    }
+}
+
 void ProcessEnds::overflowOfTheStackIsNamed()
 {
     ChildEnd end = runWithLog([] { overflowStack(0); });
@@ -134,6 +180,19 @@
     CHECK(end.output_.find("SIGABRT") == std::string::npos);
 }
 
+// Guards against an end by an exception that leaves no line anywhere, since the log has the largest size that
+// its host allows a file.
+void ProcessEnds::endIsNamedOnStandardErrorWhenTheLogTakesNoLines()
+{
+    ChildEnd signal = runWithLog([] { ::raise(SIGSEGV); }, LogState::Full);
+    CHECK_EQUAL(SIGSEGV, WTERMSIG(signal.status_));
+    checkContains(signal.output_, "SIGSEGV");
+    ChildEnd exception = runWithLog([] { throwUncaught(); }, LogState::Full);
+    CHECK_EQUAL(SIGABRT, WTERMSIG(exception.status_));
+    checkContains(exception.output_, "process-failed");
+    checkContains(exception.output_, "std::out_of_range");
+}
+
 void ProcessEnds::memoryNearTheLimitIsReported()
 {
     // Less than a process needs to start.
--- a/test/failure/VmStarts.cpp
+++ b/test/failure/VmStarts.cpp
@@ -9,10 +9,13 @@
 #include <array>
 #include <chrono>
 #include <csignal>
+#include <deque>
 #include <fcntl.h>
 #include <fmt/format.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
 #include <utility>
@@ -28,6 +31,10 @@
     CPPUNIT_TEST(vmServesWhileItsPortOfMetricsIsInUse);
     CPPUNIT_TEST(startWaitsForItsPredecessorToDrain);
     CPPUNIT_TEST(startThatWaitsForAPortEndsAtSigterm);
+    CPPUNIT_TEST(vmThatDrainsTakesNoAddress);
+    CPPUNIT_TEST(stopSignalsWhileTheProcessEndsAreIgnored);
+    CPPUNIT_TEST(startWaitsForAnAddressThatIsNotAssigned);
+    CPPUNIT_TEST(startWaitsForDescriptors);
     CPPUNIT_TEST(hangupBeforeTheVmServesIsNoEnd);
     CPPUNIT_TEST(startWaitsForSettingsThatAreEmpty);
     CPPUNIT_TEST(startWaitsForSettingsThatAreCutBetweenLines);
@@ -45,6 +52,10 @@
     void vmServesWhileItsPortOfMetricsIsInUse();
     void startWaitsForItsPredecessorToDrain();
     void startThatWaitsForAPortEndsAtSigterm();
+    void vmThatDrainsTakesNoAddress();
+    void stopSignalsWhileTheProcessEndsAreIgnored();
+    void startWaitsForAnAddressThatIsNotAssigned();
+    void startWaitsForDescriptors();
     void hangupBeforeTheVmServesIsNoEnd();
     void startWaitsForSettingsThatAreEmpty();
     void startWaitsForSettingsThatAreCutBetweenLines();
@@ -199,6 +210,83 @@
     CHECK(vm.log().find(R"("event":"stop")") != std::string::npos);
 }
 
+// Guards against a VM that is told to stop while it waits for an address, and takes it from its successor.
+void VmStarts::vmThatDrainsTakesNoAddress()
+{
+    for (int VmAddresses::*port :
+        { &VmAddresses::callerPort_, &VmAddresses::readyPort_, &VmAddresses::peerPort_ }) {
+        VmAddresses addresses = findFreeAddresses();
+        LoneVm vm(addresses);
+        {
+            Listener listener(addresses.*port);
+            vm.start();
+            CHECK(vm.waitForLog(R"("event":"listen-waiting")"));
+            vm.process().signal(SIGTERM);
+            CPPUNIT_ASSERT_MESSAGE(vm.log(), vm.waitForLog(R"("event":"drain")"));
+        }
+        std::this_thread::sleep_for(conditionTime);
+        CPPUNIT_ASSERT_MESSAGE(vm.log(), vm.isRunning());
+        Listener successor(addresses.*port);
+    }
+}
+
+// Guards against an end by a second SIGTERM, whose handler goes with the event loop.
+void VmStarts::stopSignalsWhileTheProcessEndsAreIgnored()
+{
+    constexpr std::size_t vmCount = 8; // The time in question is short, so not each of them meets a signal.
+    std::deque<LoneVm> vms;
+    for (std::size_t i = 0; i < vmCount; ++i)
+        vms.emplace_back(findFreeAddresses()).start();
+    for (LoneVm& vm : vms)
+        checkServes(vm);
+    for (std::size_t ended = 0; ended < vmCount;) {
+        ended = 0;
+        for (LoneVm& vm : vms) {
+            vm.process().signal(SIGTERM);
+            siginfo_t end {};
+            CHECK_EQUAL(0, ::waitid(P_PID, vm.process().id(), &end, WEXITED | WNOHANG | WNOWAIT));
+            if (end.si_pid == 0)
+                continue;
+            CHECK_EQUAL(int { CLD_EXITED }, end.si_code);
+            CHECK_EQUAL(0, end.si_status);
+            ++ended;
+        }
+    }
+}
+
+// Guards against an exit with status 2 when the host has not assigned the VM's address yet.
+void VmStarts::startWaitsForAnAddressThatIsNotAssigned()
+{
+    VmAddresses addresses = findFreeAddresses();
+    LoneVm vm(addresses);
+    std::string own = fmt::format("{}:{}", addresses.host_, addresses.callerPort_);
+    std::string settings = vm.settings();
+    // Reserved for documentation, so no host has it.
+    settings.replace(settings.find(own), own.size(), fmt::format("192.0.2.1:{}", addresses.callerPort_));
+    vm.writeSettings(settings);
+    vm.start();
+    CPPUNIT_ASSERT_MESSAGE(vm.log(), vm.waitForLog(R"("event":"listen-waiting")"));
+    std::this_thread::sleep_for(conditionTime);
+    CPPUNIT_ASSERT_MESSAGE(vm.log(), vm.isRunning());
+    CHECK_EQUAL(0, vm.process().signalAndWait(SIGTERM));
+}
+
+// Guards against a start that ends because the host has no descriptor to give for a moment. The limit of the
+// process stands for that of the host.
+void VmStarts::startWaitsForDescriptors()
+{
+    constexpr rlim_t ordinary = 1024;
+    LoneVm vm(findFreeAddresses());
+    vm.start({}, "ulimit -S -n 6");
+    std::this_thread::sleep_for(conditionTime);
+    CPPUNIT_ASSERT_MESSAGE(vm.log(), vm.isRunning());
+    rlimit limit {};
+    CHECK_EQUAL(0, ::prlimit(vm.process().id(), RLIMIT_NOFILE, nullptr, &limit));
+    limit.rlim_cur = std::min(ordinary, limit.rlim_max);
+    CHECK_EQUAL(0, ::prlimit(vm.process().id(), RLIMIT_NOFILE, &limit, nullptr));
+    checkServes(vm);
+}
+
 // Guards against an end by SIGHUP before the handlers of signals are registered.
 void VmStarts::hangupBeforeTheVmServesIsNoEnd()
 {
--- a/test/fuzz/MemoryBudgets.cpp
+++ b/test/fuzz/MemoryBudgets.cpp
@@ -6,6 +6,7 @@
 #include "Suite.h"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 #include <set>
 
@@ -111,8 +112,9 @@
                 RC_ASSERT(all[index].stage_ != HolderStage::Running);
             for (std::size_t index : chooseStalled(all, excess % 1000000, now))
                 RC_ASSERT(all[index].stage_ == HolderStage::Unfinished);
-            auto displaced = chooseForDescriptor(all, now);
-            RC_ASSERT((!displaced || isShed(all[*displaced].stage_)));
+            auto displaced = orderForDescriptors(all, now);
+            RC_ASSERT(std::all_of(displaced.begin(), displaced.end(),
+                [&](std::size_t index) { return isShed(all[index].stage_); }));
         });
     }
 
@@ -149,12 +151,15 @@
     {
         fuzz("stalled ones first", [](const std::vector<std::uint32_t>& seeds) {
             auto all = holders(seeds);
-            auto displaced = chooseForDescriptor(all, now);
-            bool hasStalled = !chooseStalled(all, 1, now).empty();
-            RC_ASSERT((!hasStalled || (displaced && all[*displaced].stage_ == HolderStage::Unfinished)));
-            bool hasShed = std::any_of(
+            auto displaced = orderForDescriptors(all, now);
+            std::size_t stalled = chooseStalled(all, std::numeric_limits<std::size_t>::max(), now).size();
+            for (std::size_t i = 0; i < stalled; ++i)
+                RC_ASSERT(chooseStalled({ all[displaced.at(i)] }, 1, now).size() == 1);
+            auto shed = std::count_if(
                 all.begin(), all.end(), [](const Holder& holder) { return isShed(holder.stage_); });
-            RC_ASSERT(displaced.has_value() == hasShed);
+            std::set<std::size_t> once(displaced.begin(), displaced.end());
+            RC_ASSERT(once.size() == displaced.size());
+            RC_ASSERT(displaced.size() == static_cast<std::size_t>(shed));
         });
     }
 
--- a/test/soak/ProcessSoakHarness.cpp
+++ b/test/soak/ProcessSoakHarness.cpp
@@ -110,8 +110,12 @@
             heal();
             runFor(recoveryPhase);
             isMeasuring_ = true;
+            for (auto& vm : vms_)
+                vm->checkReadiness();
             runFor(measurementPhase);
             isMeasuring_ = false;
+            for (auto& vm : vms_)
+                addViolation(vm->silence());
             checkRecovery();
             isEnding_ = true;
             MonotonicTime end = bootNow() + finalAnswersPhase;
@@ -195,17 +199,14 @@
                 for (auto& target : targets_)
                     target->tick(now, store_.faults().isDown_);
                 for (auto& vm : vms_)
-                    tickVm(*vm, now);
+                    addViolation(vm->tick(now));
             }
         }
 
-        void tickVm(SoakVm& vm, MonotonicTime now)
+        void addViolation(const std::string& violation)
         {
-            SoakVm::Event event = vm.tick(now);
-            if (event == SoakVm::Event::StopTimedOut)
-                history_.violations_.push_back(vm.name() + " did not exit within its grace period");
-            if (event == SoakVm::Event::ExitedUnexpectedly)
-                history_.violations_.push_back(vm.name() + " exited unexpectedly");
+            if (!violation.empty())
+                history_.violations_.push_back(violation);
         }
 
         void schedule(Milliseconds after, const std::string& what, std::function<void()> act)
--- a/test/soak/SoakComponents.cpp
+++ b/test/soak/SoakComponents.cpp
@@ -5,8 +5,10 @@
 
 #include <asio/steady_timer.hpp>
 #include <csignal>
+#include <deque>
 #include <fmt/format.h>
 #include <fstream>
+#include <utility>
 
 namespace fescue::test {
 
@@ -17,6 +19,12 @@
     // `grace-s` of the settings (6 s) plus a margin for a busy machine.
     constexpr Milliseconds stopTimeout { 7000 };
     constexpr Milliseconds restartDelay { 100 };
+    // SIGTERM keeps its default effect until the loader is done; this is long for a busy machine.
+    constexpr Milliseconds loadTime { 1000 };
+    constexpr std::size_t quotedLogLines = 5;
+    constexpr Milliseconds settleTime { 1000 }; // After the VM was disturbed.
+    constexpr Milliseconds checkInterval { 100 };
+    constexpr int ok = 200;
 
     SoakRequestKind kindOf(const std::string& path)
     {
@@ -42,6 +50,21 @@
         return "/read/x";
     }
 
+    std::string lastLines(const std::string& file, std::size_t count)
+    {
+        std::ifstream log(file);
+        std::deque<std::string> lines;
+        for (std::string line; std::getline(log, line);) {
+            lines.push_back(line);
+            if (lines.size() > count)
+                lines.pop_front();
+        }
+        std::string text;
+        for (const std::string& line : lines)
+            text += "\n    log: " + line;
+        return text;
+    }
+
     // Runs a function after a delay. The handler owns the timer until then.
     void runAfter(asio::io_context& io, Milliseconds time, std::function<void()> function)
     {
@@ -235,10 +258,12 @@
     const std::string& folder, ChooseProgram chooseProgram)
     : name_(std::move(name))
     , callerPort_(findFreePort(io))
+    , readyPort_(findFreePort(io))
     , storeProxy_(std::make_unique<SoakProxy>(io, storePort))
     , settingsFile_(folder + "/" + name_ + ".yaml")
     , logFile_(folder + "/" + name_ + ".log")
     , chooseProgram_(std::move(chooseProgram))
+    , readinessChecks_(io)
 {
     std::ofstream(settingsFile_) << fmt::format(
         "node-name: {}\nip: 127.0.0.1\nzone: {}\nport-range: [ {}, 0 ]\nheartbeat-ms: 1000\n"
@@ -246,7 +271,7 @@
         "limits: {{ cpu-quota: 1, memory-mb: 100 }}\n"
         "bounds: {{ drain-ms: 2000, grace-s: 6, config-apply-ms: 2000, settle-ms: 1000 }}\n"
         "platform: {{ address: '127.0.0.1:{}', parts: 2 }}\n",
-        name_, zone, findFreePort(io), callerPort_, findFreePort(io), storeProxy_->port());
+        name_, zone, findFreePort(io), callerPort_, readyPort_, storeProxy_->port());
 }
 
 SoakVm::~SoakVm()
@@ -258,6 +283,7 @@
 void SoakVm::start()
 {
     startAt_.reset();
+    startedAt_ = bootNow();
     process_ = std::make_unique<Process>(
         chooseProgram_(), std::vector<std::string> { "--settings=" + settingsFile_ }, 0, logFile_);
 }
@@ -266,7 +292,9 @@
 {
     if (!process_->isRunning())
         return;
-    process_->signalAndWait(SIGKILL);
+    int status = process_->signalAndWait(SIGKILL);
+    if (status != -SIGKILL && !hasStopped(status))
+        ownEnd_ = violation(fmt::format("ended by itself, status {}, before it was killed", status));
     resumeAt_.reset();
     stoppedAt_.reset();
     startAt_ = bootNow() + downFor;
@@ -302,7 +330,7 @@
         startAt_ = bootNow();
 }
 
-SoakVm::Event SoakVm::tick(MonotonicTime now)
+std::string SoakVm::tick(MonotonicTime now)
 {
     if (startAt_ || resumeAt_ || stoppedAt_)
         disturbedAt_ = now;
@@ -312,20 +340,71 @@
         if (stoppedAt_)
             stoppedAt_ = now; // The grace period restarts when the process resumes.
     }
-    if (stoppedAt_ && process_->tryReap()) {
-        stoppedAt_.reset();
-        startAt_ = now + restartDelay;
-    }
+    readinessChecks_.tick(now);
+    if (checkedSince_ && now >= nextCheckAt_ && readiness_ != ok)
+        sendReadinessCheck(now);
+    if (!ownEnd_.empty())
+        return std::exchange(ownEnd_, {});
     if (!startAt_ && process_->tryReap()) {
+        int status = process_->exitStatus();
+        bool isExpected = hasStopped(status);
+        const char* what = stoppedAt_ ? "ended while it stopped" : "exited unexpectedly";
+        stoppedAt_.reset();
         startAt_ = now + restartDelay;
-        return Event::ExitedUnexpectedly;
+        return isExpected ? std::string() : violation(fmt::format("{}, status {}", what, status));
     }
     if (startAt_ && now >= *startAt_)
         start();
     if (!stoppedAt_ || resumeAt_ || now < *stoppedAt_ + stopTimeout)
-        return Event::None;
+        return {};
     kill(restartDelay);
-    return Event::StopTimedOut;
+    return violation("did not exit within its grace period");
+}
+
+bool SoakVm::hasStopped(int status) const
+{
+    bool wasLoading = status == -SIGTERM && stoppedAt_ && *stoppedAt_ < startedAt_ + loadTime;
+    return stoppedAt_ && (status == 0 || wasLoading);
+}
+
+void SoakVm::checkReadiness()
+{
+    readiness_ = 0;
+    checkedSince_ = bootNow();
+    nextCheckAt_ = {};
+}
+
+void SoakVm::sendReadinessCheck(MonotonicTime now)
+{
+    nextCheckAt_ = now + checkInterval;
+    OutboundRequest request;
+    request.peer_ = { asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(readyPort_) };
+    request.head_.method_ = "GET";
+    request.head_.target_ = "/readyz";
+    request.head_.headers_ = { { "Host", "h.example" } };
+    constexpr Milliseconds connectTimeout { 1000 };
+    request.connectTimeout_ = connectTimeout;
+    OutboundCallbacks callbacks;
+    callbacks.onHead_ = [this](const HttpHead& head) {
+        if (readiness_ != ok)
+            readiness_ = head.status_;
+    };
+    callbacks.onBody_ = [](const std::string&) {};
+    callbacks.onEnd_ = [](const OutboundResult&) {};
+    readinessChecks_.send(std::move(request), std::move(callbacks));
+}
+
+std::string SoakVm::silence() const
+{
+    bool wasDisturbed = !checkedSince_ || disturbedAt_ + settleTime >= *checkedSince_;
+    if (wasDisturbed || readiness_ == ok)
+        return {};
+    return violation(fmt::format("did not say that it is ready after the faults, status {}", readiness_));
+}
+
+std::string SoakVm::violation(const std::string& what) const
+{
+    return name_ + " " + what + lastLines(logFile_, quotedLogLines);
 }
 
 } // namespace fescue::test
--- a/test/soak/SoakComponents.h
+++ b/test/soak/SoakComponents.h
@@ -62,8 +62,6 @@
 /** An entry VM: a process that can be killed, paused, stopped and restarted. Its store is behind a proxy. */
 class SoakVm {
 public:
-    enum class Event { None, StopTimedOut, ExitedUnexpectedly };
-
     /** Names the program to start; called before each start. */
     using ChooseProgram = std::function<std::string()>;
 
@@ -82,7 +80,14 @@
     void reload();
     /** Ends a pause and restarts a killed process at once. */
     void heal();
-    Event tick(MonotonicTime now);
+    /** Continues what was begun, and restarts a process that has ended. Returns a violation, with the last
+     * log lines: the process ended by itself, did not stop within its grace period, or stopped with another
+     * status than 0. Otherwise nothing. */
+    std::string tick(MonotonicTime now);
+    /** Begins to ask whether the VM is ready, until it says so. */
+    void checkReadiness();
+    /** Returns a violation, with the last log lines, if the VM ran undisturbed and has not said so yet. */
+    std::string silence() const;
     const std::string& name() const { return name_; }
     int callerPort() const { return callerPort_; }
     SoakProxy& storeProxy() { return *storeProxy_; }
@@ -90,13 +95,24 @@
     MonotonicTime disturbedAt() const { return disturbedAt_; }
 
 private:
+    std::string violation(const std::string& what) const;
+    void sendReadinessCheck(MonotonicTime now);
+    bool hasStopped(int status) const; ///< Whether the process ended with this status since it was told to.
+
     std::string name_;
     int callerPort_ = 0;
+    int readyPort_ = 0;
     std::unique_ptr<SoakProxy> storeProxy_;
     std::string settingsFile_;
     std::string logFile_;
     ChooseProgram chooseProgram_;
     std::unique_ptr<Process> process_;
+    OutboundPool readinessChecks_;
+    int readiness_ = 0; ///< Status that the VM last answered a readiness check with.
+    std::optional<MonotonicTime> checkedSince_;
+    MonotonicTime nextCheckAt_;
+    std::string ownEnd_; ///< Violation to be returned by the next `tick`.
+    MonotonicTime startedAt_;
     std::optional<MonotonicTime> startAt_;
     std::optional<MonotonicTime> resumeAt_;
     std::optional<MonotonicTime> stoppedAt_;
--- a/test/soak/SoakHarness.cpp
+++ b/test/soak/SoakHarness.cpp
@@ -64,7 +64,11 @@
             runFor(recoveryPhase);
             std::size_t requestsBefore = report_.requests_;
             std::size_t succeededBefore = report_.succeeded_;
+            for (auto& vm : vms_)
+                vm->checkReadiness();
             runFor(measurementPhase);
+            for (auto& vm : vms_)
+                addViolation(vm->silence());
             isEnding_ = true;
             runFor(finalAnswersPhase);
             checkRecovery(report_.requests_ - requestsBefore, report_.succeeded_ - succeededBefore);
@@ -131,16 +135,18 @@
                     act();
                 }
                 for (auto& vm : vms_) {
-                    SoakVm::Event event = vm->tick(now);
+                    addViolation(vm->tick(now));
                     history_.vmDisturbedAt_[vm->name()] = vm->disturbedAt();
-                    if (event == SoakVm::Event::StopTimedOut)
-                        history_.violations_.push_back(vm->name() + " did not exit within its grace period");
-                    if (event == SoakVm::Event::ExitedUnexpectedly)
-                        history_.violations_.push_back(vm->name() + " exited unexpectedly");
                 }
             }
         }
 
+        void addViolation(const std::string& violation)
+        {
+            if (!violation.empty())
+                history_.violations_.push_back(violation);
+        }
+
         // Schedules overlapping faults. Each ends after a while, at the latest in `heal`.
         void scheduleFaults()
         {
--- a/test/support/CallerCrowd.h
+++ b/test/support/CallerCrowd.h
@@ -7,6 +7,7 @@
 #include "EntryVmHarness.h"
 
 #include <memory>
+#include <optional>
 
 namespace fescue::test {
 
@@ -21,7 +22,10 @@
 
 /** The most that a VM was seen to hold. */
 struct HeldPeak {
-    std::int64_t bytes_ = 0; ///< Resident memory and bytes that were received and not read.
+    std::int64_t bytes_ = 0; ///< Resident memory and bytes that were received and not read, on all sockets.
+    std::int64_t resident_ = 0;
+    std::int64_t unread_ = 0;
+    std::int64_t unsent_ = 0; ///< Written by the VM and not acknowledged. Not in the sum.
     int descriptors_ = 0;
 };
 
@@ -29,23 +33,29 @@
  * used on the test's thread. */
 class CallerCrowd {
 public:
-    /** Connects all callers of a VM. A caller whose connection fails counts as closed. */
-    CallerCrowd(
-        const EntryVmHarness& harness, const std::vector<CallerBytes>& callers, int receiveBuffer = 0);
+    /** Connects all callers to a port of a VM, by default that for callers. A caller whose connection fails
+     * counts as closed. Throws if this process may not open so many sockets. */
+    CallerCrowd(const EntryVmHarness& harness, const std::vector<CallerBytes>& callers, int receiveBuffer = 0,
+        std::optional<int> port = {});
     ~CallerCrowd();
     CallerCrowd(const CallerCrowd&) = delete;
     CallerCrowd& operator=(const CallerCrowd&) = delete;
 
-    /** Sends until all callers have sent all or are closed, or nothing has moved for a while. */
+    /** Sends until all callers have sent all or are closed, or nothing has moved for a while, or callers
+     * have had some seconds. */
     void press();
+    /** The same while the VM's process is suspended, as a machine may be, and once it goes on. */
+    void pressAcrossPause(EntryVmHarness& harness);
     /** Watches for a while what the VM holds. */
     void watch();
     const HeldPeak& peak() const { return peak_; }
 
 private:
     struct Caller;
+    class Sampler;
     bool sendSome(Caller& caller) const;
     void sample();
+    void sendAll();
 
     const EntryVmHarness& harness_;
     std::vector<std::unique_ptr<Caller>> callers_;
@@ -59,9 +69,13 @@
 /** A chunk of a body. */
 std::string chunkOf(std::size_t bytes);
 
-/** Checks that the VM's process lives, has held at most its machine's memory, and answers an ordinary
- * request while the crowd is open. */
-void checkWithstood(EntryVmHarness& harness, const CallerCrowd& crowd, const VmLimits& limits);
+/** Whether targets have room for an ordinary request while the crowd is open. */
+enum class TargetRoom { Free, TakenByCrowd };
+
+/** Checks that the VM's process lives, has held at most its machine's memory, and serves an ordinary request
+ * while the crowd is open; one that finds no target may be refused with a time to come back instead. */
+void checkWithstood(EntryVmHarness& harness, const CallerCrowd& crowd, const VmLimits& limits,
+    TargetRoom room = TargetRoom::Free);
 
 /** Puts callers before one VM whose target answers at once, and checks that it withstands them. */
 void withstandCrowd(const std::vector<CallerBytes>& callers, const VmLimits& limits);
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <set>
 #include <thread>
 
 namespace fescue::test {
@@ -158,6 +159,12 @@
     int port(std::size_t vm = 0) const { return vms_[vm].callerPort_; }
     /** Port for other VMs. */
     int peerPort(std::size_t vm = 0) const { return vms_[vm].peerPort_; }
+    int readinessPort(std::size_t vm = 0) const { return vms_[vm].readyPort_; }
+    /** All ports that a VM listens at. */
+    std::set<int> listeningPorts(std::size_t vm = 0) const
+    {
+        return { port(vm), peerPort(vm), readinessPort(vm) };
+    }
     /** Sends a request to the first VM with `Connection: close` and reads until the connection ends. */
     std::string request(const std::string& method, const std::string& path, const std::string& headers = "",
         const std::string& body = "") const;
--- a/test/support/LoneVm.cpp
+++ b/test/support/LoneVm.cpp
@@ -90,18 +90,19 @@
 
 void LoneVm::writeSettings(const std::string& text) const { std::ofstream(settingsFile_) << text; }
 
-void LoneVm::start(const std::string& redirections)
+void LoneVm::start(const std::string& redirections, const std::string& limits)
 {
     const char* otherBuild = std::getenv("FESCUE_TEST_ENTRY");
     std::string program = programPath(otherBuild ? otherBuild : "fescue-entry");
     std::vector<std::string> flags { "--settings=" + settingsFile_,
         fmt::format("--metrics_port={}", addresses_.metricsPort_) };
     process_.reset();
-    if (redirections.empty()) {
+    if (redirections.empty() && limits.empty()) {
         process_.emplace(program, flags, 0, logFile_);
         return;
     }
-    std::string command = fmt::format("exec '{}' {} {} {}", program, flags[0], flags[1], redirections);
+    std::string command = fmt::format(
+        "{}; exec '{}' {} {} {}", limits.empty() ? ":" : limits, program, flags[0], flags[1], redirections);
     process_.emplace("/bin/sh", std::vector<std::string> { "-c", command }, 0, logFile_);
 }
 
--- a/test/support/LoneVm.h
+++ b/test/support/LoneVm.h
@@ -38,8 +38,9 @@
     LoneVm& operator=(const LoneVm&) = delete;
 
     /** Starts the process. `redirections` are those of a shell, for example ">&-"; its log is kept unless
-     * they redirect standard output. */
-    void start(const std::string& redirections = {});
+     * they redirect standard output. `limits` is a command of the shell that sets limits of the process, for
+     * example "ulimit -f 0". */
+    void start(const std::string& redirections = {}, const std::string& limits = {});
     void writeSettings(const std::string& text) const;
     const std::string& settings() const { return settings_; }
     const std::string& settingsFile() const { return settingsFile_; }
--- a/test/support/Process.cpp
+++ b/test/support/Process.cpp
@@ -136,6 +136,7 @@
     if (id_ == 0 || waitpid(id_, &status, WNOHANG) != id_)
         return id_ == 0;
     id_ = 0;
+    exitStatus_ = exitStatusOf(status);
     return true;
 }
 
@@ -145,7 +146,8 @@
     int status = 0;
     waitpid(id_, &status, 0);
     id_ = 0;
-    return exitStatusOf(status);
+    exitStatus_ = exitStatusOf(status);
+    return exitStatus_;
 }
 
 ProcessResult runProcess(const std::string& program, const std::vector<std::string>& arguments)
--- a/test/support/Process.h
+++ b/test/support/Process.h
@@ -37,12 +37,16 @@
     /** Reaps the process if it has exited; does not block. Returns false while it runs. */
     bool tryReap();
     bool isRunning() const { return id_ > 0; }
+    /** Exit status, or the negated number of the signal that killed it. Precondition: `tryReap()` has
+     * returned true, or `signalAndWait` has returned. */
+    int exitStatus() const { return exitStatus_; }
     pid_t id() const { return id_; }
 
 private:
     void readPorts(int output, std::size_t count);
 
     pid_t id_ = 0;
+    int exitStatus_ = 0;
     std::map<std::string, int> ports_;
 };
 
