Test harness: a store view is added on the stand-ins' thread

EntryVmHarness::addVm added a port to the store's stand-in from the test's thread while the stand-ins' thread went through the ports; for as long as the new one was made, its server was null. Only CrashingRequests adds VMs later.

--- a/test/support/EntryVmHarness.cpp
+++ b/test/support/EntryVmHarness.cpp
@@ -338,7 +338,7 @@
 
 void EntryVmHarness::addVm()
 {
-    vms_.push_back(makeVm());
+    runOnStore([this](standin::PlatformStore&) { vms_.push_back(makeVm()); });
     startProcess(vms_.back());
     waitUntil("the VM is ready", [this] { return readinessStatus(vms_.size() - 1) == 200; });
 }
--- a/test/support/EntryVmHarness.h
+++ b/test/support/EntryVmHarness.h
@@ -195,6 +195,7 @@
     void publish();
     void publishTarget(std::size_t index, const std::string& startName, bool isPresent);
     void tickTargets(MonotonicTime now);
+    /** While the stand-ins run, to be called on their thread. */
     Vm makeVm();
     void startProcess(Vm& vm);
     void stop();
