--- a/test/support/CallerCrowd.cpp
+++ b/test/support/CallerCrowd.cpp
@@ -278,6 +278,8 @@
         CHECK(peak.descriptors_ <= limits.maxFds_);
     std::string answer = harness.request("GET", "/read/a", "Fescuewinch-Request-Id: ordinary\r\n");
     bool isRefused = statusOf(answer) == 503 && answer.find("Retry-After: ") != std::string::npos;
+    if (statusOf(answer) != 200)
+        std::printf("the ordinary caller got: %s\n", answer.c_str());
     if (room == TargetRoom::Free || !isRefused)
         CHECK_EQUAL(200, statusOf(answer));
 }
