Answers that nobody reads do not hold slots of targets while room is short

The trace: all 14 slots of the target held by answers that were passed on as their callers read them, and 357 requests queued behind, until the deadline of the route. A sixth of the callers' budget is for these answers alone now - reading an answer that is kept was paused for what its caller had not read of an earlier one; it adds nothing to that - the next request of a caller was begun although the caller had not read the earlier answer; while room is short it waits for the same limit as an answer does, 16 KB

--- a/src/AnswerRelay.cpp
+++ b/src/AnswerRelay.cpp
@@ -25,7 +25,7 @@
             return false;
         if (size > relay.reserved_) {
             std::size_t room = std::min(std::max(size, 2 * relay.reserved_), maxBufferedAnswerBytes);
-            if (!relay.reply_->reserve(room - relay.reserved_))
+            if (!relay.reply_->reserveForAnswer(room - relay.reserved_))
                 return false;
             relay.reserved_ = room;
             relay.buffered_.reserve(room);
@@ -99,7 +99,7 @@
         startRelay(relay);
         part.insert(0, relay.buffered_);
         std::string().swap(relay.buffered_);
-        relay.reply_->release(std::exchange(relay.reserved_, 0));
+        relay.reply_->releaseAnswer(std::exchange(relay.reserved_, 0));
     }
     if (relay.isStream_)
         relay.events_.feed(part);
--- a/src/CallRelay.cpp
+++ b/src/CallRelay.cpp
@@ -40,6 +40,8 @@
         std::size_t maxPendingBytes() const override { return reply_->maxPendingBytes(); }
         bool reserve(std::size_t bytes) override { return reply_->reserve(bytes); }
         void release(std::size_t bytes) override { reply_->release(bytes); }
+        bool reserveForAnswer(std::size_t bytes) override { return reply_->reserveForAnswer(bytes); }
+        void releaseAnswer(std::size_t bytes) override { reply_->releaseAnswer(bytes); }
         void onDisconnect(std::function<void()> callback) override
         {
             reply_->onDisconnect(std::move(callback));
--- a/src/FrontReplyImpl.h
+++ b/src/FrontReplyImpl.h
@@ -8,13 +8,6 @@
 
 namespace fescue {
 
-namespace {
-
-    // What a caller has of an answer to read while room is short.
-    constexpr std::size_t narrowAnswerBytes = 16 * 1024;
-
-} // namespace
-
 void FrontSessionReply::answer(HttpHead head, std::string_view body)
 {
     if (!session_)
@@ -32,7 +25,7 @@
 
 std::size_t FrontSessionReply::maxPendingBytes() const
 {
-    return session_ && session_->isTight() ? narrowAnswerBytes : maxUnreadAnswerBytes;
+    return session_ ? session_->maxUnreadBytes() : maxUnreadAnswerBytes;
 }
 
 void FrontSessionReply::begin(HttpHead head)
--- a/src/FrontRoomImpl.h
+++ b/src/FrontRoomImpl.h
@@ -107,12 +107,19 @@
 bool FrontShared::isTight() const
 {
     constexpr std::size_t tightDivisor = 2;
-    return limits_.memory_.total_ > 0 && held_.total_ > limits_.memory_.total_ / tightDivisor;
+    return limits_.memory_.total_ > 0
+        && sharedBytes(limits_.memory_, held_) > limits_.memory_.total_ / tightDivisor;
 }
 
 bool FrontShared::isFull() const
 {
-    return limits_.memory_.total_ > 0 && held_.total_ >= limits_.memory_.total_;
+    return limits_.memory_.total_ > 0 && sharedBytes(limits_.memory_, held_) >= sharedTotal(limits_.memory_);
+}
+
+std::size_t FrontShared::excessBytes() const
+{
+    std::size_t taken = sharedBytes(limits_.memory_, held_);
+    return taken - std::min(taken, sharedTotal(limits_.memory_));
 }
 
 void FrontShared::releaseRoom()
@@ -154,7 +161,7 @@
         return;
     if (!waiting_.empty())
         closeStalled(now);
-    if (held_.total_ > limits_.memory_.total_)
+    if (excessBytes() > 0)
         shed(now);
     serveWaiting();
 }
@@ -191,7 +198,7 @@
         if (isNew(holder, now))
             holder.stage_ = HolderStage::Running; // As far as this VM knows.
     }
-    for (std::size_t index : chooseForMemory(holders, held_.total_ - limits_.memory_.total_)) {
+    for (std::size_t index : chooseForMemory(holders, excessBytes())) {
         if (holders[index].stage_ == HolderStage::Idle && hasInput(*sessions[index]))
             continue;
         report(FrontEvent::ShedForMemory, holders[index].bytes_);
@@ -203,7 +210,7 @@
     // Callers of answers that ended their connections, and that nobody reads.
     for (const ClosingLink& closing : closing_) {
         std::size_t bytes = queuedBytesOf(closing);
-        if (held_.total_ <= limits_.memory_.total_)
+        if (excessBytes() == 0)
             return;
         if (bytes == 0)
             continue;
--- a/src/FrontServer.h
+++ b/src/FrontServer.h
@@ -62,6 +62,9 @@
     virtual bool reserve(std::size_t) { return true; }
     /** Counts bytes that were reserved no longer. */
     virtual void release(std::size_t) { }
+    /** The same for an answer that is buffered until it is complete. */
+    virtual bool reserveForAnswer(std::size_t) { return true; }
+    virtual void releaseAnswer(std::size_t) { }
     /** Sets the callback that is invoked once if the caller disconnects before the response is complete. */
     virtual void onDisconnect(std::function<void()> callback) = 0;
 };
--- a/src/FrontSession.h
+++ b/src/FrontSession.h
@@ -19,6 +19,8 @@
 /** Answer to a complete or unfinished request that gives way to others. */
 constexpr int serviceUnavailable = 503;
 constexpr int requestTimeout = 408;
+/** What a caller may have of an answer to read while room is short. */
+constexpr std::size_t narrowAnswerBytes = 16 * 1024;
 constexpr const char* noRoom = "this VM has no room for the request; send it again";
 
 class FrontSession;
@@ -77,6 +79,8 @@
     bool isTight() const;
     /** Whether callers hold so much that only requests with room are read. */
     bool isFull() const;
+    /** Bytes that callers hold beyond the budget. */
+    std::size_t excessBytes() const;
     /** Gives room to those who wait, soon. */
     void releaseRoom();
     void serveWaiting();
@@ -126,7 +130,11 @@
     void close(bool isAborting);
     TcpLink& link() { return *link_; }
     bool isDraining() const { return shared_->isDraining_; }
-    bool isTight() const { return shared_->isTight(); }
+    /** Beyond so many bytes that its caller has not read, nothing more is sent or started for it. */
+    std::size_t maxUnreadBytes() const
+    {
+        return shared_->isTight() ? narrowAnswerBytes : maxUnreadAnswerBytes;
+    }
     void handleResponseSent(bool keepsAlive);
     /** What the connection does and holds. */
     Holder holder() const;
@@ -142,6 +150,9 @@
     /** Takes more room for the request in flight. Returns whether there is. */
     bool reserve(std::size_t bytes);
     void release(std::size_t bytes);
+    /** The same for an answer that is buffered until it is complete. */
+    bool reserveForAnswer(std::size_t bytes);
+    void releaseAnswer(std::size_t bytes);
     /** Refuses the request, which has certainly not run, and closes the connection. */
     void reject(int status, const char* reason);
 
@@ -183,7 +194,9 @@
     std::size_t headCost_ = 0; ///< Of a request without a body.
     std::size_t bodyRoom_ = 0; ///< Bytes of a body that the session has room for.
     std::size_t reserved_ = 0; ///< For the request that is read or in flight.
+    std::size_t answerBytes_ = 0; ///< Reserved for an answer that is not complete.
     std::size_t charged_ = 0; ///< Its part of the held memory.
+    std::size_t chargedForAnswer_ = 0; ///< Of these, those for an answer.
     std::size_t headBytes_ = 0; ///< Of an unfinished head.
     bool isLarge_ = false; ///< The reservation is that of a large body.
     bool wasChargedLarge_ = false;
@@ -218,6 +231,15 @@
     std::size_t pendingBytes() const override { return session_ ? session_->link().queuedBytes() : 0; }
     std::size_t maxPendingBytes() const override;
     bool reserve(std::size_t bytes) override { return !session_ || session_->reserve(bytes); }
+    bool reserveForAnswer(std::size_t bytes) override
+    {
+        return !session_ || session_->reserveForAnswer(bytes);
+    }
+    void releaseAnswer(std::size_t bytes) override
+    {
+        if (session_)
+            session_->releaseAnswer(bytes);
+    }
     void release(std::size_t bytes) override
     {
         if (session_)
--- a/src/FrontSessionImpl.h
+++ b/src/FrontSessionImpl.h
@@ -98,7 +98,7 @@
 bool FrontSession::canParse() const
 {
     return !reply_ && !isClosing_ && !waitingSince_ && !input_.empty() && link_->isOpen()
-        && link_->queuedBytes() <= maxUnreadAnswerBytes;
+        && link_->queuedBytes() <= maxUnreadBytes();
 }
 
 void FrontSession::parse()
@@ -248,9 +248,26 @@
     shared_->releaseRoom();
 }
 
+bool FrontSession::reserveForAnswer(std::size_t bytes)
+{
+    if (!hasRoomForAnswer(shared_->limits_.memory_, shared_->held_, bytes))
+        return false;
+    answerBytes_ += bytes;
+    account();
+    return true;
+}
+
+void FrontSession::releaseAnswer(std::size_t bytes)
+{
+    answerBytes_ -= std::min(bytes, answerBytes_);
+    account();
+    shared_->releaseRoom();
+}
+
 void FrontSession::leaveRoom()
 {
     reserved_ = 0;
+    answerBytes_ = 0;
     bodyRoom_ = 0;
     isLarge_ = false;
     roomSince_.reset();
@@ -266,13 +283,17 @@
     bool wasLarge = charged_ > 0 && wasChargedLarge_;
     held.total_ -= charged_;
     held.large_ -= wasLarge ? charged_ : 0;
+    held.answers_ -= chargedForAnswer_;
     std::size_t received = input_.capacity() + 2 * headBytes_;
     if (reserved_ == 0)
         received += body_.capacity() + (hasHead_ ? headCost_ : 0);
-    charged_ = isRegistered_ ? connectionCost() + received + reserved_ + link_->queuedBytes() : 0;
+    std::size_t own = connectionCost() + received + reserved_ + answerBytes_ + link_->queuedBytes();
+    charged_ = isRegistered_ ? own : 0;
+    chargedForAnswer_ = isRegistered_ ? answerBytes_ : 0;
     wasChargedLarge_ = isLarge_;
     held.total_ += charged_;
     held.large_ += isLarge_ ? charged_ : 0;
+    held.answers_ += chargedForAnswer_;
 }
 
 Holder FrontSession::holder() const
--- a/src/MemoryBudget.h
+++ b/src/MemoryBudget.h
@@ -23,6 +23,7 @@
     std::size_t total_ = 0; ///< 0: without a limit.
     std::size_t forSmall_ = 0; ///< Of the total, the part that large requests cannot take.
     std::size_t forWideBuffers_ = 0; ///< Of the total, the most that wide buffers of sockets take.
+    std::size_t forAnswers_ = 0; ///< Of the total, the part that only buffered answers can take.
 };
 
 /** The budget for callers of a VM with so much memory; without a limit if it is not known. Three eighths of
@@ -54,8 +55,15 @@
 struct HeldMemory {
     std::size_t total_ = 0;
     std::size_t large_ = 0; ///< Of the total, that of requests with a large body.
+    std::size_t answers_ = 0; ///< Of the total, that of answers which are buffered until they are complete.
 };
 
+/** What can be taken by anything. */
+std::size_t sharedTotal(const MemoryBudget& budget);
+
+/** What is taken of that. */
+std::size_t sharedBytes(const MemoryBudget& budget, const HeldMemory& held);
+
 /** Bytes that a request holds from its head until its answer: its head, `body` bytes, and their copies for
  * a target. `headerBytes` and `headers` are the size and the number of its header lines. */
 std::size_t costOfRequest(std::size_t headers, std::size_t headerBytes, std::size_t body);
@@ -67,6 +75,10 @@
  * is served in calm. */
 bool hasRoom(const MemoryBudget& budget, const HeldMemory& held, std::size_t bytes, bool isLarge);
 
+/** Whether `bytes` more of a buffered answer fit. Answers have a part of the budget to themselves: one
+ * without room is passed on as its caller reads it, and takes a slot of its target meanwhile. */
+bool hasRoomForAnswer(const MemoryBudget& budget, const HeldMemory& held, std::size_t bytes);
+
 /** What a caller's connection does. */
 enum class HolderStage {
     Idle, ///< Between two requests.
@@ -114,6 +126,7 @@
     constexpr std::size_t memoryOfCallers = 3;
     constexpr std::size_t smallDivisor = 4;
     constexpr std::size_t wideDivisor = 4;
+    constexpr std::size_t answersDivisor = 6;
     constexpr std::size_t connectionBytes = 4096;
     // Three of four sockets are for callers: idle ones outnumber the requests, each of which needs one to a
     // target.
@@ -134,7 +147,7 @@
 
     inline MemoryBudget budgetOf(std::size_t total)
     {
-        return { total, total / smallDivisor, total / wideDivisor };
+        return { total, total / smallDivisor, total / wideDivisor, total / answersDivisor };
     }
 
     inline bool hasStalled(const Holder& holder, MonotonicTime now)
@@ -213,7 +226,7 @@
 inline MemoryBudget monitoringBudget()
 {
     constexpr std::size_t total = 2 * memory_budget::bytesPerMb;
-    return { total, total, total / memory_budget::wideDivisor };
+    return { total, total, total / memory_budget::wideDivisor, 0 };
 }
 
 inline std::size_t maxConnections(const MemoryBudget& budget)
@@ -233,6 +246,13 @@
     return bySockets == 0 || byMemory == 0 ? std::max(bySockets, byMemory) : std::min(bySockets, byMemory);
 }
 
+inline std::size_t sharedTotal(const MemoryBudget& budget) { return budget.total_ - budget.forAnswers_; }
+
+inline std::size_t sharedBytes(const MemoryBudget& budget, const HeldMemory& held)
+{
+    return held.total_ - std::min(held.answers_, budget.forAnswers_);
+}
+
 inline std::size_t costOfRequest(std::size_t headers, std::size_t headerBytes, std::size_t body)
 {
     using namespace memory_budget;
@@ -246,10 +266,19 @@
     using namespace memory_budget;
     if (budget.total_ == 0)
         return true;
-    std::size_t limit = isLarge ? budget.total_ - budget.forSmall_ : budget.total_;
-    if (held.total_ + bytes <= limit)
+    std::size_t limit = sharedTotal(budget) - (isLarge ? budget.forSmall_ : 0);
+    std::size_t taken = sharedBytes(budget, held);
+    if (taken + bytes <= limit)
+        return true;
+    return isLarge && bytes > limit && held.large_ == 0 && taken <= budget.forSmall_;
+}
+
+inline bool hasRoomForAnswer(const MemoryBudget& budget, const HeldMemory& held, std::size_t bytes)
+{
+    std::size_t left = budget.forAnswers_ - std::min(budget.forAnswers_, held.answers_);
+    if (bytes <= left)
         return true;
-    return isLarge && bytes > limit && held.large_ == 0 && held.total_ <= budget.forSmall_;
+    return hasRoom(budget, held, bytes - left, bytes - left > smallBodyBytes);
 }
 
 inline std::vector<std::size_t> chooseForMemory(const std::vector<Holder>& holders, std::size_t excess)
--- a/src/TransferEnds.cpp
+++ b/src/TransferEnds.cpp
@@ -21,8 +21,10 @@
         transfer->exchange_->cancel();
         return handleLostAnswer(transfer, false, excess);
     }
+    // A buffered answer does not add to what its caller has not read of earlier ones.
     const FrontReply& reply = *transfer->call_.reply_;
-    if (reply.pendingBytes() > reply.maxPendingBytes() && !transfer->isPaused_) {
+    bool isBehind = transfer->relay_.hasStarted_ && reply.pendingBytes() > reply.maxPendingBytes();
+    if (isBehind && !transfer->isPaused_) {
         transfer->isPaused_ = true;
         transfer->exchange_->pauseReading(true);
     }
--- a/test/fuzz/MemoryBudgets.cpp
+++ b/test/fuzz/MemoryBudgets.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST(largestHoldersGiveWayFirst);
     CPPUNIT_TEST(noServedCallerIsClosedWhileAStalledOneIsLeft);
     CPPUNIT_TEST(callersThatSendAreNotTakenForStalled);
+    CPPUNIT_TEST(answersHaveRoomThatNothingElseTakes);
+    CPPUNIT_TEST(requestsAndAnswersStayWithinTheBudgetTogether);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr MonotonicTime now { Milliseconds { 100000 } };
@@ -171,6 +173,51 @@
         sending.roomSince_ = now - Milliseconds { 20000 };
         CHECK_EQUAL(std::size_t { 1 }, chooseStalled({ sending }, 1, now).size());
     }
+
+    void answersHaveRoomThatNothingElseTakes()
+    {
+        MemoryBudget budget = smallestVm();
+        HeldMemory held;
+        std::size_t cost = costOfRequest(10, 500, smallBodyBytes);
+        while (hasRoom(budget, held, cost, false))
+            held.total_ += cost;
+        constexpr std::size_t answer = 256 * 1024;
+        int answers = 0;
+        for (; hasRoomForAnswer(budget, held, answer); ++answers) {
+            held.total_ += answer;
+            held.answers_ += answer;
+        }
+        CHECK(answers >= 16); // As many as two targets run at a time.
+        CHECK(held.total_ <= budget.total_);
+    }
+
+    void requestsAndAnswersStayWithinTheBudgetTogether()
+    {
+        fuzz("never over the budget with answers", [](const std::vector<std::uint32_t>& steps) {
+            MemoryBudget budget = smallestVm();
+            HeldMemory held;
+            std::vector<std::pair<std::size_t, bool>> taken;
+            for (std::uint32_t step : steps) {
+                bool isAnswer = step % 2 == 0;
+                if (step % 5 == 0 && !taken.empty()) {
+                    auto [bytes, wasAnswer] = taken[step / 5 % taken.size()];
+                    taken.erase(taken.begin() + static_cast<std::ptrdiff_t>(step / 5 % taken.size()));
+                    held.total_ -= bytes;
+                    held.answers_ -= wasAnswer ? bytes : 0;
+                    continue;
+                }
+                std::size_t bytes = step % (isAnswer ? 256U << 10 : smallBodyBytes);
+                bool isGranted
+                    = isAnswer ? hasRoomForAnswer(budget, held, bytes) : hasRoom(budget, held, bytes, false);
+                if (!isGranted)
+                    continue;
+                held.total_ += bytes;
+                held.answers_ += isAnswer ? bytes : 0;
+                taken.emplace_back(bytes, isAnswer);
+                RC_ASSERT(held.total_ <= budget.total_);
+            }
+        });
+    }
 };
 
 REGISTER_SUITE(MemoryBudgets);
