Callers beyond the limit of connections are refused, and never served in a refused one's place

Trace (counters every 100 ms): a caller beyond the limit is refused, and its connection lingers. Closing that one counted as room, so the next caller was served although as many as the limit were served still. Connections beyond the limit are counted apart now: closing one lets another be refused, not served. While all of the 64 wait, one that is silent gives way. And they are refused in the turns of new sessions, not behind thousands that are served.

--- a/src/FrontRoomImpl.h
+++ b/src/FrontRoomImpl.h
@@ -87,6 +87,7 @@
             link->close(true);
         if (!link || !link->isOpen()) {
             wideBytes_ -= closing.wideBytes_;
+            surplus_ -= closing.isSurplus_ ? 1 : 0;
             return true;
         }
         closingBytes_ += closing.connectionBytes_ + link->queuedBytes();
@@ -222,16 +223,51 @@
     }
 }
 
+bool FrontShared::closeLingering(bool isSurplus, MonotonicTime now)
+{
+    auto lingering = std::find_if(closing_.begin(), closing_.end(), [isSurplus](const ClosingLink& closing) {
+        return closing.isSurplus_ == isSurplus && closing.lingersUntil_ && queuedBytesOf(closing) == 0;
+    });
+    if (lingering == closing_.end())
+        return false;
+    if (auto link = lingering->link_.lock())
+        link->close(true);
+    dropClosed(now);
+    return true;
+}
+
+bool FrontShared::displaceSurplus(MonotonicTime now)
+{
+    if (closeLingering(true, now))
+        return true;
+    auto silent = std::find_if(surplusSessions_.begin(), surplusSessions_.end(), [](const auto& weak) {
+        auto session = weak.lock();
+        return session && session->isSurplus() && !hasInput(*session);
+    });
+    if (silent == surplusSessions_.end())
+        return false;
+    auto session = silent->lock();
+    report(FrontEvent::DisplacedByConnection, session->holder().bytes_);
+    session->close(false);
+    return true;
+}
+
+void FrontShared::addSurplus(const std::shared_ptr<FrontSession>& session)
+{
+    auto isRefused = [](const auto& weak) {
+        auto known = weak.lock();
+        return !known || !known->isSurplus();
+    };
+    surplusSessions_.erase(
+        std::remove_if(surplusSessions_.begin(), surplusSessions_.end(), isRefused), surplusSessions_.end());
+    surplusSessions_.push_back(session);
+    session->refuseNext();
+}
+
 bool FrontShared::displaceOne(MonotonicTime now)
 {
-    auto lingering = std::find_if(closing_.begin(), closing_.end(),
-        [](const ClosingLink& closing) { return closing.lingersUntil_ && queuedBytesOf(closing) == 0; });
-    if (lingering != closing_.end()) {
-        if (auto link = lingering->link_.lock())
-            link->close(true);
-        dropClosed(now);
+    if (closeLingering(false, now))
         return true;
-    }
     // After a pause of the VM there is input on most of them.
     constexpr int maxChecks = 8;
     int checks = 0;
@@ -257,9 +293,10 @@
             continue;
         }
         report(FrontEvent::DisplacedByConnection, holder.bytes_);
-        if (session->isWaiting())
+        if (session->isWaiting() && (surplus_ < surplusConnections || closeLingering(true, now))) {
+            session->refuseNext(); // It leaves its place now, and goes on until it has the refusal.
             session->reject(serviceUnavailable, noRoom);
-        else
+        } else
             session->close(false);
         return true;
     }
@@ -269,7 +306,7 @@
 Holder FrontShared::displaceableHolder(const FrontSession& session) const
 {
     Holder holder = session.holder();
-    if (session.isBeforeFirstTurn())
+    if (session.isBeforeFirstTurn() || session.isSurplus())
         holder.stage_ = HolderStage::Running; // As far as this VM knows.
     else if (limits_.displacesBusy_ && holder.stage_ == HolderStage::Unread)
         holder.stage_ = HolderStage::Idle;
--- a/src/FrontServer.cpp
+++ b/src/FrontServer.cpp
@@ -24,8 +24,6 @@
     // Delay after a failed accept, for example when no file descriptors are left.
     constexpr Milliseconds acceptRetryDelay { 50 };
     constexpr Milliseconds listenRetryDelay { 50 };
-    // Connections beyond the limit whose callers are told to come back.
-    constexpr std::size_t surplusConnections = 64;
 
     tcp::endpoint endpointOf(const std::string& address)
     {
@@ -104,7 +102,7 @@
     bool isAtLimit() const
     {
         std::size_t limit = shared_->limits_.maxConnections_;
-        return limit > 0 && shared_->connections() >= limit;
+        return limit > 0 && shared_->servedConnections() >= limit;
     }
 
     // Looking through all connections takes time, and most attempts of a crowd find none.
@@ -128,13 +126,13 @@
         bool isSurplus = isAtLimit() && !displaceOne(bootNow());
         if (isSurplus && !shared_->awaitingFirstTurn_.empty())
             return false;
-        if (isSurplus && shared_->connections() >= shared_->limits_.maxConnections_ + surplusConnections) {
+        if (isSurplus && shared_->surplus_ >= surplusConnections && !shared_->displaceSurplus(bootNow())) {
             tcp::socket closed(std::move(socket)); // Unread, so its caller may repeat any request.
             return true;
         }
         auto session = std::make_shared<FrontSession>(TcpLink::accepted(std::move(socket)), shared_);
         if (isSurplus)
-            session->refuseNext();
+            shared_->addSurplus(session);
         shared_->sessions_.insert(session);
         session->start();
         return true;
@@ -148,7 +146,7 @@
                     return;
                 if (error) {
                     // Without descriptors, links to the store and to targets need one before callers do.
-                    if (error == asio::error::no_descriptors)
+                    if (error == asio::error::no_descriptors && !self->shared_->displaceSurplus(bootNow()))
                         self->shared_->displaceOne(bootNow());
                     self->acceptRetryAt_ = bootNow() + acceptRetryDelay;
                     return;
--- a/src/FrontSession.h
+++ b/src/FrontSession.h
@@ -21,6 +21,8 @@
 constexpr int requestTimeout = 408;
 /** What a caller may have of an answer to read while room is short. */
 constexpr std::size_t narrowAnswerBytes = 16 * 1024;
+/** Connections beyond the limit whose callers are told to come back. */
+constexpr std::size_t surplusConnections = 64;
 constexpr const char* noRoom = "this VM has no room for the request; send it again";
 
 class FrontSession;
@@ -33,6 +35,7 @@
     std::optional<MonotonicTime> lingersUntil_;
     std::size_t connectionBytes_ = 0; ///< As in `Holder`.
     std::size_t wideBytes_ = 0; ///< Of these, what wide buffers take.
+    bool isSurplus_ = false;
 };
 
 /** A connection that may give way to a new one, as long as it makes no progress. */
@@ -62,9 +65,12 @@
     bool isDraining_ = false;
     bool isServing_ = false; ///< `serveWaiting` is due.
     std::function<void(FrontEvent, std::size_t)> onEvent_;
-    std::deque<std::weak_ptr<FrontSession>> awaitingFirstTurn_; ///< Sessions whose request may have come.
+    /** New sessions, whose request may have come, and those whose request is refused. */
+    std::deque<std::weak_ptr<FrontSession>> awaitingFirstTurn_;
     std::deque<std::weak_ptr<FrontSession>> awaitingTurn_; ///< Sessions with something to read or to parse.
     bool isTurnDue_ = false; ///< `runTurns` is due.
+    std::size_t surplus_ = 0; ///< Connections beyond the limit, whose requests are refused.
+    std::deque<std::weak_ptr<FrontSession>> surplusSessions_; ///< Those not refused yet, the oldest first.
     std::deque<Displaceable> displaceable_; ///< The first one gives way first.
     MonotonicTime displaceableSince_; ///< When they were listed.
 
@@ -86,14 +92,19 @@
     void serveWaiting();
     /** Ends what keeps others waiting, and what exceeds the budget. */
     void reclaim(MonotonicTime now);
-    /** Closes a connection so that another can be accepted; returns whether one could be closed. */
+    /** Closes a connection so that the request of another can be served; returns whether one could be closed.
+     * Those beyond the limit have no part in it. */
     bool displaceOne(MonotonicTime now);
+    /** The same so that the request of another can be refused. */
+    bool displaceSurplus(MonotonicTime now);
+    /** Adds a session whose request is refused. */
+    void addSurplus(const std::shared_ptr<FrontSession>& session);
     /** Forgets closing connections that have ended, and ends those that have lingered for long enough. */
     void dropClosed(MonotonicTime now);
     bool hasLargeWaiting() const;
     SocketBytes socketBytes() const;
-    /** Connections that exist or close soon. */
-    std::size_t connections() const { return sessions_.size() + closing_.size(); }
+    /** Connections that exist or close soon, without those beyond the limit. */
+    std::size_t servedConnections() const { return sessions_.size() + closing_.size() - surplus_; }
 
     /** Lets a session take its turn after those that wait already; a new session after other new ones. */
     void awaitTurn(const std::shared_ptr<FrontSession>& session);
@@ -103,6 +114,9 @@
     void scheduleTurns();
     void takeNext(std::deque<std::weak_ptr<FrontSession>>& sessions);
     std::vector<std::shared_ptr<FrontSession>> list() const { return { sessions_.begin(), sessions_.end() }; }
+    /** Closes a connection whose caller has been refused and may still send; returns whether there was one.
+     */
+    bool closeLingering(bool isSurplus, MonotonicTime now);
     /** A session as `displaceOne` sees it. */
     Holder displaceableHolder(const FrontSession& session) const;
     void listDisplaceable(MonotonicTime now);
@@ -119,7 +133,8 @@
 
     void start();
     /** Refuses the request that comes. */
-    void refuseNext() { isSurplus_ = true; }
+    void refuseNext();
+    bool isSurplus() const { return isSurplus_; }
     /** Sends a part of an answer. */
     void send(std::string_view data);
     /** Reads from the connection, or goes on with what was read, as far as one request. */
--- a/src/FrontSessionImpl.h
+++ b/src/FrontSessionImpl.h
@@ -86,6 +86,12 @@
     awaitTurn();
 }
 
+void FrontSession::refuseNext()
+{
+    isSurplus_ = true;
+    ++shared_->surplus_;
+}
+
 void FrontSession::handleData(std::string_view data)
 {
     if (isClosing_)
@@ -399,7 +405,7 @@
 {
     if (link_->isOpen())
         shared_->addClosing({ link_, lingersUntil, costOfConnection(buffers_),
-            extraCostOf(std::exchange(buffers_, narrowBuffers)) });
+            extraCostOf(std::exchange(buffers_, narrowBuffers)), std::exchange(isSurplus_, false) });
     unregister();
 }
 
@@ -412,6 +418,7 @@
 void FrontSession::unregister()
 {
     isRegistered_ = false;
+    shared_->surplus_ -= std::exchange(isSurplus_, false) ? 1 : 0;
     shared_->wideBytes_ -= extraCostOf(std::exchange(buffers_, narrowBuffers));
     leaveRoom();
     shared_->sessions_.erase(shared_from_this());
--- a/src/FrontTurnsImpl.h
+++ b/src/FrontTurnsImpl.h
@@ -6,8 +6,9 @@
  * Callers that send one request after another are always readable, and thousands of them would keep the event
  * loop from targets, other VMs, the store and the platform's readiness checks. So a readable session waits
  * for its turn, in which it is read once and starts one request at most, and all sessions together use a
- * slice of time before everything else that is due runs. New sessions and the others alternate, so that
- * neither a crowd that connects nor one that stays keeps the other from its turn.
+ * slice of time before everything else that is due runs. New sessions and those that are only refused
+ * alternate with the others, so that neither a crowd that connects nor one that stays keeps the other from
+ * its turn.
  */
 
 #include "BootClock.h"
@@ -19,7 +20,8 @@
 
 void FrontShared::awaitTurn(const std::shared_ptr<FrontSession>& session)
 {
-    (session->isBeforeFirstTurn() ? awaitingFirstTurn_ : awaitingTurn_).push_back(session);
+    bool comesFirst = session->isBeforeFirstTurn() || session->isSurplus();
+    (comesFirst ? awaitingFirstTurn_ : awaitingTurn_).push_back(session);
     if (!isTurnDue_)
         scheduleTurns();
 }
--- a/test/correctness/FrontTurns.cpp
+++ b/test/correctness/FrontTurns.cpp
@@ -72,6 +72,9 @@
     CPPUNIT_TEST(sessionsTakeTurnsRequestByRequest);
     CPPUNIT_TEST(connectionsThatWaitTogetherAreAcceptedTogether);
     CPPUNIT_TEST(connectionBeyondTheLimitWaitsUntilNewOnesHaveHadATurn);
+    CPPUNIT_TEST(callerBeyondTheLimitIsRefusedAheadOfThoseThatAreServed);
+    CPPUNIT_TEST(refusedCallersLeaveNoPlacesForMoreThanTheLimit);
+    CPPUNIT_TEST(silentCallersBeyondTheLimitGiveWay);
     CPPUNIT_TEST(callerThatReadsNoAnswersGivesWayWhereTheseMayBeLost);
     CPPUNIT_TEST(answerLeavesTheNextRequestToATurn);
     CPPUNIT_TEST(sessionsThatAwaitTheirTurnsEndWithTheirServer);
@@ -171,6 +174,76 @@
         CHECK(server.server_->connections() <= limits.maxConnections_);
     }
 
+    // Guards against refused callers that keep the few places for them while they wait behind a crowd: those
+    // who came later were closed without an answer.
+    void callerBeyondTheLimitIsRefusedAheadOfThoseThatAreServed()
+    {
+        constexpr std::size_t count = 60;
+        BusyServer server;
+        FrontLimits limits;
+        limits.maxConnections_ = count;
+        server.server_->setLimits(limits);
+        std::vector<std::unique_ptr<FrontCaller>> callers;
+        for (std::size_t i = 0; i < count; ++i)
+            callers.push_back(std::make_unique<FrontCaller>(server.io_, server.server_->port()));
+        server.runUntil([&] { return server.server_->connections() == count; });
+        for (const auto& caller : callers)
+            caller->send(requestFor("/a"));
+        FrontCaller refused(server.io_, server.server_->port());
+        server.runUntil([&] { return server.server_->connections() == count + 1; });
+        refused.send(requestFor("/refused"));
+        std::size_t before = server.served_.size();
+        server.runUntil([&] { return !refused.received().empty(); });
+        CHECK_EQUAL(std::size_t { 0 }, refused.received().find("HTTP/1.1 503 "));
+        constexpr std::size_t slices = 4;
+        CHECK(server.served_.size() - before <= slices * maxOfSlice);
+    }
+
+    // Guards against callers that are served in the places of refused ones, until all who come are closed
+    // without an answer.
+    void refusedCallersLeaveNoPlacesForMoreThanTheLimit()
+    {
+        HoldingServer server;
+        FrontLimits limits;
+        limits.maxConnections_ = 4;
+        server.server_.setLimits(limits);
+        std::vector<std::unique_ptr<FrontCaller>> callers;
+        constexpr std::size_t count = 100;
+        for (std::size_t i = 0; i < count; ++i) {
+            callers.push_back(std::make_unique<FrontCaller>(server.io_, server.server_.port()));
+            FrontCaller& caller = *callers.back();
+            caller.send(requestFor("/a"));
+            if (i < limits.maxConnections_) {
+                server.runUntil([&] { return server.open_.size() == i + 1; });
+                continue;
+            }
+            server.runUntil([&] { return !caller.received().empty() || server.open_.size() > 4; });
+            CHECK_EQUAL(limits.maxConnections_, server.open_.size());
+            CHECK_EQUAL(std::size_t { 0 }, caller.received().find("HTTP/1.1 503 "));
+        }
+    }
+
+    // Guards against callers beyond the limit that stay silent, and keep others from a refusal.
+    void silentCallersBeyondTheLimitGiveWay()
+    {
+        HoldingServer server;
+        FrontLimits limits;
+        limits.maxConnections_ = 1;
+        server.server_.setLimits(limits);
+        FrontCaller served(server.io_, server.server_.port());
+        served.send(requestFor("/a"));
+        server.runUntil([&] { return server.open_.size() == 1; });
+        std::vector<std::unique_ptr<FrontCaller>> silent;
+        constexpr std::size_t count = 64;
+        for (std::size_t i = 0; i < count; ++i)
+            silent.push_back(std::make_unique<FrontCaller>(server.io_, server.server_.port()));
+        server.runUntil([&] { return server.server_.connections() == count + 1; });
+        FrontCaller ordinary(server.io_, server.server_.port());
+        ordinary.send(requestFor("/b"));
+        server.runUntil([&] { return !ordinary.received().empty() || ordinary.readToEnd(); });
+        CHECK_EQUAL(std::size_t { 0 }, ordinary.received().find("HTTP/1.1 503 "));
+    }
+
     void callerThatReadsNoAnswersGivesWayWhereTheseMayBeLost()
     {
         for (bool mayBeLost : { false, true }) {
