Unread answers do not push out bodies that have room

An unread answer stays in the part for answers. When an answer under way finds that part full, complete ones give way, those longest without progress first. From the same review: a request that has begun is parsed on (it may have room for its body); refused sessions have a queue of their own, so that new connections wait for new ones only; a displaced request is refused, not closed, while a silent connection beyond the limit can give way; the test of refused callers lets first turns pass; the second request of a slow reader is seen to run.

--- a/src/FrontRoomImpl.h
+++ b/src/FrontRoomImpl.h
@@ -97,6 +97,19 @@
     held_.total_ += closingBytes_;
 }
 
+void FrontShared::closeUnread(std::size_t bytes)
+{
+    // Several at a time, since all connections are looked through.
+    constexpr std::size_t partDivisor = 4;
+    std::size_t missing = std::max(bytes, limits_.memory_.forAnswers_ / partDivisor);
+    auto sessions = list();
+    std::vector<Holder> holders = holdersOf(sessions);
+    for (std::size_t index : chooseLongestUnread(holders, missing)) {
+        report(FrontEvent::ShedForMemory, holders[index].bytes_);
+        sessions[index]->close(true);
+    }
+}
+
 bool FrontShared::hasLargeWaiting() const
 {
     return std::any_of(waiting_.begin(), waiting_.end(), [](const auto& weak) {
@@ -293,7 +306,7 @@
             continue;
         }
         report(FrontEvent::DisplacedByConnection, holder.bytes_);
-        if (session->isWaiting() && (surplus_ < surplusConnections || closeLingering(true, now))) {
+        if (session->isWaiting() && (surplus_ < surplusConnections || displaceSurplus(now))) {
             session->refuseNext(); // It leaves its place now, and goes on until it has the refusal.
             session->reject(serviceUnavailable, noRoom);
         } else
--- a/src/FrontSession.h
+++ b/src/FrontSession.h
@@ -35,7 +35,7 @@
     std::optional<MonotonicTime> lingersUntil_;
     std::size_t connectionBytes_ = 0; ///< As in `Holder`.
     std::size_t wideBytes_ = 0; ///< Of these, what wide buffers take.
-    bool isSurplus_ = false;
+    bool isSurplus_ = false; ///< It is beyond the limit.
 };
 
 /** A connection that may give way to a new one, as long as it makes no progress. */
@@ -65,10 +65,10 @@
     bool isDraining_ = false;
     bool isServing_ = false; ///< `serveWaiting` is due.
     std::function<void(FrontEvent, std::size_t)> onEvent_;
-    /** New sessions, whose request may have come, and those whose request is refused. */
-    std::deque<std::weak_ptr<FrontSession>> awaitingFirstTurn_;
+    std::deque<std::weak_ptr<FrontSession>> awaitingFirstTurn_; ///< Sessions whose request may have come.
     std::deque<std::weak_ptr<FrontSession>> awaitingTurn_; ///< Sessions with something to read or to parse.
     bool isTurnDue_ = false; ///< `runTurns` is due.
+    std::deque<std::weak_ptr<FrontSession>> awaitingRefusal_; ///< The same of those beyond the limit.
     std::size_t surplus_ = 0; ///< Connections beyond the limit, whose requests are refused.
     std::deque<std::weak_ptr<FrontSession>> surplusSessions_; ///< Those not refused yet, the oldest first.
     std::deque<Displaceable> displaceable_; ///< The first one gives way first.
@@ -87,6 +87,9 @@
     bool isFull() const;
     /** Bytes that callers hold beyond the budget. */
     std::size_t excessBytes() const;
+    /** Closes connections whose callers do not read a complete answer, those longest without progress first,
+     * so that `bytes` of an answer get room. */
+    void closeUnread(std::size_t bytes);
     /** Gives room to those who wait, soon. */
     void releaseRoom();
     void serveWaiting();
@@ -211,7 +214,7 @@
     std::size_t reserved_ = 0; ///< For the request that is read or in flight.
     std::size_t answerBytes_ = 0; ///< Reserved for an answer that is not complete.
     std::size_t charged_ = 0; ///< Its part of the held memory.
-    std::size_t chargedForAnswer_ = 0; ///< Of these, those for an answer.
+    std::size_t chargedForAnswer_ = 0; ///< Of these, those for an answer that is kept whole.
     std::size_t headBytes_ = 0; ///< Of an unfinished head.
     bool isLarge_ = false; ///< The reservation is that of a large body.
     bool wasChargedLarge_ = false;
--- a/src/FrontSessionImpl.h
+++ b/src/FrontSessionImpl.h
@@ -103,8 +103,10 @@
 
 bool FrontSession::canParse() const
 {
+    // A request that has begun may have room, and must not keep it while it waits for its caller to read.
+    std::size_t maxUnread = reader_.hasStarted() ? maxUnreadAnswerBytes : maxUnreadBytes();
     return !reply_ && !isClosing_ && !waitingSince_ && !input_.empty() && link_->isOpen()
-        && link_->queuedBytes() <= maxUnreadBytes();
+        && link_->queuedBytes() <= maxUnread;
 }
 
 void FrontSession::parse()
@@ -256,8 +258,12 @@
 
 bool FrontSession::reserveForAnswer(std::size_t bytes)
 {
-    if (!hasRoomForAnswer(shared_->limits_.memory_, shared_->held_, bytes))
-        return false;
+    auto isThereRoom = [&] { return hasRoomForAnswer(shared_->limits_.memory_, shared_->held_, bytes); };
+    if (!isThereRoom()) {
+        shared_->closeUnread(bytes);
+        if (!isThereRoom())
+            return false;
+    }
     answerBytes_ += bytes;
     account();
     return true;
@@ -295,7 +301,8 @@
         received += body_.capacity() + (hasHead_ ? headCost_ : 0);
     std::size_t own = connectionCost() + received + reserved_ + answerBytes_ + link_->queuedBytes();
     charged_ = isRegistered_ ? own : 0;
-    chargedForAnswer_ = isRegistered_ ? answerBytes_ : 0;
+    std::size_t unread = reply_ ? 0 : link_->queuedBytes();
+    chargedForAnswer_ = isRegistered_ ? answerBytes_ + unread : 0;
     wasChargedLarge_ = isLarge_;
     held.total_ += charged_;
     held.large_ += isLarge_ ? charged_ : 0;
--- a/src/FrontTurnsImpl.h
+++ b/src/FrontTurnsImpl.h
@@ -6,9 +6,9 @@
  * Callers that send one request after another are always readable, and thousands of them would keep the event
  * loop from targets, other VMs, the store and the platform's readiness checks. So a readable session waits
  * for its turn, in which it is read once and starts one request at most, and all sessions together use a
- * slice of time before everything else that is due runs. New sessions and those that are only refused
- * alternate with the others, so that neither a crowd that connects nor one that stays keeps the other from
- * its turn.
+ * slice of time before everything else that is due runs. New sessions, those that are only refused and
+ * the others alternate, so that neither a crowd that connects nor one that stays keeps the others from their
+ * turns.
  */
 
 #include "BootClock.h"
@@ -20,8 +20,8 @@
 
 void FrontShared::awaitTurn(const std::shared_ptr<FrontSession>& session)
 {
-    bool comesFirst = session->isBeforeFirstTurn() || session->isSurplus();
-    (comesFirst ? awaitingFirstTurn_ : awaitingTurn_).push_back(session);
+    auto& others = session->isSurplus() ? awaitingRefusal_ : awaitingTurn_;
+    (session->isBeforeFirstTurn() ? awaitingFirstTurn_ : others).push_back(session);
     if (!isTurnDue_)
         scheduleTurns();
 }
@@ -46,9 +46,12 @@
 {
     constexpr Milliseconds slice { 2 };
     MonotonicTime end = bootNow() + slice;
-    auto isAnyWaiting = [this] { return !awaitingFirstTurn_.empty() || !awaitingTurn_.empty(); };
+    auto isAnyWaiting = [this] {
+        return !awaitingFirstTurn_.empty() || !awaitingRefusal_.empty() || !awaitingTurn_.empty();
+    };
     while (isAnyWaiting() && bootNow() < end) {
         takeNext(awaitingFirstTurn_);
+        takeNext(awaitingRefusal_);
         takeNext(awaitingTurn_);
     }
     isTurnDue_ = false;
--- a/src/MemoryBudget.h
+++ b/src/MemoryBudget.h
@@ -23,7 +23,7 @@
     std::size_t total_ = 0; ///< 0: without a limit.
     std::size_t forSmall_ = 0; ///< Of the total, the part that large requests cannot take.
     std::size_t forWideBuffers_ = 0; ///< Of the total, the most that wide buffers of sockets take.
-    std::size_t forAnswers_ = 0; ///< Of the total, the part that only buffered answers can take.
+    std::size_t forAnswers_ = 0; ///< Of the total, the part that only answers which are kept whole can take.
 };
 
 /** The budget for callers of a VM with so much memory; without a limit if it is not known. Three eighths of
@@ -55,7 +55,7 @@
 struct HeldMemory {
     std::size_t total_ = 0;
     std::size_t large_ = 0; ///< Of the total, that of requests with a large body.
-    std::size_t answers_ = 0; ///< Of the total, that of answers which are buffered until they are complete.
+    std::size_t answers_ = 0; ///< Of the total, that of answers which are kept whole, and of those not read.
 };
 
 /** What can be taken by anything. */
@@ -110,6 +110,10 @@
 std::vector<std::size_t> chooseUnread(
     const std::vector<Holder>& holders, std::size_t bytes, MonotonicTime now);
 
+/** Connections whose callers do not read a complete answer, those longest without progress first, until they
+ * hold `bytes`. */
+std::vector<std::size_t> chooseLongestUnread(const std::vector<Holder>& holders, std::size_t bytes);
+
 /** Whether a connection is so new that its request may have come and wait to be read. */
 bool isNew(const Holder& holder, MonotonicTime now);
 
@@ -320,6 +324,19 @@
     return takeLargest(holders, indicesWhere(holders, isUnread), bytes);
 }
 
+inline std::vector<std::size_t> chooseLongestUnread(const std::vector<Holder>& holders, std::size_t bytes)
+{
+    auto unread = memory_budget::indicesWhere(
+        holders, [](const Holder& holder) { return holder.stage_ == HolderStage::Unread; });
+    std::stable_sort(unread.begin(), unread.end(),
+        [&](std::size_t a, std::size_t b) { return holders[a].lastProgress_ < holders[b].lastProgress_; });
+    std::size_t taken = 0;
+    for (std::size_t held = 0; taken < unread.size() && held < bytes; ++taken)
+        held += holders[unread[taken]].bytes_;
+    unread.resize(taken);
+    return unread;
+}
+
 inline bool isNew(const Holder& holder, MonotonicTime now)
 {
     return holder.stage_ == HolderStage::Idle && !holder.wasServed_
--- a/test/correctness/CallerRoom.cpp
+++ b/test/correctness/CallerRoom.cpp
@@ -4,6 +4,7 @@
 
 #include "BootClock.h"
 #include "EventLoop.h"
+#include "FrontCaller.h"
 #include "FrontServer.h"
 #include "Suite.h"
 
@@ -51,7 +52,7 @@
     {
         FrontLimits limits;
         limits.message_.maxBodyBytes_ = maxBodyBytes;
-        limits.memory_ = { 3 * kilobyte * kilobyte, 768 * kilobyte, 768 * kilobyte };
+        limits.memory_ = { 3 * kilobyte * kilobyte, 768 * kilobyte, 768 * kilobyte, 512 * kilobyte };
         limits.maxConnections_ = 60;
         limits.idleTimeout_ = Milliseconds { 1500 };
         limits.headTimeout_ = Milliseconds { 1000 };
@@ -79,6 +80,7 @@
             io_, [this] { server_.tick(bootNow()); },
             [this] { return server_.connections() == 0 && server_.heldMemory().total_ == 0; });
         CHECK_EQUAL(std::size_t { 0 }, server_.heldMemory().large_);
+        CHECK_EQUAL(std::size_t { 0 }, server_.heldMemory().answers_);
         std::printf("%d requests, %zu handled, %d answered, %d refused\n", lastId_, handled_.size(),
             answered_, refused_);
         CHECK(answered_ > 0);
@@ -202,6 +204,9 @@
         pending.isGone_ = watchDisconnect(*reply);
         if (pick(3) == 0)
             reply->reserve(static_cast<std::size_t>(pick(200 * 1024)));
+        auto answerBytes = static_cast<std::size_t>(pick(100 * 1024));
+        if (pick(3) == 0 && reply->reserveForAnswer(answerBytes) && pick(2) == 0)
+            reply->releaseAnswer(answerBytes);
         if (pick(2) == 0)
             return finish(pending);
         replies_.push_back(std::move(pending));
@@ -256,9 +261,39 @@
     CPPUNIT_TEST(refusedCallersCountWhileTheyMaySendOn);
     CPPUNIT_TEST(requestThatCameDuringAPauseIsAnswered);
     CPPUNIT_TEST(sumOfWhatCallersHoldReturnsToZero);
+    CPPUNIT_TEST(unreadAnswersGiveWayBeforeBodiesThatHaveRoom);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against answers that push out what others send once they are complete.
+    void unreadAnswersGiveWayBeforeBodiesThatHaveRoom()
+    {
+        constexpr std::size_t megabyte = 1024 * 1024;
+        constexpr std::size_t answerBytes = 200 * 1024;
+        constexpr int receiveBuffer = 4096;
+        HoldingServer server;
+        FrontLimits limits;
+        limits.memory_ = { 4 * megabyte, megabyte, megabyte, megabyte };
+        server.server_.setLimits(limits);
+        std::vector<std::unique_ptr<FrontCaller>> senders;
+        for (int i = 0; i < 12; ++i) {
+            senders.push_back(std::make_unique<FrontCaller>(server.io_, server.server_.port()));
+            senders.back()->send("POST /a HTTP/1.1\r\nHost: h.example\r\nContent-Length: 60000\r\n\r\nb");
+        }
+        std::vector<std::unique_ptr<FrontCaller>> unread;
+        for (int i = 0; i < 15; ++i) {
+            unread.push_back(std::make_unique<FrontCaller>(server.io_, server.server_.port(), receiveBuffer));
+            unread.back()->send(requestFor("/b"));
+            auto reply = server.next();
+            CHECK(reply->reserveForAnswer(answerBytes));
+            reply->answer(headOf(200), std::string(answerBytes, 'b'));
+            server.server_.tick(bootNow());
+            CHECK(server.server_.heldMemory().total_ <= limits.memory_.total_);
+        }
+        for (const auto& sender : senders)
+            CHECK(!sender->readToEnd() && sender->received().empty());
+    }
+
     void refusedCallersCountWhileTheyMaySendOn()
     {
         constexpr std::size_t callers = 40;
--- a/test/correctness/FrontTurns.cpp
+++ b/test/correctness/FrontTurns.cpp
@@ -187,6 +187,8 @@
         for (std::size_t i = 0; i < count; ++i)
             callers.push_back(std::make_unique<FrontCaller>(server.io_, server.server_->port()));
         server.runUntil([&] { return server.server_->connections() == count; });
+        int rounds = 0;
+        server.runUntil([&] { return ++rounds > 20; }); // Their first turns are over.
         for (const auto& caller : callers)
             caller->send(requestFor("/a"));
         FrontCaller refused(server.io_, server.server_->port());
--- a/test/failure/UnreadAnswers.cpp
+++ b/test/failure/UnreadAnswers.cpp
@@ -77,10 +77,15 @@
         EntryVmHarness vm({ answer }, true, 1, limits);
         CallerCrowd unfinished(vm, crowdOf(unfinishedCallers, unfinishedRequest()));
         unfinished.press();
-        CallerCrowd unread(vm, crowdOf(1, requests(2)), receiveBuffer);
-        unread.press();
-        unread.watch();
+        RawConnection caller(vm.port(), receiveBuffer);
+        caller.send(largeRead);
+        caller.send("GET /read/large HTTP/1.1\r\nHost: h.example\r\nFescuewinch-Request-Id: "
+                    "r2\r\nConnection: close\r\n\r\n");
+        unfinished.watch();
         CHECK_EQUAL(1, vm.targetRequests());
+        std::string answers = caller.readAll();
+        CHECK_EQUAL(2, vm.targetRequests());
+        CHECK(answers.size() > 2 * answerBytes);
     }
 };
 
--- a/test/fuzz/MemoryBudgets.cpp
+++ b/test/fuzz/MemoryBudgets.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(noServedCallerIsClosedWhileAStalledOneIsLeft);
     CPPUNIT_TEST(callersThatSendAreNotTakenForStalled);
     CPPUNIT_TEST(answersHaveRoomThatNothingElseTakes);
+    CPPUNIT_TEST(longestUnreadAnswersGiveWayToOnesUnderWay);
     CPPUNIT_TEST(requestsAndAnswersStayWithinTheBudgetTogether);
     CPPUNIT_TEST_SUITE_END();
 
@@ -191,6 +192,24 @@
         CHECK(held.total_ <= budget.total_);
     }
 
+    void longestUnreadAnswersGiveWayToOnesUnderWay()
+    {
+        fuzz("only unread ones, the longest first",
+            [](const std::vector<std::uint32_t>& seeds, std::uint32_t seed) {
+                auto all = holders(seeds);
+                std::size_t bytes = seed % 1000000;
+                auto chosen = chooseLongestUnread(all, bytes);
+                std::size_t ofUnread = 0;
+                for (const Holder& holder : all)
+                    ofUnread += holder.stage_ == HolderStage::Unread ? holder.bytes_ : 0;
+                RC_ASSERT(bytesOf(all, chosen) >= std::min(bytes, ofUnread));
+                for (std::size_t i = 0; i < chosen.size(); ++i) {
+                    RC_ASSERT(all[chosen[i]].stage_ == HolderStage::Unread);
+                    RC_ASSERT(i == 0 || all[chosen[i - 1]].lastProgress_ <= all[chosen[i]].lastProgress_);
+                }
+            });
+    }
+
     void requestsAndAnswersStayWithinTheBudgetTogether()
     {
         fuzz("never over the budget with answers", [](const std::vector<std::uint32_t>& steps) {
--- a/test/support/FrontCaller.h
+++ b/test/support/FrontCaller.h
@@ -17,9 +17,12 @@
 /** A caller on the thread of the server, which therefore never waits. */
 class FrontCaller {
 public:
-    FrontCaller(asio::io_context& io, std::uint16_t port)
-        : socket_(io)
+    /** `receiveBuffer` sets the size of the socket's receive buffer; 0 leaves the default. */
+    FrontCaller(asio::io_context& io, std::uint16_t port, int receiveBuffer = 0)
+        : socket_(io, asio::ip::tcp::v4())
     {
+        if (receiveBuffer > 0)
+            socket_.set_option(asio::socket_base::receive_buffer_size(receiveBuffer));
         socket_.connect({ asio::ip::address_v4::loopback(), port });
         socket_.non_blocking(true);
     }
