The part for answers holds all that is not read of them, and takes no room from large bodies

Such an answer is kept up to 256 KB in the part for answers, and left it when it was passed on; nothing counted it then. What an answer's caller has not read counts in that part whether the answer is complete or not.

--- a/src/FrontSessionImpl.h
+++ b/src/FrontSessionImpl.h
@@ -301,8 +301,7 @@
         received += body_.capacity() + (hasHead_ ? headCost_ : 0);
     std::size_t own = connectionCost() + received + reserved_ + answerBytes_ + link_->queuedBytes();
     charged_ = isRegistered_ ? own : 0;
-    std::size_t unread = reply_ ? 0 : link_->queuedBytes();
-    chargedForAnswer_ = isRegistered_ ? answerBytes_ + unread : 0;
+    chargedForAnswer_ = isRegistered_ ? answerBytes_ + link_->queuedBytes() : 0;
     wasChargedLarge_ = isLarge_;
     held.total_ += charged_;
     held.large_ += isLarge_ ? charged_ : 0;
--- a/src/MemoryBudget.h
+++ b/src/MemoryBudget.h
@@ -21,7 +21,8 @@
 /** Bytes that the callers of a VM may make it hold together. */
 struct MemoryBudget {
     std::size_t total_ = 0; ///< 0: without a limit.
-    std::size_t forSmall_ = 0; ///< Of the total, the part that large requests cannot take.
+    std::size_t forSmall_
+        = 0; ///< Of the total, the part that large requests cannot take, with `forAnswers_`.
     std::size_t forWideBuffers_ = 0; ///< Of the total, the most that wide buffers of sockets take.
     std::size_t forAnswers_ = 0; ///< Of the total, the part that only answers which are kept whole can take.
 };
@@ -270,7 +271,7 @@
     using namespace memory_budget;
     if (budget.total_ == 0)
         return true;
-    std::size_t limit = sharedTotal(budget) - (isLarge ? budget.forSmall_ : 0);
+    std::size_t limit = isLarge ? budget.total_ - budget.forSmall_ : sharedTotal(budget);
     std::size_t taken = sharedBytes(budget, held);
     if (taken + bytes <= limit)
         return true;
