One function takes holders until enough is free, one lists them

Choosing the longest unread answers repeated the loop of takeLargest, and listing who may be displaced that of holdersOf. What is chosen is the same: MemoryBudgets 11 of 11, CallerRoom, FrontTurns, UnreadAnswers and IdleConnections pass.

--- a/src/FrontRoomImpl.h
+++ b/src/FrontRoomImpl.h
@@ -38,15 +38,22 @@
         return session.isAwaitingTurn() || session.link().socketBytes().unread_ > 0;
     }
 
-    std::vector<Holder> holdersOf(const std::vector<std::shared_ptr<FrontSession>>& sessions)
+    template <typename HolderOf>
+    std::vector<Holder> holdersOf(
+        const std::vector<std::shared_ptr<FrontSession>>& sessions, const HolderOf& holderOf)
     {
         std::vector<Holder> holders;
         holders.reserve(sessions.size());
         for (const auto& session : sessions)
-            holders.push_back(session->holder());
+            holders.push_back(holderOf(*session));
         return holders;
     }
 
+    std::vector<Holder> holdersOf(const std::vector<std::shared_ptr<FrontSession>>& sessions)
+    {
+        return holdersOf(sessions, [](const FrontSession& session) { return session.holder(); });
+    }
+
 } // namespace
 
 bool FrontShared::hasUnsentBytes() const
@@ -329,10 +336,8 @@
 void FrontShared::listDisplaceable(MonotonicTime now)
 {
     auto sessions = list();
-    std::vector<Holder> holders;
-    holders.reserve(sessions.size());
-    for (const auto& session : sessions)
-        holders.push_back(displaceableHolder(*session));
+    std::vector<Holder> holders
+        = holdersOf(sessions, [this](const FrontSession& session) { return displaceableHolder(session); });
     displaceable_.clear();
     displaceableSince_ = now;
     for (std::size_t index : orderForDescriptors(holders, now))
--- a/src/MemoryBudget.h
+++ b/src/MemoryBudget.h
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <optional>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace fescue {
@@ -21,10 +22,10 @@
 /** Bytes that the callers of a VM may make it hold together. */
 struct MemoryBudget {
     std::size_t total_ = 0; ///< 0: without a limit.
-    std::size_t forSmall_
-        = 0; ///< Of the total, the part that large requests cannot take, with `forAnswers_`.
+    std::size_t forSmall_ = 0; ///< Of the total, the part that large requests cannot take.
     std::size_t forWideBuffers_ = 0; ///< Of the total, the most that wide buffers of sockets take.
-    std::size_t forAnswers_ = 0; ///< Of the total, the part that only answers which are kept whole can take.
+    std::size_t forAnswers_
+        = 0; ///< Of `forSmall_`, the part that only answers which are kept whole can take.
 };
 
 /** The budget for callers of a VM with so much memory; without a limit if it is not known. Three eighths of
@@ -163,15 +164,12 @@
             || (holder.roomSince_ && now > *holder.roomSince_ + maxBodyTime);
     }
 
-    // Takes candidates, the largest first, until `bytes` are free.
-    inline std::vector<std::size_t> takeLargest(
+    inline bool isUnread(const Holder& holder) { return holder.stage_ == HolderStage::Unread; }
+
+    // Takes candidates in their order until `bytes` are free.
+    inline std::vector<std::size_t> takeUntilFree(
         const std::vector<Holder>& holders, std::vector<std::size_t> candidates, std::size_t bytes)
     {
-        auto requestBytes
-            = [&](std::size_t index) { return holders[index].bytes_ - holders[index].connectionBytes_; };
-        std::sort(candidates.begin(), candidates.end(), [&](std::size_t a, std::size_t b) {
-            return std::tuple(requestBytes(b), a) < std::tuple(requestBytes(a), b);
-        });
         std::size_t freed = 0;
         std::size_t taken = 0;
         while (taken < candidates.size() && freed < bytes)
@@ -180,6 +178,18 @@
         return candidates;
     }
 
+    // The same, the largest first.
+    inline std::vector<std::size_t> takeLargest(
+        const std::vector<Holder>& holders, std::vector<std::size_t> candidates, std::size_t bytes)
+    {
+        auto requestBytes
+            = [&](std::size_t index) { return holders[index].bytes_ - holders[index].connectionBytes_; };
+        std::sort(candidates.begin(), candidates.end(), [&](std::size_t a, std::size_t b) {
+            return std::tuple(requestBytes(b), a) < std::tuple(requestBytes(a), b);
+        });
+        return takeUntilFree(holders, std::move(candidates), bytes);
+    }
+
     template <typename Predicate>
     inline std::vector<std::size_t> indicesWhere(
         const std::vector<Holder>& holders, const Predicate& predicate)
@@ -300,9 +310,7 @@
         freed += holders[index].bytes_;
     if (freed >= excess)
         return chosen;
-    auto unread = takeLargest(holders,
-        indicesWhere(holders, [](const Holder& holder) { return holder.stage_ == HolderStage::Unread; }),
-        excess - freed);
+    auto unread = takeLargest(holders, indicesWhere(holders, isUnread), excess - freed);
     chosen.insert(chosen.end(), unread.begin(), unread.end());
     return chosen;
 }
@@ -319,23 +327,18 @@
     const std::vector<Holder>& holders, std::size_t bytes, MonotonicTime now)
 {
     using namespace memory_budget;
-    auto isUnread = [now](const Holder& holder) {
-        return holder.stage_ == HolderStage::Unread && now > holder.lastProgress_ + maxUnread;
-    };
-    return takeLargest(holders, indicesWhere(holders, isUnread), bytes);
+    auto isUnreadForLong
+        = [now](const Holder& holder) { return isUnread(holder) && now > holder.lastProgress_ + maxUnread; };
+    return takeLargest(holders, indicesWhere(holders, isUnreadForLong), bytes);
 }
 
 inline std::vector<std::size_t> chooseLongestUnread(const std::vector<Holder>& holders, std::size_t bytes)
 {
-    auto unread = memory_budget::indicesWhere(
-        holders, [](const Holder& holder) { return holder.stage_ == HolderStage::Unread; });
+    using namespace memory_budget;
+    auto unread = indicesWhere(holders, isUnread);
     std::stable_sort(unread.begin(), unread.end(),
         [&](std::size_t a, std::size_t b) { return holders[a].lastProgress_ < holders[b].lastProgress_; });
-    std::size_t taken = 0;
-    for (std::size_t held = 0; taken < unread.size() && held < bytes; ++taken)
-        held += holders[unread[taken]].bytes_;
-    unread.resize(taken);
-    return unread;
+    return takeUntilFree(holders, std::move(unread), bytes);
 }
 
 inline bool isNew(const Holder& holder, MonotonicTime now)
