--- a/src/FrontServer.cpp
+++ b/src/FrontServer.cpp
@@ -84,16 +84,14 @@
         acceptor_.open(tcp::v4(), error);
         if (!error)
             acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-        // Connections inherit these, also those that wait to be accepted. It serves without them, too.
-        asio::error_code ignored;
-        acceptor_.set_option(asio::socket_base::receive_buffer_size(narrowBuffers.receive_), ignored);
-        acceptor_.set_option(asio::socket_base::send_buffer_size(narrowBuffers.send_), ignored);
+        setBufferSizes(acceptor_, narrowBuffers); // Connections inherit them, also those that wait.
         if (!error)
             acceptor_.bind(endpoint_, error);
         if (!error)
             acceptor_.listen(maxAcceptQueue, error);
         if (!error)
             acceptor_.non_blocking(true, error);
+        asio::error_code ignored;
         if (error)
             acceptor_.close(ignored);
         return error;
--- a/src/TcpLink.cpp
+++ b/src/TcpLink.cpp
@@ -72,9 +72,7 @@
 
 void TcpLink::setBuffers(const SocketBuffers& buffers)
 {
-    ErrorCode ignored; // The connection works with those that it has, too.
-    socket_.set_option(asio::socket_base::receive_buffer_size(buffers.receive_), ignored);
-    socket_.set_option(asio::socket_base::send_buffer_size(buffers.send_), ignored);
+    setBufferSizes(socket_, buffers);
     // An established connection keeps the window of the buffer that it was accepted with.
     ::setsockopt(
         socket_.native_handle(), IPPROTO_TCP, TCP_WINDOW_CLAMP, &buffers.receive_, sizeof buffers.receive_);
@@ -89,10 +87,7 @@
     socket_.open(tcp::v4(), error);
     if (!error) {
         setOptions(socket_, userTimeoutMs);
-        // The window is agreed on when the connection is opened.
-        ErrorCode ignored;
-        socket_.set_option(asio::socket_base::receive_buffer_size(buffers_.receive_), ignored);
-        socket_.set_option(asio::socket_base::send_buffer_size(buffers_.send_), ignored);
+        setBufferSizes(socket_, buffers_); // The window is agreed on when the connection is opened.
     }
     socket_.async_connect(peer, [self = shared_from_this()](const ErrorCode& failure) {
         if (!self->isOpen_)
--- a/src/TcpLink.h
+++ b/src/TcpLink.h
@@ -24,6 +24,15 @@
 /** The most bytes that are read from a connection at a time. */
 constexpr std::size_t maxReadBytes = 64 * 1024;
 
+/** Sets the sizes of the buffers of a socket, connected or not, or of a listening one. Where the operating
+ * system refuses them, the socket works with those that it has. */
+template <typename Socket> void setBufferSizes(Socket& socket, const SocketBuffers& buffers)
+{
+    asio::error_code ignored;
+    socket.set_option(asio::socket_base::receive_buffer_size(buffers.receive_), ignored);
+    socket.set_option(asio::socket_base::send_buffer_size(buffers.send_), ignored);
+}
+
 /** Why a connection ended. */
 enum class CloseReason {
     ConnectFailed, ///< The connection was never established; nothing was sent.
