--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -4,6 +4,8 @@
 #include "Digest.h"
 
 #include <algorithm>
+#include <csignal>
+#include <future>
 #include <stdexcept>
 #include <thread>
 
@@ -50,6 +52,22 @@
     }
 }
 
+GatewayStop stopGatewayDuringCall(int drainMs, int callMs)
+{
+    ClusterOptions options;
+    options.gatewayFlags_ = { "--drain_ms=" + std::to_string(drainMs) };
+    Cluster cluster(options);
+    std::string program = cluster.createProgram(0);
+    cluster.setFaults(*cluster.service_, { { "delay_ms", callMs } });
+    auto answer = std::async(
+        std::launch::async, [&] { return cluster.serviceCall(0, program, 1, "/payouts", "{}"); });
+    waitUntil("the call runs", [&] { return cluster.executions(program, 1) == 1; });
+    GatewayStop stop;
+    stop.status_ = cluster.entries_[0].gateway_->signalAndWait(SIGTERM);
+    stop.answer_ = answer.get();
+    return stop;
+}
+
 json conversation(const std::vector<std::string>& turns)
 {
     json messages = json::array();
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -97,6 +97,15 @@
 /** Polls until a condition holds. Throws `std::runtime_error` naming `what` after a minute. */
 void waitUntil(const std::string& what, const std::function<bool()>& condition);
 
+/** How a gateway that was asked to stop during a call ended, and what the caller got. */
+struct GatewayStop {
+    int status_ = 0;
+    Answer answer_;
+};
+
+/** Stops a gateway that may drain for `drainMs` while a call runs that takes `callMs`. */
+GatewayStop stopGatewayDuringCall(int drainMs, int callMs);
+
 /** Builds the messages of a conversation; user and assistant alternate, starting with the user. */
 nlohmann::json conversation(const std::vector<std::string>& turns);
 
