Settings that say the same in another form start a VM

Operators saw an entry VM end with status 2 after 3 s, at every start again, with settings that are valid: a whole number written as 260.0, an empty field that may as well be absent, a limit or bound that is absent, or no FESCUEWINCH_NODE_FILE although the platform's page names the path.

Cause: the file was decoded by the types of its members, and every field that the platform's example has was required. Only the name, the zone, the addresses and the layout of the store cannot be done without. Since a file that is being written lacks fields, too, an incomplete one counts only once it has been the same for 1 s. Values that are no numbers or out of range end the start as before.

--- a/apps/EntryMain.cpp
+++ b/apps/EntryMain.cpp
@@ -1,12 +1,12 @@
 // fescue-entry: the process of an entry VM of the platform; see src/EntryVm.h.
 
 #include "BootClock.h"
-#include "Documents.h"
 #include "EntryVm.h"
 #include "EventLog.h"
 #include "HostErrors.h"
 #include "ProcessEnd.h"
 #include "Settings.h"
+#include "SettingsDocument.h"
 #include "SettingsFile.h"
 #include "StartSignals.h"
 
@@ -32,10 +32,7 @@
     if (!FLAGS_settings.empty())
         return FLAGS_settings;
     const char* path = std::getenv(platform::settingsVariable);
-    if (!path)
-        exitWithInvalidSetting(
-            "--settings", std::string("name a file, or set ") + platform::settingsVariable);
-    return path;
+    return path && *path ? path : platform::defaultSettingsPath;
 }
 
 // Waits until the file can be read, or a signal asks to stop.
@@ -122,8 +119,9 @@
     }
     if (!*settings)
         exitWithInvalidSetting(settings->error().field_, settings->error().remedy_);
-    const VmSettings& valid = **settings;
+    const VmSettings& valid = (*settings)->settings_;
     setEventLogOrigin(valid.vm_.value_, valid.zone_.value_);
+    logDefaultedSettings(**settings);
     serve(optionsFrom(valid, path));
     flushEventLog();
     return 0;
--- a/src/EntryVmImpl.h
+++ b/src/EntryVmImpl.h
@@ -473,7 +473,7 @@
             logWarning("settings-unreadable", settings->error().field_ + ": " + settings->error().remedy_);
         logEvent("reload", { { "outcome", *settings ? "taken" : "kept the last settings" } });
         if (*settings)
-            takeSettings(**settings);
+            takeSettings((*settings)->settings_);
     }
 
     // Addresses and names cannot change while the process runs; the time limits can.
--- a/src/SettingsFile.cpp
+++ b/src/SettingsFile.cpp
@@ -1,5 +1,7 @@
 #include "SettingsFile.h"
 
+#include "EventLog.h"
+
 #include <algorithm>
 #include <fstream>
 #include <sstream>
@@ -11,6 +13,7 @@
     // How long a valid file must have stayed the same.
     constexpr Milliseconds settleTime { 20 };
     constexpr Milliseconds settleTimeInsideLine { 200 };
+    constexpr Milliseconds settleTimeIncomplete { 1000 };
     // The platform writes the file within this time.
     constexpr Milliseconds maxWriteTime { 3000 };
     constexpr Milliseconds maxCountedInterval { 30 };
@@ -52,8 +55,21 @@
         return tl::make_unexpected(
             platform::DocumentError { file.path_, "cannot be opened; check the path" });
     SettingsResult settings = platform::decodeSettings(*file.text_);
-    bool isWanted = settings ? isSettled : isOverdue;
+    bool isComplete = settings && settings->defaulted_.empty();
+    bool isWanted = settings ? isSettled && (isComplete || file.sameFor_ >= settleTimeIncomplete) : isOverdue;
     return isWanted ? std::optional(std::move(settings)) : std::nullopt;
 }
 
+void logDefaultedSettings(const platform::SettingsDocument& document)
+{
+    if (document.defaulted_.empty())
+        return;
+    std::string fields;
+    for (const std::string& field : document.defaulted_)
+        fields += (fields.empty() ? "" : ", ") + field;
+    logWarning("settings-incomplete",
+        "the settings file does not name these fields, or no usable value of them; defaults are used",
+        { { "fields", fields } });
+}
+
 } // namespace fescue
--- a/src/SettingsFile.h
+++ b/src/SettingsFile.h
@@ -5,11 +5,11 @@
  *
  * A file that is missing, or that is no valid settings file, is read again for a while. One that is valid may
  * still be cut, in a number for example, so it counts once it has not changed for a moment, and for longer if
- * its last line has no end.
+ * its last line has no end or if it lacks fields that platforms name for each VM.
  */
 
-#include "Documents.h"
-#include "VmSettings.h"
+#include "BootClock.h"
+#include "SettingsDocument.h"
 
 #include <optional>
 #include <string>
@@ -26,10 +26,13 @@
     Milliseconds sameFor_ { 0 }; ///< How much of it the text has been the same.
 };
 
-using SettingsResult = tl::expected<VmSettings, platform::DocumentError>;
+using SettingsResult = tl::expected<platform::SettingsDocument, platform::DocumentError>;
 
 /** Reads the file once. Returns nothing while a later read may find other settings, and an error when it has
  * not become valid for some seconds. Not thread-safe; blocks for the read. */
 std::optional<SettingsResult> readSettingsFile(SettingsFile& file, MonotonicTime now);
 
+/** Logs which fields have their defaults since the file does not name them. */
+void logDefaultedSettings(const platform::SettingsDocument& document);
+
 } // namespace fescue
--- a/src/VmSettings.h
+++ b/src/VmSettings.h
@@ -35,7 +35,7 @@
     std::string peerAddress_; ///< `ip:port` for the other entry VMs.
     StoreSettings store_;
     double cpuQuota_ = 1; ///< Processor quota in cores.
-    std::int64_t memoryMb_ = 0;
+    std::int64_t memoryMb_ = 64; ///< 0 if not known; then nothing that callers hold is bounded.
     std::int64_t maxSockets_ = 0; ///< Sockets and pipes that the process may have open; 0 if not known.
     Milliseconds drainGrace_ { 8000 }; ///< Time from SIGTERM until the process is killed.
     /** Maximum time until an acknowledged configuration is in force. */
--- a/test/error/BadSettings.cpp
+++ b/test/error/BadSettings.cpp
@@ -98,6 +98,9 @@
     std::string missing = checkEnds("fescue-entry", { "--settings=" + file });
     checkNames(missing, file + ": cannot be opened; check the path");
     checkNames(missing, R"("event":"start-failed")");
+    // Where no file is named, the platform's own path is used.
+    checkNames(
+        checkEnds("fescue-entry", {}), "/etc/fescuewinch/settings.yaml: cannot be opened; check the path");
     std::ofstream(file) << "node-name: vm-a\n";
     std::string invalid = checkEnds("fescue-entry", { "--settings=" + file });
     std::remove(file.c_str());
--- a/test/fuzz/DecoderFuzz.cpp
+++ b/test/fuzz/DecoderFuzz.cpp
@@ -6,6 +6,7 @@
 #include "ConversationMessages.h"
 #include "CrashRecords.h"
 #include "Documents.h"
+#include "SettingsDocument.h"
 #include "Fuzz.h"
 #include "Headers.h"
 #include "PeerCaps.h"
