Reads of the store's newest records pause when its pages have no end

An entry VM whose store says that there is always one more page, or that answers 410 also to reads of the newest records, sent the same read again at once, tens of thousands of times a second, and used all of its processor. Callers wait meanwhile, and the calls count against the rate of all VMs.

Cause: a page was followed by the next for as long as the store said so, and history that is gone was answered by another read without a look at whether that one had a history. A read of claims for budgets did the same, past the limit that it shares with other calls (StoreThrottle), and kept all claims that it was given.

PagedRead holds a read to what a partition can have: pages that end with other keys, and no more records than offsets. One that goes beyond has failed: StoreFollower tries again with its usual delays, BudgetStore refuses the turns that wait and reads again after 500 ms. Further pages are sent 20 ms apart, or as the throttle allows. Only reads from an offset are answered by a new read when their history is gone.

--- a/src/BudgetStore.cpp
+++ b/src/BudgetStore.cpp
@@ -3,6 +3,7 @@
 #include "BootClock.h"
 #include "EventLog.h"
 #include "Metrics.h"
+#include "PagedRead.h"
 
 #include <algorithm>
 #include <chrono>
@@ -22,6 +23,8 @@
     // A turn that the throttle would delay for longer is refused at once; another VM can serve it sooner.
     constexpr double maxClaimWaitSeconds = 0.5;
     constexpr double callsPerClaim = 2; // A write and a read.
+    // Before pages that came again are read once more.
+    constexpr Milliseconds repeatedReadDelay { 500 };
     constexpr const char* storeUser = "budget"; // In logs.
 
     std::int64_t wallSeconds()
@@ -51,6 +54,7 @@
         std::vector<std::string> expiredKeys_; ///< Of expired records, to be deleted with the next write.
         std::vector<platform::KeyedRecord> records_; ///< Of the call in flight; a retry sends them unchanged.
         std::vector<ClaimRecord> readClaims_; ///< With those of this VM.
+        PagedRead read_; ///< Of the claims.
         Sequence nextSequence_ { 1 };
         bool isBusy_ = false; ///< From the first call of a write until the end of its read.
         bool isScheduled_ = false; ///< Its next call waits for the throttle.
@@ -68,6 +72,8 @@
     std::map<platform::StorePartition, PartitionQueue> partitionQueues_;
     std::deque<platform::StorePartition> urgent_; ///< Queues with a call to send that turns wait for.
     std::deque<platform::StorePartition> deferrable_; ///< Other queues with a call to send.
+    std::deque<std::pair<MonotonicTime, platform::StorePartition>>
+        delayed_; ///< Busy queues that are scheduled again at a time; the first one is the earliest.
     Counter writes_ { "budget_writes_total" };
     Counter reads_ { "budget_reads_total" };
 
@@ -218,7 +224,7 @@
     void sendNext(const platform::StorePartition& partition, PartitionQueue& queue)
     {
         if (queue.isWritten_)
-            return sendRead(partition, {});
+            return sendRead(partition, queue);
         if (queue.inFlight_.empty())
             return append(partition, queue);
         sendAppend(partition, queue); // An unchanged retry.
@@ -239,9 +245,8 @@
         queue.expiredKeys_.clear();
         if (!queue.records_.empty())
             return sendAppend(partition, queue);
-        queue.readClaims_.clear();
         queue.isWritten_ = true;
-        sendRead(partition, {});
+        startRead(partition, queue);
     }
 
     void sendAppend(const platform::StorePartition& partition, PartitionQueue& queue)
@@ -277,10 +282,9 @@
         }
         queue.nextSequence_.value_ += 1;
         queue.isOutcomeUnknown_ = false;
-        queue.readClaims_.clear();
         queue.isWritten_ = needsRead(queue.inFlight_);
         if (queue.isWritten_)
-            return sendRead(partition, {});
+            return startRead(partition, queue);
         finishWrite(partition, queue, false);
     }
 
@@ -292,10 +296,22 @@
         queue.inFlight_.clear();
     }
 
-    void sendRead(const platform::StorePartition& partition, const std::string& after)
+    static void forgetRead(PartitionQueue& queue)
+    {
+        queue.readClaims_.clear();
+        queue.read_ = {};
+    }
+
+    void startRead(const platform::StorePartition& partition, PartitionQueue& queue)
+    {
+        forgetRead(queue);
+        sendRead(partition, queue);
+    }
+
+    void sendRead(const platform::StorePartition& partition, const PartitionQueue& queue)
     {
         reads_.add();
-        store_.readNewest(partition, after, storeUser,
+        store_.readNewest(partition, queue.read_.after_, storeUser,
             [weak = weak_from_this(), partition](
                 tl::expected<platform::NewestPage, platform::StoreError> page) {
                 if (auto self = weak.lock())
@@ -309,25 +325,53 @@
         PartitionQueue& queue = partitionQueues_[partition];
         refuseWaitingTurnsIfDown();
         if (!page) {
-            queue.readClaims_.clear();
+            forgetRead(queue);
             return schedule(partition, queue);
         }
+        PageOutcome outcome = takePage(queue.read_, *page);
+        if (outcome == PageOutcome::Repeated)
+            return delayRead(partition, queue);
         for (const platform::KeyedRecord& record : page->records_) {
             if (auto claim = parseClaim(record.key_, record.value_))
                 queue.readClaims_.push_back(std::move(*claim));
         }
-        if (page->hasMore_ && !page->records_.empty())
-            return sendRead(partition, page->records_.back().key_);
+        if (outcome == PageOutcome::More)
+            return schedule(partition, queue);
         finishWrite(partition, queue, true);
     }
 
+    // The store serves calls, but not this read, so turns that wait for it are refused.
+    void delayRead(const platform::StorePartition& partition, PartitionQueue& queue)
+    {
+        logWarning("budget-pages-repeat", "the store's pages have no end; check the store",
+            { { "topic", partition.topic_ }, { "records", std::to_string(queue.read_.records_) } });
+        forgetRead(queue);
+        delayed_.emplace_back(bootNow() + repeatedReadDelay, partition);
+        std::vector<ProgramId> programs;
+        for (const Write& write : queue.inFlight_)
+            programs.push_back(write.program_);
+        for (const Write& write : queue.pending_)
+            programs.push_back(write.program_);
+        for (const ProgramId& program : programs)
+            deliverDecisions(onStoreUnavailable(escrow_, program));
+    }
+
+    void scheduleDelayed(MonotonicTime now)
+    {
+        while (!delayed_.empty() && delayed_.front().first <= now) {
+            platform::StorePartition partition = delayed_.front().second;
+            delayed_.pop_front();
+            schedule(partition, partitionQueues_[partition]);
+        }
+    }
+
     // New writes may be queued meanwhile; they are sent after the last effect has been applied.
     void finishWrite(const platform::StorePartition& partition, PartitionQueue& queue, bool wasRead)
     {
         auto writes = std::move(queue.inFlight_);
         auto read = std::move(queue.readClaims_);
         queue.inFlight_.clear();
-        queue.readClaims_.clear();
+        forgetRead(queue);
         queue.isWritten_ = false;
         if (wasRead)
             queue.expiredKeys_ = expiredClaims(escrow_, read, wallSeconds());
@@ -373,6 +417,7 @@
     void tick(bool isDraining, MonotonicTime now)
     {
         refuseWaitingTurnsIfDown();
+        scheduleDelayed(now);
         sendScheduled();
         if (store_.health().isUp_)
             applyEffects(tickEscrow(escrow_, isDraining, now));
--- a/src/StoreCursor.h
+++ b/src/StoreCursor.h
@@ -7,6 +7,7 @@
  * kept.
  */
 
+#include "PagedRead.h"
 #include "StoreClient.h"
 #include "TargetList.h"
 
@@ -23,7 +24,7 @@
         pages_; ///< Newest records that were read so far, as far as they are used.
     /** Those of targets instead: records of other writers may be large, and of no use. */
     std::vector<TargetEntry> targets_;
-    std::string lastKey_; ///< Of the last page.
+    PagedRead paged_; ///< Of the newest records.
     std::optional<std::uint64_t> pagesEnd_; ///< End of the partition at the time of the first page.
     std::optional<MonotonicTime> currentAsOf_; ///< The last read that reached the end shows this time.
     MonotonicTime startedAt_; ///< Start of the current read; of its first page for the newest records.
@@ -38,7 +39,7 @@
 {
     cursor.pages_.clear();
     cursor.targets_.clear();
-    cursor.lastKey_.clear();
+    cursor.paged_ = {};
     cursor.pagesEnd_.reset();
 }
 
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -24,6 +24,8 @@
     constexpr Milliseconds announceRetryDelay { 300 };
     // The own entry waits this long for the first read, which shows what it replaces.
     constexpr Milliseconds maxAnnounceDelay { 300 };
+    // Any number of pages leaves time for other work.
+    constexpr Milliseconds pageInterval { 20 };
     constexpr const char* vmTopicName = "entry-vms";
     // Bounds the memory of which unreadable entries have been logged.
     constexpr std::size_t maxUnreadableLogged = 64;
@@ -97,7 +99,7 @@
         auto weak = weak_from_this();
         std::uint64_t generation = cursor.generation_;
         if (!cursor.next_) {
-            return store_.readNewest(cursor.partition_, cursor.lastKey_, intervals_.timeout_,
+            return store_.readNewest(cursor.partition_, cursor.paged_.after_, intervals_.timeout_,
                 [weak, &cursor, generation](tl::expected<platform::NewestPage, platform::StoreError> page) {
                     auto self = weak.lock();
                     if (self && cursor.generation_ == generation)
@@ -115,7 +117,7 @@
 
     void refresh(OnRefreshed done)
     {
-        if (targets_.isReading_) {
+        if (targets_.isReading_ || targets_.pagesEnd_) {
             nextRefreshes_.push_back(std::move(done));
             return;
         }
@@ -170,12 +172,17 @@
         cursor.isReading_ = false;
         if (!page)
             return onReadFailed(cursor, page.error());
+        PageOutcome outcome = takePage(cursor.paged_, *page);
+        if (outcome == PageOutcome::Repeated)
+            return onReadFailed(cursor, { platform::StoreFailure::MalformedAnswer });
         onReadAnswered(cursor);
         if (!cursor.pagesEnd_)
             cursor.pagesEnd_ = page->end_;
         keepPage(cursor, page->records_);
-        if (page->hasMore_ && !page->records_.empty())
-            return read(cursor);
+        if (outcome == PageOutcome::More) {
+            cursor.dueAt_ = bootNow() + pageInterval;
+            return;
+        }
         // Later pages may miss changes made after the first page, so reading continues from its end.
         cursor.next_ = cursor.pagesEnd_;
         auto records = std::move(cursor.pages_);
@@ -194,8 +201,6 @@
 
     void keepPage(StoreCursor& cursor, std::vector<platform::KeyedRecord>& records)
     {
-        if (!records.empty())
-            cursor.lastKey_ = records.back().key_;
         for (platform::KeyedRecord& record : records) {
             if (&cursor != &targets_) {
                 if (!isConfig(cursor) || record.key_ == platform::configKey)
@@ -248,7 +253,8 @@
 
     void onReadFailed(StoreCursor& cursor, const platform::StoreError& error)
     {
-        if (error.failure_ == platform::StoreFailure::HistoryTruncated) {
+        // The newest records have no history, so another read of them would get the same answer.
+        if (error.failure_ == platform::StoreFailure::HistoryTruncated && cursor.next_) {
             logEvent("store-history-gone", { { "topic", cursor.partition_.topic_ } });
             resetCursor(cursor);
             return read(cursor);
--- /dev/null
+++ b/test/correctness/EndlessPages.cpp
@@ -0,0 +1,231 @@
+// Reads of the newest records end, or pause, whatever a store says of its pages.
+
+#include "BootClock.h"
+#include "BudgetStore.h"
+#include "EventLoop.h"
+#include "FrontServer.h"
+#include "PagedRead.h"
+#include "StoreClient.h"
+#include "StoreFollower.h"
+#include "Suite.h"
+
+#include <chrono>
+#include <fmt/format.h>
+#include <functional>
+#include <optional>
+
+using namespace fescue;
+
+namespace {
+
+// Of the 2,000 reads that a store takes in a second from ten VMs.
+constexpr int maxCallsPerSecond = 200;
+constexpr Milliseconds measuredTime { 1500 };
+constexpr int ok = 200;
+constexpr int gone = 410;
+
+struct Answer {
+    int status_ = ok;
+    std::string body_;
+};
+
+// Answers the calls of a store with the number of each call in mind, and counts them.
+class OddStore {
+public:
+    using Script = std::function<Answer(const std::string& call, int number)>;
+
+    OddStore(asio::io_context& io, Script script)
+        : script_(std::move(script))
+        , server_(
+              io, "127.0.0.1:0",
+              [this](const FrontRequest& request, const std::shared_ptr<FrontReply>& reply) {
+                  Answer answer = script_(request.head_.target_, ++calls_);
+                  HttpHead head;
+                  head.status_ = answer.status_;
+                  reply->answer(std::move(head), answer.body_);
+              },
+              [](int, const char*, const HttpHead*) {})
+    {
+    }
+    asio::ip::tcp::endpoint address() const { return { asio::ip::address_v4::loopback(), server_.port() }; }
+    int calls() const { return calls_; }
+
+private:
+    Script script_;
+    int calls_ = 0;
+    FrontServer server_;
+};
+
+std::string pageOf(const std::string& key, int end, bool hasMore)
+{
+    return fmt::format(
+        R"({{"end-offset":{},"items":[{{"key":"{}","value":"dg==","offset":0}}],"has-more":{}}})", end, key,
+        hasMore);
+}
+
+// The head of a page of records that ends at an offset.
+std::string emptyRecords(char end)
+{
+    std::string body(16, '\0');
+    body[7] = end;
+    return body;
+}
+
+} // namespace
+
+class EndlessPages : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(EndlessPages);
+    CPPUNIT_TEST(pagesThatEndAreReadToTheirEnd);
+    CPPUNIT_TEST(pagesThatRepeatAreToldFromOthers);
+    CPPUNIT_TEST(followerPausesWhenAPageRepeats);
+    CPPUNIT_TEST(followerPausesWhenPagesTakeTurns);
+    CPPUNIT_TEST(followerPausesWhenNewestRecordsAreGone);
+    CPPUNIT_TEST(followerPausesWhenHistoryIsAlwaysGone);
+    CPPUNIT_TEST(followerPausesWhenHistoryIsAlwaysShorter);
+    CPPUNIT_TEST(budgetPausesWhenAPageRepeats);
+    CPPUNIT_TEST(budgetPausesWhenPagesTakeTurns);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void checkFollowerPauses(const OddStore::Script& script)
+    {
+        asio::io_context io(1);
+        OddStore store(io, script);
+        platform::StoreClient client(io, store.address());
+        StoreHealth health;
+        StoreFollower follower(client, health, {},
+            { [](const ServingConfig&) {}, [](const TargetList&) {}, [](const auto&) {},
+                [](const auto&, bool) {} });
+        MonotonicTime end = bootNow() + measuredTime;
+        fescue::test::runLoopUntil(
+            io,
+            [&] {
+                client.tick(bootNow());
+                follower.tick(bootNow());
+            },
+            [&] { return bootNow() >= end; });
+        checkPaced(store);
+    }
+
+    static void checkPaced(const OddStore& store)
+    {
+        double seconds = std::chrono::duration<double>(measuredTime).count();
+        CPPUNIT_ASSERT_MESSAGE(
+            fmt::format("{} calls", store.calls()), store.calls() < maxCallsPerSecond * seconds);
+        CHECK(store.calls() > 0);
+    }
+
+    // A claim is written, and the claims are then read.
+    static void checkBudgetPauses(const OddStore::Script& newest)
+    {
+        asio::io_context io(1);
+        OddStore store(io, [&newest](const std::string& call, int number) {
+            bool isAppend = call.find("append") != std::string::npos;
+            return isAppend ? Answer { ok, R"({"offset":0,"end-offset":1})" } : newest(call, number);
+        });
+        platform::StoreClient client(io, store.address());
+        StoreHealth health;
+        PacedStore paced(client, health, 1);
+        std::optional<TurnDecision> decided;
+        BudgetStore budgets(
+            paced, WriterId { "vm-a#1" }, 1, [&](TurnId, TurnDecision decision) { decided = decision; });
+        budgets.onTurnRequested(
+            { "p" }, TokenCount { 4000 }, Milliseconds { 60000 }, { TurnId { 1 }, TokenCount { 500 }, true });
+        MonotonicTime end = bootNow() + measuredTime;
+        fescue::test::runLoopUntil(
+            io,
+            [&] {
+                client.tick(bootNow());
+                budgets.tick(false, bootNow());
+            },
+            [&] { return bootNow() >= end; });
+        checkPaced(store);
+        CHECK(decided == TurnDecision::Unavailable);
+    }
+
+public:
+    void pagesThatEndAreReadToTheirEnd()
+    {
+        PagedRead read;
+        platform::NewestPage page;
+        page.hasMore_ = true;
+        page.end_ = 5;
+        page.records_ = { { "a", "" }, { "b", "" } };
+        CHECK(takePage(read, page) == PageOutcome::More);
+        CHECK_EQUAL(std::string("b"), read.after_);
+        page.records_ = { { "c", "" }, { "d", "" } };
+        CHECK(takePage(read, page) == PageOutcome::More);
+        page.records_ = { { "e", "" } };
+        page.hasMore_ = false;
+        CHECK(takePage(read, page) == PageOutcome::Last);
+        PagedRead empty;
+        page.records_.clear();
+        page.hasMore_ = true;
+        CHECK(takePage(empty, page) == PageOutcome::Last);
+    }
+
+    void pagesThatRepeatAreToldFromOthers()
+    {
+        PagedRead read;
+        platform::NewestPage page;
+        page.hasMore_ = true;
+        page.end_ = 3;
+        page.records_ = { { "a", "" }, { "b", "" } };
+        CHECK(takePage(read, page) == PageOutcome::More);
+        CHECK(takePage(read, page) == PageOutcome::Repeated);
+        PagedRead turns;
+        CHECK(takePage(turns, page) == PageOutcome::More);
+        page.records_ = { { "a", "" }, { "a", "" } };
+        CHECK(takePage(turns, page) == PageOutcome::Repeated);
+    }
+
+    // Guards against a read that was sent again at once, without an end, for as long as its answer stayed
+    // the same.
+    void followerPausesWhenAPageRepeats()
+    {
+        checkFollowerPauses([](const std::string&, int) {
+            return Answer { ok, pageOf("k", 1000000, true) };
+        });
+    }
+
+    void followerPausesWhenPagesTakeTurns()
+    {
+        checkFollowerPauses([](const std::string&, int number) {
+            return Answer { ok, pageOf(number % 2 == 0 ? "k" : "l", 1000000, true) };
+        });
+    }
+
+    void followerPausesWhenNewestRecordsAreGone()
+    {
+        checkFollowerPauses([](const std::string&, int) { return Answer { gone, "{}" }; });
+    }
+
+    void followerPausesWhenHistoryIsAlwaysGone()
+    {
+        checkFollowerPauses([](const std::string& call, int) {
+            bool isNewest = call.find("newest") != std::string::npos;
+            return isNewest ? Answer { ok, pageOf("k", 1, false) } : Answer { gone, "{}" };
+        });
+    }
+
+    void followerPausesWhenHistoryIsAlwaysShorter()
+    {
+        checkFollowerPauses([](const std::string& call, int) {
+            bool isNewest = call.find("newest") != std::string::npos;
+            return Answer { ok, isNewest ? pageOf("k", 9, false) : emptyRecords(1) };
+        });
+    }
+
+    void budgetPausesWhenAPageRepeats()
+    {
+        checkBudgetPauses([](const std::string&, int) { return Answer { ok, pageOf("k", 1000000, true) }; });
+    }
+
+    void budgetPausesWhenPagesTakeTurns()
+    {
+        checkBudgetPauses([](const std::string&, int number) {
+            return Answer { ok, pageOf(number % 2 == 0 ? "k" : "l", 1000000, true) };
+        });
+    }
+};
+
+REGISTER_SUITE(EndlessPages);
