Log whether the event loop stood still in a pause or in its own work

stood-still said that the VM was paused, also when the process had used the processor all the while, so the log could not tell a host that does not run the process from a step that does not hand back the processor. The line has the processor time used meanwhile; loop-busy reports each step of over 250 ms in which the process ran, and the metric loop_busy_max_seconds has the longest one. The time is read with each tick, 40 times a second.

--- a/src/EntryVm.cpp
+++ b/src/EntryVm.cpp
@@ -26,6 +26,27 @@
     holdSignals();
 }
 
+void EntryVm::Impl::watchLoop(MonotonicTime now)
+{
+    LoopGap gap = takeTick(loop_, now, usedProcessorTime());
+    if (!gap.isBusy_ && !gap.isPause_)
+        return;
+    LogFields facts { { "for_ms", std::to_string(gap.passed_.count()) },
+        { "used_ms", std::to_string(gap.used_.count()) },
+        { "connections", std::to_string(callerServer_.connections()) },
+        { "under_way", std::to_string(forwarder_.openCallCount()) } };
+    if (gap.isBusy_)
+        logWarning(
+            "loop-busy", "the event loop did not come round; report it with the lines around it", facts);
+    if (!gap.isPause_)
+        return;
+    logWarning("stood-still", "the VM was paused, or busy if used_ms says so; all cached state is read again",
+        facts);
+    store_.reconnect();
+    follower_.resync();
+    forwarder_.closeIdleConnections();
+}
+
 void EntryVm::Impl::drain()
 {
     if (drain_.startedAt_)
--- a/src/EntryVmImpl.h
+++ b/src/EntryVmImpl.h
@@ -18,6 +18,7 @@
 #include "FrontServer.h"
 #include "Headers.h"
 #include "ListenLog.h"
+#include "LoopWatch.h"
 #include "MemoryWatch.h"
 #include "Metrics.h"
 #include "RefuseCall.h"
@@ -44,8 +45,6 @@
 
 // Bounds the lateness of timeouts and retries. Each tick costs a wake-up.
 constexpr Milliseconds tickInterval { 25 };
-// A longer time between ticks means that the VM was paused, so its state must be considered stale.
-constexpr Milliseconds maxTickInterval { 1500 };
 // A shorter outage of the store would end before the platform's health checks react to it.
 constexpr Milliseconds storeOutageTolerance { 700 };
 constexpr Milliseconds minStreamRetention { 10000 };
@@ -83,7 +82,7 @@
     FrontServer callerServer_;
     FrontServer readinessServer_;
     std::unique_ptr<FrontServer> metricsServer_;
-    MonotonicTime lastTick_;
+    LoopWatch loop_;
     MonotonicTime lastRequest_;
     DrainPeriod drain_;
     std::optional<SettingsFile> reloading_; ///< After SIGHUP.
@@ -229,6 +228,7 @@
             { "resident_bytes", {}, static_cast<double>(memory_.use_.resident_.value_) },
             { "socket_unread_bytes", {}, static_cast<double>(sockets.unread_) },
             { "socket_unsent_bytes", {}, static_cast<double>(sockets.unsent_) },
+            { "loop_busy_max_seconds", {}, std::chrono::duration<double>(loop_.longestBusy_).count() },
             { "store_up", {}, health_.isUp_ ? 1.0 : 0.0 },
             { "links_lost", {}, forwarder_.isStranded() ? 1.0 : 0.0 },
             { "store_calls", {}, static_cast<double>(store_.calls()) },
@@ -316,14 +316,7 @@
     void tick()
     {
         MonotonicTime now = bootNow();
-        if (now - lastTick_ > maxTickInterval && lastTick_ != MonotonicTime {}) {
-            logWarning("stood-still", "the VM was paused; all cached state is read again",
-                { { "for_ms", std::to_string((now - lastTick_).count()) } });
-            store_.reconnect();
-            follower_.resync();
-            forwarder_.closeIdleConnections();
-        }
-        lastTick_ = now;
+        watchLoop(now);
         announceOnceListening();
         continueReload(now);
         store_.tick(now);
@@ -419,7 +412,9 @@
                 { "waiting", std::to_string(forwarder_.queuedCallCount()) } });
     }
 
-    void drain(); // Defined in EntryVm.cpp.
+    // Defined in EntryVm.cpp.
+    void watchLoop(MonotonicTime now);
+    void drain();
 
     bool isDrained(MonotonicTime now) const
     {
--- a/test/fuzz/DecoderFuzz.cpp
+++ b/test/fuzz/DecoderFuzz.cpp
@@ -6,7 +6,6 @@
 #include "ConversationMessages.h"
 #include "CrashRecords.h"
 #include "Documents.h"
-#include "SettingsDocument.h"
 #include "Fuzz.h"
 #include "Headers.h"
 #include "PeerCaps.h"
@@ -15,6 +14,7 @@
 #include "PeerStreams.h"
 #include "PeerTurns.h"
 #include "RelayedCall.h"
+#include "SettingsDocument.h"
 #include "Suite.h"
 
 #include <filesystem>
