--- a/src/LoopWatch.cpp
+++ b/src/LoopWatch.cpp
@@ -12,8 +12,13 @@
     constexpr Milliseconds minBusy { 250 };
     constexpr Milliseconds reportInterval { 1000 };
 
-    // Whether most of the time was used by the process itself.
-    bool ranThroughout(const LoopGap& gap) { return 2 * gap.used_ >= gap.passed_; }
+    // Whether the process ran for most of the time that it may run.
+    bool ranThroughout(const LoopGap& gap, double share)
+    {
+        constexpr double part = 0.5;
+        return static_cast<double>(gap.used_.count())
+            >= static_cast<double>(gap.passed_.count()) * std::min(1.0, share) * part;
+    }
 
 } // namespace
 
@@ -37,7 +42,7 @@
     watch.tickAt_ = now;
     watch.used_ = used;
     gap.isPause_ = gap.passed_ > minPause;
-    if (gap.passed_ < minBusy || !ranThroughout(gap))
+    if (gap.passed_ < minBusy || !ranThroughout(gap, watch.share_))
         return gap;
     watch.longestBusy_ = std::max(watch.longestBusy_, gap.passed_);
     if (now >= watch.reportAt_) {
--- a/src/LoopWatch.h
+++ b/src/LoopWatch.h
@@ -18,6 +18,7 @@
 
 /** The last tick. Not thread-safe, like the function below. */
 struct LoopWatch {
+    double share_ = 1; ///< Of a core that the process may use.
     std::optional<MonotonicTime> tickAt_;
     Milliseconds used_ { 0 }; ///< Processor time at the last tick.
     MonotonicTime reportAt_; ///< When a busy loop may be reported again.
--- a/test/correctness/LoopGaps.cpp
+++ b/test/correctness/LoopGaps.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(pauseIsNoBusyLoop);
     CPPUNIT_TEST(busyLoopIsReportedOnceInASecond);
     CPPUNIT_TEST(longBusyStepIsBoth);
+    CPPUNIT_TEST(busyLoopOnHalfOfACoreIsReported);
     CPPUNIT_TEST(processorTimeGrowsWithWork);
     CPPUNIT_TEST_SUITE_END();
 
@@ -69,6 +70,16 @@
         CHECK(watch.longestBusy_ == Milliseconds { 4000 });
     }
 
+    // Guards against a share of a core that hides a busy loop.
+    void busyLoopOnHalfOfACoreIsReported()
+    {
+        LoopWatch watch;
+        watch.share_ = 0.5;
+        takeTick(watch, at(0), Milliseconds { 0 });
+        CHECK(takeTick(watch, at(1000), Milliseconds { 450 }).isBusy_);
+        CHECK(!takeTick(watch, at(3000), Milliseconds { 550 }).isBusy_);
+    }
+
     void processorTimeGrowsWithWork()
     {
         Milliseconds before = usedProcessorTime();
--- a/test/failure/ProcessEnds.cpp
+++ b/test/failure/ProcessEnds.cpp
@@ -8,6 +8,7 @@
 #include "Suite.h"
 
 #include <array>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -19,6 +20,7 @@
 #include <sstream>
 #include <sys/resource.h>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace fescue::test;
@@ -34,6 +36,7 @@
     CPPUNIT_TEST(endIsNamedOnStandardErrorWhenTheLogTakesNoLines);
     CPPUNIT_TEST(memoryNearTheLimitIsReported);
     CPPUNIT_TEST(successorReportsAProcessThatWasKilled);
+    CPPUNIT_TEST(pauseIsReportedWithTheProcessorTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -46,6 +49,7 @@
     void endIsNamedOnStandardErrorWhenTheLogTakesNoLines();
     void memoryNearTheLimitIsReported();
     void successorReportsAProcessThatWasKilled();
+    void pauseIsReportedWithTheProcessorTime();
 };
 
 REGISTER_SUITE(ProcessEnds);
@@ -226,3 +230,18 @@
     });
     std::filesystem::remove_all(folder);
 }
+
+// Guards against a line that cannot tell a paused process from one that computes.
+void ProcessEnds::pauseIsReportedWithTheProcessorTime()
+{
+    LoneVm vm(findFreeAddresses());
+    vm.start();
+    CPPUNIT_ASSERT_MESSAGE(vm.log(), vm.waitUntilServing());
+    vm.process().signal(SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    vm.process().signal(SIGCONT);
+    CPPUNIT_ASSERT_MESSAGE(vm.log(), vm.waitForLog(R"("event":"stood-still")"));
+    std::string log = vm.log();
+    CPPUNIT_ASSERT_MESSAGE(log, log.find(R"("used_ms":")") != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(log, log.find(R"("event":"loop-busy")") == std::string::npos);
+}
