Reads whose pages always have other keys end, and nobody waits for them

An empty page that has more counted as the last one, so a cut list was taken for a whole one. And delays did not grow, since each first page counted as an answer.

A read has at most 400 pages; turns that have waited for one for 500 ms are refused, requests that wait for the list of targets for 1 s go on without it; an empty page that has more fails the read, and only its last page counts as an answer. The logging of changed targets moves to TargetReportLog, which has the other lines of that list.

--- a/src/BudgetStore.cpp
+++ b/src/BudgetStore.cpp
@@ -23,8 +23,10 @@
     // A turn that the throttle would delay for longer is refused at once; another VM can serve it sooner.
     constexpr double maxClaimWaitSeconds = 0.5;
     constexpr double callsPerClaim = 2; // A write and a read.
-    // Before pages that came again are read once more.
-    constexpr Milliseconds repeatedReadDelay { 500 };
+    // Before pages without an end are read once more.
+    constexpr Milliseconds endlessReadDelay { 500 };
+    // Turns do not wait for a read of so many pages that it takes longer.
+    constexpr Milliseconds maxReadWait { 500 };
     constexpr const char* storeUser = "budget"; // In logs.
 
     std::int64_t wallSeconds()
@@ -55,6 +57,7 @@
         std::vector<platform::KeyedRecord> records_; ///< Of the call in flight; a retry sends them unchanged.
         std::vector<ClaimRecord> readClaims_; ///< With those of this VM.
         PagedRead read_; ///< Of the claims.
+        MonotonicTime readStartedAt_;
         Sequence nextSequence_ { 1 };
         bool isBusy_ = false; ///< From the first call of a write until the end of its read.
         bool isScheduled_ = false; ///< Its next call waits for the throttle.
@@ -305,6 +308,7 @@
     void startRead(const platform::StorePartition& partition, PartitionQueue& queue)
     {
         forgetRead(queue);
+        queue.readStartedAt_ = bootNow();
         sendRead(partition, queue);
     }
 
@@ -329,14 +333,17 @@
             return schedule(partition, queue);
         }
         PageOutcome outcome = takePage(queue.read_, *page);
-        if (outcome == PageOutcome::Repeated)
+        if (outcome == PageOutcome::Endless)
             return delayRead(partition, queue);
         for (const platform::KeyedRecord& record : page->records_) {
             if (auto claim = parseClaim(record.key_, record.value_))
                 queue.readClaims_.push_back(std::move(*claim));
         }
-        if (outcome == PageOutcome::More)
+        if (outcome == PageOutcome::More) {
+            if (bootNow() - queue.readStartedAt_ > maxReadWait)
+                refuseTurnsOf(queue);
             return schedule(partition, queue);
+        }
         finishWrite(partition, queue, true);
     }
 
@@ -346,7 +353,12 @@
         logWarning("budget-pages-repeat", "the store's pages have no end; check the store",
             { { "topic", partition.topic_ }, { "records", std::to_string(queue.read_.records_) } });
         forgetRead(queue);
-        delayed_.emplace_back(bootNow() + repeatedReadDelay, partition);
+        delayed_.emplace_back(bootNow() + endlessReadDelay, partition);
+        refuseTurnsOf(queue);
+    }
+
+    void refuseTurnsOf(const PartitionQueue& queue)
+    {
         std::vector<ProgramId> programs;
         for (const Write& write : queue.inFlight_)
             programs.push_back(write.program_);
--- a/src/PagedRead.h
+++ b/src/PagedRead.h
@@ -5,7 +5,7 @@
  *
  * Each page tells whether there are more. A read that believed this without a check would not end if the
  * pages repeat, so it is held to what a partition can have: pages that all end with other keys, and one
- * record for each offset.
+ * record for each offset; and to a number of pages far above that of a deployment.
  */
 
 #include "StoreClient.h"
@@ -26,18 +26,21 @@
 enum class PageOutcome {
     Last, ///< It was the last one.
     More, ///< The next page begins after `after_`.
-    Repeated, ///< Pages come again, so the read has no end.
+    Endless, ///< Pages come again, are empty, or are too many, so the read has no end.
 };
 
 /** Records a page. Thread safety: that of the caller. */
 inline PageOutcome takePage(PagedRead& read, const platform::NewestPage& page)
 {
     read.records_ += page.records_.size();
-    if (!page.hasMore_ || page.records_.empty())
+    if (!page.hasMore_)
         return PageOutcome::Last;
+    constexpr std::size_t maxPages = 400;
+    if (page.records_.empty() || read.records_ > page.end_ || read.lastKeys_.size() >= maxPages)
+        return PageOutcome::Endless;
     const std::string& last = page.records_.back().key_;
-    if (!read.lastKeys_.insert(last).second || read.records_ > page.end_)
-        return PageOutcome::Repeated;
+    if (!read.lastKeys_.insert(last).second)
+        return PageOutcome::Endless;
     read.after_ = last;
     return PageOutcome::More;
 }
--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -26,6 +26,7 @@
     constexpr Milliseconds maxAnnounceDelay { 300 };
     // Any number of pages leaves time for other work.
     constexpr Milliseconds pageInterval { 20 };
+    constexpr Milliseconds maxRefreshTime { 1000 };
     constexpr const char* vmTopicName = "entry-vms";
     // Bounds the memory of which unreadable entries have been logged.
     constexpr std::size_t maxUnreadableLogged = 64;
@@ -173,16 +174,18 @@
         if (!page)
             return onReadFailed(cursor, page.error());
         PageOutcome outcome = takePage(cursor.paged_, *page);
-        if (outcome == PageOutcome::Repeated)
+        if (outcome == PageOutcome::Endless)
             return onReadFailed(cursor, { platform::StoreFailure::MalformedAnswer });
-        onReadAnswered(cursor);
         if (!cursor.pagesEnd_)
             cursor.pagesEnd_ = page->end_;
         keepPage(cursor, page->records_);
         if (outcome == PageOutcome::More) {
             cursor.dueAt_ = bootNow() + pageInterval;
+            if (&cursor == &targets_ && bootNow() - cursor.startedAt_ > maxRefreshTime)
+                failRefreshes();
             return;
         }
+        onReadAnswered(cursor);
         // Later pages may miss changes made after the first page, so reading continues from its end.
         cursor.next_ = cursor.pagesEnd_;
         auto records = std::move(cursor.pages_);
@@ -426,20 +429,7 @@
     {
         if (isSameList(reportedTargets_, targetList_.entries_))
             return;
-        for (const auto& [id, entry] : targetList_.entries_) {
-            auto known = reportedTargets_.find(id);
-            if (known == reportedTargets_.end() || !isSameTarget(known->second, entry))
-                logEvent("target",
-                    { { "target", id.value_ }, { "service", entry.service_.value_ },
-                        { "address", entry.address_ }, { "zone", entry.zone_.value_ },
-                        { "version", entry.version_.value_ }, { "state", stateOf(entry) },
-                        { "started_at", std::to_string(entry.startedAt_.count()) },
-                        { "report", std::to_string(entry.heartbeat_) } });
-        }
-        for (const auto& [id, entry] : reportedTargets_) {
-            if (!targetList_.entries_.count(id))
-                logEvent("target", { { "target", id.value_ }, { "state", "gone" } });
-        }
+        logTargetChanges(reportedTargets_, targetList_.entries_);
         reportedTargets_ = targetList_.entries_;
         callbacks_.onTargets_(targetList_);
     }
--- a/src/TargetReportLog.cpp
+++ b/src/TargetReportLog.cpp
@@ -4,7 +4,30 @@
 
 namespace fescue {
 
-const char* stateOf(const TargetEntry& entry) { return entry.isLeaving_ ? "leaving" : "ready"; }
+namespace {
+
+    const char* stateOf(const TargetEntry& entry) { return entry.isLeaving_ ? "leaving" : "ready"; }
+
+} // namespace
+
+void logTargetChanges(
+    const std::map<TargetId, TargetEntry>& before, const std::map<TargetId, TargetEntry>& now)
+{
+    for (const auto& [id, entry] : now) {
+        auto known = before.find(id);
+        if (known == before.end() || !isSameTarget(known->second, entry))
+            logEvent("target",
+                { { "target", id.value_ }, { "service", entry.service_.value_ },
+                    { "address", entry.address_ }, { "zone", entry.zone_.value_ },
+                    { "version", entry.version_.value_ }, { "state", stateOf(entry) },
+                    { "started_at", std::to_string(entry.startedAt_.count()) },
+                    { "report", std::to_string(entry.heartbeat_) } });
+    }
+    for (const auto& [id, entry] : before) {
+        if (!now.count(id))
+            logEvent("target", { { "target", id.value_ }, { "state", "gone" } });
+    }
+}
 
 void logIgnoredReport(
     const TargetList& list, const TargetId& id, const std::optional<TargetEntry>& entry, MonotonicTime now)
--- a/src/TargetReportLog.h
+++ b/src/TargetReportLog.h
@@ -1,18 +1,20 @@
 #pragma once
 
 /** \file
- * TargetReportLog: logs what a VM does not take from the list of targets at once, since a target may be in
- * use because of it.
+ * TargetReportLog: logs changes of the list of targets, and what a VM does not take from it at once, since a
+ * target may be in use because of it.
  */
 
 #include "TargetList.h"
 
+#include <map>
 #include <optional>
 
 namespace fescue {
 
-/** The state of a target as it is logged. Pure. */
-const char* stateOf(const TargetEntry& entry);
+/** Logs the targets that are new, have changed or are gone. Thread-safe. */
+void logTargetChanges(
+    const std::map<TargetId, TargetEntry>& before, const std::map<TargetId, TargetEntry>& now);
 
 /** Logs a report that is older than the known one, and a removal that is held back. `entry` is nothing for a
  * removal. Thread-safe. */
