--- a/standin/PlatformStore.cpp
+++ b/standin/PlatformStore.cpp
@@ -72,6 +72,20 @@
         return text.append(padding, '=');
     }
 
+    std::string decodePercent(std::string_view encoded)
+    {
+        std::string text;
+        while (!encoded.empty()) {
+            unsigned char byte = 0;
+            const char* digits = encoded.data() + 1;
+            bool isCode = encoded[0] == '%' && encoded.size() > 2
+                && std::from_chars(digits, digits + 2, byte, 16).ptr == digits + 2;
+            text += isCode ? static_cast<char>(byte) : encoded[0];
+            encoded.remove_prefix(isCode ? 3 : 1);
+        }
+        return text;
+    }
+
     std::string queryValue(const std::string& target, const std::string& name)
     {
         for (const char* start : { "?", "&" }) {
@@ -80,7 +94,7 @@
             if (at == std::string::npos)
                 continue;
             std::size_t from = at + prefix.size();
-            return target.substr(from, target.find('&', from) - from);
+            return decodePercent(std::string_view(target).substr(from, target.find('&', from) - from));
         }
         return {};
     }
