A target's gate opens when the belief in its rate ends; refused permits wait

A target that had named a rate and started again was cut off for good: no call got a permit for it, and the entry VM used all of a core, or asked the VM that gives out permits tens of thousands of times a second, until the list of targets changed in more than its reports.

Cause: after three reports of its new start a target is no longer believed to have the rate, but its gate kept it (KnownTargets::tick passed on ended beliefs in leaving only). Whoever gives out permits knows no rate then, and replies with none and no time to wait, so the waiting calls made the VM ask again at once.

Now the end of the belief opens the gate. And a gate that got no permit is held for minRetryAfter, 20 ms, the least that a VM that gives out permits names, whatever the reply says.

--- a/src/KnownTargets.cpp
+++ b/src/KnownTargets.cpp
@@ -71,7 +71,10 @@
 {
     listReadAt_ = list.readAt_;
     permits_.tick(now);
-    for (const TargetId& target : endStatements(statements_, list, now)) {
+    EndedStatements ended = endStatements(statements_, list, now);
+    for (const TargetId& target : ended.rates_)
+        applyRate(startOf(target));
+    for (const TargetId& target : ended.leaving_) {
         auto entry = list.entries_.find(target);
         if (entry != list.entries_.end())
             setLeaving(pool_, target, entry->second.isLeaving_);
--- a/src/RateGate.cpp
+++ b/src/RateGate.cpp
@@ -1,5 +1,9 @@
 #include "RateGate.h"
 
+#include "RatePermits.h"
+
+#include <algorithm>
+
 namespace fescue {
 
 namespace {
@@ -40,7 +44,7 @@
         return;
     gate.permits_ = (isOpen(gate, now) ? gate.permits_ : 0) + granted;
     gate.permitsExpireAt_ = now + permitLifetime;
-    gate.heldUntil_ = now + retryAfter;
+    gate.heldUntil_ = now + (granted > 0 ? retryAfter : std::max(retryAfter, minRetryAfter));
     gate.expected_ = expected;
 }
 
--- a/src/RateGate.h
+++ b/src/RateGate.h
@@ -32,7 +32,8 @@
 /** Uses a permit if the gate needs one. Precondition: `isOpen`. */
 void passGate(RateGate& gate);
 
-/** Takes in the reply to a request for permits. */
+/** Takes in the reply to a request for permits. If it grants none, the gate is held for at least
+ * `minRetryAfter`, whatever the VM that replied has said. */
 void addPermits(RateGate& gate, std::uint32_t granted, Milliseconds retryAfter,
     const std::optional<RequestRate>& expected, MonotonicTime now);
 
--- a/src/RatePermits.cpp
+++ b/src/RatePermits.cpp
@@ -20,7 +20,6 @@
     constexpr Milliseconds askingTimeout { 3000 };
     constexpr Milliseconds idleTimeout { 60000 };
     constexpr Milliseconds maxRetryAfter { 2000 };
-    constexpr Milliseconds minRetryAfter { 20 };
     constexpr double msPerSecond = 1000;
 
     void fill(PermitBucket& bucket, double perSecond, MonotonicTime now)
--- a/src/RatePermits.h
+++ b/src/RatePermits.h
@@ -18,6 +18,9 @@
 
 namespace fescue {
 
+/** No VM asks again sooner after a reply that grants nothing. */
+constexpr Milliseconds minRetryAfter { 20 };
+
 /** A request for permits. */
 struct PermitRequest {
     VmId vm_; ///< That asks.
--- a/src/TargetStatements.cpp
+++ b/src/TargetStatements.cpp
@@ -55,12 +55,17 @@
             limits, start, observation, { { "source", "answer" }, { "request", tags.attempt_.value_ } }, now);
     }
 
-    void logEnds(const char* event, const std::vector<EndedBelief>& ended, MonotonicTime now)
+    std::vector<TargetId> logEnds(const char* event, const std::vector<EndedBelief>& ended, MonotonicTime now)
     {
-        for (const EndedBelief& end : ended)
+        std::vector<TargetId> targets;
+        targets.reserve(ended.size());
+        for (const EndedBelief& end : ended) {
             logEvent(event,
                 { { "target", end.target_.value_ }, { "reason", end.reason_ },
                     { "age_ms", std::to_string((now - end.belief_.since_).count()) } });
+            targets.push_back(end.target_);
+        }
+        return targets;
     }
 
 } // namespace
@@ -80,16 +85,10 @@
     return takeRate(statements.rates_, start, observation, { { "source", "peer" } }, now);
 }
 
-std::vector<TargetId> endStatements(TargetStatements& statements, const TargetList& list, MonotonicTime now)
+EndedStatements endStatements(TargetStatements& statements, const TargetList& list, MonotonicTime now)
 {
-    std::vector<EndedBelief> ended = endBeliefs(statements.leaving_.beliefs_, list, now);
-    logEnds("target-leaving-ended", ended, now);
-    logEnds("target-rate-ended", endBeliefs(statements.rates_.beliefs_, list, now), now);
-    std::vector<TargetId> targets;
-    targets.reserve(ended.size());
-    for (const EndedBelief& end : ended)
-        targets.push_back(end.target_);
-    return targets;
+    return { logEnds("target-leaving-ended", endBeliefs(statements.leaving_.beliefs_, list, now), now),
+        logEnds("target-rate-ended", endBeliefs(statements.rates_.beliefs_, list, now), now) };
 }
 
 } // namespace fescue
--- a/src/TargetStatements.h
+++ b/src/TargetStatements.h
@@ -32,8 +32,14 @@
 bool readPeerObservation(TargetStatements& statements, const TargetStart& start,
     const RateObservation& observation, MonotonicTime now);
 
-/** Ends the beliefs about targets that have started again, or that left the list long ago. Returns the
- * targets that are not believed to leave any more. Not thread-safe. */
-std::vector<TargetId> endStatements(TargetStatements& statements, const TargetList& list, MonotonicTime now);
+/** Targets about which beliefs have ended. */
+struct EndedStatements {
+    std::vector<TargetId> leaving_; ///< Not believed to leave any more.
+    std::vector<TargetId> rates_; ///< Not known to have a rate any more.
+};
+
+/** Ends the beliefs about targets that have started again, or that left the list long ago. Not thread-safe.
+ */
+EndedStatements endStatements(TargetStatements& statements, const TargetList& list, MonotonicTime now);
 
 } // namespace fescue
