A home that says at once that a claim is pending is asked again after 150 ms

While the home of a program says that the claim for a turn isn't written yet, the turn is asked for again. A home says so after 150 ms; one that says so at once was asked again at each tick, 40 times a second by each waiting turn.

The next request now goes out 150 ms after the last one at the earliest, so nothing changes before a home that waits.

--- a/src/TurnBroker.cpp
+++ b/src/TurnBroker.cpp
@@ -264,7 +264,8 @@
         if (grant.reply_.decision_ == TurnDecision::HeldElsewhere && !entry->holders_.empty())
             return requestFromHolders(id, entry);
         if (grant.reply_.decision_ == TurnDecision::ClaimPending && !entry->isForPeer_) {
-            entry->retryAt_ = bootNow();
+            // A home says so after `homeReplyTimeout`; one that says so at once is not asked more often.
+            entry->retryAt_ = std::max(bootNow(), entry->callDeadline_ - peerTimeout + homeReplyTimeout);
             return;
         }
         bool isInUse = grant.reply_.decision_ == TurnDecision::InUse && !entry->isForPeer_;
