A VM's own entry is written though the store rejects its sequence number

An entry VM whose own entry the store had answered with 409 sent the same sequence number again each 300 ms, for ever: other VMs never heard of it, and its entry wasn't removed at its end. Writers of crashes and budgets go on after a 409.

The next try is now by another writer id of the same process, from 1 on, with the same delay. Other numbers of the rejected writer won't do: the store answers those of its last appends as repeats, without applying them.

correctness/StoreFollowing, 12 cases: before, the new one failed (the entry not there when the test's loop gave up, after 20,000 rounds); now 12 of 12 pass.

--- a/src/StoreFollower.cpp
+++ b/src/StoreFollower.cpp
@@ -3,6 +3,7 @@
 #include "BootClock.h"
 #include "CrashRecords.h"
 #include "Documents.h"
+#include "EntryWriter.h"
 #include "EventLog.h"
 #include "Metrics.h"
 #include "StoreClient.h"
@@ -45,7 +46,7 @@
     std::optional<MonotonicTime> announceAt_; ///< When to write the own entry.
     bool isWithdrawn_ = false;
     bool hasReadPeers_ = false;
-    Sequence announceSequence_ { 1 };
+    EntryWriter entryWriter_;
     std::uint64_t version_ = 0;
     RouteHistory routes_;
     TargetList targetList_;
@@ -362,7 +363,7 @@
     {
         peerEntries_.erase(vm);
         // The last process of this VM may have removed its entry after this one has announced itself.
-        bool isAnnounced = announceSequence_ != Sequence { 1 } && !isWithdrawn_;
+        bool isAnnounced = entryWriter_.sequence_ != Sequence { 1 } && !isWithdrawn_;
         if (isAnnounced && !announceAt_ && vm == own_->vm_)
             announceAt_ = bootNow();
     }
@@ -406,17 +407,16 @@
     {
         announceAt_.reset();
         platform::KeyedRecord record { own_->vm_.value_, isWithdrawn_ ? std::string() : peerValue(*own_) };
-        Sequence sequence = announceSequence_;
-        store_.append(peers_.partition_, { record }, platform::StoreWriter { own_->writer_, sequence },
-            announceTimeout,
-            [weak = weak_from_this(), sequence](tl::expected<std::uint64_t, platform::StoreError> offset) {
+        platform::StoreWriter writer = entryWriterOf(entryWriter_, own_->writer_);
+        store_.append(peers_.partition_, { record }, writer, announceTimeout,
+            [weak = weak_from_this(), sequence = writer.sequence_](
+                tl::expected<std::uint64_t, platform::StoreError> offset) {
                 auto self = weak.lock();
                 if (!self)
                     return;
                 // `withdraw` may have been called meanwhile; its write uses the next sequence number.
-                if (offset)
-                    self->announceSequence_ = { sequence.value_ + 1 };
-                else if (!self->announceAt_)
+                recordEntryWrite(self->entryWriter_, sequence, offset ? nullptr : &offset.error());
+                if (!offset && !self->announceAt_)
                     self->announceAt_ = bootNow() + announceRetryDelay;
             });
     }
--- a/test/correctness/StoreFollowing.cpp
+++ b/test/correctness/StoreFollowing.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(refreshFailsWhileTheStoreIsAway);
     CPPUNIT_TEST(ownEntryIsWrittenAndRemoved);
     CPPUNIT_TEST(appendWithALostAnswerIsRetriedAndAppliedOnce);
+    CPPUNIT_TEST(ownEntryIsWrittenThoughItsSequenceIsRejected);
     CPPUNIT_TEST(recordsOfCrashesArePassedOnAndNameNoVm);
     CPPUNIT_TEST_SUITE_END();
 
@@ -227,6 +228,20 @@
         CHECK_EQUAL(std::uint64_t { 2 }, store_->appends());
     }
 
+    // Guards against a VM that others never hear of: a number that the store rejects was sent again for ever.
+    void ownEntryIsWrittenThoughItsSequenceIsRejected()
+    {
+        std::optional<std::uint64_t> offset;
+        client_->append(StoreFollower::vmPartition(), { { "vm-z", "" } },
+            platform::StoreWriter { { "vm-a#1" }, { 7 } }, Milliseconds { 1000 },
+            [&offset](tl::expected<std::uint64_t, platform::StoreError> end) { offset = end.value_or(0); });
+        runUntil([&offset] { return offset.has_value(); });
+        follower_->announce({ { "vm-a" }, { "z" }, "127.0.0.1:7380", { "vm-a#1" } });
+        runUntil([this] { return peers_.count({ "vm-a" }) > 0; });
+        follower_->withdraw();
+        runUntil([this] { return peers_.empty(); });
+    }
+
     void recordsOfCrashesArePassedOnAndNameNoVm();
 };
 
