A configuration that says the same in another form is read

Seen by callers: a VM that starts while the configuration in the store has its version written 12.0 or 1.2e1, or an optional list or number of a workspace written null, answers 503 to everything until another version is published (config-unreadable in the log). A running VM keeps the former version.

Cause: the version had to be written as a JSON integer, and a null field counted as one of another type (tenants, api-keys, priority, rate-per-s, burst). A null retained marked its route as one of turns.

A version with a fraction, negative, too large or of another type is still refused: an order of versions that is not known could put an older one in force. Workspaces that are ambiguous, and routes without host or prefix, refuse the whole configuration as before: it is not known which requests such a route would take from the others.

--- a/test/correctness/PlatformFormats.cpp
+++ b/test/correctness/PlatformFormats.cpp
@@ -62,6 +62,9 @@
     CPPUNIT_TEST(numbersOutOfRangeInSettingsAreNamed);
     CPPUNIT_TEST(configurationIsDecoded);
     CPPUNIT_TEST(malformedConfigurationIsRejected);
+    CPPUNIT_TEST(configurationThatSaysTheSameInAnotherFormIsDecoded);
+    CPPUNIT_TEST(fieldsOfTheConfigurationThatAreNullAreNotThere);
+    CPPUNIT_TEST(configurationWhoseVersionIsNoWholeNumberIsRejected);
     CPPUNIT_TEST(malformedEntriesAreNotDecodedAsTargets);
     CPPUNIT_TEST(numbersOutOfRangeNameNoTarget);
     CPPUNIT_TEST(largeNumbersInHeadersAreClamped);
@@ -183,6 +186,55 @@
         CHECK(!platform::decodeConfig(R"({"version":1,"routes":[{"name":"x"}]})").has_value());
     }
 
+    // Guards against a VM that starts, reads a valid configuration as unreadable, and never serves a request.
+    void configurationThatSaysTheSameInAnotherFormIsDecoded()
+    {
+        for (const char* version : { "7.0", "7e0", "0.7e1", "70e-1" }) {
+            auto read = platform::decodeConfig(
+                replaced(config, "\"version\":7", "\"version\":" + std::string(version)));
+            CHECK(read.has_value());
+            CHECK_EQUAL(std::uint64_t { 7 }, read->version_);
+        }
+        auto read = platform::decodeConfig(
+            replaced(config, "\"max-attempts\":1", "\"max-attempts\":1.0,\"latency\":1e1"));
+        CHECK_EQUAL(1U, read->routes_.front().maxAttempts_);
+    }
+
+    void fieldsOfTheConfigurationThatAreNullAreNotThere()
+    {
+        std::string text = replaced(config, "\"services\":[", "\"tenants\":null,\"services\":[");
+        text = replaced(text, "\"retained\":false", "\"retained\":null,\"backends\":null");
+        auto read = platform::decodeConfig(text);
+        CHECK(read.has_value());
+        CHECK(!read->hasWorkspaces_);
+        CHECK(!read->routes_.front().isTurn_ && read->routes_.front().isStream_);
+        CHECK_EQUAL(std::size_t { 1 }, read->routes_.front().services_.size());
+        std::string tenants
+            = R"("tenants":[{"name":"w1","api-keys":["k1"],"priority":null,"rate-per-s":null,)"
+              R"("burst":null},{"name":"w2","api-keys":null}],"services":[)";
+        read = platform::decodeConfig(replaced(config, "\"services\":[", tenants));
+        CHECK(read.has_value());
+        CHECK(read->hasWorkspaces_);
+        CHECK_EQUAL(std::size_t { 2 }, read->workspaces_.size());
+        CHECK_EQUAL(std::size_t { 1 }, read->workspaceOfKey_.size());
+        for (const char* ambiguous : { "{}", "7", "\"k\"", "[null]", "[{\"name\":null,\"api-keys\":[]}]",
+                 R"([{"name":"w","api-keys":[null]}])", R"([{"name":"w"}])" })
+            CHECK(!platform::decodeConfig(replaced(config, "\"services\":[",
+                                              "\"tenants\":" + std::string(ambiguous) + ",\"services\":["))
+                       .has_value());
+    }
+
+    // A version that is not known exactly could put an older configuration in force.
+    void configurationWhoseVersionIsNoWholeNumberIsRejected()
+    {
+        for (const char* version : { "7.5", "-7", "-7.0", "1e300", "null", "\"7\"", "[7]", "true" }) {
+            auto read = platform::decodeConfig(
+                replaced(config, "\"version\":7", "\"version\":" + std::string(version)));
+            CHECK(!read.has_value());
+            CHECK_EQUAL(std::string("version"), read.error().field_);
+        }
+    }
+
     // Their conversion is undefined, and a number of reports that no process makes hides all later reports.
     void numbersOutOfRangeNameNoTarget()
     {
