Content that many callers request is tried again after targets ended around it

Seen by callers: a request without a body, or with the same body from many callers, is refused with 503 for ten minutes after three targets ended while they ran it, whatever ended them. Four targets killed at once while each ran it are enough: this counts as four crashes.

Cause: each end of a target counts as a crash of each content that ran there. Only a complete answer clears a content, and a refused one gets none.

Content of which a VM had several requests at targets at once when a target ended has many callers, while a request that crashes its targets comes one attempt after another. Of such content, the VM whose record of crashes is first by name lets one request run three seconds after the last crash, and at most one more 15 s later; a complete answer clears the content at all VMs as before. Two runs are within the three that the platform allows. A trial gets one run, and none while own records of crashes wait for the store.

Evidence: SharedContent, with real target processes. Its first five cases before the change (served within 6 s of the last kill at each VM): 4 of 5 failed with 503. After: OK (6), with 20 s allowed. CrashingRequests: OK (8). Not covered: content that no VM runs twice at once; a VM that restarts after it recorded a crash.

--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -101,6 +101,7 @@
         queued.id_ = transfer.id_;
         queued.digest_ = transfer.digest_;
         queued.avoid_ = transfer.avoid_;
+        queued.isOnTrial_ = transfer.isOnTrial_;
         return queued;
     }
 
@@ -123,6 +124,7 @@
         // The request has waited for its admission meanwhile.
         if (lastAnswerAt_ && transfer->call_.deadline_ > *lastAnswerAt_)
             return refuse(transfer, endsTooSoon, retryAfterShutdown);
+        transfer->isOnTrial_ = crashTracker_.takeTrial(transfer->digest_);
         route(transfer);
         dispatchAll();
     }
@@ -205,6 +207,7 @@
     void send(const TransferPtr& transfer, const Target& target)
     {
         transfer->isQueued_ = false;
+        transfer->isOnTrial_ = false;
         transfer->relayPeer_ = {};
         transfer->target_ = target.id_;
         transfer->version_ = target.version_;
@@ -299,6 +302,7 @@
     void handleRefusal(const TransferPtr& transfer);
     void endStalledRefusals(MonotonicTime now);
     void handleEnd(const TransferPtr& transfer, const OutboundResult& end);
+    bool runsBesideItself(const TransferPtr& transfer) const; // Defined in QuarantinedTransfers.cpp.
     void handleLoss(
         const TransferPtr& transfer, bool maybeNeverReceived, const char* reason, MonotonicTime endedAt);
     void checkConnections(MonotonicTime now);
--- a/src/CrashTracker.cpp
+++ b/src/CrashTracker.cpp
@@ -1,6 +1,7 @@
 #include "CrashTracker.h"
 
 #include "BootClock.h"
+#include "ContentTrials.h"
 #include "CrashRecords.h"
 #include "EventLog.h"
 #include "Metrics.h"
@@ -39,6 +40,7 @@
     platform::StoreClient& store_;
     WriterId producer_; ///< Sequence numbers of this process's own entry are counted apart.
     std::vector<EndedConnection> watched_;
+    ContentTrials trials_;
     std::map<ContentDigest, MonotonicTime> completedAt_; ///< Within `completionMemory`.
     std::deque<std::pair<MonotonicTime, ContentDigest>> completions_; ///< Oldest first.
     std::map<std::string, std::string> pending_; ///< Records to write, by key.
@@ -72,6 +74,19 @@
         watched_.push_back(ended);
     }
 
+    // The other VMs have to know what this one has recorded, or several would allow a trial.
+    bool takeTrial(ContentDigest digest)
+    {
+        MonotonicTime now = bootNow();
+        if (!isQuarantined(quarantine_, digest, now) || !pending_.empty() || !unconfirmed_.empty()
+            || !fescue::takeTrial(trials_, quarantine_, digest, now))
+            return false;
+        logEvent("quarantine-trial",
+            { { "content", textOf(digest) },
+                { "reason", "several requests with this content ran at once when targets ended" } });
+        return true;
+    }
+
     void judge(const TargetList& targets, const HasOlderConnection& hasOlderConnection, MonotonicTime now)
     {
         std::vector<EndedConnection> undecided;
@@ -142,6 +157,7 @@
     void onCompleted(ContentDigest digest)
     {
         rememberCompletion(digest, bootNow());
+        trials_.contents_.erase(digest);
         watched_.erase(std::remove_if(watched_.begin(), watched_.end(),
                            [digest](const EndedConnection& ended) { return ended.digest_ == digest; }),
             watched_.end());
@@ -284,6 +300,7 @@
         auto jitter = std::hash<std::string>()(quarantine_.own_.value_) % cleanupInterval.count();
         cleanUpAt_ = now + cleanupInterval + Milliseconds { static_cast<std::int64_t>(jitter) };
         Milliseconds oldest = timeOfDay() - quarantine_.crashExpiry_ - cleanupInterval;
+        removeExpired(trials_, quarantine_.crashExpiry_, now);
         for (const auto& [key, recordedAt] : stored_) {
             if (recordedAt < oldest)
                 write(key, "");
@@ -324,6 +341,13 @@
 
 void CrashTracker::onConnectionEnded(const EndedConnection& ended) { impl_->onConnectionEnded(ended); }
 
+void CrashTracker::onConcurrentRuns(ContentDigest digest)
+{
+    recordConcurrentRuns(impl_->trials_, digest, bootNow());
+}
+
+bool CrashTracker::takeTrial(ContentDigest digest) { return impl_->takeTrial(digest); }
+
 void CrashTracker::onCompleted(ContentDigest digest)
 {
     auto before = impl_->quarantine_.quarantined_;
--- a/src/CrashTracker.h
+++ b/src/CrashTracker.h
@@ -36,6 +36,10 @@
 
     /** Watches a target whose connection ended while it ran a request. */
     void onConnectionEnded(const EndedConnection& ended);
+    /** Records that another request with the content was running when a target ended. */
+    void onConcurrentRuns(ContentDigest digest);
+    /** Whether a request with this content is to run although it is quarantined; see ContentTrials.h. */
+    bool takeTrial(ContentDigest digest);
     /** Clears a request after a complete and successful answer. */
     void onCompleted(ContentDigest digest);
     /** Applies changed records of the store, or all of its records if `isComplete`. */
--- a/src/QuarantinedTransfers.cpp
+++ b/src/QuarantinedTransfers.cpp
@@ -1,7 +1,19 @@
 #include "CallForwarderImpl.h"
 
+#include <algorithm>
+
 namespace fescue {
 
+// Whether another request with the same content is at a target.
+bool CallForwarder::Impl::runsBesideItself(const TransferPtr& transfer) const
+{
+    return std::any_of(transfers_.begin(), transfers_.end(), [&](const auto& entry) {
+        const TransferPtr& other = entry.second;
+        return other != transfer && !other->isQueued_ && !other->isFinished_
+            && other->digest_ == transfer->digest_;
+    });
+}
+
 // Refuses calls that were queued before their content was quarantined.
 void CallForwarder::Impl::refuseQueuedQuarantined()
 {
@@ -9,7 +21,8 @@
         return;
     std::vector<TransferPtr> refused;
     for (const auto& [id, transfer] : transfers_) {
-        if (transfer->isQueued_ && isQuarantined(pool_.quarantine_, transfer->digest_, bootNow()))
+        if (transfer->isQueued_ && !transfer->isOnTrial_
+            && isQuarantined(pool_.quarantine_, transfer->digest_, bootNow()))
             refused.push_back(transfer);
     }
     for (const TransferPtr& transfer : refused) {
--- a/src/QueuedCall.h
+++ b/src/QueuedCall.h
@@ -54,6 +54,7 @@
     TargetId cachingTarget_; ///< Target that probably has the prompt cached; empty if unknown.
     std::string affinityKey_; ///< Calls with the same key run faster at the same target; empty for none.
     std::optional<SoftwareVersion> version_; ///< The only version that may run it; nothing if any may.
+    bool isOnTrial_ = false; ///< Enters although its content is quarantined.
     std::set<TargetId> avoid_; ///< Targets that have already failed this call.
 };
 
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -138,7 +138,7 @@
 
 tl::expected<void, Problem> enqueueCall(TargetPool& pool, QueuedCall call, MonotonicTime now, Random& random)
 {
-    if (isQuarantined(pool.quarantine_, call.digest_, now))
+    if (!call.isOnTrial_ && isQuarantined(pool.quarantine_, call.digest_, now))
         return tl::make_unexpected(Problem { ProblemKind::Quarantined, RunState::Unknown,
             "each target that ran this request crashed; change its content", std::nullopt });
     if (call.deadline_ && now >= *call.deadline_)
--- a/src/Transfer.h
+++ b/src/Transfer.h
@@ -35,6 +35,7 @@
     VmId relayPeer_; ///< The VM through which the request is in flight; empty if it was sent directly.
     std::optional<RelayOutcome> relayOutcome_; ///< What that VM has answered.
     bool isQueued_ = false;
+    bool isOnTrial_ = false; ///< Its first run is allowed although its content is quarantined.
     bool isRefusal_ = false; ///< The target states that it has not run the request.
     MonotonicTime refusedAt_; ///< When the head of the refusal came.
     std::size_t refusalBytes_ = 0; ///< Of its body, so far.
--- a/src/TransferEnds.cpp
+++ b/src/TransferEnds.cpp
@@ -85,9 +85,12 @@
 void CallForwarder::Impl::handleLoss(
     const TransferPtr& transfer, bool maybeNeverReceived, const char* reason, MonotonicTime endedAt)
 {
-    if (transfer->connectionEnd_ != OutboundResult::ConnectionEnd::Open)
+    if (transfer->connectionEnd_ != OutboundResult::ConnectionEnd::Open) {
         crashTracker_.onConnectionEnded(
             { transfer->digest_, transfer->target_, transfer->targetStartedAt_, endedAt });
+        if (runsBesideItself(transfer))
+            crashTracker_.onConcurrentRuns(transfer->digest_);
+    }
     handleLostAnswer(transfer, maybeNeverReceived, reason);
 }
 
--- a/test/support/ProcessTarget.cpp
+++ b/test/support/ProcessTarget.cpp
@@ -10,6 +10,7 @@
 
     // A VM reads the list of targets several times within it.
     constexpr std::chrono::milliseconds listReadTime { 1500 };
+    constexpr std::uint64_t bornStep = 1000;
 
 } // namespace
 
@@ -29,6 +30,7 @@
     arguments.push_back(fmt::format("--listen=127.0.0.1:{}", port_));
     process_ = std::make_unique<Process>("standin-target", arguments, 1);
     port_ = process_->port("http");
+    ++starts_;
 }
 
 void ProcessTarget::restart()
@@ -45,9 +47,9 @@
         for (const char* service : { "app", "llm" })
             store.put("keyed.servers", fmt::format("i-{}-{}", service, name_),
                 announcement.isPresent_ ? fmt::format(
-                    R"({{"service":"{}","address":"127.0.0.1:{}","zone":"z","version":"{}","slots":12,"state":"{}","seq":{},"born":1000}})",
+                    R"({{"service":"{}","address":"127.0.0.1:{}","zone":"z","version":"{}","slots":12,"state":"{}","seq":{},"born":{}}})",
                     service, port_, announcement.version_, announcement.isLeaving_ ? "draining" : "ready",
-                    reports_)
+                    reports_, starts_ * bornStep)
                                         : "");
     });
 }
--- a/test/support/ProcessTarget.h
+++ b/test/support/ProcessTarget.h
@@ -37,6 +37,7 @@
     std::vector<std::string> flags_;
     int port_ = 0;
     std::uint64_t reports_ = 0; ///< Announcements so far.
+    std::uint64_t starts_ = 0; ///< Of its process so far.
     std::unique_ptr<Process> process_;
 };
 
