Ends of thousands of connections to targets are judged at once

Callers and readiness checks saw a VM stand still when thousands of connections to targets ended within a moment, or when it had thousands of records of crashes. Three steps of the event loop cost the product of two sizes: - Each end asked the operating system for the state of all open connections to its target, also in the first 100 ms, before it can be judged. Now each target is asked about once a step, and only its oldest open connection. - With as many records as are kept, each new one looked through all of them for the oldest. They are ordered by their last crash now. - Each complete answer copied the set of quarantined digests, and each tick did. Only answers to requests with records, and ticks with ends to judge, do so now.

--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -437,9 +437,9 @@
         outbound_.tick(now);
         crashTracker_.tick(
             list,
-            [this](const EndedConnection& ended) {
-                auto address = targets_.addressOf(ended.target_);
-                return address && outbound_.connectionsTo(*address, ended.at_).open_ > 0;
+            [this](const TargetId& target) {
+                auto address = targets_.addressOf(target);
+                return address ? outbound_.connectedSince(*address) : std::nullopt;
             },
             now);
         refuseQueuedQuarantined();
--- a/src/CrashTracker.cpp
+++ b/src/CrashTracker.cpp
@@ -72,20 +72,27 @@
         watched_.push_back(ended);
     }
 
-    void judge(const TargetList& targets, const HasOlderConnection& hasOlderConnection, MonotonicTime now)
+    void judge(const TargetList& targets, const ConnectedSince& connectedSince, MonotonicTime now)
     {
+        // Thousands of connections to one target may end at a time, and it may have hundreds of others.
+        std::map<TargetId, std::optional<MonotonicTime>> known;
+        auto hasOlderConnection = [&](const EndedConnection& ended) {
+            auto [found, isNew] = known.try_emplace(ended.target_);
+            if (isNew)
+                found->second = connectedSince(ended.target_);
+            return found->second && *found->second < ended.at_;
+        };
         std::vector<EndedConnection> undecided;
         for (EndedConnection& ended : watched_) {
-            if (!isDecided(ended, targets, hasOlderConnection, now))
-                undecided.push_back(ended);
+            bool hasOlder = !ended.isRecorded_ && isSettled(ended, now) && hasOlderConnection(ended);
+            if (!isDecided(ended, hasOlder, targets, now))
+                undecided.push_back(std::move(ended));
         }
         watched_ = std::move(undecided);
     }
 
-    bool isDecided(EndedConnection& ended, const TargetList& targets,
-        const HasOlderConnection& hasOlderConnection, MonotonicTime now)
+    bool isDecided(EndedConnection& ended, bool hasOlder, const TargetList& targets, MonotonicTime now)
     {
-        bool hasOlder = !ended.isRecorded_ && hasOlderConnection(ended);
         ProcessState state = judgeProcess(ended, hasOlder, targets, now);
         if (state == ProcessState::Unknown)
             return false;
@@ -326,6 +333,8 @@
 
 void CrashTracker::onCompleted(ContentDigest digest)
 {
+    if (!impl_->quarantine_.records_.count(digest))
+        return impl_->onCompleted(digest); // Changes nothing that is quarantined.
     auto before = impl_->quarantine_.quarantined_;
     impl_->onCompleted(digest);
     impl_->logChanges(before);
@@ -340,14 +349,15 @@
     impl_->logChanges(before);
 }
 
-void CrashTracker::tick(
-    const TargetList& targets, const HasOlderConnection& hasOlderConnection, MonotonicTime now)
+void CrashTracker::tick(const TargetList& targets, const ConnectedSince& connectedSince, MonotonicTime now)
 {
-    auto before = impl_->quarantine_.quarantined_;
-    deferAttribution(impl_->quarantine_);
-    impl_->judge(targets, hasOlderConnection, now);
-    resumeAttribution(impl_->quarantine_);
-    impl_->logChanges(before);
+    if (!impl_->watched_.empty()) {
+        auto before = impl_->quarantine_.quarantined_;
+        deferAttribution(impl_->quarantine_);
+        impl_->judge(targets, connectedSince, now);
+        resumeAttribution(impl_->quarantine_);
+        impl_->logChanges(before);
+    }
     impl_->sendWrites(now);
     impl_->cleanUp(now);
 }
--- a/src/CrashTracker.h
+++ b/src/CrashTracker.h
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace fescue::platform {
@@ -27,8 +28,9 @@
 /** Tracks crashes. Not thread-safe; to be used on the thread of the event loop only. */
 class CrashTracker {
 public:
-    /** Whether a connection to the target from before the given one ended is still open. */
-    using HasOlderConnection = std::function<bool(const EndedConnection&)>;
+    /** When the oldest connection to a target that is still open was established; nothing if none is open.
+     * Called at most once for each target and step. */
+    using ConnectedSince = std::function<std::optional<MonotonicTime>(const TargetId&)>;
 
     /** Precondition: `quarantine` and `store` outlive the tracker. */
     CrashTracker(Quarantine& quarantine, platform::StoreClient& store, const WriterId& writer);
@@ -41,7 +43,7 @@
     /** Applies changed records of the store, or all of its records if `isComplete`. */
     void applyRecords(const std::vector<platform::KeyedRecord>& records, bool isComplete);
     /** Judges ended connections and writes records; to be called at regular intervals. */
-    void tick(const TargetList& targets, const HasOlderConnection& hasOlderConnection, MonotonicTime now);
+    void tick(const TargetList& targets, const ConnectedSince& connectedSince, MonotonicTime now);
 
 private:
     struct Impl;
--- a/src/CrashWatch.cpp
+++ b/src/CrashWatch.cpp
@@ -14,10 +14,15 @@
 
 } // namespace
 
+bool isSettled(const EndedConnection& ended, MonotonicTime now)
+{
+    return now >= ended.at_ + connectionEndSpread;
+}
+
 ProcessState judgeProcess(
     EndedConnection& ended, bool hasOlderConnection, const TargetList& targets, MonotonicTime now)
 {
-    if (now < ended.at_ + connectionEndSpread)
+    if (!isSettled(ended, now))
         return ProcessState::Unknown;
     if (!ended.isRecorded_ && hasOlderConnection)
         return ProcessState::Running;
--- a/src/CrashWatch.h
+++ b/src/CrashWatch.h
@@ -38,6 +38,10 @@
     Ended,
 };
 
+/** Whether the ends of all connections of the target's process may have arrived. Before, `judgeProcess` knows
+ * nothing. Pure. */
+bool isSettled(const EndedConnection& ended, MonotonicTime now);
+
 /** Judges an ended connection; to be called until the result is `Running` or `Ended`. `hasOlderConnection`
  * tells whether a connection to the target from before `at_` is still open. Updates `heartbeat_`. */
 ProcessState judgeProcess(
--- a/src/OutboundPool.cpp
+++ b/src/OutboundPool.cpp
@@ -162,6 +162,21 @@
     return found;
 }
 
+std::optional<MonotonicTime> OutboundPool::connectedSince(const tcp::endpoint& peer) const
+{
+    std::optional<MonotonicTime> since;
+    auto established = impl_->established_.find(peer);
+    if (established == impl_->established_.end())
+        return since;
+    for (const auto& entry : established->second) {
+        auto connection = entry.lock();
+        bool isOlder = connection && connection->isOpen() && (!since || connection->connectedAt() < *since);
+        if (isOlder && connection->isPeerOpen())
+            since = connection->connectedAt();
+    }
+    return since;
+}
+
 void OutboundPool::closeIdle()
 {
     for (auto& [peer, idle] : impl_->idle_) {
--- a/src/OutboundPool.h
+++ b/src/OutboundPool.h
@@ -119,6 +119,8 @@
     /** The connections to a peer that were established before `time`, as the operating system knows them now.
      */
     PeerConnections connectionsTo(const asio::ip::tcp::endpoint& peer, MonotonicTime time) const;
+    /** When the oldest connection to a peer that is open now was established; nothing if none is open. */
+    std::optional<MonotonicTime> connectedSince(const asio::ip::tcp::endpoint& peer) const;
     /** What the kernel holds for its connections; reads each socket. */
     SocketBytes socketBytes() const;
     /** Number of connections opened since the start. */
--- a/src/Quarantine.cpp
+++ b/src/Quarantine.cpp
@@ -86,19 +86,26 @@
 
     void eraseRecord(Quarantine& quarantine, ContentDigest digest)
     {
-        quarantine.records_.erase(digest);
+        auto found = quarantine.records_.find(digest);
+        if (found == quarantine.records_.end())
+            return;
+        quarantine.byLast_.erase({ found->second.last_, digest });
+        quarantine.records_.erase(found);
         if (quarantine.quarantined_.erase(digest) > 0)
             attributeCrashes(quarantine);
     }
 
     void evictOldestIfFull(Quarantine& quarantine)
     {
-        auto& records = quarantine.records_;
-        if (records.size() < quarantine.maxDigests_)
-            return;
-        auto oldest = std::min_element(records.begin(), records.end(),
-            [](const auto& a, const auto& b) { return a.second.last_ < b.second.last_; });
-        eraseRecord(quarantine, oldest->first);
+        if (!quarantine.byLast_.empty() && quarantine.records_.size() >= quarantine.maxDigests_)
+            eraseRecord(quarantine, quarantine.byLast_.begin()->second);
+    }
+
+    void setLast(Quarantine& quarantine, ContentDigest digest, CrashRecord& record, MonotonicTime now)
+    {
+        quarantine.byLast_.erase({ record.last_, digest });
+        record.last_ = now;
+        quarantine.byLast_.emplace(now, digest);
     }
 
     CrashRecord& recordOf(Quarantine& quarantine, ContentDigest digest, MonotonicTime now)
@@ -152,7 +159,7 @@
         return;
     CrashRecord& record = recordOf(quarantine, digest, now);
     record.crashes_[quarantine.own_].insert(crash);
-    record.last_ = now;
+    setLast(quarantine, digest, record, now);
     updateAttribution(quarantine, digest);
 }
 
@@ -184,7 +191,7 @@
         record.crashes_[recordedBy] = std::move(crashes);
     if (record.crashes_.empty())
         return eraseRecord(quarantine, digest);
-    record.last_ = now;
+    setLast(quarantine, digest, record, now);
     updateAttribution(quarantine, digest);
 }
 
--- a/src/Quarantine.h
+++ b/src/Quarantine.h
@@ -18,6 +18,7 @@
 
 #include <map>
 #include <set>
+#include <utility>
 
 namespace fescue {
 
@@ -36,6 +37,7 @@
 /** Recorded crashes by digest. */
 struct Quarantine {
     std::map<ContentDigest, CrashRecord> records_;
+    std::set<std::pair<MonotonicTime, ContentDigest>> byLast_; ///< The records, oldest last crash first.
     std::set<ContentDigest> quarantined_; ///< Derived from the records.
     std::uint32_t threshold_ = crashesToQuarantine;
     std::size_t maxDigests_ = 4096;
