Answers without room look through the connections once in 10 ms

When as many answers were kept as a VM has room for, each further one looked through all connections for an answer that its caller does not read, and each found none. Callers and readiness checks waited meanwhile: the time grew with answers times connections.

Who has found too few such callers looks again after 10 ms. A caller that left its answer unread for less time does not give way before, so the answers in between are passed on as they are read, as those without room are.

CallerRoom and FrontReplies pass.

--- a/src/FrontRoomImpl.h
+++ b/src/FrontRoomImpl.h
@@ -106,15 +106,23 @@
 
 void FrontShared::closeUnread(std::size_t bytes)
 {
+    // A caller that has not read its answer for less time than this gives way to none.
+    MonotonicTime now = bootNow();
+    if (now < closeUnreadAgainAt_)
+        return;
     // Several at a time, since all connections are looked through.
     constexpr std::size_t partDivisor = 4;
     std::size_t missing = std::max(bytes, limits_.memory_.forAnswers_ / partDivisor);
     auto sessions = list();
     std::vector<Holder> holders = holdersOf(sessions);
+    std::size_t freed = 0;
     for (std::size_t index : chooseLongestUnread(holders, missing)) {
         report(FrontEvent::ShedForMemory, holders[index].bytes_);
+        freed += holders[index].bytes_;
         sessions[index]->close(true);
     }
+    if (freed < missing) // None is left.
+        closeUnreadAgainAt_ = now + maxListAge;
 }
 
 bool FrontShared::hasLargeWaiting() const
--- a/src/FrontSession.h
+++ b/src/FrontSession.h
@@ -73,6 +73,7 @@
     std::deque<std::weak_ptr<FrontSession>> surplusSessions_; ///< Those not refused yet, the oldest first.
     std::deque<Displaceable> displaceable_; ///< The first one gives way first.
     MonotonicTime displaceableSince_; ///< When they were listed.
+    MonotonicTime closeUnreadAgainAt_; ///< Until then no caller has left an answer unread for long.
 
     void report(FrontEvent event, std::size_t bytes) const
     {
@@ -88,7 +89,7 @@
     /** Bytes that callers hold beyond the budget. */
     std::size_t excessBytes() const;
     /** Closes connections whose callers do not read a complete answer, those longest without progress first,
-     * so that `bytes` of an answer get room. */
+     * so that `bytes` of an answer get room. When it has found too few, it looks again some time later. */
     void closeUnread(std::size_t bytes);
     /** Gives room to those who wait, soon. */
     void releaseRoom();
