A VM with a full queue looks for targets once for all calls of a kind

An overloaded VM answered readiness checks and callers late or not at all: after each answer, after each new request and in each tick it looked for a target for each waiting call, and for each one went four times through all targets. The time of such a step grew with waiting calls times targets, and is needed more often the more targets answer.

Whether any target has room is the same for all calls of a service, model and version that may use all targets and may wait for a permit, or may not. The first one that finds none answers for those behind it: a dispatch only takes room, and a call that may use fewer targets finds none, either.

--- a/src/TargetChoice.cpp
+++ b/src/TargetChoice.cpp
@@ -162,11 +162,16 @@
         return isHeld(state.gate_, now) ? state.gate_.heldUntil_ - now : Milliseconds { 0 };
     }
 
+    bool mayWaitForPermit(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
+    {
+        return now < call.arrived_ + pool.options_.shared_.maxPermitWait_;
+    }
+
     Choice chooseShared(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
     {
         ServiceMeans means = serviceMeans(pool, call, now);
         TargetId faster = fasterTarget(pool, call, means, now);
-        bool canWaitForPermit = now < call.arrived_ + pool.options_.shared_.maxPermitWait_;
+        bool canWaitForPermit = mayWaitForPermit(pool, call, now);
         TargetId best;
         double bestCost = 0;
         for (const auto& [id, state] : pool.targets_) {
@@ -255,6 +260,23 @@
     return chooseTarget(candidates, pool.options_.placement_);
 }
 
+Choice chooseTargetFor(
+    const TargetPool& pool, const QueuedCall& call, CallsWithoutRoom& withoutRoom, MonotonicTime now)
+{
+    if (!pool.options_.shared_.isEnabled_)
+        return chooseTargetFor(pool, call, now);
+    CallsWithoutRoom::Kind kind { call.service_, call.model_, call.version_ };
+    bool mayWait = mayWaitForPermit(pool, call, now);
+    // What may use fewer targets than others of its kind finds none, either.
+    if (withoutRoom.waiting_.count(kind) || (!mayWait && withoutRoom.others_.count(kind)))
+        return {};
+    Choice choice = chooseShared(pool, call, now);
+    bool mayUseAll = call.avoid_.empty() && !isSuspect(pool.quarantine_, call.digest_, now);
+    if (choice.kind_ == Choice::Kind::NoRoom && mayUseAll)
+        (mayWait ? withoutRoom.waiting_ : withoutRoom.others_).insert(std::move(kind));
+    return choice;
+}
+
 double occupancyOf(const TargetPool& pool, const ModelId& model, MonotonicTime now)
 {
     QueuedCall any;
--- a/src/TargetChoice.h
+++ b/src/TargetChoice.h
@@ -9,6 +9,10 @@
 
 #include "TargetPool.h"
 
+#include <optional>
+#include <set>
+#include <tuple>
+
 namespace fescue {
 
 /** Whether a target serves the call's model or service. All functions here are pure; the caller holds the
@@ -30,4 +34,16 @@
 /** Chooses the target of a call, or decides that the call waits. */
 Choice chooseTargetFor(const TargetPool& pool, const QueuedCall& call, MonotonicTime now);
 
+/** Calls for which no target had room, so that others like them need no look at all targets. Valid at one
+ * time, while nothing but dispatches changes the pool. */
+struct CallsWithoutRoom {
+    using Kind = std::tuple<ServiceId, ModelId, std::optional<SoftwareVersion>>;
+    std::set<Kind> waiting_; ///< Those that may wait for a permit found none.
+    std::set<Kind> others_; ///< Those that may not.
+};
+
+/** The same for one call of many. */
+Choice chooseTargetFor(
+    const TargetPool& pool, const QueuedCall& call, CallsWithoutRoom& withoutRoom, MonotonicTime now);
+
 } // namespace fescue
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -171,8 +171,9 @@
     // A version may have few targets left, and calls that are bound to it cannot run elsewhere.
     std::stable_partition(
         calls.begin(), calls.end(), [](const QueuedCall& call) { return call.version_.has_value(); });
+    CallsWithoutRoom withoutRoom;
     for (auto call = calls.begin(); call != calls.end();) {
-        Choice choice = chooseTargetFor(pool, *call, now);
+        Choice choice = chooseTargetFor(pool, *call, withoutRoom, now);
         if (choice.kind_ != Choice::Kind::Run) {
             if (choice.kind_ == Choice::Kind::WaitForTarget)
                 ++pool.targets_[choice.target_].gate_.waiting_;
