Calls that wait for targets which come back are sent in parts

When the targets of a service came back, for example after all of them had ended, the VM sent all calls that waited for them in one step of its event loop, and readiness checks and other callers waited meanwhile. Each dispatch looks at all targets.

At most 32 calls are sent in a step now, and the rest after everything else that is due.

--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -26,6 +26,9 @@
 #include "TargetChoice.h"
 #include "Transfer.h"
 
+#include <asio/post.hpp>
+#include <utility>
+
 namespace fescue {
 
 constexpr int misdirectedRequest = 421; ///< Another target has the address now.
@@ -46,15 +49,19 @@
 constexpr std::uint32_t sharedCrashesToQuarantine = 3;
 constexpr Milliseconds retryAfterShutdown { 50 }; ///< Another VM can take the request at once.
 constexpr const char* endsTooSoon = "this VM shuts down before the deadline of the request";
+// When targets come back, calls that wait for them need not be sent before anything else is done.
+constexpr std::size_t maxDispatchesAtOnce = 32;
 constexpr Milliseconds programEvictionInterval { 5000 };
 
 /** Confined to the thread of the event loop, like the forwarder. */
 struct CallForwarder::Impl : std::enable_shared_from_this<CallForwarder::Impl> {
     using TransferPtr = std::shared_ptr<Transfer>;
 
+    asio::io_context& io_;
     OutboundPool outbound_;
     ProcessWitness witness_;
     TargetPool pool_;
+    bool isDispatchDue_ = false; ///< `dispatchAll` will be called for the rest of many calls.
     Random random_;
     CrashTracker crashTracker_;
     KnownTargets targets_;
@@ -76,7 +83,8 @@
 
     Impl(asio::io_context& io, platform::StoreClient& store, PeerExchange& exchange, const ZoneId& zone,
         const WriterId& writer, std::uint64_t seed)
-        : outbound_(io)
+        : io_(io)
+        , outbound_(io)
         , witness_(io, outbound_)
         , random_(seed)
         , crashTracker_(pool_.quarantine_, store, writer)
@@ -89,6 +97,7 @@
         pool_.zone_ = zone;
         pool_.options_.releasesStalePrefixes_ = false;
         pool_.options_.shared_.isEnabled_ = true;
+        pool_.options_.maxDispatchesAtOnce_ = maxDispatchesAtOnce;
         // A service may have few targets, so one lost answer must not back a target off.
         pool_.options_.failuresBeforeBackoff_ = 3;
         pool_.options_.maxBackoff_ = Milliseconds { 1000 };
@@ -194,7 +203,10 @@
 
     void dispatchAll()
     {
-        for (const Dispatch& dispatch : nextDispatches(pool_, bootNow(), random_)) {
+        auto dispatches = nextDispatches(pool_, bootNow(), random_);
+        if (dispatches.size() == maxDispatchesAtOnce)
+            continueDispatch();
+        for (const Dispatch& dispatch : dispatches) {
             auto found = transfers_.find(dispatch.id_);
             if (found != transfers_.end())
                 send(found->second, dispatch.target_);
@@ -202,6 +214,20 @@
         targets_.requestPermits();
     }
 
+    // After everything else that is due has run.
+    void continueDispatch()
+    {
+        if (std::exchange(isDispatchDue_, true))
+            return;
+        asio::post(io_, [weak = weak_from_this()] {
+            auto self = weak.lock();
+            if (!self)
+                return;
+            self->isDispatchDue_ = false;
+            self->dispatchAll();
+        });
+    }
+
     void send(const TransferPtr& transfer, const Target& target)
     {
         transfer->isQueued_ = false;
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -32,6 +32,11 @@
         });
     }
 
+    bool hasEnough(const PoolOptions& options, const std::vector<Dispatch>& dispatches)
+    {
+        return options.maxDispatchesAtOnce_ > 0 && dispatches.size() >= options.maxDispatchesAtOnce_;
+    }
+
     // Full jitter (Brooker, "Exponential Backoff And Jitter", 2015).
     template <typename State>
     void backOff(State& state, Milliseconds maxBackoff, MonotonicTime now, Random& random)
@@ -173,6 +178,8 @@
         calls.begin(), calls.end(), [](const QueuedCall& call) { return call.version_.has_value(); });
     CallsWithoutRoom withoutRoom;
     for (auto call = calls.begin(); call != calls.end();) {
+        if (hasEnough(pool.options_, dispatches))
+            return dispatches;
         Choice choice = chooseTargetFor(pool, *call, withoutRoom, now);
         if (choice.kind_ != Choice::Kind::Run) {
             if (choice.kind_ == Choice::Kind::WaitForTarget)
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -82,6 +82,8 @@
     /** Calls waiting at a target, as a fraction of its batch; above it the window shrinks. */
     double maxWaitingShare_ = 0.1;
     std::size_t maxQueuedCalls_ = 1024;
+    /** Dispatches that are chosen at once, each of which looks at all targets; 0 is without a limit. */
+    std::size_t maxDispatchesAtOnce_ = 0;
     ByteCount maxQueuedBytes_ { 16 << 20 };
     /** First calls of programs are refused above this expected wait. */
     Milliseconds maxWaitForNewProgram_ { 4000 };
@@ -149,7 +151,7 @@
  * targets. */
 tl::expected<void, Problem> enqueueCall(TargetPool& pool, QueuedCall call, MonotonicTime now, Random& random);
 
-/** Dequeues calls while a target has room. */
+/** Dequeues calls while a target has room, at most `maxDispatchesAtOnce_`. */
 std::vector<Dispatch> nextDispatches(TargetPool& pool, MonotonicTime now, Random& random);
 
 /** Records output of a call; the first output counts as its first token. Unknown ids are ignored. */
--- a/test/correctness/ManyQueuedCalls.cpp
+++ b/test/correctness/ManyQueuedCalls.cpp
@@ -5,6 +5,7 @@
 #include "Suite.h"
 #include "TargetChoice.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <random>
 
@@ -85,6 +86,7 @@
     CPPUNIT_TEST_SUITE(ManyQueuedCalls);
     CPPUNIT_TEST(callsOfBusyTargetsAreLookedThroughAtOnce);
     CPPUNIT_TEST(noCallThatCouldRunIsLeft);
+    CPPUNIT_TEST(callsOfTargetsThatComeBackAreSentInParts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -95,6 +97,32 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(time.count()) + " ms", time < maxStep);
     }
 
+    void callsOfTargetsThatComeBackAreSentInParts()
+    {
+        constexpr std::size_t targets = 1200;
+        TargetPool pool = makePool(targets);
+        Random random(1);
+        MonotonicTime now = bootNow();
+        std::uint64_t id = 0;
+        while (pool.queue_.calls_.size() < maxQueued)
+            pushCall(pool.queue_, callOf(++id, busyService, now));
+        constexpr std::size_t most = 32;
+        pool.options_.maxDispatchesAtOnce_ = most;
+        std::size_t dispatched = 0;
+        Milliseconds longest { 0 };
+        for (std::size_t step = 0; step < maxQueued / most; ++step) {
+            MonotonicTime begin = bootNow();
+            std::size_t sent = nextDispatches(pool, now, random).size();
+            longest = std::max(longest, bootNow() - begin);
+            CHECK_EQUAL(most, sent);
+            dispatched += sent;
+        }
+        std::printf(
+            "%zu calls, the longest step took %ld ms\n", dispatched, static_cast<long>(longest.count()));
+        CHECK_EQUAL(maxQueued, dispatched);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(longest.count()) + " ms", longest < maxStep);
+    }
+
     // Calls of the same kind may differ in the targets that they may use.
     void noCallThatCouldRunIsLeft()
     {
