--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -32,6 +32,11 @@
         });
     }
 
+    bool hasEnough(const PoolOptions& options, const std::vector<Dispatch>& dispatches)
+    {
+        return options.maxDispatchesAtOnce_ > 0 && dispatches.size() >= options.maxDispatchesAtOnce_;
+    }
+
     // Full jitter (Brooker, "Exponential Backoff And Jitter", 2015).
     template <typename State>
     void backOff(State& state, Milliseconds maxBackoff, MonotonicTime now, Random& random)
@@ -171,8 +176,11 @@
     // A version may have few targets left, and calls that are bound to it cannot run elsewhere.
     std::stable_partition(
         calls.begin(), calls.end(), [](const QueuedCall& call) { return call.version_.has_value(); });
+    CallsWithoutRoom withoutRoom;
     for (auto call = calls.begin(); call != calls.end();) {
-        Choice choice = chooseTargetFor(pool, *call, now);
+        if (hasEnough(pool.options_, dispatches))
+            return dispatches;
+        Choice choice = chooseTargetFor(pool, *call, withoutRoom, now);
         if (choice.kind_ != Choice::Kind::Run) {
             if (choice.kind_ == Choice::Kind::WaitForTarget)
                 ++pool.targets_[choice.target_].gate_.waiting_;
