--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -5,8 +5,9 @@
  *
  * `RelayedTransfers.cpp` has what concerns requests that go through other VMs, `HeldTransfers.cpp` what
  * concerns streams whose end waits, `OverdueTransfers.cpp` what ends requests at their deadlines,
- * `QuarantinedTransfers.cpp` what ends those that have crashed targets, and `TransferEnds.cpp` what the body
- * and the end of an exchange with a target say of its answer.
+ * `TransferDispatch.cpp` what sends those that wait, `QuarantinedTransfers.cpp` what ends those that have
+ * crashed targets, and `TransferEnds.cpp` what the body and the end of an exchange with a target say of its
+ * answer.
  */
 
 #include "CallForwarder.h"
@@ -26,9 +27,6 @@
 #include "TargetChoice.h"
 #include "Transfer.h"
 
-#include <asio/post.hpp>
-#include <utility>
-
 namespace fescue {
 
 constexpr int misdirectedRequest = 421; ///< Another target has the address now.
@@ -201,32 +199,9 @@
 
     void refuseQueuedQuarantined(); // Defined in QuarantinedTransfers.cpp.
 
-    void dispatchAll()
-    {
-        auto dispatches = nextDispatches(pool_, bootNow(), random_);
-        if (dispatches.size() == maxDispatchesAtOnce)
-            continueDispatch();
-        for (const Dispatch& dispatch : dispatches) {
-            auto found = transfers_.find(dispatch.id_);
-            if (found != transfers_.end())
-                send(found->second, dispatch.target_);
-        }
-        targets_.requestPermits();
-    }
-
-    // After everything else that is due has run.
-    void continueDispatch()
-    {
-        if (std::exchange(isDispatchDue_, true))
-            return;
-        asio::post(io_, [weak = weak_from_this()] {
-            auto self = weak.lock();
-            if (!self)
-                return;
-            self->isDispatchDue_ = false;
-            self->dispatchAll();
-        });
-    }
+    // Defined in TransferDispatch.cpp.
+    void dispatchAll();
+    void continueDispatch();
 
     void send(const TransferPtr& transfer, const Target& target)
     {
