Test: VMs that all ended at once serve while the store refuses all appends

A store that answers reads and refuses appends (503, 429) had no suite. The new case of StartsWithoutStore kills all three VMs, starts them again, and asks them for five seconds: each is ready and serves.

--- a/standin/PlatformStore.cpp
+++ b/standin/PlatformStore.cpp
@@ -156,7 +156,9 @@
                 unanswered_.push_back(std::move(reply));
                 return;
             }
-            if (faults->isDown_)
+            bool isRefusedAppend
+                = faults->refusesAppends_ && request.head_.target_.rfind("/log-append", 0) == 0;
+            if (faults->isDown_ || isRefusedAppend)
                 return answer(*reply, faults->downStatus_, "");
             if (faults->holdsLongPolls_ && queryNumber(request.head_.target_, "wait-ms") > 0) {
                 unanswered_.push_back(std::move(reply));
--- a/test/failure/StartsWithoutStore.cpp
+++ b/test/failure/StartsWithoutStore.cpp
@@ -4,6 +4,7 @@
 #include "Suite.h"
 
 #include <chrono>
+#include <csignal>
 #include <functional>
 #include <map>
 #include <string>
@@ -19,6 +20,7 @@
     CPPUNIT_TEST(storeThatDoesNotAnswer);
     CPPUNIT_TEST(storeThatLosesTheFirstAnswers);
     CPPUNIT_TEST(storeThatForgetsItsHistory);
+    CPPUNIT_TEST(storeThatRefusesAllAppendsDoesNotKeepVmsFromServing);
     CPPUNIT_TEST(entryThatThePredecessorRemovesLateIsWrittenAgain);
     CPPUNIT_TEST_SUITE_END();
 
@@ -28,6 +30,7 @@
     void storeThatDoesNotAnswer();
     void storeThatLosesTheFirstAnswers();
     void storeThatForgetsItsHistory();
+    void storeThatRefusesAllAppendsDoesNotKeepVmsFromServing();
     void entryThatThePredecessorRemovesLateIsWrittenAgain();
 };
 
@@ -104,6 +107,35 @@
         [](auto& store) { store.faults().isSilent_ = false; });
 }
 
+// The same for a store that answers reads only, to VMs that have all ended at once: they serve meanwhile.
+void StartsWithoutStore::storeThatRefusesAllAppendsDoesNotKeepVmsFromServing()
+{
+    constexpr std::size_t vmCount = 3;
+    constexpr int rounds = 20;
+    for (int status : { 503, 429 }) {
+        auto answer = [](const fescue::HttpHead& request, const std::string&) {
+            return TargetAction { stampedResponse(request, "answer") };
+        };
+        EntryVmHarness vms({ answer, answer }, true, vmCount);
+        vms.runOnStore([status](auto& store) {
+            store.faults().downStatus_ = status;
+            store.faults().refusesAppends_ = true;
+        });
+        for (std::size_t vm = 0; vm < vmCount; ++vm)
+            vms.process(vm).signalAndWait(SIGKILL);
+        for (std::size_t vm = 0; vm < vmCount; ++vm)
+            vms.replaceProcess(vm);
+        for (std::size_t vm = 0; vm < vmCount; ++vm)
+            vms.waitUntil("the VM is ready", [&vms, vm] { return vms.readinessStatus(vm) == 200; });
+        for (int round = 0; round < rounds; ++round) {
+            std::size_t vm = round % vmCount;
+            CHECK_EQUAL(200, vms.readinessStatus(vm));
+            CHECK_EQUAL(200, statusOf(vms.requestAt(vm, "GET", "/read/x", requestHeaders)));
+            std::this_thread::sleep_for(std::chrono::milliseconds(250));
+        }
+    }
+}
+
 // The same for a store that applies the first appends without an answer.
 void StartsWithoutStore::storeThatLosesTheFirstAnswers()
 {
