--- a/apps/StandinTargetMain.cpp
+++ b/apps/StandinTargetMain.cpp
@@ -22,6 +22,7 @@
     "after-last-event");
 DEFINE_string(end_kind, "kill", "how it ends there: kill, exit, break or pause");
 DEFINE_int32(end_at_event, 3, "the event inside or after which it ends");
+DEFINE_string(crash_path, "", "a run of a path that contains this text kills the process");
 DEFINE_bool(reads_bodies, true, "read the body of a request before the answer");
 
 int main(int argc, char** argv)
@@ -43,6 +44,7 @@
     options.maxConnections_
         = static_cast<int>(requireRange("--max_connections", FLAGS_max_connections, 0, 100000));
     options.endAtEvent_ = static_cast<int>(requireRange("--end_at_event", FLAGS_end_at_event, 1, 1000000));
+    options.crashPath_ = FLAGS_crash_path;
     options.readsBodies_ = FLAGS_reads_bodies;
     auto endPoint = standin::parseEndPoint(FLAGS_end_point);
     auto endKind = standin::parseEndKind(FLAGS_end_kind);
--- a/standin/PlatformStore.cpp
+++ b/standin/PlatformStore.cpp
@@ -128,6 +128,7 @@
     std::vector<WaitingRead> waitingReads_;
     std::vector<std::shared_ptr<FrontReply>> unanswered_;
     std::uint64_t appends_ = 0;
+    std::uint16_t lastWriterPort_ = 0;
     std::list<Server> servers_; ///< The first one is the store's own.
 
     explicit Impl(asio::io_context& io)
@@ -167,7 +168,7 @@
         const std::string& target = request.head_.target_;
         PartitionId id { queryValue(target, "topic"), queryValue(target, "part") };
         if (target.rfind("/log-append", 0) == 0)
-            append(id, request, std::move(reply));
+            append(id, request, std::move(reply), server);
         else if (target.rfind("/log-read", 0) == 0)
             read(id, target, std::move(reply), view);
         else if (target.rfind("/log-newest", 0) == 0)
@@ -176,7 +177,8 @@
             answer(*reply, 404, "");
     }
 
-    void append(const PartitionId& id, const FrontRequest& request, std::shared_ptr<FrontReply> reply)
+    void append(const PartitionId& id, const FrontRequest& request, std::shared_ptr<FrontReply> reply,
+        const Server& server)
     {
         Partition& partition = partitions_[id];
         std::string writer = queryValue(request.head_.target_, "producer");
@@ -193,8 +195,10 @@
         if (!isRepeat) {
             ++appends_;
             addRecords(partition, request.body_);
-            if (!writer.empty())
+            if (!writer.empty()) {
                 partition.writers_[writer] = { sequence, offset };
+                lastWriterPort_ = server.front_->port();
+            }
         }
         if (faults_.answersToDrop_ > 0) {
             --faults_.answersToDrop_;
@@ -320,6 +324,16 @@
     }
 }
 
+void PlatformStore::compactAll()
+{
+    for (auto& [id, partition] : impl_->partitions_) {
+        partition.first_ = partition.end();
+        partition.records_.clear();
+    }
+}
+
+std::uint16_t PlatformStore::lastWriterPort() const { return impl_->lastWriterPort_; }
+
 std::map<std::string, std::string> PlatformStore::newest(const std::string& topic) const
 {
     return newestOfAll(topic);
--- a/standin/PlatformStore.h
+++ b/standin/PlatformStore.h
@@ -47,6 +47,10 @@
     void put(const std::string& topic, const std::string& key, const std::string& value);
     /** Drops all records of a topic except the newest of each key. */
     void compact(const std::string& topic);
+    /** Does so for each topic. */
+    void compactAll();
+    /** The port at which the last append with a writer and a sequence number arrived; 0 if there was none. */
+    std::uint16_t lastWriterPort() const;
     std::map<std::string, std::string> newest(const std::string& topic) const;
     /** Returns the newest records of all topics with this name prefix. */
     std::map<std::string, std::string> newestOfAll(const std::string& topicPrefix) const;
--- a/standin/StreamTarget.cpp
+++ b/standin/StreamTarget.cpp
@@ -214,6 +214,8 @@
         Run& run = runs_.back();
         log(fmt::format(
             "run {} {} {} {} {}", run.number_, run.attempt_, run.resumes_, run.first_, run.path_));
+        if (!options_.crashPath_.empty() && run.path_.find(options_.crashPath_) != std::string::npos)
+            std::raise(SIGKILL);
         session->run_ = &run;
         session->nextEvent_ = from + 1;
         bool isStream = request.method_ == "POST" && request.target_.find("/call/") == std::string::npos;
--- a/standin/StreamTarget.h
+++ b/standin/StreamTarget.h
@@ -64,6 +64,7 @@
     EndPoint endPoint_ = EndPoint::Never;
     EndKind endKind_ = EndKind::Kill;
     int endAtEvent_ = 3; ///< The event inside or after which it ends.
+    std::string crashPath_; ///< A run of a path that contains it kills the process; empty for none.
     bool readsBodies_ = true; ///< Otherwise it answers after the head, and reads no further.
 };
 
--- a/test/soak/ProcessSoakTarget.cpp
+++ b/test/soak/ProcessSoakTarget.cpp
@@ -52,6 +52,7 @@
     constexpr int minGap = 4;
     constexpr int maxGap = 40;
     std::vector<std::string> arguments = flags;
+    arguments.insert(arguments.end(), place_.flags_.begin(), place_.flags_.end());
     arguments.push_back(fmt::format("--listen=127.0.0.1:{}", port_));
     arguments.push_back("--id=" + id_);
     arguments.push_back(fmt::format("--label={}/{}/{}", place_.service_, place_.version_, id_));
--- a/test/soak/ProcessSoakTarget.h
+++ b/test/soak/ProcessSoakTarget.h
@@ -26,6 +26,7 @@
         std::string folder_; ///< For its log.
         /** Whether a start with another software version may have the id of the one before. */
         bool changesVersionUnderOneId_ = false;
+        std::vector<std::string> flags_; ///< Of standin-target, for each start.
     };
 
     ProcessSoakTarget(
