--- a/test/soak/FaultSoakHarness.cpp
+++ b/test/soak/FaultSoakHarness.cpp
@@ -194,9 +194,9 @@
         void scheduleCrashes(Milliseconds at)
         {
             std::size_t content = pick(1000);
-            std::size_t times = 3 + pick(12);
+            std::size_t times = 10 + pick(20);
             const char* prefix = pick(3) == 0 ? "/read" : "/turn";
-            constexpr std::int64_t gapMs = 60;
+            constexpr std::int64_t gapMs = 150;
             for (std::size_t i = 0; i < times; ++i)
                 schedule(at + Milliseconds { gapMs * static_cast<std::int64_t>(i) },
                     fmt::format("content {} that crashes", content), [this, content, prefix] {
