--- a/test/correctness/RejectedAppends.cpp
+++ b/test/correctness/RejectedAppends.cpp
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <fmt/format.h>
+#include <optional>
 #include <functional>
 
 using namespace fescue;
@@ -142,7 +143,7 @@
             tracker->applyRecords({ { "crash:00000000000012ab:vm-b#1", R"([5,["t@1"]])" } }, true);
             return [quarantine, tracker](MonotonicTime now) {
                 tracker->tick(
-                    {}, [](const EndedConnection&) { return false; }, now);
+                    {}, [](const TargetId&) { return std::optional<MonotonicTime> {}; }, now);
             };
         });
     }
