--- a/test/correctness/RejectedAppends.cpp
+++ b/test/correctness/RejectedAppends.cpp
@@ -11,8 +11,8 @@
 
 #include <chrono>
 #include <fmt/format.h>
-#include <optional>
 #include <functional>
+#include <optional>
 
 using namespace fescue;
 
