Waiting calls that may crash their targets are looked through at once

A VM whose targets had ended under many requests stood still: each waiting request that may crash its target was compared with each running one, for each target, in each step that looks for targets. These are all requests that were under way when targets ended twice.

The targets that run such a request are found once a step, and one of them that finds no room answers for the others, as for other requests since. The tests of steps measure processor time now, which is what the fault uses, instead of the time of day.

--- a/src/TargetChoice.cpp
+++ b/src/TargetChoice.cpp
@@ -14,22 +14,31 @@
     constexpr double reportDecayMs = 1000;
     constexpr double defaultCallMs = 300; // Used until a speed is known.
 
-    bool hasSuspect(const TargetPool& pool, const TargetId& target, MonotonicTime now)
+    // The targets that run a call which may crash them.
+    std::set<TargetId> targetsOfSuspects(const TargetPool& pool, MonotonicTime now)
     {
-        return std::any_of(pool.running_.begin(), pool.running_.end(), [&](const auto& entry) {
-            return entry.second.target_ == target
-                && isSuspect(pool.quarantine_, entry.second.call_.digest_, now);
-        });
+        std::set<TargetId> targets;
+        for (const auto& [id, running] : pool.running_) {
+            if (isSuspect(pool.quarantine_, running.call_.digest_, now))
+                targets.insert(running.target_);
+        }
+        return targets;
+    }
+
+    // Those that a call must not run at; none for a call that is no suspect itself.
+    std::set<TargetId> forbiddenTargets(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
+    {
+        return isSuspect(pool.quarantine_, call.digest_, now) ? targetsOfSuspects(pool, now)
+                                                              : std::set<TargetId>();
     }
 
     bool isFull(const TargetState& state) { return state.inFlight_ + 1 > state.window_.size_; }
 
-    bool canRun(const TargetPool& pool, const TargetState& state, const QueuedCall& call, MonotonicTime now)
+    bool canRun(const TargetPool& pool, const TargetState& state, const QueuedCall& call,
+        const std::set<TargetId>& forbidden, MonotonicTime now)
     {
-        if (!acceptsNewCalls(pool, state, now) || !servesCall(state.target_, call)
-            || call.avoid_.count(state.target_.id_))
-            return false;
-        return !isSuspect(pool.quarantine_, call.digest_, now) || !hasSuspect(pool, state.target_.id_, now);
+        return acceptsNewCalls(pool, state, now) && servesCall(state.target_, call)
+            && !call.avoid_.count(state.target_.id_) && !forbidden.count(state.target_.id_);
     }
 
     // Other zones do not report their load to this VM, so it is estimated from that of its own zone.
@@ -125,12 +134,13 @@
 
     // The target that every VM prefers for a key: of all zones, or of the own one.
     TargetId preferredTarget(const TargetPool& pool, const QueuedCall& call, const std::string& key,
-        bool isOfOwnZone, const ServiceMeans& means, MonotonicTime now)
+        bool isOfOwnZone, const ServiceMeans& means, const std::set<TargetId>& forbidden, MonotonicTime now)
     {
         TargetId best;
         double bestScore = 0;
         for (const auto& [id, state] : pool.targets_) {
-            if ((isOfOwnZone && state.target_.zone_ != pool.zone_) || !canRun(pool, state, call, now))
+            if ((isOfOwnZone && state.target_.zone_ != pool.zone_)
+                || !canRun(pool, state, call, forbidden, now))
                 continue;
             double weight = sharedTarget(pool, state, means, now).slots_;
             double score = rendezvousScore(key, id, weight);
@@ -144,15 +154,15 @@
 
     // The target that is faster for a call than others, known or by agreement of all VMs. Programs stay in a
     // zone; the calls about an object come from all zones.
-    TargetId fasterTarget(
-        const TargetPool& pool, const QueuedCall& call, const ServiceMeans& means, MonotonicTime now)
+    TargetId fasterTarget(const TargetPool& pool, const QueuedCall& call, const ServiceMeans& means,
+        const std::set<TargetId>& forbidden, MonotonicTime now)
     {
         if (pool.targets_.count(call.cachingTarget_))
             return call.cachingTarget_;
         if (!call.model_.empty() && !call.program_.empty())
-            return preferredTarget(pool, call, call.program_.value_, true, means, now);
+            return preferredTarget(pool, call, call.program_.value_, true, means, forbidden, now);
         if (!call.affinityKey_.empty())
-            return preferredTarget(pool, call, call.affinityKey_, false, means, now);
+            return preferredTarget(pool, call, call.affinityKey_, false, means, forbidden, now);
         return {};
     }
 
@@ -167,15 +177,16 @@
         return now < call.arrived_ + pool.options_.shared_.maxPermitWait_;
     }
 
-    Choice chooseShared(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
+    Choice chooseShared(const TargetPool& pool, const QueuedCall& call, const std::set<TargetId>& forbidden,
+        MonotonicTime now)
     {
         ServiceMeans means = serviceMeans(pool, call, now);
-        TargetId faster = fasterTarget(pool, call, means, now);
+        TargetId faster = fasterTarget(pool, call, means, forbidden, now);
         bool canWaitForPermit = mayWaitForPermit(pool, call, now);
         TargetId best;
         double bestCost = 0;
         for (const auto& [id, state] : pool.targets_) {
-            if (!canRun(pool, state, call, now) || (isHeld(state.gate_, now) && !canWaitForPermit))
+            if (!canRun(pool, state, call, forbidden, now) || (isHeld(state.gate_, now) && !canWaitForPermit))
                 continue;
             SharedTarget target = sharedTarget(pool, state, means, now);
             target.hasPromptCached_ = id == faster;
@@ -249,12 +260,13 @@
 
 Choice chooseTargetFor(const TargetPool& pool, const QueuedCall& call, MonotonicTime now)
 {
+    std::set<TargetId> forbidden = forbiddenTargets(pool, call, now);
     if (pool.options_.shared_.isEnabled_)
-        return chooseShared(pool, call, now);
+        return chooseShared(pool, call, forbidden, now);
     std::vector<Candidate> candidates;
     double assumedRunning = meanRunning(pool) * pool.options_.placement_.otherZoneLoad_;
     for (const auto& [id, state] : pool.targets_) {
-        if (canRun(pool, state, call, now))
+        if (canRun(pool, state, call, forbidden, now))
             candidates.push_back(candidateOf(pool, state, call, assumedRunning));
     }
     return chooseTarget(candidates, pool.options_.placement_);
@@ -265,15 +277,25 @@
 {
     if (!pool.options_.shared_.isEnabled_)
         return chooseTargetFor(pool, call, now);
-    CallsWithoutRoom::Kind kind { call.service_, call.model_, call.version_ };
+    CallsWithoutRoom::Kind kind { call.service_, call.model_, call.version_, false };
     bool mayWait = mayWaitForPermit(pool, call, now);
+    auto isKnown
+        = [&] { return withoutRoom.waiting_.count(kind) || (!mayWait && withoutRoom.others_.count(kind)); };
     // What may use fewer targets than others of its kind finds none, either.
-    if (withoutRoom.waiting_.count(kind) || (!mayWait && withoutRoom.others_.count(kind)))
+    if (isKnown())
+        return {};
+    bool mayCrash = isSuspect(pool.quarantine_, call.digest_, now);
+    std::get<bool>(kind) = mayCrash;
+    if (isKnown())
         return {};
-    Choice choice = chooseShared(pool, call, now);
-    bool mayUseAll = call.avoid_.empty() && !isSuspect(pool.quarantine_, call.digest_, now);
-    if (choice.kind_ == Choice::Kind::NoRoom && mayUseAll)
+    if (mayCrash && !withoutRoom.targetsOfSuspects_)
+        withoutRoom.targetsOfSuspects_ = targetsOfSuspects(pool, now);
+    static const std::set<TargetId> none;
+    Choice choice = chooseShared(pool, call, mayCrash ? *withoutRoom.targetsOfSuspects_ : none, now);
+    if (choice.kind_ == Choice::Kind::NoRoom && call.avoid_.empty())
         (mayWait ? withoutRoom.waiting_ : withoutRoom.others_).insert(std::move(kind));
+    if (mayCrash && choice.kind_ == Choice::Kind::Run)
+        withoutRoom.targetsOfSuspects_->insert(choice.target_);
     return choice;
 }
 
--- a/src/TargetChoice.h
+++ b/src/TargetChoice.h
@@ -35,9 +35,11 @@
 Choice chooseTargetFor(const TargetPool& pool, const QueuedCall& call, MonotonicTime now);
 
 /** Calls for which no target had room, so that others like them need no look at all targets. Valid at one
- * time, while nothing but dispatches changes the pool. */
+ * time, while nothing but dispatches changes the pool, and each choice to run is dispatched. */
 struct CallsWithoutRoom {
-    using Kind = std::tuple<ServiceId, ModelId, std::optional<SoftwareVersion>>;
+    /** The last one: whether they may crash their targets. */
+    using Kind = std::tuple<ServiceId, ModelId, std::optional<SoftwareVersion>, bool>;
+    std::optional<std::set<TargetId>> targetsOfSuspects_; ///< Targets that run such a call, once needed.
     std::set<Kind> waiting_; ///< Those that may wait for a permit found none.
     std::set<Kind> others_; ///< Those that may not.
 };
--- a/test/correctness/ManyCallers.cpp
+++ b/test/correctness/ManyCallers.cpp
@@ -1,8 +1,8 @@
 // FrontRoomImpl: guards against an event loop that stands still when the answers of thousands of callers find
 // no room, each of which looks through all connections for one that could give way.
 
-#include "BootClock.h"
 #include "FrontCaller.h"
+#include "LoopWatch.h"
 #include "Suite.h"
 
 #include <memory>
@@ -47,10 +47,10 @@
         FrontLimits limits;
         limits.memory_ = { crowd.server_.server_.heldMemory().total_, 2 * kilobyte, 0, kilobyte };
         crowd.server_.server_.setLimits(limits);
-        MonotonicTime begin = bootNow();
+        Milliseconds begin = usedProcessorTime();
         for (std::size_t i = 0; i < answers; ++i)
             CHECK(!crowd.server_.open_[i].second->reserveForAnswer(answerBytes));
-        Milliseconds time = bootNow() - begin;
+        Milliseconds time = usedProcessorTime() - begin;
         std::printf("%zu answers beside %zu callers: %ld ms\n", answers, callerCount,
             static_cast<long>(time.count()));
         CPPUNIT_ASSERT_MESSAGE(std::to_string(time.count()) + " ms", time < maxTime);
--- a/test/correctness/ManyLostConnections.cpp
+++ b/test/correctness/ManyLostConnections.cpp
@@ -4,6 +4,7 @@
 #include "BootClock.h"
 #include "CrashTracker.h"
 #include "EventLoop.h"
+#include "LoopWatch.h"
 #include "OutboundPool.h"
 #include "StoreClient.h"
 #include "Suite.h"
@@ -63,9 +64,9 @@
 
 template <typename Step> Milliseconds timeOf(const Step& step)
 {
-    MonotonicTime begin = bootNow();
+    Milliseconds begin = usedProcessorTime();
     step();
-    return bootNow() - begin;
+    return usedProcessorTime() - begin;
 }
 
 void checkStep(Milliseconds time)
--- a/test/correctness/ManyQueuedCalls.cpp
+++ b/test/correctness/ManyQueuedCalls.cpp
@@ -2,6 +2,7 @@
 // answer, and each tick, looks for a target for each of them among all targets.
 
 #include "BootClock.h"
+#include "LoopWatch.h"
 #include "Suite.h"
 #include "TargetChoice.h"
 
@@ -57,8 +58,16 @@
     return pool;
 }
 
-// Time of a step in which a pool whose targets of one service are all busy looks for targets.
-Milliseconds timeOfStep(std::size_t targets)
+// Twice, so that a third crash would quarantine it.
+void makeSuspect(TargetPool& pool, const QueuedCall& call, MonotonicTime now)
+{
+    pool.quarantine_.threshold_ = 3;
+    recordCrash(pool.quarantine_, call.digest_, { "i-0@1" }, now);
+    recordCrash(pool.quarantine_, call.digest_, { "i-0@2" }, now);
+}
+
+// Processor time of a step in which a pool whose targets of one service are all busy looks for targets.
+Milliseconds timeOfStep(std::size_t targets, bool areSuspects = false)
 {
     TargetPool pool = makePool(targets);
     Random random(1);
@@ -68,11 +77,17 @@
         pushCall(pool.queue_, callOf(++id, busyService, now));
         nextDispatches(pool, now, random);
     }
-    while (pool.queue_.calls_.size() < maxQueued)
-        pushCall(pool.queue_, callOf(++id, busyService, now));
-    MonotonicTime begin = bootNow();
+    if (areSuspects)
+        makeSuspect(pool, pool.queue_.calls_.front(), now);
+    while (pool.queue_.calls_.size() < maxQueued) {
+        QueuedCall call = callOf(++id, busyService, now);
+        if (areSuspects)
+            makeSuspect(pool, call, now);
+        pushCall(pool.queue_, call);
+    }
+    Milliseconds begin = usedProcessorTime();
     auto dispatches = nextDispatches(pool, now, random);
-    Milliseconds time = bootNow() - begin;
+    Milliseconds time = usedProcessorTime() - begin;
     std::printf("%zu targets, %zu running, %zu queued: %ld ms\n", targets, pool.running_.size(),
         pool.queue_.calls_.size(), static_cast<long>(time.count()));
     CHECK_EQUAL(std::size_t { 0 }, dispatches.size());
@@ -85,6 +100,7 @@
 class ManyQueuedCalls : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ManyQueuedCalls);
     CPPUNIT_TEST(callsOfBusyTargetsAreLookedThroughAtOnce);
+    CPPUNIT_TEST(callsThatMayCrashTheirTargetsAreLookedThroughAtOnce);
     CPPUNIT_TEST(noCallThatCouldRunIsLeft);
     CPPUNIT_TEST(callsOfTargetsThatComeBackAreSentInParts);
     CPPUNIT_TEST_SUITE_END();
@@ -97,6 +113,14 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(time.count()) + " ms", time < maxStep);
     }
 
+    // Guards against a look at all running calls for each waiting one and each target.
+    void callsThatMayCrashTheirTargetsAreLookedThroughAtOnce()
+    {
+        constexpr std::size_t targets = 1200;
+        Milliseconds time = timeOfStep(targets, true);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(time.count()) + " ms", time < maxStep);
+    }
+
     void callsOfTargetsThatComeBackAreSentInParts()
     {
         constexpr std::size_t targets = 1200;
@@ -111,9 +135,9 @@
         std::size_t dispatched = 0;
         Milliseconds longest { 0 };
         for (std::size_t step = 0; step < maxQueued / most; ++step) {
-            MonotonicTime begin = bootNow();
+            Milliseconds begin = usedProcessorTime();
             std::size_t sent = nextDispatches(pool, now, random).size();
-            longest = std::max(longest, bootNow() - begin);
+            longest = std::max(longest, usedProcessorTime() - begin);
             CHECK_EQUAL(most, sent);
             dispatched += sent;
         }
@@ -149,7 +173,7 @@
                 if (pick(3) == 0)
                     call.avoid_.insert({ "i-" + std::to_string(pick(12)) });
                 if (pick(4) == 0)
-                    recordCrash(pool.quarantine_, call.digest_, { "i-0@1" }, now);
+                    makeSuspect(pool, call, now);
                 pushCall(pool.queue_, call);
             }
             dispatched += nextDispatches(pool, now, unused).size();
