--- a/src/RateLimits.cpp
+++ b/src/RateLimits.cpp
@@ -9,7 +9,9 @@
     if (last ? observation.observedAt_ < last->observedAt_ : !observation.rate_)
         return false;
     if (last && last->rate_ == observation.rate_) {
-        limits.beliefs_[start.target_].last_ = observation;
+        RateLimit& known = limits.beliefs_[start.target_];
+        known.last_ = observation;
+        known.assumedSinceReport_.reset(); // This start says so itself.
         return false;
     }
     putBelief(limits.beliefs_, start.target_, RateLimit { { start.startedAt_, now, now }, observation });
--- a/test/correctness/PermitPacing.cpp
+++ b/test/correctness/PermitPacing.cpp
@@ -4,6 +4,7 @@
 #include "CallForwarder.h"
 #include "EventLoop.h"
 #include "PeerPermits.h"
+#include "RateLimits.h"
 #include "StoreClient.h"
 #include "Suite.h"
 
@@ -36,6 +37,7 @@
 class PermitPacing : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PermitPacing);
     CPPUNIT_TEST(targetThatWorksOnAfterItsRestartHasNoRate);
+    CPPUNIT_TEST(rateThatTheNewStartNamesIsKept);
     CPPUNIT_TEST(permitsRefusedWithoutATimeAreAskedForAgainLater);
     CPPUNIT_TEST(permitsThatAPeerCannotGiveAreAskedForAgainLater);
     CPPUNIT_TEST_SUITE_END();
@@ -159,6 +161,34 @@
     }
 
     // As a VM does that has not heard of the rate.
+    // Guards against more requests than a target takes: a start that has named its rate since was taken for
+    // one that had not.
+    void rateThatTheNewStartNamesIsKept()
+    {
+        const TargetId id { "i-1" };
+        const Milliseconds before { 1000 };
+        const Milliseconds after { 2000 };
+        MonotonicTime now = MonotonicTime {} + Milliseconds { 100000 };
+        RateLimits limits;
+        TargetList list;
+        list.followedSince_ = MonotonicTime {} + Milliseconds { 1 };
+        TargetEntry& entry = list.entries_[id];
+        entry.startedAt_ = before;
+        entry.heartbeat_ = 50;
+        // It has named the rate before the list shows its new start.
+        CHECK(recordRate(limits, { id, before }, { RequestRate { 2 }, now }, now));
+        entry.startedAt_ = after;
+        entry.heartbeat_ = 1;
+        for (int report = 0; report < 8; ++report) {
+            now += Milliseconds { 1000 };
+            list.readAt_ = now;
+            CHECK(endBeliefs(limits.beliefs_, list, now).empty());
+            recordRate(limits, { id, after }, { RequestRate { 2 }, now }, now);
+            ++entry.heartbeat_;
+        }
+        CHECK(rateOf(limits, { id, after }).has_value());
+    }
+
     void permitsRefusedWithoutATimeAreAskedForAgainLater()
     {
         setPeer("vm-b", peer_.port());
