--- a/src/CallForwarderImpl.h
+++ b/src/CallForwarderImpl.h
@@ -431,6 +431,8 @@
     void finish(const TransferPtr& transfer, const char* outcome, int status, const std::string& reason)
     {
         transfer->isFinished_ = true;
+        if (transfer->isOnTrial_)
+            crashTracker_.returnTrial(transfer->digest_);
         logFinish(*transfer, outcome, status, reason, bootNow());
         const ForwardedCall& call = transfer->call_;
         if (call.onEnd_)
--- a/src/ContentTrials.cpp
+++ b/src/ContentTrials.cpp
@@ -12,6 +12,7 @@
     // The records of all VMs are exchanged, and ended targets are mostly back, after it.
     constexpr Milliseconds firstTrialDelay { 3000 };
     constexpr Milliseconds nextTrialDelay { 15000 };
+    constexpr Milliseconds returnedTrialDelay { 500 };
 
     bool isFirstWriter(const Quarantine& quarantine, ContentDigest digest)
     {
@@ -44,6 +45,15 @@
     return true;
 }
 
+void returnTrial(ContentTrials& trials, ContentDigest digest, MonotonicTime now)
+{
+    auto found = trials.contents_.find(digest);
+    if (found == trials.contents_.end() || found->second.trials_ == 0)
+        return;
+    --found->second.trials_;
+    found->second.nextAt_ = now + returnedTrialDelay;
+}
+
 void removeExpired(ContentTrials& trials, Milliseconds crashExpiry, MonotonicTime now)
 {
     for (auto content = trials.contents_.begin(); content != trials.contents_.end();) {
--- a/src/ContentTrials.h
+++ b/src/ContentTrials.h
@@ -33,6 +33,9 @@
  * has recorded. */
 bool takeTrial(ContentTrials& trials, const Quarantine& quarantine, ContentDigest digest, MonotonicTime now);
 
+/** Gives back a trial that was not sent to a target, so that there may be another one soon. */
+void returnTrial(ContentTrials& trials, ContentDigest digest, MonotonicTime now);
+
 /** Forgets contents whose crashes have expired. */
 void removeExpired(ContentTrials& trials, Milliseconds crashExpiry, MonotonicTime now);
 
--- a/src/CrashTracker.cpp
+++ b/src/CrashTracker.cpp
@@ -353,6 +353,11 @@
     recordConcurrentRuns(impl_->trials_, digest, bootNow());
 }
 
+void CrashTracker::returnTrial(ContentDigest digest)
+{
+    fescue::returnTrial(impl_->trials_, digest, bootNow());
+}
+
 bool CrashTracker::takeTrial(ContentDigest digest) { return impl_->takeTrial(digest); }
 
 void CrashTracker::onCompleted(ContentDigest digest)
--- a/src/CrashTracker.h
+++ b/src/CrashTracker.h
@@ -42,6 +42,8 @@
     void onConcurrentRuns(ContentDigest digest);
     /** Whether a request with this content is to run although it is quarantined; see ContentTrials.h. */
     bool takeTrial(ContentDigest digest);
+    /** Gives back a trial that was not sent to a target. */
+    void returnTrial(ContentDigest digest);
     /** Clears a request after a complete and successful answer. */
     void onCompleted(ContentDigest digest);
     /** Applies changed records of the store, or all of its records if `isComplete`. */
--- a/src/EntryVmImpl.h
+++ b/src/EntryVmImpl.h
@@ -132,7 +132,8 @@
               [](int, const char*, const HttpHead*) {})
     {
         setGrace(drain_, options_.settings_.drainGrace_);
-        loop_.share_ = options_.settings_.cpuQuota_;
+        if (options_.settings_.cpuQuota_ > 0)
+            loop_.share_ = options_.settings_.cpuQuota_;
         memory_.limit_ = { options_.settings_.memoryMb_ * static_cast<std::int64_t>(bytesPerMb) };
         callerServer_.onEvent(
             [this](FrontEvent event, std::size_t bytes) { callerRoom_.record(event, bytes); });
