--- a/standin/PlatformStore.h
+++ b/standin/PlatformStore.h
@@ -23,10 +23,10 @@
 struct StoreFaults {
     bool isDown_ = false; ///< Answers `downStatus_` without applying the call.
     int downStatus_ = 503; ///< 429 for a store that is over its rate limit.
-    bool refusesAppends_ = false; ///< Answers `downStatus_` to appends only.
     bool isSilent_ = false; ///< Neither answers nor applies calls.
     bool holdsLongPolls_ = false; ///< Does not answer reads that may wait, as on a connection that hangs.
     int answersToDrop_ = 0; ///< Number of appends to apply without an answer.
+    bool refusesAppends_ = false; ///< Answers `downStatus_` to appends only.
 };
 
 /** A fake store. Not thread-safe; to be used on the thread of its event loop only. */
