StalledCopies resumes its streams within the time for which VMs keep them

Cause: the test. Targets that have broken three streams off are avoided until their next heartbeat, so the 60 streams take 7.4 to 9.5 s to begin, and with the 1.5 s until a target has left the first ones are resumed after 10 s, when VMs have dropped their origins as they should (twice the timeout of the route, at least 10 s).

Change: the test publishes a route with a timeout of 10 s, so that origins are kept for 20 s. Number of streams, interval, bound on descriptors and the required answers are as before.

--- a/test/failure/StalledCopies.cpp
+++ b/test/failure/StalledCopies.cpp
@@ -17,6 +17,15 @@
 // Connections that calls under way may have at any time; one for each stream would be sixty.
 constexpr std::ptrdiff_t maxMoreDescriptors { 20 };
 
+// Streams can be taken up again for twice the timeout of their route. Targets that have broken three streams
+// off are avoided until their next heartbeat, so the streams take up to 9 s to begin.
+constexpr const char* configWithLongRetention = R"({"version":6,"routes":[
+{"name":"turns","host":"h.example","path-prefix":"/turn/","type":"streaming","timeout-ms":10000,"service":"llm",
+ "max-attempts":1,"retained":false,"retention-s":60.0,"resumable":true,"priority":1}],
+"services":[{"name":"llm","engine":{"slots":12,"tokens-per-event":100}}],
+"limits":{"max-header-bytes":8192,"max-body-bytes":65536,"header-timeout-ms":3000,"idle-timeout-ms":15000}})";
+constexpr Milliseconds untilApplied { 400 };
+
 std::ptrdiff_t openDescriptors(const StreamVersionSetup& setup, std::size_t vm)
 {
     std::filesystem::directory_iterator all("/proc/" + std::to_string(setup.vms_.processId(vm)) + "/fd");
@@ -35,6 +44,9 @@
     {
         StreamVersionSetup setup(3);
         setup.hasPrograms_ = false; // Their home may be the paused VM.
+        setup.vms_.runOnStore(
+            [](standin::PlatformStore& store) { store.put("keyed.op", "config", configWithLongRetention); });
+        std::this_thread::sleep_for(untilApplied);
         setup.begin(0);
         std::ptrdiff_t before = openDescriptors(setup, 0);
         setup.vms_.process(1).pause();
