EndlessPages and RejectedAppends share their stand-in for a store with odd answers

Both had the same class, word for word. It stands in test/support/OddStore.h now; scripts, bounds and checks are as they were.

--- a/test/correctness/EndlessPages.cpp
+++ b/test/correctness/EndlessPages.cpp
@@ -3,7 +3,7 @@
 #include "BootClock.h"
 #include "BudgetStore.h"
 #include "EventLoop.h"
-#include "FrontServer.h"
+#include "OddStore.h"
 #include "PagedRead.h"
 #include "StoreClient.h"
 #include "StoreFollower.h"
@@ -11,51 +11,18 @@
 
 #include <chrono>
 #include <fmt/format.h>
-#include <functional>
 #include <optional>
 
 using namespace fescue;
+using namespace fescue::test;
 
 namespace {
 
 // Of the 2,000 reads that a store takes in a second from ten VMs.
 constexpr int maxCallsPerSecond = 200;
 constexpr Milliseconds measuredTime { 1500 };
-constexpr int ok = 200;
 constexpr int gone = 410;
 
-struct Answer {
-    int status_ = ok;
-    std::string body_;
-};
-
-// Answers the calls of a store with the number of each call in mind, and counts them.
-class OddStore {
-public:
-    using Script = std::function<Answer(const std::string& call, int number)>;
-
-    OddStore(asio::io_context& io, Script script)
-        : script_(std::move(script))
-        , server_(
-              io, "127.0.0.1:0",
-              [this](const FrontRequest& request, const std::shared_ptr<FrontReply>& reply) {
-                  Answer answer = script_(request.head_.target_, ++calls_);
-                  HttpHead head;
-                  head.status_ = answer.status_;
-                  reply->answer(std::move(head), answer.body_);
-              },
-              [](int, const char*, const HttpHead*) {})
-    {
-    }
-    asio::ip::tcp::endpoint address() const { return { asio::ip::address_v4::loopback(), server_.port() }; }
-    int calls() const { return calls_; }
-
-private:
-    Script script_;
-    int calls_ = 0;
-    FrontServer server_;
-};
-
 std::string pageOf(const std::string& key, int end, bool hasMore)
 {
     return fmt::format(
@@ -98,7 +65,7 @@
             { [](const ServingConfig&) {}, [](const TargetList&) {}, [](const auto&) {},
                 [](const auto&, bool) {} });
         MonotonicTime end = bootNow() + measuredTime;
-        fescue::test::runLoopUntil(
+        runLoopUntil(
             io,
             [&] {
                 client.tick(bootNow());
@@ -133,7 +100,7 @@
         budgets.onTurnRequested(
             { "p" }, TokenCount { 4000 }, Milliseconds { 60000 }, { TurnId { 1 }, TokenCount { 500 }, true });
         MonotonicTime end = bootNow() + measuredTime;
-        fescue::test::runLoopUntil(
+        runLoopUntil(
             io,
             [&] {
                 client.tick(bootNow());
--- a/test/correctness/RejectedAppends.cpp
+++ b/test/correctness/RejectedAppends.cpp
@@ -4,56 +4,23 @@
 #include "BudgetStore.h"
 #include "CrashTracker.h"
 #include "EventLoop.h"
-#include "FrontServer.h"
+#include "OddStore.h"
 #include "StoreClient.h"
 #include "StoreFollower.h"
 #include "Suite.h"
 
 #include <chrono>
 #include <fmt/format.h>
-#include <functional>
 #include <optional>
 
 using namespace fescue;
+using namespace fescue::test;
 
 namespace {
 
 // Of the 800 writes that a store takes in a second from ten VMs.
 constexpr int maxCallsPerSecond = 80;
 constexpr Milliseconds measuredTime { 500 };
-constexpr int ok = 200;
-
-struct Answer {
-    int status_ = ok;
-    std::string body_;
-};
-
-// Answers the calls of a store with the number of each call in mind, and counts them.
-class OddStore {
-public:
-    using Script = std::function<Answer(const std::string& call, int number)>;
-
-    OddStore(asio::io_context& io, Script script)
-        : script_(std::move(script))
-        , server_(
-              io, "127.0.0.1:0",
-              [this](const FrontRequest& request, const std::shared_ptr<FrontReply>& reply) {
-                  Answer answer = script_(request.head_.target_, ++calls_);
-                  HttpHead head;
-                  head.status_ = answer.status_;
-                  reply->answer(std::move(head), answer.body_);
-              },
-              [](int, const char*, const HttpHead*) {})
-    {
-    }
-    asio::ip::tcp::endpoint address() const { return { asio::ip::address_v4::loopback(), server_.port() }; }
-    int calls() const { return calls_; }
-
-private:
-    Script script_;
-    int calls_ = 0;
-    FrontServer server_;
-};
 
 const std::vector<Answer> rejections { { 409, R"({"why":"seq","seq":7})" }, { 409, "" }, { 409, "odd" },
     { 409, R"({"why":"fenced"})" }, { 412, R"({"end-offset":3})" }, { 412, "odd" }, { 400, "" }, { 404, "" },
@@ -86,7 +53,7 @@
             platform::StoreClient client(io, store.address());
             Tick tick = start(io, client);
             MonotonicTime end = bootNow() + measuredTime;
-            fescue::test::runLoopUntil(
+            runLoopUntil(
                 io,
                 [&] {
                     client.tick(bootNow());
