--- a/test/correctness/PermitPacing.cpp
+++ b/test/correctness/PermitPacing.cpp
@@ -160,7 +160,6 @@
         CHECK_EQUAL(200, second->status_);
     }
 
-    // As a VM does that has not heard of the rate.
     // Guards against more requests than a target takes: a start that has named its rate since was taken for
     // one that had not.
     void rateThatTheNewStartNamesIsKept()
